Lay out the workspace and the contracts between packages

Cause: an empty repository; the packages are built side by side and need their common types first. Ruled out: protobuf for the inner protocol, since it needs a generator.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Versions of the tools that CI runs.
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+
+BIN := bin
+PACKAGES := ./... ./testkit/...
+# The packages with decision logic run under the race detector.
+TEST_FLAGS ?= -race -timeout 20m
+
+.PHONY: all build test check fmt tidy-check bench demo up fuzz clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test $(TEST_FLAGS) $(PACKAGES)
+
+check:
+	@unformatted=$$(go run $(GOFUMPT) -l .); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet $(PACKAGES)
+	go run $(STATICCHECK) $(PACKAGES)
+
+fmt:
+	go run $(GOFUMPT) -w .
+
+tidy-check:
+	GOWORK=off go mod tidy -diff
+	cd testkit && GOWORK=off go mod tidy -diff
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/pkg/platform/platform.go
@@ -0,0 +1,105 @@
+// Package platform holds the interfaces and clients of what the platform gives:
+// the key-value service, met through etcd's v3 JSON/HTTP gateway, and the list
+// of hosts.
+package platform
+
+import (
+	"context"
+	"time"
+)
+
+// KeyValue is one key of the key-value service.
+type KeyValue struct {
+	Key            string
+	Value          []byte
+	CreateRevision int64
+	// ModRevision is the revision of the last change; zero means absent.
+	ModRevision int64
+}
+
+// Compare is a condition of a transaction: the key's modification revision must
+// equal ModRevision; zero demands that the key is absent.
+type Compare struct {
+	Key         string
+	ModRevision int64
+}
+
+// Op is one change of a transaction.
+type Op struct {
+	Key    string
+	Value  []byte
+	Delete bool
+	// Lease attaches a put to a lease; zero means none.
+	Lease int64
+}
+
+// TxnResult is the result of a transaction.
+type TxnResult struct {
+	// Succeeded tells whether all conditions held and the changes were made.
+	Succeeded bool
+	Revision  int64
+	// Current holds the compared keys as they stood when a condition failed.
+	Current []KeyValue
+}
+
+// RangeResult is the result of a range read.
+type RangeResult struct {
+	Revision int64
+	Values   []KeyValue
+}
+
+// WatchEvent is one change seen by a watch.
+type WatchEvent struct {
+	Deleted bool
+	Value   KeyValue
+}
+
+// KeyValueStore is the platform's key-value service. Errors are *StoreError.
+type KeyValueStore interface {
+	// Range reads a key, or all keys with a prefix.
+	Range(ctx context.Context, key string, prefix bool) (RangeResult, error)
+	// Txn makes all changes if all conditions hold.
+	Txn(ctx context.Context, conditions []Compare, changes []Op) (TxnResult, error)
+	// Watch calls fn for batches of changes after the revision, in order, until
+	// ctx ends or the watch breaks. It returns an error that IsCompacted tells
+	// apart when the revision is too old.
+	Watch(ctx context.Context, prefix string, after int64, fn func(revision int64, events []WatchEvent)) error
+	// Grant makes a lease.
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+}
+
+// HostState is the state of a host in the platform's list.
+type HostState string
+
+// The host states. A host that was listed and no longer is, is gone.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// HostRole tells which of our processes a host runs.
+type HostRole string
+
+// The host roles.
+const (
+	RoleEntry HostRole = "entry"
+	RoleAgent HostRole = "agent"
+)
+
+// Host is one row of the platform's list.
+type Host struct {
+	ID            string    `json:"id"`
+	Role          HostRole  `json:"role"`
+	State         HostState `json:"state"`
+	FailureDomain string    `json:"failure_domain"`
+	Region        string    `json:"region"`
+	// Address is the UDP address of our process, IP and port.
+	Address string `json:"address"`
+	// Services names the plain services behind an agent; empty for a runner.
+	Services []string `json:"services,omitempty"`
+}
+
+// HostLister reads the platform's list of hosts, which may lag.
+type HostLister interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
--- /dev/null
+++ b/pkg/wire/messages.go
@@ -0,0 +1,276 @@
+package wire
+
+// Frame is the unit on a stream. Exactly one field is set.
+type Frame struct {
+	Request  *Request  `cbor:"1,keyasint,omitempty"`
+	Accepted *Accepted `cbor:"2,keyasint,omitempty"`
+	Refusal  *Refusal  `cbor:"3,keyasint,omitempty"`
+	Head     *Head     `cbor:"4,keyasint,omitempty"`
+	Chunk    *Chunk    `cbor:"5,keyasint,omitempty"`
+	End      *End      `cbor:"6,keyasint,omitempty"`
+	Probe    *Probe    `cbor:"7,keyasint,omitempty"`
+	Status   *Status   `cbor:"8,keyasint,omitempty"`
+	Sync     *Sync     `cbor:"9,keyasint,omitempty"`
+	Update   *Update   `cbor:"10,keyasint,omitempty"`
+	LoadAsk  *LoadAsk  `cbor:"11,keyasint,omitempty"`
+	LoadSlot *LoadSlot `cbor:"12,keyasint,omitempty"`
+	Resume   *Resume   `cbor:"13,keyasint,omitempty"`
+}
+
+// Request carries one caller's request from an entry to an agent.
+type Request struct {
+	// ID identifies the caller's request and is the same in all its attempts.
+	ID       string `cbor:"1,keyasint"`
+	Plan     string `cbor:"2,keyasint"`
+	Weight   int    `cbor:"3,keyasint"`
+	Priority int    `cbor:"4,keyasint,omitempty"`
+	// Model, Version and Adapter are set for model requests.
+	Model          string `cbor:"5,keyasint,omitempty"`
+	Version        string `cbor:"6,keyasint,omitempty"`
+	Adapter        string `cbor:"7,keyasint,omitempty"`
+	AdapterVersion string `cbor:"8,keyasint,omitempty"`
+	// Service, Method and Path are set for calls of plain services; Path is
+	// also set for model requests and names the engine's route.
+	Service string `cbor:"9,keyasint,omitempty"`
+	Method  string `cbor:"10,keyasint,omitempty"`
+	Path    string `cbor:"11,keyasint,omitempty"`
+	// IdempotencyKey is the caller's key, scoped by plan and service.
+	IdempotencyKey string `cbor:"12,keyasint,omitempty"`
+	// Idempotent tells that the work may run more than once.
+	Idempotent bool `cbor:"13,keyasint,omitempty"`
+	Stream     bool `cbor:"14,keyasint,omitempty"`
+	// BudgetMillis is the time in milliseconds left for the whole answer.
+	BudgetMillis uint32 `cbor:"15,keyasint"`
+	// Tokens is the estimated work: prompt tokens plus the answer's maximum.
+	Tokens int64 `cbor:"16,keyasint,omitempty"`
+	// ListsRevision is the revision in force at the sender.
+	ListsRevision int64  `cbor:"17,keyasint,omitempty"`
+	ContentType   string `cbor:"18,keyasint,omitempty"`
+	Body          []byte `cbor:"19,keyasint,omitempty"`
+	// MaxQueued bounds the plan's waiting requests at the agent.
+	MaxQueued int `cbor:"20,keyasint,omitempty"`
+	// TokensPerSecond bounds the plan's rate at the agent; zero means no bound.
+	TokensPerSecond int `cbor:"21,keyasint,omitempty"`
+}
+
+// Outcome tells what is known about the work of a request without an answer.
+type Outcome uint8
+
+// The outcomes. OutcomeNotRun is a promise: the work did not and will not run.
+const (
+	OutcomeUnknown Outcome = iota
+	OutcomeNotRun
+	OutcomeRan
+)
+
+// String returns the form used towards callers.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotRun:
+		return "not-run"
+	case OutcomeRan:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason is the cause of a refusal.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonLeaving      Reason = "leaving"       // the backend server takes no new work
+	ReasonNoPermit     Reason = "no-permit"     // the runner may not hold the model
+	ReasonNoMemory     Reason = "no-memory"     // accelerator memory is taken
+	ReasonQueueFull    Reason = "queue-full"    // a queue bound is reached
+	ReasonDeadline     Reason = "deadline"      // the deadline can't be met
+	ReasonRate         Reason = "rate"          // the plan's rate is used up
+	ReasonLoadFailed   Reason = "load-failed"   // the engine could not load the model
+	ReasonStore        Reason = "store"         // the key-value service is needed and away
+	ReasonBoundElse    Reason = "bound-else"    // the idempotency key is bound to another agent
+	ReasonBoundLost    Reason = "bound-lost"    // the key's agent is gone, outcome unknown
+	ReasonKeyReused    Reason = "key-reused"    // the key was used with another request
+	ReasonEngine       Reason = "engine"        // the engine or service failed
+	ReasonInvalid      Reason = "invalid"       // the request can't be served as written
+	ReasonUnavailable  Reason = "unavailable"   // no backend server can be reached
+	ReasonNotFound     Reason = "not-found"     // the model or service isn't listed
+	ReasonShuttingDown Reason = "shutting-down" // this process is stopping
+	ReasonCancelled    Reason = "cancelled"     // the caller went away
+)
+
+// Refusal is the final answer to a request that gets no result from here.
+type Refusal struct {
+	RequestID string  `cbor:"1,keyasint"`
+	Outcome   Outcome `cbor:"2,keyasint"`
+	Reason    Reason  `cbor:"3,keyasint"`
+	Detail    string  `cbor:"4,keyasint,omitempty"`
+	// RetryAfterMillis is when to come back, in milliseconds.
+	RetryAfterMillis uint32 `cbor:"5,keyasint"`
+	// BetterRunner names an agent that may serve the request, or is empty.
+	BetterRunner string `cbor:"6,keyasint,omitempty"`
+	// BetterIncarnation is set with ReasonBoundElse.
+	BetterIncarnation string  `cbor:"7,keyasint,omitempty"`
+	Status            *Status `cbor:"8,keyasint,omitempty"`
+}
+
+// Accepted tells that the request waits or runs at the agent.
+type Accepted struct {
+	RequestID   string  `cbor:"1,keyasint"`
+	Incarnation string  `cbor:"2,keyasint"`
+	Status      *Status `cbor:"3,keyasint,omitempty"`
+}
+
+// Head starts an answer.
+type Head struct {
+	RequestID   string `cbor:"1,keyasint"`
+	StatusCode  int    `cbor:"2,keyasint"`
+	ContentType string `cbor:"3,keyasint,omitempty"`
+}
+
+// Chunk carries a part of an answer at a byte offset.
+type Chunk struct {
+	RequestID string `cbor:"1,keyasint"`
+	Offset    int64  `cbor:"2,keyasint"`
+	Data      []byte `cbor:"3,keyasint"`
+}
+
+// End closes an answer. A receiver compares Length and Sum before it passes the
+// answer on as whole.
+type End struct {
+	RequestID string `cbor:"1,keyasint"`
+	Length    int64  `cbor:"2,keyasint"`
+	// Sum is the xxhash64 of the answer's bytes.
+	Sum    uint64  `cbor:"3,keyasint"`
+	Status *Status `cbor:"4,keyasint,omitempty"`
+}
+
+// Resume asks an agent for the rest of an answer after a cut link.
+type Resume struct {
+	RequestID   string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Offset      int64  `cbor:"3,keyasint"`
+}
+
+// Probe asks an agent for its status.
+type Probe struct {
+	// Leaving tells the agent that the host list shows its host as leaving.
+	Leaving bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Status is what an agent says of itself.
+type Status struct {
+	Runner      string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	// Sequence grows with each status of an incarnation, so that late ones are
+	// recognised.
+	Sequence uint64 `cbor:"3,keyasint"`
+	Leaving  bool   `cbor:"4,keyasint,omitempty"`
+	Running  int    `cbor:"5,keyasint"`
+	Queued   int    `cbor:"6,keyasint"`
+	// QueuedTokens is the estimated work that waits.
+	QueuedTokens int64 `cbor:"7,keyasint"`
+	// Slots is how many requests run at once.
+	Slots         int           `cbor:"8,keyasint"`
+	MemoryMiB     int64         `cbor:"9,keyasint,omitempty"`
+	FreeMemoryMiB int64         `cbor:"10,keyasint,omitempty"`
+	Models        []ModelStatus `cbor:"11,keyasint,omitempty"`
+	ListsRevision int64         `cbor:"12,keyasint,omitempty"`
+	Services      []string      `cbor:"13,keyasint,omitempty"`
+}
+
+// CacheTier tells where a runner has a model's checkpoint.
+type CacheTier uint8
+
+// The tiers, the nearest last.
+const (
+	CacheRemote CacheTier = iota
+	CacheDisk
+	CacheMemory
+)
+
+// ModelState is the state of a model at a runner.
+type ModelState uint8
+
+// The states of a model at a runner.
+const (
+	ModelAbsent ModelState = iota
+	ModelLoading
+	ModelLoaded
+	ModelUnloading
+)
+
+// ModelStatus is the state of one model at a runner. Models that are neither
+// cached nor loaded are left out.
+type ModelStatus struct {
+	Model   string     `cbor:"1,keyasint"`
+	Version string     `cbor:"2,keyasint"`
+	State   ModelState `cbor:"3,keyasint,omitempty"`
+	Cache   CacheTier  `cbor:"4,keyasint,omitempty"`
+	// Queued counts the requests that wait for the model.
+	Queued int `cbor:"5,keyasint,omitempty"`
+	// WaitMillis is the expected wait of a new request in milliseconds.
+	WaitMillis uint32 `cbor:"6,keyasint,omitempty"`
+}
+
+// Sync asks for what is newer than the sender has. The answer is held back
+// until there is news or WaitMillis have passed.
+type Sync struct {
+	ListsRevision     int64  `cbor:"1,keyasint,omitempty"`
+	PlacementRevision int64  `cbor:"2,keyasint,omitempty"`
+	WaitMillis        uint32 `cbor:"3,keyasint,omitempty"`
+	// Runner restricts the placement to the models that name the runner, for
+	// agents; empty for entries.
+	Runner string `cbor:"4,keyasint,omitempty"`
+}
+
+// Update answers Sync. Empty fields hold no news.
+type Update struct {
+	ListsRevision int64 `cbor:"1,keyasint,omitempty"`
+	// Lists is the JSON form of lists.Snapshot, compressed with deflate.
+	Lists             []byte      `cbor:"2,keyasint,omitempty"`
+	PlacementRevision int64       `cbor:"3,keyasint,omitempty"`
+	Placements        []Placement `cbor:"4,keyasint,omitempty"`
+}
+
+// Placement is the set of permits of one model version, as stored in the
+// key-value service.
+type Placement struct {
+	Model   string `cbor:"1,keyasint" json:"model"`
+	Version string `cbor:"2,keyasint" json:"version"`
+	// Revision is the key-value service's modification revision.
+	Revision int64    `cbor:"3,keyasint" json:"-"`
+	Permits  []Permit `cbor:"4,keyasint" json:"permits"`
+}
+
+// Permit allows one runner to hold one replica. The order of permits in a
+// placement is the order in which entries prefer the runners.
+type Permit struct {
+	Runner string `cbor:"1,keyasint" json:"runner"`
+	// Epoch is unique among the permits of a model and grows.
+	Epoch   int64 `cbor:"2,keyasint" json:"epoch"`
+	Revoked bool  `cbor:"3,keyasint,omitempty" json:"revoked,omitempty"`
+}
+
+// LoadAsk asks the coordinating entry for a start at the weight store.
+type LoadAsk struct {
+	Runner  string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint"`
+	Version string `cbor:"3,keyasint"`
+	// Waiting is the number of requests that wait for the load.
+	Waiting int `cbor:"4,keyasint"`
+	// DeadlineMillis is the time left for the most urgent of them.
+	DeadlineMillis uint32 `cbor:"5,keyasint"`
+	// Done reports an ended load instead of asking for one.
+	Done bool `cbor:"6,keyasint,omitempty"`
+	// TookMillis is the duration of the ended load.
+	TookMillis uint32 `cbor:"7,keyasint,omitempty"`
+}
+
+// LoadSlot answers LoadAsk.
+type LoadSlot struct {
+	// WaitMillis is how long to wait before the load may start.
+	WaitMillis uint32 `cbor:"1,keyasint"`
+	// Position is the number of loads that start before this one.
+	Position int `cbor:"2,keyasint"`
+}
