--- /dev/null
+++ b/pkg/placement/candidates.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"cmp"
+
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// crowdFactor is how many times the mean number of permits makes a runner
+	// crowded.
+	crowdFactor = 2
+	// fillSteps is the resolution at which committed memory is compared.
+	fillSteps = 16
+)
+
+// tooSmall tells whether a model can't fit into a runner's empty memory.
+func tooSmall(runner *candidate, model *lists.Model) bool {
+	return runner.MemoryMiB > 0 && runner.MemoryMiB < model.MemoryMiB
+}
+
+// rank is a candidate's order of preference; lower is better in each field, and
+// the first field that differs decides.
+type rank struct {
+	// overfull: the replicas that always stay loaded leave no room, or the
+	// memory isn't known.
+	overfull int
+	// sharedRegion and sharedDomain count the model's usable permits in the same
+	// region and failure domain.
+	sharedRegion int
+	sharedDomain int
+	// crowded: the runner has far more permits than the mean.
+	crowded int
+	// distance of the checkpoint: 0 in memory, 1 on disk, 2 remote.
+	distance int
+	// occupied: the runner would have to drop another model first.
+	occupied int
+	// fill is the committed memory in parts of fillSteps.
+	fill    int64
+	permits int
+	// tie is the inverted rendezvous score, so that a choice is stable and
+	// deciders with the same view agree.
+	tie uint64
+}
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(
+		cmp.Compare(a.overfull, b.overfull),
+		cmp.Compare(a.sharedRegion, b.sharedRegion),
+		cmp.Compare(a.sharedDomain, b.sharedDomain),
+		cmp.Compare(a.crowded, b.crowded),
+		cmp.Compare(a.distance, b.distance),
+		cmp.Compare(a.occupied, b.occupied),
+		cmp.Compare(a.fill, b.fill),
+		cmp.Compare(a.permits, b.permits),
+		cmp.Compare(a.tie, b.tie),
+	)
+}
+
+// best returns the most suitable runner without a permit, or nil.
+func (e *edit) best(model *lists.Model) *candidate {
+	key := e.id.String()
+	regions, domains := e.spread()
+	var best *candidate
+	var bestRank rank
+	for _, runner := range e.round.order {
+		if tooSmall(runner, model) || permitOf(e.change.Placement.Permits, runner.ID) >= 0 {
+			continue
+		}
+		candidateRank := e.rank(runner, model)
+		candidateRank.sharedRegion = regions[runner.Region]
+		candidateRank.sharedDomain = domains[runner.FailureDomain]
+		if best != nil && candidateRank.compare(bestRank) > 0 {
+			continue
+		}
+		candidateRank.tie = ^membership.RendezvousScore(key, runner.ID)
+		if best == nil || candidateRank.compare(bestRank) < 0 {
+			best = runner
+			bestRank = candidateRank
+		}
+	}
+	return best
+}
+
+// rank leaves out the spread, and the tie break, whose zero is the best.
+func (e *edit) rank(runner *candidate, model *lists.Model) rank {
+	result := rank{
+		permits:  runner.permits,
+		distance: int(wire.CacheMemory) - int(runner.model(e.id).Cache),
+	}
+	if runner.MemoryMiB < runner.residentMiB+model.MemoryMiB {
+		result.overfull = 1
+	}
+	if runner.permits >= e.round.crowded {
+		result.crowded = 1
+	}
+	if runner.FreeMemoryMiB < model.MemoryMiB {
+		result.occupied = 1
+	}
+	if runner.MemoryMiB > 0 {
+		result.fill = fillSteps * (runner.committedMiB + model.MemoryMiB) / runner.MemoryMiB
+	}
+	return result
+}
+
+// spread counts the model's usable permits by region and by failure domain.
+func (e *edit) spread() (regions, domains map[string]int) {
+	regions = make(map[string]int)
+	domains = make(map[string]int)
+	for i, permit := range e.change.Placement.Permits {
+		if e.isUsable(i) {
+			runner := e.round.runners[permit.Runner]
+			regions[runner.Region]++
+			domains[runner.FailureDomain]++
+		}
+	}
+	return regions, domains
+}
--- /dev/null
+++ b/pkg/placement/holder.go
@@ -0,0 +1,300 @@
+package placement
+
+import (
+	"slices"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// Holder keeps one incarnation of an agent to its runner's permits. It is not
+// safe for concurrent use.
+//
+// An incarnation uses no permit before it has read the placements itself after
+// its start: what an earlier one confirmed could still be on its way through
+// entries as a standing permit. Until then it may go on serving what the engine
+// holds. From then on revisions of a placement only go up, and a permit whose
+// revocation was seen is never used again.
+type Holder struct {
+	runner string
+	// readRevision is the revision of the own read; zero before it. No placement
+	// older than it is taken in.
+	readRevision int64
+	// engineRead tells whether the engine's state at the start is known.
+	engineRead bool
+	models     map[ModelVersion]*holding
+}
+
+// holding is the state of one model version at the runner.
+type holding struct {
+	placement wire.Placement
+	// revokedEpoch is the highest epoch seen as revoked or removed.
+	revokedEpoch int64
+	// held tells that the engine holds the model or may hold it.
+	held bool
+	// unloading tells that Unload was ordered and not answered.
+	unloading bool
+	// removing tells that RemovePermit was ordered and not answered.
+	removing bool
+}
+
+// NewHolder returns the holder of a new incarnation of a runner's agent.
+func NewHolder(runner string) *Holder {
+	return &Holder{runner: runner, models: make(map[ModelVersion]*holding)}
+}
+
+// Ready tells whether permits may be used.
+func (h *Holder) Ready() bool {
+	return h.readRevision > 0 && h.engineRead
+}
+
+// MayLoad tells whether the runner may load the model now, and by which epoch.
+// A model that the engine holds already is in MayServe.
+func (h *Holder) MayLoad(model, version string) (epoch int64, ok bool) {
+	id := ModelVersion{Model: model, Version: version}
+	m := h.models[id]
+	if m == nil || !h.Ready() || m.unloading {
+		return 0, false
+	}
+	return h.permit(m)
+}
+
+// MayServe tells whether requests may be served by a replica that the engine
+// holds: until its permit is known to be revoked.
+func (h *Holder) MayServe(model, version string) bool {
+	m := h.models[ModelVersion{Model: model, Version: version}]
+	return m != nil && m.held && !m.unloading
+}
+
+// BeginLoad is MayLoad followed by the start of the load, in one step: from then
+// on the engine may hold the model, until Unloaded.
+func (h *Holder) BeginLoad(model, version string) (epoch int64, ok bool) {
+	epoch, ok = h.MayLoad(model, version)
+	if ok {
+		h.models[ModelVersion{Model: model, Version: version}].held = true
+	}
+	return epoch, ok
+}
+
+// Revision returns the highest revision of the placements taken in, to ask
+// entries for newer ones.
+func (h *Holder) Revision() int64 {
+	highest := h.readRevision
+	for _, m := range h.models {
+		highest = max(highest, m.placement.Revision)
+	}
+	return highest
+}
+
+// Step takes one event and returns the actions that follow.
+func (h *Holder) Step(event HolderEvent) []HolderAction {
+	switch e := event.(type) {
+	case PlacementRead:
+		return h.read(e)
+	case PlacementChanged:
+		return h.changed(e.Placement)
+	case PlacementRelayed:
+		return h.relayed(e.Placement)
+	case EngineRead:
+		return h.engine(e)
+	case Unloaded:
+		return h.unloaded(e.Model)
+	case RemoveFailed:
+		return h.removeFailed(e.Model)
+	case Removed:
+		return h.removed(e)
+	}
+	return nil
+}
+
+func (h *Holder) read(e PlacementRead) []HolderAction {
+	if e.Revision <= h.readRevision {
+		return nil
+	}
+	h.readRevision = e.Revision
+	for i := range e.Placements {
+		h.take(e.Placements[i])
+	}
+	for id, m := range h.models {
+		if !slices.ContainsFunc(e.Placements, func(p wire.Placement) bool { return Of(&p) == id }) {
+			h.takeInto(m, absentPlacement(id, e.Revision))
+		}
+	}
+	actions := h.reviewAll()
+	h.forgetUnused()
+	return actions
+}
+
+// forgetUnused drops the models without permit and replica. It is allowed only
+// after a complete read, whose revision then takes the place of theirs in
+// telling late placements.
+func (h *Holder) forgetUnused() {
+	for id, m := range h.models {
+		named := permitOf(m.placement.Permits, h.runner) >= 0
+		if !named && !m.held && m.placement.Revision <= h.readRevision {
+			delete(h.models, id)
+		}
+	}
+}
+
+func absentPlacement(id ModelVersion, revision int64) wire.Placement {
+	return wire.Placement{Model: id.Model, Version: id.Version, Revision: revision}
+}
+
+// changed takes a placement that this incarnation got from the key-value
+// service. Only PlacementRead makes the holder ready.
+func (h *Holder) changed(placement wire.Placement) []HolderAction {
+	if h.readRevision == 0 {
+		return nil
+	}
+	h.take(placement)
+	return h.reviewOne(Of(&placement))
+}
+
+func (h *Holder) relayed(placement wire.Placement) []HolderAction {
+	if placement.Revision <= h.readRevision {
+		return nil
+	}
+	return h.changed(placement)
+}
+
+func (h *Holder) engine(e EngineRead) []HolderAction {
+	if h.engineRead {
+		return nil
+	}
+	h.engineRead = true
+	for _, id := range e.Held {
+		h.model(id).held = true
+	}
+	return h.reviewAll()
+}
+
+func (h *Holder) unloaded(id ModelVersion) []HolderAction {
+	m := h.model(id)
+	m.held = false
+	m.unloading = false
+	return h.reviewOne(id)
+}
+
+func (h *Holder) removeFailed(id ModelVersion) []HolderAction {
+	m := h.model(id)
+	m.removing = false
+	return []HolderAction{ReadPlacement{Model: id}}
+}
+
+func (h *Holder) removed(e Removed) []HolderAction {
+	m := h.model(e.Model)
+	m.removing = false
+	after := h.without(m.placement)
+	after.Revision = e.Revision
+	h.takeInto(m, after)
+	return h.reviewOne(e.Model)
+}
+
+// take takes in a placement unless a newer one is known. Placements that never
+// named the runner aren't kept.
+func (h *Holder) take(placement wire.Placement) {
+	id := Of(&placement)
+	if h.models[id] == nil && permitOf(placement.Permits, h.runner) < 0 {
+		return
+	}
+	h.takeInto(h.model(id), placement)
+}
+
+func (h *Holder) takeInto(m *holding, placement wire.Placement) {
+	if placement.Revision < m.placement.Revision {
+		return
+	}
+	h.noteRevoked(m, placement)
+	m.placement = placement
+}
+
+// noteRevoked notes an epoch that the new placement revokes or lacks.
+func (h *Holder) noteRevoked(m *holding, placement wire.Placement) {
+	index := permitOf(placement.Permits, h.runner)
+	if index >= 0 && placement.Permits[index].Revoked {
+		m.revokedEpoch = max(m.revokedEpoch, placement.Permits[index].Epoch)
+	}
+	before := permitOf(m.placement.Permits, h.runner)
+	if before < 0 {
+		return
+	}
+	epoch := m.placement.Permits[before].Epoch
+	if index < 0 || placement.Permits[index].Epoch != epoch {
+		m.revokedEpoch = max(m.revokedEpoch, epoch)
+	}
+}
+
+// permit returns the epoch of the runner's standing permit.
+func (h *Holder) permit(m *holding) (epoch int64, ok bool) {
+	index := permitOf(m.placement.Permits, h.runner)
+	if index < 0 {
+		return 0, false
+	}
+	permit := m.placement.Permits[index]
+	if permit.Revoked || permit.Epoch <= m.revokedEpoch {
+		return 0, false
+	}
+	return permit.Epoch, true
+}
+
+func (h *Holder) reviewAll() []HolderAction {
+	ids := make([]ModelVersion, 0, len(h.models))
+	for id := range h.models {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compareModels)
+	var actions []HolderAction
+	for _, id := range ids {
+		actions = append(actions, h.reviewOne(id)...)
+	}
+	return actions
+}
+
+// reviewOne returns what the present state of a model calls for.
+func (h *Holder) reviewOne(id ModelVersion) []HolderAction {
+	m := h.models[id]
+	if m == nil || !h.Ready() {
+		return nil
+	}
+	if _, ok := h.permit(m); ok {
+		return nil
+	}
+	if m.held {
+		return m.unload(id)
+	}
+	if m.removing || permitOf(m.placement.Permits, h.runner) < 0 {
+		return nil
+	}
+	m.removing = true
+	change := Change{
+		Placement:      h.without(m.placement),
+		ExpectRevision: m.placement.Revision,
+		Removed:        1,
+	}
+	return []HolderAction{RemovePermit{Change: change}}
+}
+
+func (m *holding) unload(id ModelVersion) []HolderAction {
+	if m.unloading {
+		return nil
+	}
+	m.unloading = true
+	return []HolderAction{Unload{Model: id}}
+}
+
+// without returns a copy of a placement that lacks the runner's permit.
+func (h *Holder) without(placement wire.Placement) wire.Placement {
+	placement.Permits = slices.DeleteFunc(slices.Clone(placement.Permits), func(permit wire.Permit) bool {
+		return permit.Runner == h.runner
+	})
+	return placement
+}
+
+func (h *Holder) model(id ModelVersion) *holding {
+	m := h.models[id]
+	if m == nil {
+		m = &holding{}
+		h.models[id] = m
+	}
+	return m
+}
--- /dev/null
+++ b/pkg/placement/holder_events.go
@@ -0,0 +1,83 @@
+package placement
+
+import "teaselgauge.example/teaselgauge/pkg/wire"
+
+// HolderEvent is an input of a Holder.
+type HolderEvent interface{ holderEvent() }
+
+// PlacementRead is a complete read of all placements from the key-value service
+// that was started after this incarnation's start.
+type PlacementRead struct {
+	// Revision is the service's revision of the read.
+	Revision   int64
+	Placements []wire.Placement
+}
+
+// PlacementChanged is one placement at its revision, from a read of its key or
+// a watch of the key-value service by this incarnation. A key that was read and
+// is absent is given with no permits and the revision of the read.
+type PlacementChanged struct {
+	Placement wire.Placement
+}
+
+// PlacementRelayed is one placement that an entry passed on, possibly late.
+type PlacementRelayed struct {
+	Placement wire.Placement
+}
+
+// EngineRead gives the models that the engine holds or may hold, at this
+// incarnation's start.
+type EngineRead struct {
+	Held []ModelVersion
+}
+
+// Unloaded tells that the engine confirmed, after the last load order for the
+// model was settled, that it doesn't hold the model.
+type Unloaded struct {
+	Model ModelVersion
+}
+
+// RemoveFailed tells that a RemovePermit wasn't made or that its answer was
+// lost.
+type RemoveFailed struct {
+	Model ModelVersion
+}
+
+// Removed tells that a RemovePermit was made, at the given revision.
+type Removed struct {
+	Model    ModelVersion
+	Revision int64
+}
+
+func (PlacementRead) holderEvent()    {}
+func (PlacementChanged) holderEvent() {}
+func (PlacementRelayed) holderEvent() {}
+func (EngineRead) holderEvent()       {}
+func (Unloaded) holderEvent()         {}
+func (RemoveFailed) holderEvent()     {}
+func (Removed) holderEvent()          {}
+
+// HolderAction is an output of a Holder.
+type HolderAction interface{ holderAction() }
+
+// Unload orders that the model leaves accelerator memory: no further request is
+// admitted, those in flight end, the engine unloads. Unloaded answers it.
+type Unload struct {
+	Model ModelVersion
+}
+
+// RemovePermit orders a compare-and-swap that removes the runner's revoked
+// permit. Removed or RemoveFailed answers it.
+type RemovePermit struct {
+	Change Change
+}
+
+// ReadPlacement orders a read of one placement from the key-value service.
+// PlacementChanged answers it.
+type ReadPlacement struct {
+	Model ModelVersion
+}
+
+func (Unload) holderAction()        {}
+func (RemovePermit) holderAction()  {}
+func (ReadPlacement) holderAction() {}
--- /dev/null
+++ b/pkg/placement/store.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strings"
+
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// KeyPrefix is the prefix of all placements in the key-value service.
+const KeyPrefix = "teaselgauge/placements/"
+
+// ErrMalformed tells that a stored placement can't be read.
+var ErrMalformed = errors.New("malformed placement")
+
+// ModelVersion identifies a version of a model.
+type ModelVersion struct {
+	Model   string
+	Version string
+}
+
+// String returns "model@version".
+func (m ModelVersion) String() string {
+	return m.Model + "@" + m.Version
+}
+
+// Of returns the model version of a placement.
+func Of(placement *wire.Placement) ModelVersion {
+	return ModelVersion{Model: placement.Model, Version: placement.Version}
+}
+
+// Key returns the key of a placement in the key-value service.
+func Key(id ModelVersion) string {
+	return KeyPrefix + url.PathEscape(id.Model) + "/" + url.PathEscape(id.Version)
+}
+
+// Encode returns the stored value of a placement.
+func Encode(placement *wire.Placement) ([]byte, error) {
+	value, err := json.Marshal(placement)
+	if err != nil {
+		return nil, fmt.Errorf("encode placement %s: %w", Of(placement), err)
+	}
+	return value, nil
+}
+
+// Decode reads a stored placement and sets its revision. It returns an error
+// that wraps ErrMalformed if key and value don't belong together.
+func Decode(stored platform.KeyValue) (wire.Placement, error) {
+	var placement wire.Placement
+	if !strings.HasPrefix(stored.Key, KeyPrefix) {
+		return placement, fmt.Errorf("key %q: %w", stored.Key, ErrMalformed)
+	}
+	if err := json.Unmarshal(stored.Value, &placement); err != nil {
+		return placement, fmt.Errorf("key %q: %w: %w", stored.Key, ErrMalformed, err)
+	}
+	if Key(Of(&placement)) != stored.Key {
+		return placement, fmt.Errorf("key %q holds %s: %w", stored.Key, Of(&placement), ErrMalformed)
+	}
+	placement.Revision = stored.ModRevision
+	return placement, nil
+}
+
+// Change is a new value of a placement, to be written if the key's revision is
+// still ExpectRevision; zero demands that the key is absent.
+type Change struct {
+	Placement      wire.Placement
+	ExpectRevision int64
+	// Granted, Revoked and Removed count the permits that the change touches.
+	Granted int
+	Revoked int
+	Removed int
+}
+
+// Transaction returns the condition and the operation that make the change.
+func (c *Change) Transaction() (platform.Compare, platform.Op, error) {
+	key := Key(Of(&c.Placement))
+	value, err := Encode(&c.Placement)
+	if err != nil {
+		return platform.Compare{}, platform.Op{}, err
+	}
+	condition := platform.Compare{Key: key, ModRevision: c.ExpectRevision}
+	return condition, platform.Op{Key: key, Value: value}, nil
+}
+
+// permitOf returns the index of a runner's permit, or -1.
+func permitOf(permits []wire.Permit, runner string) int {
+	for i := range permits {
+		if permits[i].Runner == runner {
+			return i
+		}
+	}
+	return -1
+}
+
+func compareModels(a, b ModelVersion) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/placement"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// SpillWait is the expected wait in a loaded replica's queue above which the
+	// next permit is considered.
+	SpillWait = 250 * time.Millisecond
+
+	// coldLoadMemory, coldLoadDisk and coldLoadRemote are the expected waits for
+	// a load from each cache tier, against which a long queue is weighed.
+	coldLoadMemory = 2 * time.Second
+	coldLoadDisk   = 6 * time.Second
+	coldLoadRemote = 20 * time.Second
+)
+
+// Table is an immutable picture of placements and members.
+type Table struct {
+	members    *membership.Snapshot
+	placements map[placement.ModelVersion][]wire.Permit
+}
+
+// NewTable returns a table. The caller must not change the placements later.
+func NewTable(members *membership.Snapshot, placements []wire.Placement) *Table {
+	table := &Table{
+		members:    members,
+		placements: make(map[placement.ModelVersion][]wire.Permit, len(placements)),
+	}
+	for i := range placements {
+		table.placements[placement.Of(&placements[i])] = placements[i].Permits
+	}
+	return table
+}
+
+// WithMembers returns a table with the same placements and other members.
+func (t *Table) WithMembers(members *membership.Snapshot) *Table {
+	return &Table{members: members, placements: t.placements}
+}
+
+// Target is an agent to send a request to.
+type Target struct {
+	Agent   string
+	Address string
+	// Incarnation is the last one known, or empty.
+	Incarnation string
+}
+
+// Query is what a target is chosen for. It names either a model version or a
+// service.
+type Query struct {
+	Model   string
+	Version string
+	Service string
+	// AffinityKey keeps equal keys at the same agent; empty means none. It
+	// serves plain services.
+	AffinityKey string
+}
+
+// Agent returns the target with the given id if requests may be sent there.
+func (t *Table) Agent(id string) (Target, bool) {
+	agent, ok := t.members.Agent(id)
+	if !ok || agent.Address == "" || t.members.Gone(id) {
+		return Target{}, false
+	}
+	return targetOf(agent), true
+}
+
+// Choose returns the agent to try next, leaving out those already tried. Agents
+// that are leaving or gone are never chosen, suspected ones only if no other is
+// left. The random number breaks ties between plain services.
+func (t *Table) Choose(now time.Time, query Query, tried []string, random uint64) (Target, bool) {
+	var agent *membership.Agent
+	if query.Service != "" {
+		agent = t.chooseProvider(now, query, tried, random)
+	} else {
+		agent = t.chooseReplica(now, query, tried)
+	}
+	if agent == nil {
+		return Target{}, false
+	}
+	return targetOf(agent), true
+}
+
+// eligible returns the agent if it may be sent new work.
+func (t *Table) eligible(id string, tried []string) *membership.Agent {
+	agent, ok := t.members.Agent(id)
+	if !ok || agent.Address == "" || agent.Leaving() {
+		return nil
+	}
+	if t.members.Gone(id) || slices.Contains(tried, id) {
+		return nil
+	}
+	return agent
+}
+
+func targetOf(agent *membership.Agent) Target {
+	return Target{
+		Agent:       agent.ID,
+		Address:     agent.Address,
+		Incarnation: agent.Status.Incarnation,
+	}
+}
+
+// earliestTrusted returns, of two suspected agents, the one whose suspicion ends
+// first.
+func earliestTrusted(a, b *membership.Agent) *membership.Agent {
+	if a == nil || b.SuspectedUntil.Before(a.SuspectedUntil) {
+		return b
+	}
+	return a
+}
