Order an unload before each removal of a revoked permit

Cause: an incarnation that was paused could see a revocation, know of no replica of its own, and remove the permit that its successor had used meanwhile. A new incarnation could also read the placements while the paused one still gave orders to the engine, and load under a permit that the old one then removed. Change: Holder orders an unload for each revoked permit, also when it holds no replica, and only the answer to that order confirms it; a read of the placements counts only once the incarnation is the engine's only writer.

--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -9,11 +9,13 @@
 // Holder keeps one incarnation of an agent to its runner's permits. It is not
 // safe for concurrent use.
 //
-// An incarnation uses no permit before it has read the placements itself after
-// its start: what an earlier one confirmed could still be on its way through
-// entries as a standing permit. Until then it may go on serving what the engine
-// holds. From then on revisions of a placement only go up, and a permit whose
-// revocation was seen is never used again.
+// An incarnation uses no permit before it has read the placements itself, after
+// it became the engine's only writer: what an earlier one confirmed could still
+// be on its way through entries as a standing permit. Until then it may go on
+// serving what the engine holds. From then on revisions of a placement only go
+// up, and a permit whose revocation was seen is never used again. A revoked
+// permit is removed only after an unload that was ordered after the revocation
+// was seen, as an incarnation that was paused may have been replaced meanwhile.
 type Holder struct {
 	runner string
 	// readRevision is the revision of the own read; zero before it. No placement
@@ -31,8 +33,11 @@
 	revokedEpoch int64
 	// held tells that the engine holds the model or may hold it.
 	held bool
-	// unloading tells that Unload was ordered and not answered.
-	unloading bool
+	// unloading tells that Unload was ordered, for unloadEpoch, and not answered.
+	unloading   bool
+	unloadEpoch int64
+	// confirmedEpoch is the highest revoked epoch whose unload was confirmed.
+	confirmedEpoch int64
 	// removing tells that RemovePermit was ordered and not answered.
 	removing bool
 }
@@ -97,7 +102,7 @@
 	case EngineRead:
 		return h.engine(e)
 	case Unloaded:
-		return h.unloaded(e.Model)
+		return h.unloaded(e)
 	case RemoveFailed:
 		return h.removeFailed(e.Model)
 	case Removed:
@@ -107,7 +112,7 @@
 }
 
 func (h *Holder) read(e PlacementRead) []HolderAction {
-	if e.Revision <= h.readRevision {
+	if !h.engineRead || e.Revision <= h.readRevision {
 		return nil
 	}
 	h.readRevision = e.Revision
@@ -168,11 +173,19 @@
 	return h.reviewAll()
 }
 
-func (h *Holder) unloaded(id ModelVersion) []HolderAction {
-	m := h.model(id)
+func (h *Holder) unloaded(e Unloaded) []HolderAction {
+	m := h.model(e.Model)
+	if !m.unloading {
+		m.held = false
+		return h.reviewOne(e.Model)
+	}
+	if e.Epoch != m.unloadEpoch {
+		return nil
+	}
 	m.held = false
 	m.unloading = false
-	return h.reviewOne(id)
+	m.confirmedEpoch = max(m.confirmedEpoch, e.Epoch)
+	return h.reviewOne(e.Model)
 }
 
 func (h *Holder) removeFailed(id ModelVersion) []HolderAction {
@@ -259,12 +272,22 @@
 	if _, ok := h.permit(m); ok {
 		return nil
 	}
-	if m.held {
-		return m.unload(id)
-	}
-	if m.removing || permitOf(m.placement.Permits, h.runner) < 0 {
+	index := permitOf(m.placement.Permits, h.runner)
+	revoked := index >= 0
+	switch {
+	case revoked && m.confirmedEpoch < m.placement.Permits[index].Epoch:
+		return m.unload(id, m.placement.Permits[index].Epoch)
+	case m.held:
+		return m.unload(id, 0)
+	case revoked && !m.removing:
+		return h.remove(m)
+	default:
 		return nil
 	}
+}
+
+// remove orders the removal of the runner's revoked permit.
+func (h *Holder) remove(m *holding) []HolderAction {
 	m.removing = true
 	change := Change{
 		Placement:      h.without(m.placement),
@@ -274,12 +297,13 @@
 	return []HolderAction{RemovePermit{Change: change}}
 }
 
-func (m *holding) unload(id ModelVersion) []HolderAction {
+func (m *holding) unload(id ModelVersion, epoch int64) []HolderAction {
 	if m.unloading {
 		return nil
 	}
 	m.unloading = true
-	return []HolderAction{Unload{Model: id}}
+	m.unloadEpoch = epoch
+	return []HolderAction{Unload{Model: id, Epoch: epoch}}
 }
 
 // without returns a copy of a placement that lacks the runner's permit.
--- a/pkg/placement/holder_events.go
+++ b/pkg/placement/holder_events.go
@@ -6,7 +6,9 @@
 type HolderEvent interface{ holderEvent() }
 
 // PlacementRead is a complete read of all placements from the key-value service
-// that was started after this incarnation's start.
+// that was started after EngineRead. An earlier one is ignored: while an earlier
+// incarnation could still give the engine orders, it could also unload and
+// remove a permit after the read.
 type PlacementRead struct {
 	// Revision is the service's revision of the read.
 	Revision   int64
@@ -25,16 +27,21 @@
 	Placement wire.Placement
 }
 
-// EngineRead gives the models that the engine holds or may hold, at this
-// incarnation's start.
+// EngineRead gives the models that the engine holds or may hold, once no earlier
+// incarnation can give it orders: they are dead, or the engine refuses their
+// fencing numbers, and their orders in flight are settled.
 type EngineRead struct {
 	Held []ModelVersion
 }
 
 // Unloaded tells that the engine confirmed, after the last load order for the
-// model was settled, that it doesn't hold the model.
+// model was settled and under this incarnation's fencing number, that it doesn't
+// hold the model.
 type Unloaded struct {
 	Model ModelVersion
+	// Epoch is that of the Unload action that this answers; zero if the agent
+	// dropped the model of its own accord.
+	Epoch int64
 }
 
 // RemoveFailed tells that a RemovePermit wasn't made or that its answer was
@@ -61,9 +68,13 @@
 type HolderAction interface{ holderAction() }
 
 // Unload orders that the model leaves accelerator memory: no further request is
-// admitted, those in flight end, the engine unloads. Unloaded answers it.
+// admitted, those in flight end, the engine unloads. Unloaded answers it. It is
+// also ordered for a model that isn't held, so that only an incarnation whose
+// orders the engine still takes can confirm.
 type Unload struct {
 	Model ModelVersion
+	// Epoch is the epoch of the revoked permit; zero if the permit is gone.
+	Epoch int64
 }
 
 // RemovePermit orders a compare-and-swap that removes the runner's revoked
