--- a/pkg/placement/protocol_test.go
+++ b/pkg/placement/protocol_test.go
@@ -22,6 +22,7 @@
 	for _, fenced := range []bool{true, false} {
 		for runners := 1; runners <= 2; runners++ {
 			t.Run(fmt.Sprintf("fenced=%t/runners=%d", fenced, runners), func(t *testing.T) {
+				t.Parallel()
 				start := newWorld(1, runners, 2)
 				start.fenced = fenced
 				start.bounded = true
@@ -35,7 +36,7 @@
 type node struct {
 	*world
 	parent *node
-	move   string
+	move   move
 	depth  int
 }
 
@@ -48,7 +49,7 @@
 		queue = queue[1:]
 		deepest = at.depth
 		for _, move := range at.moves() {
-			next := &node{world: at.clone(), parent: at, move: move.name, depth: at.depth + 1}
+			next := &node{world: at.clone(), parent: at, move: move, depth: at.depth + 1}
 			move.run(next.world)
 			if fault := next.check(); fault != "" {
 				t.Fatalf("%s after %d states:\n%s", fault, len(seen), next.path())
@@ -67,7 +68,7 @@
 func (n *node) path() string {
 	var names []string
 	for ; n.parent != nil; n = n.parent {
-		names = append(names, n.move)
+		names = append(names, n.move.String())
 	}
 	slices.Reverse(names)
 	return strings.Join(names, "\n")
@@ -104,7 +105,7 @@
 		own = moves
 	}
 	i := rapid.IntRange(0, len(own)-1).Draw(t, "move")
-	t.Log(own[i].name)
+	t.Log(own[i])
 	return own[i]
 }
 
@@ -157,7 +158,7 @@
 		w.start(r)
 	}
 	w.engineRead(r, 0)
-	w.step(r, 0, PlacementRead{Revision: w.revision, Placements: slices.Clone(w.stored)})
+	w.storeRead(r, 0)
 	a := runner.agents[0]
 	for _, placement := range w.stored {
 		w.step(r, 0, PlacementChanged{placement})
@@ -167,9 +168,7 @@
 		case len(a.orders) > 0:
 			w.order(r, 0)
 		case len(a.answers) > 0:
-			answer := a.answers[0]
-			a.answers = a.answers[1:]
-			w.step(r, 0, answer)
+			w.answer(r, 0)
 		default:
 			w.act(r, 0)
 		}
--- a/pkg/placement/world_test.go
+++ b/pkg/placement/world_test.go
@@ -57,11 +57,14 @@
 }
 
 type move struct {
-	actor int
-	name  string
-	run   func(*world)
+	actor  int
+	format string
+	args   []any
+	run    func(*world)
 }
 
+func (m move) String() string { return fmt.Sprintf(m.format, m.args...) }
+
 // newestRelays bounds the values of the past that an entry may still relay.
 const newestRelays = 6
 
@@ -116,7 +119,7 @@
 // fingerprint is equal for worlds that behave alike.
 func (w *world) fingerprint() string {
 	var b strings.Builder
-	fmt.Fprint(&b, w.revision, w.stored, w.views, w.network, w.epochs)
+	fmt.Fprint(&b, w.revision, w.stored, w.history, w.views, w.network, w.epochs)
 	for _, r := range w.runners {
 		fmt.Fprint(&b, "|", r.dead, r.incarnation, r.fence, r.loaded, r.orphans)
 		for _, a := range r.agents {
@@ -152,25 +155,27 @@
 func (w *world) moves() []move {
 	var moves []move
 	actor := 0
-	add := func(name string, run func(*world)) { moves = append(moves, move{actor, name, run}) }
+	add := func(run func(*world), format string, args ...any) {
+		moves = append(moves, move{actor, format, args, run})
+	}
 	for d := range w.views {
 		if !w.bounded {
-			add(fmt.Sprintf("decider %d reads", d), func(w *world) { w.read(d) })
+			add(func(w *world) { w.read(d) }, "decider %d reads", d)
 		}
 		for replicas := range 3 {
 			for leaving := -1; leaving < len(w.runners); leaving++ {
 				if !w.bounded || w.inBounds(d, replicas, leaving) {
-					add(fmt.Sprintf("decider %d decides for %d replicas, %d leaving", d, replicas, leaving),
-						func(w *world) { w.decide(d, replicas, leaving) })
+					add(func(w *world) { w.decide(d, replicas, leaving) },
+						"decider %d decides for %d replicas, runner %d leaving", d, replicas, leaving)
 				}
 			}
 		}
 	}
 	actor++
 	for i := range w.network {
-		add(fmt.Sprint("write arrives ", i), func(w *world) { w.deliver(i, true, true) })
-		add(fmt.Sprint("answer is lost ", i), func(w *world) { w.deliver(i, true, false) })
-		add(fmt.Sprint("write is lost ", i), func(w *world) { w.deliver(i, false, false) })
+		add(func(w *world) { w.deliver(i, true, true) }, "write %d arrives", i)
+		add(func(w *world) { w.deliver(i, true, false) }, "write %d arrives, its answer is lost", i)
+		add(func(w *world) { w.deliver(i, false, false) }, "write %d is lost", i)
 	}
 	for i, r := range w.runners {
 		actor++
@@ -179,47 +184,46 @@
 		}
 		startable := len(r.agents) == 0 || (w.fenced && len(r.agents) == 1)
 		if startable && !(w.bounded && r.incarnation == 2) {
-			add(fmt.Sprintf("r%d starts", i), func(w *world) { w.start(i) })
+			add(func(w *world) { w.start(i) }, "r%d starts", i)
 		}
 		if w.hostLoss {
-			add(fmt.Sprintf("host r%d dies", i), func(w *world) { w.die(i) })
+			add(func(w *world) { w.die(i) }, "r%d dies", i)
 		}
 		if len(r.orphans) > 0 {
-			add(fmt.Sprintf("r%d orphan", i), func(w *world) { w.orphan(i) })
+			add(func(w *world) { w.orphan(i) }, "r%d takes an order of a crashed agent", i)
 		}
 		for j, a := range r.agents {
-			name := fmt.Sprintf("r%d#%d ", i, a.incarnation)
-			add(name+"crashes", func(w *world) { w.crash(i, j) })
-			add(name+"reads engine", func(w *world) { w.engineRead(i, j) })
-			add(name+"reads store", func(w *world) {
-				w.step(i, j, PlacementRead{Revision: w.revision, Placements: slices.Clone(w.stored)})
+			w.agentMoves(i, j, func(run func(*world), what string, arg int) {
+				add(run, "r%d#%d "+what+" %d", i, a.incarnation, arg)
 			})
-			for h := max(0, len(w.history)-newestRelays); h < len(w.history); h++ {
-				add(name+fmt.Sprint("relay ", h), func(w *world) { w.step(i, j, PlacementRelayed{w.history[h]}) })
-			}
-			for m := range w.stored {
-				add(name+fmt.Sprint("loads ", m), func(w *world) { w.load(i, j, m) })
-				add(name+fmt.Sprint("evicts ", m), func(w *world) { w.evict(i, j, m) })
-			}
-			if len(a.orders) > 0 {
-				add(name+"order", func(w *world) { w.order(i, j) })
-			}
-			if len(a.queue) > 0 {
-				add(name+"acts", func(w *world) { w.act(i, j) })
-			}
-			if len(a.answers) > 0 {
-				add(name+"answer", func(w *world) {
-					a := w.runners[i].agents[j]
-					answer := a.answers[0]
-					a.answers = a.answers[1:]
-					w.step(i, j, answer)
-				})
-			}
 		}
 	}
 	return moves
 }
 
+func (w *world) agentMoves(i, j int, add func(run func(*world), what string, arg int)) {
+	a := w.runners[i].agents[j]
+	add(func(w *world) { w.crash(i, j) }, "crashes", 0)
+	add(func(w *world) { w.engineRead(i, j) }, "reads engine", 0)
+	add(func(w *world) { w.storeRead(i, j) }, "reads store", 0)
+	for h := max(0, len(w.history)-newestRelays); h < len(w.history); h++ {
+		add(func(w *world) { w.step(i, j, PlacementRelayed{w.history[h]}) }, "hears of change", h)
+	}
+	for m := range w.stored {
+		add(func(w *world) { w.load(i, j, m) }, "loads model", m)
+		add(func(w *world) { w.evict(i, j, m) }, "evicts model", m)
+	}
+	if len(a.orders) > 0 {
+		add(func(w *world) { w.order(i, j) }, "reaches its engine to load", a.orders[0])
+	}
+	if len(a.queue) > 0 {
+		add(func(w *world) { w.act(i, j) }, "acts", 0)
+	}
+	if len(a.answers) > 0 {
+		add(func(w *world) { w.answer(i, j) }, "gets an answer", 0)
+	}
+}
+
 // inBounds keeps a bounded world to one replica and to a write of each decider.
 func (w *world) inBounds(d, replicas, leaving int) bool {
 	writes := 0
@@ -387,6 +391,17 @@
 	w.record.note(at, at, permitOp{w.stored[m].Model, runnerID(r), kind, epoch})
 }
 
+func (w *world) storeRead(r, j int) {
+	w.step(r, j, PlacementRead{Revision: w.revision, Placements: slices.Clone(w.stored)})
+}
+
+func (w *world) answer(r, j int) {
+	a := w.runners[r].agents[j]
+	answer := a.answers[0]
+	a.answers = a.answers[1:]
+	w.step(r, j, answer)
+}
+
 func (w *world) act(r, j int) {
 	a := w.runners[r].agents[j]
 	action := a.queue[0]
--- a/pkg/routing/attempt.go
+++ b/pkg/routing/attempt.go
@@ -171,7 +171,7 @@
 func (a *Attempt) askOwner(refusal wire.Refusal, table *Table) Action {
 	owner, ok := table.Agent(refusal.BetterRunner)
 	sameIncarnation := owner.Incarnation == "" || owner.Incarnation == refusal.BetterIncarnation
-	if a.bound() || !ok || !sameIncarnation {
+	if a.bound() || a.resuming || a.passedOn || !ok || !sameIncarnation {
 		return a.failBoundLost()
 	}
 	a.owner = owner
