--- /dev/null
+++ b/pkg/entry/feed.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// maxListsBytes bounds the uncompressed size of relayed lists.
+const maxListsBytes = 64 << 20
+
+// placementKey names a placement.
+type placementKey struct {
+	Model   string
+	Version string
+}
+
+// feed is what this entry knows of lists and placements and relays to others.
+// Revisions only go up.
+type feed struct {
+	mu         sync.Mutex
+	lists      []byte
+	listsRev   int64
+	placements map[placementKey]wire.Placement
+	placeRev   int64
+	changed    chan struct{}
+}
+
+func newFeed() *feed {
+	return &feed{
+		placements: make(map[placementKey]wire.Placement),
+		changed:    make(chan struct{}),
+	}
+}
+
+// notify wakes waiting readers. The caller holds mu.
+func (f *feed) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// setLists records a revision of the lists and tells whether it is news.
+func (f *feed) setLists(snapshot lists.Snapshot) (bool, error) {
+	packed, err := packLists(snapshot)
+	if err != nil {
+		return false, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if snapshot.Revision <= f.listsRev {
+		return false, nil
+	}
+	f.lists = packed
+	f.listsRev = snapshot.Revision
+	f.notify()
+	return true, nil
+}
+
+// setPlacements records placements that were read up to a revision and returns
+// those that are news.
+func (f *feed) setPlacements(revision int64, placements []wire.Placement) []wire.Placement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []wire.Placement
+	for _, placement := range placements {
+		key := placementKey{Model: placement.Model, Version: placement.Version}
+		if placement.Revision <= f.placements[key].Revision {
+			continue
+		}
+		f.placements[key] = placement
+		news = append(news, placement)
+	}
+	if revision > f.placeRev {
+		f.placeRev = revision
+	}
+	if len(news) > 0 {
+		f.notify()
+	}
+	return news
+}
+
+// revisions returns the newest revisions of lists and placements.
+func (f *feed) revisions() (listsRevision, placementRevision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listsRev, f.placeRev
+}
+
+// allPlacements returns a copy of all placements.
+func (f *feed) allPlacements() []wire.Placement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make([]wire.Placement, 0, len(f.placements))
+	for _, placement := range f.placements {
+		all = append(all, placement)
+	}
+	return all
+}
+
+// wait answers a Sync as soon as there is news, or without news when ctx ends.
+func (f *feed) wait(ctx context.Context, sync *wire.Sync) *wire.Update {
+	for {
+		f.mu.Lock()
+		update := f.updateLocked(sync)
+		changed := f.changed
+		f.mu.Unlock()
+		if hasNews(update) {
+			return update
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return update
+		}
+	}
+}
+
+func hasNews(update *wire.Update) bool {
+	return update.ListsRevision > 0 || len(update.Placements) > 0
+}
+
+func (f *feed) updateLocked(sync *wire.Sync) *wire.Update {
+	update := &wire.Update{PlacementRevision: f.placeRev}
+	if sync.Runner == "" && f.listsRev > sync.ListsRevision {
+		update.ListsRevision = f.listsRev
+		update.Lists = f.lists
+	}
+	for _, placement := range f.placements {
+		if placement.Revision > sync.PlacementRevision {
+			update.Placements = append(update.Placements, placement)
+		}
+	}
+	return update
+}
+
+func packLists(snapshot lists.Snapshot) ([]byte, error) {
+	var packed bytes.Buffer
+	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("pack lists: %w", err)
+	}
+	if err := json.NewEncoder(writer).Encode(snapshot); err != nil {
+		return nil, fmt.Errorf("pack lists: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, fmt.Errorf("pack lists: %w", err)
+	}
+	return packed.Bytes(), nil
+}
+
+func unpackLists(packed []byte) (lists.Snapshot, error) {
+	reader := io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxListsBytes)
+	var snapshot lists.Snapshot
+	if err := json.NewDecoder(reader).Decode(&snapshot); err != nil {
+		return lists.Snapshot{}, fmt.Errorf("unpack lists: %w", err)
+	}
+	return snapshot, nil
+}
--- /dev/null
+++ b/pkg/wire/errors.go
@@ -0,0 +1,26 @@
+package wire
+
+import "errors"
+
+// Error is a failure of the inner protocol.
+type Error struct {
+	Op   string
+	Host string
+	// NotSent tells that nothing of the message left this process.
+	NotSent bool
+	Err     error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return "inner protocol: " + e.Op + " " + e.Host + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// IsNotSent tells whether nothing of the failed message left this process.
+func IsNotSent(err error) bool {
+	var wireErr *Error
+	return errors.As(err, &wireErr) && wireErr.NotSent
+}
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -51,6 +51,14 @@
 	MaxQueued int `cbor:"20,keyasint,omitempty"`
 	// TokensPerSecond bounds the plan's rate at the agent; zero means no bound.
 	TokensPerSecond int `cbor:"21,keyasint,omitempty"`
+	// MemoryMiB and AdapterMemoryMiB are the accelerator memory that the model
+	// and the adapter hold once loaded.
+	MemoryMiB        int64 `cbor:"22,keyasint,omitempty"`
+	AdapterMemoryMiB int64 `cbor:"23,keyasint,omitempty"`
+	// ColdStartWeight and IdleWeight are the site's costs of a second's wait for
+	// a load and of an idle accelerator-second.
+	ColdStartWeight float64 `cbor:"24,keyasint,omitempty"`
+	IdleWeight      float64 `cbor:"25,keyasint,omitempty"`
 }
 
 // Outcome tells what is known about the work of a request without an answer.
@@ -219,8 +227,8 @@
 	ListsRevision     int64  `cbor:"1,keyasint,omitempty"`
 	PlacementRevision int64  `cbor:"2,keyasint,omitempty"`
 	WaitMillis        uint32 `cbor:"3,keyasint,omitempty"`
-	// Runner restricts the placement to the models that name the runner, for
-	// agents; empty for entries.
+	// Runner is set by agents, which get placements and no lists: a request
+	// carries what an agent needs of the lists.
 	Runner string `cbor:"4,keyasint,omitempty"`
 }
 
@@ -241,6 +249,8 @@
 	// Revision is the key-value service's modification revision.
 	Revision int64    `cbor:"3,keyasint" json:"-"`
 	Permits  []Permit `cbor:"4,keyasint" json:"permits"`
+	// MemoryMiB is the accelerator memory of one replica.
+	MemoryMiB int64 `cbor:"5,keyasint,omitempty" json:"memory_mib,omitempty"`
 }
 
 // Permit allows one runner to hold one replica. The order of permits in a
@@ -250,6 +260,8 @@
 	// Epoch is unique among the permits of a model and grows.
 	Epoch   int64 `cbor:"2,keyasint" json:"epoch"`
 	Revoked bool  `cbor:"3,keyasint,omitempty" json:"revoked,omitempty"`
+	// Keep tells the runner to hold the replica loaded without requests.
+	Keep bool `cbor:"4,keyasint,omitempty" json:"keep,omitempty"`
 }
 
 // LoadAsk asks the coordinating entry for a start at the weight store.
--- /dev/null
+++ b/pkg/wire/stream.go
@@ -0,0 +1,83 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	readBufferBytes = 4 << 10
+
+	// streamCancelled is the QUIC error code of a stream given up by its user.
+	streamCancelled quic.StreamErrorCode = 1
+)
+
+// Stream is one call on a connection. One goroutine may send while another
+// receives.
+type Stream struct {
+	stream *quic.Stream
+	reader *bufio.Reader
+	host   string
+	done   func()
+}
+
+func newStream(stream *quic.Stream, host string, done func()) *Stream {
+	return &Stream{
+		stream: stream,
+		reader: bufio.NewReaderSize(stream, readBufferBytes),
+		host:   host,
+		done:   done,
+	}
+}
+
+// Send writes one frame.
+func (s *Stream) Send(frame *Frame) error {
+	if err := WriteFrame(s.stream, frame); err != nil {
+		return &Error{Op: "send to", Host: s.host, Err: err}
+	}
+	return nil
+}
+
+// Receive reads one frame.
+func (s *Stream) Receive() (*Frame, error) {
+	frame, err := ReadFrame(s.reader)
+	if err != nil {
+		return nil, &Error{Op: "receive from", Host: s.host, Err: err}
+	}
+	return frame, nil
+}
+
+// SetReadDeadline bounds Receive. The zero time removes the bound.
+func (s *Stream) SetReadDeadline(t time.Time) {
+	_ = s.stream.SetReadDeadline(t)
+}
+
+// Context ends when the peer gives the stream up or the connection breaks.
+func (s *Stream) Context() context.Context { return s.stream.Context() }
+
+// CloseSend tells the peer that no more frames follow.
+func (s *Stream) CloseSend() { _ = s.stream.Close() }
+
+// Cancel gives the stream up in both directions and frees it.
+func (s *Stream) Cancel() {
+	s.stream.CancelRead(streamCancelled)
+	s.stream.CancelWrite(streamCancelled)
+	s.release()
+}
+
+// Close ends the stream in order and frees it.
+func (s *Stream) Close() {
+	_ = s.stream.Close()
+	s.stream.CancelRead(streamCancelled)
+	s.release()
+}
+
+func (s *Stream) release() {
+	if s.done != nil {
+		s.done()
+		s.done = nil
+	}
+}
