--- /dev/null
+++ b/pkg/keys/tls.go
@@ -0,0 +1,112 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"slices"
+
+	"teaselgauge.example/teaselgauge/pkg/settings"
+)
+
+// ALPN is the protocol name of the inner protocol.
+const ALPN = "teaselgauge/1"
+
+// ErrNoPeerCertificate tells that the peer showed no certificate.
+var ErrNoPeerCertificate = errors.New("no peer certificate")
+
+// PeerRoleError tells that the peer's role isn't allowed to connect.
+type PeerRoleError struct {
+	ID, Role string
+	Allowed  []string
+}
+
+// Error implements error.
+func (e *PeerRoleError) Error() string {
+	return fmt.Sprintf("peer %q has role %q, allowed are %q", e.ID, e.Role, e.Allowed)
+}
+
+// ServerConfig returns the TLS settings of a listener that takes only peers
+// with one of the allowed roles. The files are read again when they change, so
+// that keys are replaced without a restart.
+func ServerConfig(files settings.InnerTLS, allowedRoles ...string) (*tls.Config, error) {
+	source, err := newSource(files)
+	if err != nil {
+		return nil, err
+	}
+	config := baseConfig()
+	config.ClientAuth = tls.RequireAnyClientCert
+	config.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+		return &source.current().certificate, nil
+	}
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		return verifyPeer(state, source.current().roots, x509.ExtKeyUsageClientAuth, allowedRoles)
+	}
+	return config, nil
+}
+
+// ClientConfig returns the TLS settings of a dialer that talks only to peers
+// with one of the allowed roles. Names aren't compared: the address comes from
+// the list of hosts, and PeerIdentity tells who answered.
+func ClientConfig(files settings.InnerTLS, allowedRoles ...string) (*tls.Config, error) {
+	source, err := newSource(files)
+	if err != nil {
+		return nil, err
+	}
+	config := baseConfig()
+	// VerifyConnection verifies the chain in place of the default check, which
+	// would demand the peer's address in its certificate.
+	config.InsecureSkipVerify = true
+	config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+		return &source.current().certificate, nil
+	}
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		return verifyPeer(state, source.current().roots, x509.ExtKeyUsageServerAuth, allowedRoles)
+	}
+	return config, nil
+}
+
+func baseConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{ALPN},
+	}
+}
+
+func verifyPeer(state tls.ConnectionState, roots *x509.CertPool, usage x509.ExtKeyUsage, allowedRoles []string) error {
+	id, role, err := PeerIdentity(state)
+	if err != nil {
+		return err
+	}
+	intermediates := x509.NewCertPool()
+	for _, cert := range state.PeerCertificates[1:] {
+		intermediates.AddCert(cert)
+	}
+	_, err = state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	if err != nil {
+		return fmt.Errorf("keys: peer %q: %w", id, err)
+	}
+	if !slices.Contains(allowedRoles, role) {
+		return fmt.Errorf("keys: %w", &PeerRoleError{ID: id, Role: role, Allowed: allowedRoles})
+	}
+	return nil
+}
+
+// PeerIdentity returns the peer's host ID and role from its certificate. On a
+// connection made with ServerConfig or ClientConfig they are verified.
+func PeerIdentity(state tls.ConnectionState) (id, role string, err error) {
+	if len(state.PeerCertificates) == 0 {
+		return "", "", fmt.Errorf("keys: %w", ErrNoPeerCertificate)
+	}
+	subject := state.PeerCertificates[0].Subject
+	if len(subject.OrganizationalUnit) != 1 {
+		return "", "", fmt.Errorf("keys: peer %q: certificate has %d organizational units, must have 1",
+			subject.CommonName, len(subject.OrganizationalUnit))
+	}
+	return subject.CommonName, subject.OrganizationalUnit[0], nil
+}
--- /dev/null
+++ b/pkg/platform/platformtest/store.go
@@ -0,0 +1,326 @@
+// Package platformtest has an in-memory key-value service for tests. It keeps
+// revisions, compare-and-swap, leases and watches, and it fails on demand.
+package platformtest
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/platform"
+)
+
+// ErrDown is the cause of failures while the store is down.
+var ErrDown = errors.New("store is down")
+
+// ErrAnswerLost is the cause of failures of calls that may have taken effect.
+var ErrAnswerLost = errors.New("answer lost")
+
+// Faults says how the store misbehaves. The zero value is a healthy store.
+type Faults struct {
+	// Down refuses all calls and breaks all watches.
+	Down bool
+	// LoseAnswers is the share of transactions, from 0 to 1, that take effect
+	// and whose answer is lost.
+	LoseAnswers float64
+	// LoseRequests is the share of transactions, from 0 to 1, that take no
+	// effect and fail like those whose answer is lost.
+	LoseRequests float64
+	// MaxDelay bounds the random delay of each call, before and after its effect.
+	MaxDelay time.Duration
+}
+
+// Store implements platform.KeyValueStore in memory.
+type Store struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	revision int64
+	first    int64
+	values   map[string]platform.KeyValue
+	leases   map[string]int64
+	nextID   int64
+	log      []change
+	changed  chan struct{}
+	calls    int
+}
+
+// change is one entry of the history that watches read.
+type change struct {
+	revision int64
+	events   []platform.WatchEvent
+}
+
+// NewStore returns an empty, healthy store. The seed drives its faults.
+func NewStore(seed uint64) *Store {
+	return &Store{
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		values:  make(map[string]platform.KeyValue),
+		leases:  make(map[string]int64),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults of all later calls.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.wake()
+}
+
+// Calls returns how many calls the store has got.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Compact forgets the history that watches read, up to now.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = s.revision
+	s.log = nil
+	s.wake()
+}
+
+// Range implements platform.KeyValueStore.
+func (s *Store) Range(ctx context.Context, key string, prefix bool) (platform.RangeResult, error) {
+	if err := s.begin(ctx, "range"); err != nil {
+		return platform.RangeResult{}, err
+	}
+	result := s.read(key, prefix)
+	return result, s.delay(ctx, "range")
+}
+
+func (s *Store) read(key string, prefix bool) platform.RangeResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := platform.RangeResult{Revision: s.revision}
+	for _, name := range slices.Sorted(maps.Keys(s.values)) {
+		if name == key || prefix && strings.HasPrefix(name, key) {
+			result.Values = append(result.Values, clone(s.values[name]))
+		}
+	}
+	return result
+}
+
+// Txn implements platform.KeyValueStore.
+func (s *Store) Txn(ctx context.Context, conditions []platform.Compare, changes []platform.Op) (platform.TxnResult, error) {
+	if err := s.begin(ctx, "txn"); err != nil {
+		return platform.TxnResult{}, err
+	}
+	result, lost := s.commit(conditions, changes)
+	if lost {
+		return platform.TxnResult{}, &platform.StoreError{Op: "txn", Uncertain: true, Err: ErrAnswerLost}
+	}
+	return result, s.delay(ctx, "txn")
+}
+
+// commit applies a transaction and tells whether its answer is lost.
+func (s *Store) commit(conditions []platform.Compare, changes []platform.Op) (platform.TxnResult, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.random.Float64() < s.faults.LoseRequests {
+		return platform.TxnResult{}, true
+	}
+	lost := s.random.Float64() < s.faults.LoseAnswers
+	if !s.hold(conditions) {
+		return platform.TxnResult{Revision: s.revision, Current: s.compared(conditions)}, lost
+	}
+	s.apply(changes)
+	return platform.TxnResult{Succeeded: true, Revision: s.revision}, lost
+}
+
+func (s *Store) hold(conditions []platform.Compare) bool {
+	for _, condition := range conditions {
+		if s.values[condition.Key].ModRevision != condition.ModRevision {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Store) compared(conditions []platform.Compare) []platform.KeyValue {
+	var current []platform.KeyValue
+	for _, condition := range conditions {
+		if value, ok := s.values[condition.Key]; ok {
+			current = append(current, clone(value))
+		}
+	}
+	return current
+}
+
+func (s *Store) apply(changes []platform.Op) {
+	if len(changes) == 0 {
+		return
+	}
+	s.revision++
+	entry := change{revision: s.revision}
+	for _, op := range changes {
+		if event, ok := s.applyOp(op); ok {
+			entry.events = append(entry.events, event)
+		}
+	}
+	s.log = append(s.log, entry)
+	s.wake()
+}
+
+func (s *Store) applyOp(op platform.Op) (platform.WatchEvent, bool) {
+	old, existed := s.values[op.Key]
+	if op.Delete {
+		delete(s.values, op.Key)
+		delete(s.leases, op.Key)
+		value := platform.KeyValue{Key: op.Key, ModRevision: s.revision}
+		return platform.WatchEvent{Deleted: true, Value: value}, existed
+	}
+	value := platform.KeyValue{
+		Key:            op.Key,
+		Value:          slices.Clone(op.Value),
+		CreateRevision: s.revision,
+		ModRevision:    s.revision,
+	}
+	if existed {
+		value.CreateRevision = old.CreateRevision
+	}
+	s.values[op.Key] = value
+	s.leases[op.Key] = op.Lease
+	return platform.WatchEvent{Value: clone(value)}, true
+}
+
+// Grant implements platform.KeyValueStore. Leases end only by Expire.
+func (s *Store) Grant(ctx context.Context, _ time.Duration) (int64, error) {
+	if err := s.begin(ctx, "grant"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	return s.nextID, nil
+}
+
+// Expire ends a lease and deletes its keys.
+func (s *Store) Expire(lease int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changes []platform.Op
+	for _, key := range slices.Sorted(maps.Keys(s.leases)) {
+		if lease != 0 && s.leases[key] == lease {
+			changes = append(changes, platform.Op{Key: key, Delete: true})
+		}
+	}
+	s.apply(changes)
+}
+
+// Watch implements platform.KeyValueStore.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64, fn func(int64, []platform.WatchEvent)) error {
+	if err := s.begin(ctx, "watch"); err != nil {
+		return err
+	}
+	for {
+		batch, changed, err := s.since(after)
+		if err != nil {
+			return err
+		}
+		for _, entry := range batch {
+			after = entry.revision
+			if events := matching(entry.events, prefix); len(events) > 0 {
+				fn(entry.revision, events)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// since returns the changes after a revision and a channel that is closed by
+// the next change.
+func (s *Store) since(after int64) ([]change, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return nil, nil, &platform.StoreError{Op: "watch", Err: ErrDown}
+	}
+	if after < s.first {
+		return nil, nil, &platform.StoreError{Op: "watch", Err: platform.ErrCompacted}
+	}
+	start := len(s.log)
+	for start > 0 && s.log[start-1].revision > after {
+		start--
+	}
+	return slices.Clone(s.log[start:]), s.changed, nil
+}
+
+func matching(events []platform.WatchEvent, prefix string) []platform.WatchEvent {
+	var found []platform.WatchEvent
+	for _, event := range events {
+		if strings.HasPrefix(event.Value.Key, prefix) {
+			found = append(found, event)
+		}
+	}
+	return found
+}
+
+func (s *Store) begin(ctx context.Context, op string) error {
+	s.mu.Lock()
+	s.calls++
+	down := s.faults.Down
+	s.mu.Unlock()
+	if down {
+		return &platform.StoreError{Op: op, Err: ErrDown}
+	}
+	if err := s.sleep(ctx); err != nil {
+		return &platform.StoreError{Op: op, Err: err}
+	}
+	return nil
+}
+
+// delay holds an answer back. A transaction whose caller gives up meanwhile has
+// taken effect.
+func (s *Store) delay(ctx context.Context, op string) error {
+	if err := s.sleep(ctx); err != nil {
+		return &platform.StoreError{Op: op, Uncertain: op == "txn", Err: err}
+	}
+	return nil
+}
+
+func (s *Store) sleep(ctx context.Context) error {
+	s.mu.Lock()
+	limit := s.faults.MaxDelay
+	var pause time.Duration
+	if limit > 0 {
+		pause = time.Duration(s.random.Int64N(int64(limit)))
+	}
+	s.mu.Unlock()
+	if pause == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// wake lets watches look again. The caller holds mu.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func clone(value platform.KeyValue) platform.KeyValue {
+	value.Value = slices.Clone(value.Value)
+	return value
+}
--- /dev/null
+++ b/pkg/schema/schema.go
@@ -0,0 +1,86 @@
+// Package schema reads JSON documents strictly and checks them against the
+// validation tags of their Go types. It reports all problems of a document at
+// once, each with the JSON path of its place.
+package schema
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Path is the place in the document, such as "plans[2].weight".
+	Path string `json:"path"`
+	// Message says what is wrong and what is allowed.
+	Message string `json:"message"`
+}
+
+// String returns the path and the message.
+func (p Problem) String() string {
+	if p.Path == "" {
+		return p.Message
+	}
+	return p.Path + ": " + p.Message
+}
+
+// Error lists all problems of a document.
+type Error struct {
+	Problems []Problem
+}
+
+// Error implements error with one line per problem.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, problem := range e.Problems {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Decode reads exactly one JSON value from data into target, which is a
+// pointer. Unknown fields and trailing data are refused with an *Error.
+func Decode(data []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return decodeError(data, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return single("", fmt.Sprintf("data after the document at byte %d", decoder.InputOffset()))
+	}
+	return nil
+}
+
+func decodeError(data []byte, err error) error {
+	var syntaxErr *json.SyntaxError
+	if errors.As(err, &syntaxErr) {
+		line, column := position(data, syntaxErr.Offset)
+		return single("", fmt.Sprintf("line %d, column %d: %v", line, column, syntaxErr))
+	}
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		message := fmt.Sprintf("is a JSON %s, must be %s", typeErr.Value, typeErr.Type)
+		return single(typeErr.Field, message)
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return single("", "the document ends too early")
+	}
+	return single("", strings.TrimPrefix(err.Error(), "json: "))
+}
+
+func single(path, message string) error {
+	return &Error{Problems: []Problem{{Path: path, Message: message}}}
+}
+
+// position converts a byte offset to a line and a column, both from 1.
+func position(data []byte, offset int64) (line, column int) {
+	before := data[:min(offset, int64(len(data)))]
+	line = 1 + bytes.Count(before, []byte("\n"))
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -63,10 +63,10 @@
 
 // EntryListen holds an entry's addresses, each an IP and a port.
 type EntryListen struct {
-	Callers string `json:"callers" validate:"required,hostname_port"`
-	Admin   string `json:"admin" validate:"required,hostname_port"`
+	Callers string `json:"callers" validate:"required,ip_port"`
+	Admin   string `json:"admin" validate:"required,ip_port"`
 	// Inner is the UDP address of the inner protocol.
-	Inner string `json:"inner" validate:"required,hostname_port"`
+	Inner string `json:"inner" validate:"required,ip_port"`
 }
 
 // EntryLimits bounds what an entry takes from outside.
@@ -125,12 +125,12 @@
 // AgentListen holds an agent's addresses, each an IP and a port.
 type AgentListen struct {
 	// Inner is the UDP address of the inner protocol.
-	Inner string `json:"inner" validate:"required,hostname_port"`
+	Inner string `json:"inner" validate:"required,ip_port"`
 	// Admin is the loopback address of health, metrics and the state dump.
-	Admin string `json:"admin" validate:"required,hostname_port"`
+	Admin string `json:"admin" validate:"required,ip_port"`
 	// Guard is a loopback TCP address that the agent holds for its whole life,
 	// so that no second agent serves the same backend server.
-	Guard string `json:"guard" validate:"required,hostname_port"`
+	Guard string `json:"guard" validate:"required,ip_port"`
 }
 
 // AgentLimits bounds what an agent takes.
