Add HTTP clients of the platform and of backend servers

Cause: entries and agents need the key-value service, the host list, model engines and plain services behind the interfaces of their packages. Ruled out: the etcd Go client, which can't be had; connection reuse towards plain services, since net/http resends calls with an Idempotency-Key on a reused connection that breaks.

--- /dev/null
+++ b/pkg/engine/http.go
@@ -0,0 +1,298 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// The headers between an agent and its backend server.
+const (
+	// HeaderRequestID identifies a request; the answer repeats it.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderPriority is the priority of a request, higher first.
+	HeaderPriority = "X-Priority"
+	// HeaderOutcome is OutcomeNotRun in the answer to a request or an order that
+	// the backend server surely did not carry out.
+	HeaderOutcome = "X-Outcome"
+	// HeaderIdempotencyKey carries the caller's key to a plain service.
+	HeaderIdempotencyKey = "Idempotency-Key"
+
+	HeaderModel          = "X-Model"
+	HeaderModelVersion   = "X-Model-Version"
+	HeaderAdapter        = "X-Adapter"
+	HeaderAdapterVersion = "X-Adapter-Version"
+)
+
+// OutcomeNotRun is the value of HeaderOutcome for work that did not run.
+const OutcomeNotRun = "not-run"
+
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = 90 * time.Second
+	maxIdleConns    = 64
+	maxStateBytes   = 16 << 20
+	maxErrorBytes   = 4 << 10
+)
+
+// errCrossed tells that an answer belongs to another request.
+var errCrossed = errors.New("answer belongs to another request")
+
+// HTTPEngine is a client of a model engine with OpenAI-style routes for
+// requests and control routes for orders. It is safe for concurrent use.
+type HTTPEngine struct {
+	url    string
+	client *http.Client
+}
+
+var _ Engine = (*HTTPEngine)(nil)
+
+// NewHTTPEngine returns a client of the engine at a base URL.
+func NewHTTPEngine(url string) *HTTPEngine {
+	return &HTTPEngine{url: strings.TrimRight(url, "/"), client: newClient(true)}
+}
+
+// Close closes the idle connections.
+func (e *HTTPEngine) Close() {
+	e.client.CloseIdleConnections()
+}
+
+// State reads the engine's own account of itself.
+func (e *HTTPEngine) State(ctx context.Context) (State, error) {
+	const op = "state"
+	response, err := send(ctx, e.client, op, requestParts{method: http.MethodGet, url: e.url + "/control/state"})
+	if err != nil {
+		return State{}, err
+	}
+	defer response.Body.Close()
+	if err := checkStatus(op, response); err != nil {
+		return State{}, err
+	}
+	var state State
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state); err != nil {
+		return State{}, &Error{Op: op, Err: fmt.Errorf("decode: %w", err)}
+	}
+	return state, nil
+}
+
+// Load returns when the target is loaded.
+func (e *HTTPEngine) Load(ctx context.Context, order Order) error {
+	return e.order(ctx, "load", order)
+}
+
+// Unload returns when the target's memory is free.
+func (e *HTTPEngine) Unload(ctx context.Context, order Order) error {
+	return e.order(ctx, "unload", order)
+}
+
+// SetRole changes the engine's role.
+func (e *HTTPEngine) SetRole(ctx context.Context, order Order) error {
+	return e.order(ctx, "role", order)
+}
+
+func (e *HTTPEngine) order(ctx context.Context, op string, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return &Error{Op: op, NotRun: true, Err: fmt.Errorf("encode: %w", err)}
+	}
+	return e.control(ctx, op, body)
+}
+
+// cancelRequest is the body of a cancel.
+type cancelRequest struct {
+	RequestID string `json:"request_id"`
+}
+
+// Cancel stops a request.
+func (e *HTTPEngine) Cancel(ctx context.Context, requestID string) error {
+	body, err := json.Marshal(cancelRequest{RequestID: requestID})
+	if err != nil {
+		return &Error{Op: "cancel", NotRun: true, Err: fmt.Errorf("encode: %w", err)}
+	}
+	return e.control(ctx, "cancel", body)
+}
+
+func (e *HTTPEngine) control(ctx context.Context, op string, body []byte) error {
+	parts := requestParts{method: http.MethodPost, url: e.url + "/control/" + op, body: body}
+	parts.set("Content-Type", "application/json")
+	response, err := send(ctx, e.client, op, parts)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if err := checkStatus(op, response); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStateBytes)); err != nil {
+		return &Error{Op: op, Err: fmt.Errorf("read answer: %w", err)}
+	}
+	return nil
+}
+
+// Call starts a request. An answer with a server error status is returned as
+// *Error, other statuses as an Answer.
+func (e *HTTPEngine) Call(ctx context.Context, call Call) (Answer, error) {
+	const op = "call"
+	response, err := send(ctx, e.client, op, e.callParts(call))
+	if err != nil {
+		return Answer{}, err
+	}
+	if isNotRun(response) || response.StatusCode >= http.StatusInternalServerError {
+		defer response.Body.Close()
+		return Answer{}, checkStatus(op, response)
+	}
+	return e.answer(op, call.RequestID, response, newEndReader(0))
+}
+
+func (e *HTTPEngine) callParts(call Call) requestParts {
+	parts := requestParts{method: call.Method, url: e.url + call.Path, body: call.Body}
+	if parts.method == "" {
+		parts.method = http.MethodPost
+	}
+	parts.set("Content-Type", call.ContentType)
+	parts.set(HeaderRequestID, call.RequestID)
+	parts.set(HeaderPriority, strconv.Itoa(call.Priority))
+	parts.set(HeaderModel, call.Target.Model)
+	parts.set(HeaderModelVersion, call.Target.Version)
+	parts.set(HeaderAdapter, call.Target.Adapter)
+	parts.set(HeaderAdapterVersion, call.Target.AdapterVersion)
+	if call.Stream {
+		parts.set("Accept", eventStreamType)
+	}
+	return parts
+}
+
+// Resume continues the answer of a request from a byte offset. It asks for a
+// few bytes before the offset and drops them, so that an end mark cut in two is
+// recognised.
+func (e *HTTPEngine) Resume(ctx context.Context, requestID string, offset int64) (Answer, error) {
+	const op = "resume"
+	overlap := min(offset, resumeOverlapBytes)
+	query := url.Values{}
+	query.Set("request_id", requestID)
+	query.Set("offset", strconv.FormatInt(offset-overlap, 10))
+	parts := requestParts{method: http.MethodGet, url: e.url + "/control/resume?" + query.Encode()}
+	parts.set(HeaderRequestID, requestID)
+	response, err := send(ctx, e.client, op, parts)
+	if err != nil {
+		return Answer{}, err
+	}
+	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
+		return Answer{}, checkStatus(op, response)
+	}
+	end := newEndReader(offset - overlap)
+	answer, err := e.answer(op, requestID, response, end)
+	if err != nil {
+		return Answer{}, err
+	}
+	if _, err := io.CopyN(io.Discard, answer.Body, overlap); err != nil {
+		answer.Body.Close()
+		return Answer{}, &Error{Op: op, Err: fmt.Errorf("answer ends before offset %d: %w", offset, err)}
+	}
+	return answer, nil
+}
+
+func (e *HTTPEngine) answer(op, requestID string, response *http.Response, end *endReader) (Answer, error) {
+	if got := response.Header.Get(HeaderRequestID); got != requestID {
+		response.Body.Close()
+		return Answer{}, &Error{Op: op, Status: response.StatusCode, Err: fmt.Errorf("%w: got id %q", errCrossed, got)}
+	}
+	answer := Answer{StatusCode: response.StatusCode, ContentType: response.Header.Get("Content-Type")}
+	if isEventStream(answer.ContentType) {
+		end.source = response.Body
+		answer.Body = &answerBody{op: op, reader: end, closer: response.Body}
+		return answer, nil
+	}
+	if response.ContentLength < 0 {
+		response.Body.Close()
+		return Answer{}, &Error{Op: op, Status: response.StatusCode, Err: errors.New("answer without a length")}
+	}
+	answer.Body = &answerBody{op: op, reader: response.Body, closer: response.Body}
+	return answer, nil
+}
+
+// requestParts holds what makes up an HTTP request.
+type requestParts struct {
+	method string
+	url    string
+	header http.Header
+	body   []byte
+}
+
+// set adds a header unless its value is empty.
+func (p *requestParts) set(name, value string) {
+	if value == "" {
+		return
+	}
+	if p.header == nil {
+		p.header = http.Header{}
+	}
+	p.header.Set(name, value)
+}
+
+// send sends a request once. Its error is NotRun only if no connection was made.
+func send(ctx context.Context, client *http.Client, op string, parts requestParts) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), parts.method, parts.url, nil)
+	if err != nil {
+		return nil, &Error{Op: op, NotRun: true, Err: err}
+	}
+	if parts.header != nil {
+		request.Header = parts.header
+	}
+	if len(parts.body) > 0 {
+		// GetBody stays nil, so that the transport can't send the request twice.
+		request.Body = io.NopCloser(bytes.NewReader(parts.body))
+		request.ContentLength = int64(len(parts.body))
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, &Error{Op: op, NotRun: !connected.Load(), Err: err}
+	}
+	return response, nil
+}
+
+func isNotRun(response *http.Response) bool {
+	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(HeaderOutcome) == OutcomeNotRun
+}
+
+// checkStatus returns an *Error unless the status is a success.
+func checkStatus(op string, response *http.Response) error {
+	if response.StatusCode >= 200 && response.StatusCode < 300 {
+		return nil
+	}
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	return &Error{
+		Op:     op,
+		NotRun: isNotRun(response),
+		Status: response.StatusCode,
+		Err:    fmt.Errorf("status %d: %s", response.StatusCode, bytes.TrimSpace(text)),
+	}
+}
+
+func newClient(keepAlive bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleConnTimeout,
+			DisableKeepAlives:   !keepAlive,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- /dev/null
+++ b/pkg/engine/service.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// HTTPService is a client of a plain service. It is safe for concurrent use.
+type HTTPService struct {
+	url    string
+	client *http.Client
+}
+
+var _ Service = (*HTTPService)(nil)
+
+// NewHTTPService returns a client of the plain service at a base URL.
+// Connections aren't reused: on a reused one the transport may send a request
+// again by itself.
+func NewHTTPService(url string) *HTTPService {
+	return &HTTPService{url: strings.TrimRight(url, "/"), client: newClient(false)}
+}
+
+// Call sends a request once. Every status is an Answer, unless the service says
+// that the work did not run.
+func (s *HTTPService) Call(ctx context.Context, call Call) (Answer, error) {
+	const op = "call"
+	parts := requestParts{method: call.Method, url: s.url + call.Path, body: call.Body}
+	parts.set("Content-Type", call.ContentType)
+	parts.set(HeaderRequestID, call.RequestID)
+	parts.set(HeaderIdempotencyKey, call.IdempotencyKey)
+	response, err := send(ctx, s.client, op, parts)
+	if err != nil {
+		return Answer{}, err
+	}
+	if isNotRun(response) {
+		defer response.Body.Close()
+		return Answer{}, checkStatus(op, response)
+	}
+	if err := checkServiceAnswer(call, response); err != nil {
+		response.Body.Close()
+		return Answer{}, &Error{Op: op, Status: response.StatusCode, Err: err}
+	}
+	return Answer{
+		StatusCode:  response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        &answerBody{op: op, reader: response.Body, closer: response.Body},
+	}, nil
+}
+
+// checkServiceAnswer refuses answers of other requests and answers whose end
+// can't be told from a cut. A service need not repeat the request's id.
+func checkServiceAnswer(call Call, response *http.Response) error {
+	got := response.Header.Get(HeaderRequestID)
+	if got != "" && got != call.RequestID {
+		return fmt.Errorf("%w: got id %q", errCrossed, got)
+	}
+	if call.Method != http.MethodHead && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return errors.New("answer without a length")
+	}
+	return nil
+}
+
+// Healthy tells whether the service answers GET /healthz with a success within
+// the timeout.
+func (s *HTTPService) Healthy(ctx context.Context, timeout time.Duration) error {
+	const op = "health"
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := send(ctx, s.client, op, requestParts{method: http.MethodGet, url: s.url + "/healthz"})
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if err := checkStatus(op, response); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes)); err != nil {
+		return &Error{Op: op, Err: fmt.Errorf("read answer: %w", err)}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/platform/etcd.go
@@ -0,0 +1,268 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/settings"
+)
+
+const (
+	defaultCallTimeout  = 2 * time.Second
+	dialTimeout         = time.Second
+	idleConnTimeout     = 90 * time.Second
+	keepAliveIdle       = 5 * time.Second
+	keepAliveInterval   = 2 * time.Second
+	keepAliveCount      = 3
+	maxConnsPerEndpoint = 64
+	// maxResponseBytes bounds the answer to one call and one watch message.
+	maxResponseBytes = 64 << 20
+	maxErrorBytes    = 4 << 10
+)
+
+// errResponseTooLarge tells that an answer exceeds maxResponseBytes.
+var errResponseTooLarge = errors.New("response too large")
+
+// Etcd is a client of etcd's v3 JSON/HTTP gateway. It is safe for concurrent
+// use.
+type Etcd struct {
+	endpoints []string
+	timeout   time.Duration
+	client    *http.Client
+	// preferred is the index of the endpoint that answered last.
+	preferred atomic.Int64
+}
+
+var _ KeyValueStore = (*Etcd)(nil)
+
+// NewEtcd returns a client of the endpoints in the settings. It opens no
+// connection.
+func NewEtcd(config settings.KeyValue) (*Etcd, error) {
+	if len(config.Endpoints) == 0 {
+		return nil, errors.New("key-value service: no endpoints")
+	}
+	timeout := time.Duration(config.TimeoutMillis) * time.Millisecond
+	if timeout <= 0 {
+		timeout = defaultCallTimeout
+	}
+	endpoints := make([]string, 0, len(config.Endpoints))
+	for _, endpoint := range config.Endpoints {
+		endpoints = append(endpoints, strings.TrimRight(endpoint, "/"))
+	}
+	return &Etcd{
+		endpoints: endpoints,
+		timeout:   timeout,
+		client:    &http.Client{Transport: newTransport(), CheckRedirect: refuseRedirect},
+	}, nil
+}
+
+// Close closes the idle connections.
+func (e *Etcd) Close() {
+	e.client.CloseIdleConnections()
+}
+
+// Range reads a key, or all keys with a prefix. It tries each endpoint once.
+func (e *Etcd) Range(ctx context.Context, key string, prefix bool) (RangeResult, error) {
+	request := rangeRequest{Key: []byte(key)}
+	if prefix {
+		request.Key, request.RangeEnd = prefixRange(key)
+	}
+	var response rangeResponse
+	if err := e.read(ctx, "range", "/v3/kv/range", request, &response); err != nil {
+		return RangeResult{}, err
+	}
+	return RangeResult{Revision: response.Header.Revision, Values: keyValues(response.KVs)}, nil
+}
+
+// Txn makes all changes if all conditions hold. A transaction that may have
+// been delivered is never sent again: its error is uncertain.
+func (e *Etcd) Txn(ctx context.Context, conditions []Compare, changes []Op) (TxnResult, error) {
+	var response txnResponse
+	request := newTxnRequest(conditions, changes)
+	if err := e.write(ctx, "txn", "/v3/kv/txn", request, &response); err != nil {
+		return TxnResult{}, err
+	}
+	result := TxnResult{Succeeded: response.Succeeded, Revision: response.Header.Revision}
+	if !response.Succeeded {
+		for _, part := range response.Responses {
+			if part.Range != nil {
+				result.Current = append(result.Current, keyValues(part.Range.KVs)...)
+			}
+		}
+	}
+	return result, nil
+}
+
+// Grant makes a lease. The gateway counts in whole seconds; ttl is rounded up.
+func (e *Etcd) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	var response leaseGrantResponse
+	if err := e.write(ctx, "lease grant", "/v3/lease/grant", leaseGrantRequest{TTL: seconds}, &response); err != nil {
+		return 0, err
+	}
+	if response.Error != "" {
+		return 0, &StoreError{Op: "lease grant", Err: errors.New(response.Error)}
+	}
+	return response.ID, nil
+}
+
+// read sends an idempotent call to the preferred endpoint and then to the
+// others until one answers.
+func (e *Etcd) read(ctx context.Context, op, path string, request, response any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return &StoreError{Op: op, Err: fmt.Errorf("encode request: %w", err)}
+	}
+	var last error
+	for _, index := range e.endpointOrder() {
+		outcome := e.post(ctx, index, path, body, response)
+		if outcome.err == nil {
+			e.preferred.Store(int64(index))
+			return nil
+		}
+		last = outcome.err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return &StoreError{Op: op, Err: last}
+}
+
+// write sends a change. It goes to the next endpoint only if the change was
+// surely not made.
+func (e *Etcd) write(ctx context.Context, op, path string, request, response any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return &StoreError{Op: op, Err: fmt.Errorf("encode request: %w", err)}
+	}
+	var last error
+	for _, index := range e.endpointOrder() {
+		outcome := e.post(ctx, index, path, body, response)
+		if outcome.err == nil {
+			e.preferred.Store(int64(index))
+			return nil
+		}
+		if outcome.delivered {
+			return &StoreError{Op: op, Uncertain: !outcome.refused, Err: outcome.err}
+		}
+		last = outcome.err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return &StoreError{Op: op, Err: last}
+}
+
+// endpointOrder returns the indices of all endpoints, the preferred one first.
+func (e *Etcd) endpointOrder() []int {
+	first := int(e.preferred.Load())
+	order := make([]int, len(e.endpoints))
+	for i := range order {
+		order[i] = (first + i) % len(e.endpoints)
+	}
+	return order
+}
+
+// callOutcome tells how one HTTP call ended.
+type callOutcome struct {
+	err error
+	// delivered tells that a connection was made, so the request may have been
+	// received.
+	delivered bool
+	// refused tells that the service answered that it made no change.
+	refused bool
+}
+
+func (e *Etcd) post(ctx context.Context, index int, path string, body []byte, response any) callOutcome {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := newPost(httptrace.WithClientTrace(ctx, trace), e.endpoints[index]+path, body)
+	if err != nil {
+		return callOutcome{err: err}
+	}
+	answer, err := e.client.Do(request)
+	if err != nil {
+		return callOutcome{err: err, delivered: connected.Load()}
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return callOutcome{err: statusError(answer), delivered: true, refused: isRefusal(answer.StatusCode)}
+	}
+	return callOutcome{err: decodeBounded(answer.Body, response), delivered: true}
+}
+
+// isRefusal tells whether a status says that the request changed nothing. Other
+// failures, such as a timeout inside the service, leave the outcome open.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden,
+		http.StatusNotFound, http.StatusMethodNotAllowed,
+		http.StatusRequestEntityTooLarge, http.StatusTooManyRequests:
+		return true
+	default:
+		return false
+	}
+}
+
+func newPost(ctx context.Context, url string, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func statusError(answer *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxErrorBytes))
+	return fmt.Errorf("status %d: %s", answer.StatusCode, bytes.TrimSpace(text))
+}
+
+func decodeBounded(body io.Reader, into any) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+	if err != nil {
+		return fmt.Errorf("read response: %w", err)
+	}
+	if len(data) > maxResponseBytes {
+		return errResponseTooLarge
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("decode response: %w", err)
+	}
+	return nil
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     maxConnsPerEndpoint,
+		MaxIdleConnsPerHost: maxConnsPerEndpoint,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/pkg/platform/etcd_messages.go
@@ -0,0 +1,164 @@
+package platform
+
+// The messages of etcd's v3 JSON gateway: bytes are base64 strings and 64-bit
+// integers are decimal strings. Fields at their zero value are left out.
+
+type responseHeader struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type storedKeyValue struct {
+	Key            []byte `json:"key"`
+	Value          []byte `json:"value"`
+	CreateRevision int64  `json:"create_revision,string"`
+	ModRevision    int64  `json:"mod_revision,string"`
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type rangeResponse struct {
+	Header responseHeader   `json:"header"`
+	KVs    []storedKeyValue `json:"kvs"`
+}
+
+type txnRequest struct {
+	Compare []txnCompare `json:"compare,omitempty"`
+	Success []txnOp      `json:"success,omitempty"`
+	Failure []txnOp      `json:"failure,omitempty"`
+}
+
+type txnCompare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type txnOp struct {
+	Range  *rangeRequest  `json:"requestRange,omitempty"`
+	Put    *putRequest    `json:"requestPut,omitempty"`
+	Delete *deleteRequest `json:"requestDeleteRange,omitempty"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,omitempty,string"`
+}
+
+type deleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+type txnResponse struct {
+	Header    responseHeader   `json:"header"`
+	Succeeded bool             `json:"succeeded"`
+	Responses []txnOpsResponse `json:"responses"`
+}
+
+type txnOpsResponse struct {
+	Range *rangeResponse `json:"response_range"`
+}
+
+type leaseGrantRequest struct {
+	TTL int64 `json:"TTL,string"`
+}
+
+type leaseGrantResponse struct {
+	ID    int64  `json:"ID,string"`
+	Error string `json:"error"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,omitempty,string"`
+}
+
+type watchMessage struct {
+	Result *watchResult `json:"result"`
+	Error  *watchError  `json:"error"`
+}
+
+type watchResult struct {
+	Header          responseHeader `json:"header"`
+	Created         bool           `json:"created"`
+	Canceled        bool           `json:"canceled"`
+	CompactRevision int64          `json:"compact_revision,string"`
+	CancelReason    string         `json:"cancel_reason"`
+	Events          []watchChange  `json:"events"`
+}
+
+type watchError struct {
+	Message string `json:"message"`
+}
+
+type watchChange struct {
+	// Type is DELETE, or PUT or absent for a put.
+	Type string         `json:"type"`
+	KV   storedKeyValue `json:"kv"`
+}
+
+// newTxnRequest puts a read of each compared key into the failure branch, so
+// that a failed transaction returns the keys as they stand.
+func newTxnRequest(conditions []Compare, changes []Op) txnRequest {
+	var request txnRequest
+	for _, condition := range conditions {
+		key := []byte(condition.Key)
+		request.Compare = append(request.Compare, txnCompare{
+			Key: key, Target: "MOD", Result: "EQUAL", ModRevision: condition.ModRevision,
+		})
+		request.Failure = append(request.Failure, txnOp{Range: &rangeRequest{Key: key}})
+	}
+	for _, change := range changes {
+		key := []byte(change.Key)
+		if change.Delete {
+			request.Success = append(request.Success, txnOp{Delete: &deleteRequest{Key: key}})
+			continue
+		}
+		put := &putRequest{Key: key, Value: change.Value, Lease: change.Lease}
+		request.Success = append(request.Success, txnOp{Put: put})
+	}
+	return request
+}
+
+func keyValues(stored []storedKeyValue) []KeyValue {
+	values := make([]KeyValue, 0, len(stored))
+	for _, kv := range stored {
+		values = append(values, keyValue(kv))
+	}
+	return values
+}
+
+func keyValue(kv storedKeyValue) KeyValue {
+	return KeyValue{
+		Key:            string(kv.Key),
+		Value:          kv.Value,
+		CreateRevision: kv.CreateRevision,
+		ModRevision:    kv.ModRevision,
+	}
+}
+
+// prefixRange returns the first key and the end of the range of all keys with a
+// prefix. The empty prefix stands for all keys, which the gateway writes as the
+// range from a zero byte to a zero byte.
+func prefixRange(prefix string) (key, end []byte) {
+	if prefix == "" {
+		return []byte{0}, []byte{0}
+	}
+	end = []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return []byte(prefix), end[:i+1]
+		}
+	}
+	return []byte(prefix), []byte{0}
+}
