Add the fair queue and the memory ledger

The agent needs to decide which request runs next and how much accelerator memory is taken. Both are pure state machines without clock or I/O.

--- /dev/null
+++ b/pkg/admission/lane.go
@@ -0,0 +1,162 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// entry is a waiting item.
+type entry struct {
+	item Item
+	seq  uint64
+	// latestStart is when the item expires.
+	latestStart time.Time
+	lane        *lane
+	laneIndex   int
+	// expiryIndex is -1 for items without a deadline.
+	expiryIndex int
+}
+
+// before orders the items of a plan.
+func (e *entry) before(o *entry) bool {
+	if p, q := clampPriority(e.item.Priority), clampPriority(o.item.Priority); p != q {
+		return p > q
+	}
+	if e.item.Deadline.Equal(o.item.Deadline) {
+		return e.seq < o.seq
+	}
+	if e.item.Deadline.IsZero() || o.item.Deadline.IsZero() {
+		return o.item.Deadline.IsZero()
+	}
+	return e.item.Deadline.Before(o.item.Deadline)
+}
+
+func clampPriority(p int) int {
+	return min(max(p, 0), MaxPriority)
+}
+
+// lane holds the waiting items of one plan for one target.
+type lane struct {
+	flow    *flow
+	target  Target
+	entries laneHeap
+	work    workIndex
+	tokens  int64
+}
+
+func newLane(f *flow, t Target) *lane {
+	return &lane{flow: f, target: t, work: workIndex{}}
+}
+
+func (l *lane) push(e *entry) {
+	e.lane = l
+	heap.Push(&l.entries, e)
+	l.add(e, e.item.cost())
+}
+
+func (l *lane) remove(e *entry) {
+	heap.Remove(&l.entries, e.laneIndex)
+	l.add(e, -e.item.cost())
+	e.lane = nil
+}
+
+func (l *lane) add(e *entry, tokens int64) {
+	l.tokens += tokens
+	l.flow.tokens += tokens
+	l.work.add(workKey(e.item), tokens)
+}
+
+// laneHeap implements heap.Interface.
+type laneHeap []*entry
+
+func (h laneHeap) Len() int           { return len(h) }
+func (h laneHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h laneHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].laneIndex = i
+	h[j].laneIndex = j
+}
+
+func (h *laneHeap) Push(x any) {
+	e := x.(*entry)
+	e.laneIndex = len(*h)
+	*h = append(*h, e)
+}
+
+func (h *laneHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	e := old[last]
+	old[last] = nil
+	*h = old[:last]
+	return e
+}
+
+// expiryHeap orders entries by the time at which they expire.
+type expiryHeap []*entry
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].latestStart.Before(h[j].latestStart) }
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiryIndex = i
+	h[j].expiryIndex = j
+}
+
+func (h *expiryHeap) Push(x any) {
+	e := x.(*entry)
+	e.expiryIndex = len(*h)
+	*h = append(*h, e)
+}
+
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	e := old[last]
+	old[last] = nil
+	e.expiryIndex = -1
+	*h = old[:last]
+	return e
+}
+
+// deadlineQuantum is the resolution of a workIndex.
+const deadlineQuantum = 16 * time.Millisecond
+
+// deadlineBits is the width of the deadline in a work key.
+const deadlineBits = 40
+
+// maxWorkKey is the highest key of a workIndex.
+const maxWorkKey = uint64(MaxPriority+1) << deadlineBits
+
+// workIndex is a sparse Fenwick tree: it sums the tokens of all items up to a
+// place in a plan's order, in a time logarithmic in the key space.
+type workIndex map[uint64]int64
+
+// workKey is the place of an item in its plan's order, lowest first.
+func workKey(i Item) uint64 {
+	class := uint64(MaxPriority - clampPriority(i.Priority))
+	last := uint64(1)<<deadlineBits - 1
+	quanta := last
+	if !i.Deadline.IsZero() {
+		quanta = min(uint64(max(i.Deadline.UnixMilli(), 0))/uint64(deadlineQuantum.Milliseconds()), last)
+	}
+	return class<<deadlineBits | quanta + 1
+}
+
+func (w workIndex) add(key uint64, tokens int64) {
+	for ; key <= maxWorkKey; key += key & -key {
+		w[key] += tokens
+		if w[key] == 0 {
+			delete(w, key)
+		}
+	}
+}
+
+// upTo sums the tokens of all keys up to and including key.
+func (w workIndex) upTo(key uint64) int64 {
+	var sum int64
+	for ; key > 0; key -= key & -key {
+		sum += w[key]
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,335 @@
+package admission
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// running is an item that was handed out by Next.
+type running struct {
+	item    Item
+	weight  float64
+	started time.Time
+}
+
+// Queue is a bounded fair queue over plans. Use New.
+type Queue struct {
+	limits  Limits
+	flows   map[string]*flow
+	entries map[string]*entry
+	running map[string]running
+	expiry  expiryHeap
+	// overdue holds items that Next met after their expiry, until Expire.
+	overdue []Item
+	// readyAt holds the expected load time of the targets that items wait for.
+	readyAt map[Target]time.Time
+	tokens  int64
+	seq     uint64
+	// virtual is the start tag of the last item handed out.
+	virtual float64
+	rate    serviceRate
+}
+
+// New returns an empty queue.
+func New(limits Limits) *Queue {
+	limits.Slots = max(limits.Slots, 1)
+	return &Queue{
+		limits:  limits,
+		flows:   map[string]*flow{},
+		entries: map[string]*entry{},
+		running: map[string]running{},
+		readyAt: map[Target]time.Time{},
+	}
+}
+
+// SetLimits changes the bounds. Items already queued stay.
+func (q *Queue) SetLimits(limits Limits) {
+	limits.Slots = max(limits.Slots, 1)
+	q.limits = limits
+}
+
+// Offer queues an item and returns nil, or refuses it. An item whose ID is
+// already waiting or running is refused as invalid.
+func (q *Queue) Offer(now time.Time, item Item, estimate Estimate) *Refusal {
+	if q.has(item.ID) {
+		return &Refusal{Reason: wire.ReasonInvalid, RetryAfter: minRetryAfter}
+	}
+	if q.Len() >= q.limits.MaxQueued {
+		return q.refuseFull(q.tokens)
+	}
+	f := q.flow(item.Plan)
+	f.weight = float64(max(item.Weight, 1))
+	f.bucket.setRate(now, item.TokensPerSecond)
+	if f.queued >= maxQueuedPlan(item) {
+		return q.refuseFull(f.tokens)
+	}
+	q.noteReady(now, item.Target, estimate)
+	if refusal := q.refuseLate(now, f, item, estimate); refusal != nil {
+		q.forget(now, f)
+		return refusal
+	}
+	q.push(f, item)
+	return nil
+}
+
+func (q *Queue) has(id string) bool {
+	if _, ok := q.entries[id]; ok {
+		return true
+	}
+	_, ok := q.running[id]
+	return ok
+}
+
+func maxQueuedPlan(item Item) int {
+	if item.MaxQueuedPlan <= 0 {
+		return DefaultMaxQueuedPlan
+	}
+	return item.MaxQueuedPlan
+}
+
+// refuseFull advises to come back when half of the work ahead is done.
+func (q *Queue) refuseFull(tokens int64) *Refusal {
+	drain := q.parallel(float64(tokens) / 2)
+	return &Refusal{Reason: wire.ReasonQueueFull, RetryAfter: clampRetry(drain)}
+}
+
+// refuseLate refuses an item that can't make its deadline.
+func (q *Queue) refuseLate(now time.Time, f *flow, item Item, estimate Estimate) *Refusal {
+	if item.Deadline.IsZero() {
+		return nil
+	}
+	budget := item.Deadline.Sub(now) - replyMargin
+	need := q.rate.service(float64(item.cost()))
+	limited := f.bucket.wait(now, float64(f.tokens))
+	if limited > 0 && limited+need > budget {
+		return &Refusal{Reason: wire.ReasonRate, RetryAfter: clampRetry(limited)}
+	}
+	wait := q.expectedStart(now, f, item, estimate)
+	if wait+need <= budget && budget > 0 {
+		return nil
+	}
+	return &Refusal{Reason: wire.ReasonDeadline, RetryAfter: clampRetry(wait + need - budget)}
+}
+
+func (q *Queue) push(f *flow, item Item) {
+	q.seq++
+	e := &entry{item: item, seq: q.seq, expiryIndex: -1}
+	l := f.lanes[item.Target]
+	if l == nil {
+		l = newLane(f, item.Target)
+		f.lanes[item.Target] = l
+	}
+	l.push(e)
+	f.queued++
+	q.tokens += item.cost()
+	q.entries[item.ID] = e
+	if !item.Deadline.IsZero() {
+		need := q.rate.service(float64(item.cost()))
+		reserve := replyMargin + time.Duration(expiryServiceShare*float64(need))
+		e.latestStart = item.Deadline.Add(-reserve)
+		heap.Push(&q.expiry, e)
+	}
+}
+
+// take removes a waiting entry from all structures.
+func (q *Queue) take(e *entry) {
+	l := e.lane
+	f := l.flow
+	l.remove(e)
+	if len(l.entries) == 0 {
+		delete(f.lanes, l.target)
+	}
+	f.queued--
+	q.tokens -= e.item.cost()
+	delete(q.entries, e.item.ID)
+	if e.expiryIndex >= 0 {
+		heap.Remove(&q.expiry, e.expiryIndex)
+	}
+}
+
+// Next hands out the item to run now, if a slot is free and an item can run.
+// The item counts as running until Finish. ready tells whether a target is
+// loaded.
+func (q *Queue) Next(now time.Time, ready func(Target) bool) (Item, bool) {
+	if len(q.running) >= q.limits.Slots {
+		return Item{}, false
+	}
+	q.dropOverdue(now)
+	e := q.choose(now, ready)
+	if e == nil {
+		return Item{}, false
+	}
+	f := e.lane.flow
+	q.take(e)
+	q.charge(now, f, e.item)
+	return e.item, true
+}
+
+// dropOverdue sets the expired items aside for Expire.
+func (q *Queue) dropOverdue(now time.Time) {
+	for len(q.expiry) > 0 && q.expiry[0].latestStart.Before(now) {
+		e := q.expiry[0]
+		f := e.lane.flow
+		q.take(e)
+		q.forget(now, f)
+		q.overdue = append(q.overdue, e.item)
+	}
+}
+
+// choose returns the best item of the plan with the earliest start tag.
+func (q *Queue) choose(now time.Time, ready func(Target) bool) *entry {
+	var chosen *entry
+	var lowest float64
+	for _, f := range q.flows {
+		if f.queued == 0 || !f.bucket.allows(now) {
+			continue
+		}
+		start := q.startTag(f)
+		if chosen != nil && !startsBefore(start, f, lowest, chosen.lane.flow) {
+			continue
+		}
+		if e := f.best(ready); e != nil {
+			chosen = e
+			lowest = start
+		}
+	}
+	return chosen
+}
+
+// startsBefore orders plans by start tag and then by name.
+func startsBefore(start float64, f *flow, other float64, g *flow) bool {
+	if start != other {
+		return start < other
+	}
+	return f.plan < g.plan
+}
+
+// startTag is the virtual time at which the plan's next item starts. A plan
+// that had nothing to run gets no credit for the time.
+func (q *Queue) startTag(f *flow) float64 {
+	return max(q.virtual, f.finish)
+}
+
+func (q *Queue) charge(now time.Time, f *flow, item Item) {
+	start := q.startTag(f)
+	cost := float64(item.cost())
+	q.virtual = start
+	f.finish = start + cost/f.weight
+	f.bucket.charge(cost)
+	f.running++
+	q.running[item.ID] = running{item: item, weight: f.weight, started: now}
+}
+
+// Finish ends a running item and corrects its plan's charge to the tokens that
+// were really used. Tokens and took are zero for an item that did not run; its
+// charge is returned whole. Finish of an unknown item has no effect.
+func (q *Queue) Finish(now time.Time, id string, tokens int64, took time.Duration) {
+	r, ok := q.running[id]
+	if !ok {
+		return
+	}
+	delete(q.running, id)
+	f := q.flow(r.item.Plan)
+	f.running--
+	correction := float64(tokens - r.item.cost())
+	f.finish += correction / r.weight
+	f.bucket.charge(correction)
+	q.rate.observe(r.item.cost(), took)
+	q.forget(now, f)
+}
+
+// Remove drops a waiting item, for example because its caller went away. It
+// returns false if the item isn't waiting.
+func (q *Queue) Remove(now time.Time, id string) bool {
+	e, ok := q.entries[id]
+	if !ok {
+		return false
+	}
+	f := e.lane.flow
+	q.take(e)
+	q.forget(now, f)
+	return true
+}
+
+// Expire removes and returns the items that can no longer make their deadline.
+// Each must get its final answer now; none of them ran.
+func (q *Queue) Expire(now time.Time) []Item {
+	q.dropOverdue(now)
+	items := q.overdue
+	q.overdue = nil
+	return items
+}
+
+// NextExpiry returns when Expire has work, or the zero time.
+func (q *Queue) NextExpiry() time.Time {
+	if len(q.expiry) == 0 {
+		return time.Time{}
+	}
+	return q.expiry[0].latestStart.Add(time.Nanosecond)
+}
+
+// FailTarget removes and returns the items that wait for a target, because it
+// can't be loaded. None of them ran.
+func (q *Queue) FailTarget(now time.Time, target Target) []Item {
+	var failed []*entry
+	for _, f := range q.flows {
+		if l := f.lanes[target]; l != nil {
+			failed = append(failed, l.entries...)
+		}
+	}
+	slices.SortFunc(failed, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	items := make([]Item, 0, len(failed))
+	for _, e := range failed {
+		f := e.lane.flow
+		q.take(e)
+		q.forget(now, f)
+		items = append(items, e.item)
+	}
+	delete(q.readyAt, target)
+	return items
+}
+
+// Len returns the number of waiting items.
+func (q *Queue) Len() int { return len(q.entries) }
+
+// Running returns the number of running items.
+func (q *Queue) Running() int { return len(q.running) }
+
+// QueuedTokens returns the estimated work that waits, in tokens.
+func (q *Queue) QueuedTokens() int64 { return q.tokens }
+
+// flow returns the state of a plan, which is made when missing.
+func (q *Queue) flow(plan string) *flow {
+	f := q.flows[plan]
+	if f == nil {
+		f = &flow{plan: plan, weight: 1, lanes: map[Target]*lane{}}
+		q.flows[plan] = f
+	}
+	return f
+}
+
+// forget drops the state of a plan that carries no information.
+func (q *Queue) forget(now time.Time, f *flow) {
+	if f.idle() && f.finish <= q.virtual && f.bucket.full(now) {
+		delete(q.flows, f.plan)
+	}
+	if len(q.running) == 0 && len(q.entries) == 0 {
+		q.reset(now)
+	}
+}
+
+// reset starts virtual time anew after everything has run.
+func (q *Queue) reset(now time.Time) {
+	q.virtual = 0
+	clear(q.readyAt)
+	for plan, f := range q.flows {
+		f.finish = 0
+		if f.bucket.full(now) {
+			delete(q.flows, plan)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/admission/rate.go
@@ -0,0 +1,36 @@
+package admission
+
+import "time"
+
+// rateSmoothing is the weight of a new observation in the service rate.
+const rateSmoothing = 0.1
+
+// serviceRate estimates the speed of one slot in estimated tokens per second
+// as an exponentially weighted ratio of work to time.
+type serviceRate struct {
+	tokens  float64
+	seconds float64
+	known   bool
+}
+
+func (r *serviceRate) observe(tokens int64, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	if !r.known {
+		r.known = true
+		r.tokens = float64(tokens)
+		r.seconds = took.Seconds()
+		return
+	}
+	r.tokens += rateSmoothing * (float64(tokens) - r.tokens)
+	r.seconds += rateSmoothing * (took.Seconds() - r.seconds)
+}
+
+// service is the expected time of one slot for the work; zero while unknown.
+func (r *serviceRate) service(tokens float64) time.Duration {
+	if !r.known || r.tokens <= 0 {
+		return 0
+	}
+	return seconds(tokens * r.seconds / r.tokens)
+}
--- /dev/null
+++ b/pkg/ledger/ledger.go
@@ -0,0 +1,288 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+)
+
+// Key names what holds memory: a model version, or an adapter version on top of
+// its base model.
+type Key = engine.Target
+
+// The errors of the ledger.
+var (
+	// ErrNoMemory reports that a reservation exceeds the free memory.
+	ErrNoMemory = errors.New("ledger: not enough accelerator memory")
+	// ErrExists reports a reservation for a key that already holds memory.
+	ErrExists = errors.New("ledger: key already holds memory")
+	// ErrNoBase reports an adapter whose base model holds no memory or is
+	// being unloaded.
+	ErrNoBase = errors.New("ledger: base model isn't loaded")
+	// ErrInUse reports the release of a model on which adapters are loaded.
+	ErrInUse = errors.New("ledger: adapters are loaded on the model")
+	// ErrState reports a change that the key's state doesn't allow.
+	ErrState = errors.New("ledger: wrong state")
+	// ErrSize reports a size that isn't positive.
+	ErrSize = errors.New("ledger: size must be positive")
+)
+
+// OvercommitError reports that an engine holds more than its capacity.
+type OvercommitError struct {
+	CapacityMiB int64
+	HeldMiB     int64
+}
+
+// Error implements error.
+func (e *OvercommitError) Error() string {
+	return fmt.Sprintf("ledger: engine holds %d MiB of %d MiB", e.HeldMiB, e.CapacityMiB)
+}
+
+// State is the state of a key.
+type State uint8
+
+// The states. A key that is Absent has no entry.
+const (
+	Absent State = iota
+	// Reserved means that a load is or will be ordered.
+	Reserved
+	// Held means that the engine confirmed the load.
+	Held
+	// Releasing means that an unload is ordered.
+	Releasing
+	// Unsure means that the answer to an order was lost.
+	Unsure
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Absent:
+		return "absent"
+	case Reserved:
+		return "reserved"
+	case Held:
+		return "held"
+	case Releasing:
+		return "releasing"
+	default:
+		return "uncertain"
+	}
+}
+
+// Entry is one key's account.
+type Entry struct {
+	State State
+	MiB   int64
+}
+
+// Ledger is the account of one engine. Use New.
+type Ledger struct {
+	capacity int64
+	used     int64
+	entries  map[Key]Entry
+}
+
+// New returns an empty ledger for an engine with the capacity in MiB.
+func New(capacityMiB int64) *Ledger {
+	return &Ledger{capacity: capacityMiB, entries: map[Key]Entry{}}
+}
+
+// Reserve takes memory for a load that is about to be ordered. Its errors are
+// ErrSize, ErrExists, ErrNoBase and ErrNoMemory.
+func (l *Ledger) Reserve(key Key, mib int64) error {
+	if mib <= 0 {
+		return fmt.Errorf("%w: %d MiB", ErrSize, mib)
+	}
+	if e, ok := l.entries[key]; ok {
+		return fmt.Errorf("%w: %s", ErrExists, e.State)
+	}
+	if !l.baseUsable(key) {
+		return ErrNoBase
+	}
+	if mib > l.Free() {
+		return fmt.Errorf("%w: %d MiB wanted, %d MiB free", ErrNoMemory, mib, l.Free())
+	}
+	l.set(key, Entry{State: Reserved, MiB: mib})
+	return nil
+}
+
+// Cancel gives a reservation back whose load was surely never ordered.
+func (l *Ledger) Cancel(key Key) error {
+	if err := l.expect(key, Reserved); err != nil {
+		return err
+	}
+	l.remove(key)
+	return nil
+}
+
+// Hold records that the engine confirmed the load.
+func (l *Ledger) Hold(key Key) error {
+	if err := l.expect(key, Reserved); err != nil {
+		return err
+	}
+	l.setState(key, Held)
+	return nil
+}
+
+// Release records that an unload is about to be ordered. The memory counts
+// until Settle. A model can be released only after its adapters are gone.
+func (l *Ledger) Release(key Key) error {
+	if err := l.expect(key, Held); err != nil {
+		return err
+	}
+	if l.hasAdapters(key) {
+		return ErrInUse
+	}
+	l.setState(key, Releasing)
+	return nil
+}
+
+// Uncertain records that the answer to the key's order was lost. The key counts
+// as present until Settle.
+func (l *Ledger) Uncertain(key Key) error {
+	if _, ok := l.entries[key]; !ok {
+		return fmt.Errorf("%w: %s", ErrState, Absent)
+	}
+	l.setState(key, Unsure)
+	return nil
+}
+
+// Settle records what the engine says of a key after its last order ended: it
+// is present, and then Held, or absent, and then its memory is free. For an
+// uncertain key the engine's state must have been read after no order for the
+// key could be in flight any more. Present for a key without an entry is
+// ErrState; Adopt takes in such keys.
+func (l *Ledger) Settle(key Key, present bool) error {
+	if _, ok := l.entries[key]; !ok {
+		if !present {
+			return nil
+		}
+		return fmt.Errorf("%w: %s", ErrState, Absent)
+	}
+	if present {
+		l.setState(key, Held)
+		return nil
+	}
+	l.remove(key)
+	return nil
+}
+
+// Adopt replaces the account by the engine's own state, read at the start of an
+// agent's incarnation. Targets that are being loaded or unloaded are uncertain.
+// If the engine reports more than the capacity, Adopt takes in all of it and
+// returns an *OvercommitError.
+func (l *Ledger) Adopt(state engine.State) error {
+	l.capacity = state.MemoryMiB
+	l.used = 0
+	clear(l.entries)
+	for _, r := range state.Residents {
+		if s := adoptedState(r.State); s != Absent {
+			l.set(r.Target, Entry{State: s, MiB: max(r.MemoryMiB, 0)})
+		}
+	}
+	return l.check()
+}
+
+func adoptedState(s engine.LoadState) State {
+	switch s {
+	case engine.StateAbsent:
+		return Absent
+	case engine.StateLoaded:
+		return Held
+	default:
+		return Unsure
+	}
+}
+
+// Resize records the size that the engine reports for a key that it holds.
+func (l *Ledger) Resize(key Key, mib int64) error {
+	e, ok := l.entries[key]
+	if !ok {
+		return fmt.Errorf("%w: %s", ErrState, Absent)
+	}
+	if mib < 0 {
+		return fmt.Errorf("%w: %d MiB", ErrSize, mib)
+	}
+	e.MiB = mib
+	l.set(key, e)
+	return l.check()
+}
+
+// Free returns the memory in MiB that can be reserved.
+func (l *Ledger) Free() int64 { return max(l.capacity-l.used, 0) }
+
+// Used returns the memory in MiB that counts as taken.
+func (l *Ledger) Used() int64 { return l.used }
+
+// Capacity returns the engine's memory in MiB.
+func (l *Ledger) Capacity() int64 { return l.capacity }
+
+// Get returns the account of a key; its state is Absent if it has none.
+func (l *Ledger) Get(key Key) Entry { return l.entries[key] }
+
+// Entries returns a copy of all accounts.
+func (l *Ledger) Entries() map[Key]Entry {
+	entries := make(map[Key]Entry, len(l.entries))
+	for key, e := range l.entries {
+		entries[key] = e
+	}
+	return entries
+}
+
+func (l *Ledger) check() error {
+	if l.used > l.capacity {
+		return &OvercommitError{CapacityMiB: l.capacity, HeldMiB: l.used}
+	}
+	return nil
+}
+
+func (l *Ledger) expect(key Key, want State) error {
+	if have := l.entries[key].State; have != want {
+		return fmt.Errorf("%w: %s, want %s", ErrState, have, want)
+	}
+	return nil
+}
+
+func (l *Ledger) set(key Key, e Entry) {
+	l.used += e.MiB - l.entries[key].MiB
+	l.entries[key] = e
+}
+
+func (l *Ledger) setState(key Key, s State) {
+	e := l.entries[key]
+	e.State = s
+	l.entries[key] = e
+}
+
+func (l *Ledger) remove(key Key) {
+	l.used -= l.entries[key].MiB
+	delete(l.entries, key)
+}
+
+func base(key Key) Key {
+	return Key{Model: key.Model, Version: key.Version}
+}
+
+// baseUsable tells whether an adapter's base model is loaded or being loaded.
+// It is true for models.
+func (l *Ledger) baseUsable(key Key) bool {
+	if key.Adapter == "" {
+		return true
+	}
+	s := l.entries[base(key)].State
+	return s == Reserved || s == Held
+}
+
+func (l *Ledger) hasAdapters(key Key) bool {
+	if key.Adapter != "" {
+		return false
+	}
+	for other := range l.entries {
+		if other.Adapter != "" && base(other) == key {
+			return true
+		}
+	}
+	return false
+}
