--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 
 	"teaselgauge.example/teaselgauge/pkg/engine"
 )
@@ -224,11 +225,7 @@
 
 // Entries returns a copy of all accounts.
 func (l *Ledger) Entries() map[Key]Entry {
-	entries := make(map[Key]Entry, len(l.entries))
-	for key, e := range l.entries {
-		entries[key] = e
-	}
-	return entries
+	return maps.Clone(l.entries)
 }
 
 func (l *Ledger) check() error {
