Add the agent: loop, models, adapters, keyed calls, permits and drain

Cause: the path needs the process beside each backend server. Change: one goroutine owns queue, ledger, permits and key records; engine, key-value and stream calls report to it. A new incarnation claims the engine with a higher fencing number and waits for orders under way; the guard address keeps it out while a predecessor lives. Answers outlive their stream for a while, so that a cut link can be resumed.

--- /dev/null
+++ b/pkg/agent/adapters.go
@@ -0,0 +1,172 @@
+package agent
+
+import (
+	"errors"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/ledger"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// adapter is the state of one adapter on a loaded model.
+type adapter struct {
+	target    engine.Target
+	state     wire.ModelState
+	uncertain bool
+	// users counts the requests that run with the adapter.
+	users    int
+	lastUsed time.Time
+	// waiters are told when the load has ended; the reason is empty on success.
+	waiters    []func(wire.Reason)
+	orderEnded time.Time
+}
+
+// acquireAdapter makes an adapter ready for one request and calls done on the
+// loop. The request's model is loaded and counts the request as running.
+func (t *modelTable) acquireAdapter(now time.Time, target engine.Target, mib int64, done func(wire.Reason)) {
+	a := t.adapters[target]
+	if a == nil {
+		a = &adapter{target: target}
+		t.adapters[target] = a
+	}
+	if a.uncertain || a.state == wire.ModelUnloading {
+		done(wire.ReasonLoadFailed)
+		return
+	}
+	a.users++
+	switch a.state {
+	case wire.ModelLoaded:
+		done("")
+	case wire.ModelLoading:
+		a.waiters = append(a.waiters, done)
+	default:
+		a.waiters = append(a.waiters, done)
+		t.loadAdapter(now, a, mib)
+	}
+}
+
+// releaseAdapter ends one request's use of an adapter.
+func (t *modelTable) releaseAdapter(now time.Time, target engine.Target) {
+	if a := t.adapters[target]; a != nil {
+		a.users--
+		a.lastUsed = now
+	}
+}
+
+func (t *modelTable) loadAdapter(now time.Time, a *adapter, mib int64) {
+	err := t.ledger.Reserve(a.target, mib)
+	if errors.Is(err, ledger.ErrNoMemory) {
+		t.evictIdleAdapter(a)
+		t.evictIdleModel(now)
+		t.adapterEnded(now, a, wire.ReasonNoMemory)
+		return
+	}
+	if err != nil {
+		t.note(err)
+		t.adapterEnded(now, a, wire.ReasonLoadFailed)
+		return
+	}
+	a.state = wire.ModelLoading
+	t.orders.loadAdapter(a.target, mib, func(err error) { t.adapterLoaded(time.Now(), a, err) })
+}
+
+func (t *modelTable) adapterLoaded(now time.Time, a *adapter, err error) {
+	a.orderEnded = now
+	if err == nil {
+		t.note(t.ledger.Hold(a.target))
+		a.state = wire.ModelLoaded
+		t.adapterEnded(now, a, "")
+		return
+	}
+	t.controller.logger.Warn("adapter load failed", "adapter", a.target.Adapter, "model", a.target.Model, "error", err)
+	if isNotRun(err) {
+		t.note(t.ledger.Cancel(a.target))
+		a.state = wire.ModelAbsent
+	} else {
+		t.note(t.ledger.Uncertain(a.target))
+		a.uncertain = true
+	}
+	t.adapterEnded(now, a, wire.ReasonLoadFailed)
+}
+
+// adapterEnded tells the waiters how the load ended. Those who get no adapter
+// don't count as users.
+func (t *modelTable) adapterEnded(now time.Time, a *adapter, reason wire.Reason) {
+	waiters := a.waiters
+	a.waiters = nil
+	a.lastUsed = now
+	if reason != "" {
+		a.users -= len(waiters)
+	}
+	for _, done := range waiters {
+		done(reason)
+	}
+}
+
+// evictIdleAdapter orders the least recently used idle adapter out of memory.
+func (t *modelTable) evictIdleAdapter(wanted *adapter) {
+	var victim *adapter
+	for _, a := range t.adapters {
+		if a == wanted || a.state != wire.ModelLoaded || a.users > 0 || a.uncertain {
+			continue
+		}
+		if victim == nil || a.lastUsed.Before(victim.lastUsed) {
+			victim = a
+		}
+	}
+	if victim != nil {
+		t.unloadAdapter(victim, func() {})
+	}
+}
+
+// evictIdleModel orders the idle model whose loss costs least out of memory.
+func (t *modelTable) evictIdleModel(now time.Time) {
+	var idle []*model
+	for _, m := range t.models {
+		if m.isIdle() && !m.keep {
+			idle = append(idle, m)
+		}
+	}
+	const anySize = 1
+	for _, victim := range t.retention.victims(now, idle, anySize, t.heldWithAdapters) {
+		t.beginUnload(victim, "evicted")
+	}
+}
+
+// unloadAdaptersOf unloads a model's adapters and then calls done, unless an
+// unload fails; then the model waits for the next look at the engine's state.
+func (t *modelTable) unloadAdaptersOf(m *model, done func()) {
+	for _, a := range t.adapters {
+		ofModel := a.target.Model == m.id.Model && a.target.Version == m.id.Version
+		if !ofModel || a.state == wire.ModelAbsent {
+			continue
+		}
+		if a.state != wire.ModelLoaded || a.uncertain {
+			m.state = wire.ModelLoaded
+			return
+		}
+		t.unloadAdapter(a, func() { t.unloadAdaptersOf(m, done) })
+		return
+	}
+	done()
+}
+
+func (t *modelTable) unloadAdapter(a *adapter, done func()) {
+	if err := t.ledger.Release(a.target); err != nil {
+		t.note(err)
+		return
+	}
+	a.state = wire.ModelUnloading
+	t.orders.unload(a.target, func(err error) {
+		a.orderEnded = time.Now()
+		if err != nil {
+			t.note(t.ledger.Uncertain(a.target))
+			a.uncertain = true
+		} else {
+			t.note(t.ledger.Settle(a.target, false))
+			delete(t.adapters, a.target)
+		}
+		done()
+	})
+}
--- /dev/null
+++ b/pkg/agent/agent.go
@@ -0,0 +1,261 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// engineRetry is the time between two tries to read the engine at the start.
+	engineRetry = 500 * time.Millisecond
+	// stateTimeout bounds one read of the engine's state.
+	stateTimeout = 5 * time.Second
+	// drainPoll is the time between two looks whether all requests have ended.
+	drainPoll = 20 * time.Millisecond
+	// drainLinger is how long a drained agent stays, so that the last frames
+	// reach the entries.
+	drainLinger = 200 * time.Millisecond
+)
+
+var errUnexpectedFrame = errors.New("unexpected answer")
+
+// Agent is one incarnation of the process.
+type Agent struct {
+	config      settings.Agent
+	logger      *slog.Logger
+	incarnation string
+	store       platform.KeyValueStore
+	lister      platform.HostLister
+	controller  *controller
+	node        *wire.Node
+	directory   *entryDirectory
+	guard       net.Listener
+	admin       *http.Server
+	wait        sync.WaitGroup
+}
+
+// Run serves until ctx ends, then drains: it refuses new requests and returns
+// when those in flight have ended or the drain time is over.
+func Run(ctx context.Context, config settings.Agent, logger *slog.Logger) error {
+	a := &Agent{config: config, logger: logger, incarnation: uuid.NewString()}
+	if err := a.provision(ctx); err != nil {
+		a.cleanUp()
+		return fmt.Errorf("agent %s: %w", config.Host.ID, err)
+	}
+	return a.serve(ctx)
+}
+
+// provision takes the guard address and opens the clients and listeners.
+func (a *Agent) provision(ctx context.Context) error {
+	guard, err := acquireGuard(ctx, a.config.Listen.Guard, a.logger)
+	if err != nil {
+		return err
+	}
+	a.guard = guard
+	store, err := platform.NewEtcd(a.config.KeyValue)
+	if err != nil {
+		return err
+	}
+	a.store = platform.WithPrefix(store, a.config.KeyValue.Prefix)
+	a.lister = platform.NewHostList(a.config.HostList)
+	a.directory = &entryDirectory{
+		host:   a.config.Host,
+		lister: a.lister,
+		logger: a.logger,
+		seed:   rand.Uint64(),
+	}
+	return nil
+}
+
+func (a *Agent) cleanUp() {
+	if a.node != nil {
+		a.node.Close()
+	}
+	if a.admin != nil {
+		_ = a.admin.Close()
+	}
+	if a.guard != nil {
+		_ = a.guard.Close()
+	}
+}
+
+func (a *Agent) serve(ctx context.Context) error {
+	// Work goes on while the process drains, after ctx has ended.
+	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer func() {
+		stopWork()
+		a.cleanUp()
+		a.wait.Wait()
+	}()
+	a.controller = newController(workCtx, a.config, a.incarnation, a.logger)
+	a.wait.Go(func() { a.controller.loop.run(workCtx) })
+	a.wait.Go(func() { a.directory.refresh(workCtx) })
+	if err := a.openBackend(ctx, workCtx); err != nil {
+		return err
+	}
+	if err := a.listen(); err != nil {
+		return err
+	}
+	a.wait.Go(func() { a.tick(workCtx) })
+	a.logger.Info("serving", "host", a.config.Host.ID, "incarnation", a.incarnation, "inner", a.node.Address())
+	<-ctx.Done()
+	a.drain()
+	return nil
+}
+
+// openBackend connects the controller to the engine or the plain service.
+func (a *Agent) openBackend(ctx, workCtx context.Context) error {
+	if a.config.Backend.Kind == settings.BackendService {
+		a.openService(workCtx)
+		return nil
+	}
+	return a.openEngine(ctx, workCtx)
+}
+
+func (a *Agent) openService(workCtx context.Context) {
+	c := a.controller
+	run := &runner{controller: c, service: engine.NewHTTPService(a.config.Backend.URL)}
+	c.start = func(t *ticket) { go run.run(t) }
+	c.keyed = newKeyedCalls(c, a.store)
+	a.wait.Go(func() { c.keyed.writeRecords(workCtx) })
+	a.wait.Go(func() { c.keyed.flush(workCtx) })
+}
+
+func (a *Agent) openEngine(ctx, workCtx context.Context) error {
+	c := a.controller
+	client := engine.NewHTTPEngine(a.config.Backend.URL)
+	run := &runner{controller: c, engine: client}
+	c.start = func(t *ticket) { go run.run(t) }
+	claim := &claimer{engine: client, checksFences: a.config.Backend.ChecksFences, incarnation: a.incarnation, logger: a.logger}
+	claimed, err := claim.claim(ctx)
+	if err != nil {
+		return err
+	}
+	orders := &engineOrders{
+		ctx:         workCtx,
+		loop:        c.loop,
+		engine:      client,
+		store:       a.store,
+		gate:        openGate{},
+		runner:      c.runner,
+		incarnation: a.incarnation,
+		fence:       claimed.fence,
+	}
+	c.loop.do(func() {
+		c.models = newModelTable(c, claimed.state.MemoryMiB, orders)
+		orders.table = c.models
+		c.models.adopt(time.Now(), claimed.state)
+	})
+	a.wait.Go(func() { a.reconcile(workCtx, client) })
+	return nil
+}
+
+// openGate lets every load start at once.
+type openGate struct{}
+
+func (openGate) Acquire(context.Context, wire.LoadAsk) error { return nil }
+func (openGate) Release(wire.LoadAsk, time.Duration)         {}
+
+// reconcile reads the engine's state from time to time.
+func (a *Agent) reconcile(ctx context.Context, client engine.Engine) {
+	for ctx.Err() == nil {
+		pause(ctx, reconcileInterval)
+		readAt := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+		state, err := client.State(callCtx)
+		cancel()
+		if err != nil {
+			a.logger.Warn("engine state unreadable", "error", err)
+			continue
+		}
+		a.controller.loop.do(func() { a.controller.models.observe(time.Now(), readAt, state) })
+	}
+}
+
+func (a *Agent) listen() error {
+	serverTLS, err := keys.ServerConfig(a.config.TLS, keys.RoleEntry)
+	if err != nil {
+		return err
+	}
+	clientTLS, err := keys.ClientConfig(a.config.TLS, keys.RoleEntry)
+	if err != nil {
+		return err
+	}
+	a.node, err = wire.NewNode(wire.NodeConfig{
+		Address:   a.config.Listen.Inner,
+		ServerTLS: serverTLS,
+		ClientTLS: clientTLS,
+		Identify:  keys.Identify,
+		Handler:   &server{controller: a.controller},
+		Logger:    a.logger,
+	})
+	if err != nil {
+		return err
+	}
+	a.followPermits()
+	return a.listenAdmin()
+}
+
+func (a *Agent) followPermits() {
+	if a.controller.models == nil {
+		return
+	}
+	reader := &permitReader{
+		loop:      a.controller.loop,
+		table:     a.controller.models,
+		store:     a.store,
+		node:      a.node,
+		directory: a.directory,
+		logger:    a.logger,
+		runner:    a.controller.runner,
+	}
+	ctx := a.controller.ctx
+	a.wait.Go(func() {
+		reader.readOwn(ctx)
+		reader.follow(ctx)
+	})
+}
+
+func (a *Agent) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.controller.loop.post(func() { a.controller.tick(time.Now()) })
+		}
+	}
+}
+
+// drain refuses new requests and waits for those in flight.
+func (a *Agent) drain() {
+	a.controller.loop.do(func() { a.controller.leave("signal") })
+	deadline := time.Now().Add(time.Duration(a.config.Limits.DrainMillis) * time.Millisecond)
+	for time.Now().Before(deadline) {
+		idle := false
+		a.controller.loop.do(func() { idle = a.controller.idle() })
+		if idle {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	time.Sleep(drainLinger)
+	a.logger.Info("stopped", "host", a.config.Host.ID)
+}
--- a/pkg/agent/answer.go
+++ b/pkg/agent/answer.go
@@ -82,6 +82,20 @@
 	a.notify()
 }
 
+// isNotRun tells whether the answer is a refusal of work that did not run.
+func (a *answer) isNotRun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.refusal != nil && a.refusal.Outcome == wire.OutcomeNotRun
+}
+
+// result returns what an ended answer holds.
+func (a *answer) result() (head *wire.Head, data []byte, refusal *wire.Refusal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.head, a.data, a.refusal
+}
+
 // progress is what a reader at an offset finds.
 type progress struct {
 	head    *wire.Head
--- /dev/null
+++ b/pkg/agent/controller.go
@@ -0,0 +1,283 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/admission"
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// retryWhenLeaving is when a caller of a leaving backend server comes back.
+	retryWhenLeaving = time.Second
+	// answerRetention is how long an ended answer can be resumed.
+	answerRetention = 10 * time.Second
+	// tickInterval is the time between two looks at deadlines and idle models.
+	tickInterval = 50 * time.Millisecond
+)
+
+// controller holds the control state. Its methods run on the loop.
+type controller struct {
+	loop        *loop
+	ctx         context.Context
+	logger      *slog.Logger
+	runner      string
+	incarnation string
+	services    []string
+
+	queue    *admission.Queue
+	limits   admission.Limits
+	tickets  map[string]*ticket
+	leaving  bool
+	sequence uint64
+
+	// models is nil beside a plain service.
+	models *modelTable
+	// keyed is nil beside a model engine.
+	keyed *keyedCalls
+	// start runs a request on a goroutine of its own.
+	start func(*ticket)
+}
+
+func newController(ctx context.Context, config settings.Agent, incarnation string, logger *slog.Logger) *controller {
+	limits := admission.Limits{MaxQueued: config.Limits.MaxQueued, Slots: config.Backend.Slots}
+	return &controller{
+		loop:        newLoop(),
+		ctx:         ctx,
+		logger:      logger,
+		runner:      config.Host.ID,
+		incarnation: incarnation,
+		services:    config.Backend.Services,
+		queue:       admission.New(limits),
+		limits:      limits,
+		tickets:     make(map[string]*ticket),
+	}
+}
+
+// arrive takes in a request and returns its ticket. A repeated delivery of the
+// same request joins the earlier one.
+func (c *controller) arrive(now time.Time, request *wire.Request) *ticket {
+	if earlier := c.tickets[request.ID]; earlier != nil && !earlier.answer.isNotRun() {
+		return earlier
+	}
+	t := newTicket(c.ctx, request, now)
+	if refusal := c.refuseEarly(request); refusal != "" {
+		t.refuse(wire.OutcomeNotRun, refusal, retryWhenLeaving, "")
+		t.cancel()
+		return t
+	}
+	c.tickets[request.ID] = t
+	if c.keyed != nil && request.IdempotencyKey != "" {
+		c.keyed.call(now, t)
+		return t
+	}
+	c.enqueue(now, t)
+	return t
+}
+
+// refuseEarly returns the reason why no request like this is taken, or "".
+func (c *controller) refuseEarly(request *wire.Request) wire.Reason {
+	if c.leaving {
+		return wire.ReasonLeaving
+	}
+	isService := request.Service != ""
+	if isService != (c.models == nil) {
+		return wire.ReasonNotFound
+	}
+	if isService && !contains(c.services, request.Service) {
+		return wire.ReasonNotFound
+	}
+	return ""
+}
+
+func contains(names []string, name string) bool {
+	for _, candidate := range names {
+		if candidate == name {
+			return true
+		}
+	}
+	return false
+}
+
+// enqueue queues a ticket or ends it with a refusal.
+func (c *controller) enqueue(now time.Time, t *ticket) {
+	var estimate admission.Estimate
+	if c.models != nil {
+		readyIn, reason := c.models.prepare(now, t.request)
+		if reason != "" {
+			c.end(now, t, wire.OutcomeNotRun, reason, retryWhenLeaving, "")
+			return
+		}
+		estimate.ReadyIn = readyIn
+	}
+	if refusal := c.queue.Offer(now, t.item(), estimate); refusal != nil {
+		c.end(now, t, wire.OutcomeNotRun, refusal.Reason, refusal.RetryAfter, "")
+		return
+	}
+	t.waiting = true
+	if c.models != nil {
+		c.models.queued(t.target())
+	}
+	c.advance(now)
+}
+
+// advance orders loads and starts the requests that can run.
+func (c *controller) advance(now time.Time) {
+	if c.models != nil {
+		c.models.loadWanted(now)
+	}
+	for {
+		item, ok := c.queue.Next(now, c.isReady)
+		if !ok {
+			return
+		}
+		t := c.tickets[item.ID]
+		if t == nil {
+			c.queue.Finish(now, item.ID, 0, 0)
+			continue
+		}
+		c.leftQueue(t)
+		if c.models != nil {
+			c.models.started(t.target())
+		}
+		c.start(t)
+	}
+}
+
+func (c *controller) isReady(target admission.Target) bool {
+	return c.models == nil || c.models.isLoaded(target)
+}
+
+func (c *controller) leftQueue(t *ticket) {
+	if t.waiting && c.models != nil {
+		c.models.dequeued(t.target())
+	}
+	t.waiting = false
+}
+
+// finish ends a request that ran; its answer has ended already.
+func (c *controller) finish(now time.Time, t *ticket, tokens int64, took time.Duration) {
+	c.queue.Finish(now, t.request.ID, tokens, took)
+	if c.models != nil {
+		c.models.finished(now, t.target())
+	}
+	c.retire(t)
+	c.advance(now)
+}
+
+// end refuses a request that isn't running.
+func (c *controller) end(_ time.Time, t *ticket, outcome wire.Outcome, reason wire.Reason, retryAfter time.Duration, detail string) {
+	c.leftQueue(t)
+	t.refuse(outcome, reason, retryAfter, detail)
+	c.retire(t)
+}
+
+// retire keeps the ended answer for a while, so that it can be resumed.
+func (c *controller) retire(t *ticket) {
+	if t.finished != nil {
+		t.finished(t)
+	}
+	t.cancel()
+	time.AfterFunc(answerRetention, func() {
+		c.loop.post(func() {
+			if c.tickets[t.request.ID] == t {
+				delete(c.tickets, t.request.ID)
+			}
+		})
+	})
+}
+
+// cancelled drops a request whose caller went away.
+func (c *controller) cancelled(now time.Time, t *ticket) {
+	if t.waiting && c.queue.Remove(now, t.request.ID) {
+		c.end(now, t, wire.OutcomeNotRun, wire.ReasonCancelled, 0, "")
+		return
+	}
+	if c.keyed != nil && c.keyed.cancelWaiting(now, t) {
+		return
+	}
+	t.cancel()
+}
+
+// failWaiting refuses all requests that wait for a target.
+func (c *controller) failWaiting(now time.Time, target admission.Target, reason wire.Reason, detail string) {
+	for _, item := range c.queue.FailTarget(now, target) {
+		if t := c.tickets[item.ID]; t != nil {
+			c.end(now, t, wire.OutcomeNotRun, reason, retryWhenLeaving, detail)
+		}
+	}
+}
+
+// tick refuses what can no longer make its deadline and looks at idle models.
+func (c *controller) tick(now time.Time) {
+	for _, item := range c.queue.Expire(now) {
+		if t := c.tickets[item.ID]; t != nil {
+			wait := c.queue.ExpectedWait(now, item.Plan, item.Weight)
+			c.end(now, t, wire.OutcomeNotRun, wire.ReasonDeadline, max(wait, retryWhenLeaving), "")
+		}
+	}
+	if c.models != nil {
+		c.models.tick(now)
+	}
+	if c.keyed != nil {
+		c.keyed.tick(now)
+	}
+	c.advance(now)
+}
+
+// leave makes the agent refuse new requests.
+func (c *controller) leave(cause string) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.logger.Info("leaving", "cause", cause, "queued", c.queue.Len(), "running", c.queue.Running())
+}
+
+// idle tells whether no request waits or runs.
+func (c *controller) idle() bool {
+	return c.queue.Len() == 0 && c.queue.Running() == 0 && (c.keyed == nil || c.keyed.idle())
+}
+
+// resize takes in the slots that the engine reports.
+func (c *controller) resize(slots int) {
+	if slots <= 0 || slots == c.limits.Slots {
+		return
+	}
+	c.limits.Slots = slots
+	c.queue.SetLimits(c.limits)
+}
+
+// status describes the agent.
+func (c *controller) status(now time.Time) *wire.Status {
+	c.sequence++
+	status := &wire.Status{
+		Runner:       c.runner,
+		Incarnation:  c.incarnation,
+		Sequence:     c.sequence,
+		Leaving:      c.leaving,
+		Running:      c.queue.Running(),
+		Queued:       c.queue.Len(),
+		QueuedTokens: c.queue.QueuedTokens(),
+		Slots:        c.limits.Slots,
+		Services:     c.services,
+	}
+	if c.models != nil {
+		c.models.describe(now, status)
+	}
+	return status
+}
+
+// expectedWait is the expected wait of a new request for a loaded model.
+func (c *controller) expectedWait(now time.Time) time.Duration {
+	const newPlan, newWeight = "", 1
+	return c.queue.ExpectedWait(now, newPlan, newWeight)
+}
+
+func toTarget(target admission.Target) engine.Target {
+	return engine.Target{Model: target.Model, Version: target.Version}
+}
--- /dev/null
+++ b/pkg/agent/estimate.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+)
+
+const (
+	// estimateGain is the weight of the newest load in the estimate.
+	estimateGain = 0.3
+
+	initialMemoryLoad = 200 * time.Millisecond
+	initialDiskLoad   = time.Second
+	initialRemoteLoad = 3 * time.Second
+)
+
+// loadEstimator predicts how long a load takes by where the checkpoint is.
+type loadEstimator struct {
+	memory time.Duration
+	disk   time.Duration
+	remote time.Duration
+}
+
+func newLoadEstimator() *loadEstimator {
+	return &loadEstimator{
+		memory: initialMemoryLoad,
+		disk:   initialDiskLoad,
+		remote: initialRemoteLoad,
+	}
+}
+
+func (e *loadEstimator) field(tier engine.CacheTier) *time.Duration {
+	switch tier {
+	case engine.CacheMemory:
+		return &e.memory
+	case engine.CacheDisk:
+		return &e.disk
+	default:
+		return &e.remote
+	}
+}
+
+// expected returns the predicted duration of a load.
+func (e *loadEstimator) expected(tier engine.CacheTier) time.Duration {
+	return *e.field(tier)
+}
+
+// observe takes in the duration of a finished load.
+func (e *loadEstimator) observe(tier engine.CacheTier, took time.Duration) {
+	estimate := e.field(tier)
+	*estimate += time.Duration(estimateGain * float64(took-*estimate))
+}
--- /dev/null
+++ b/pkg/agent/orders.go
@@ -0,0 +1,181 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/placement"
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// loadTimeout bounds one load.
+	loadTimeout = 15 * time.Minute
+	// unloadTimeout bounds one unload.
+	unloadTimeout = time.Minute
+	// storeTimeout bounds one call to the key-value service.
+	storeTimeout = 2 * time.Second
+	// removeRetry is the pause before a failed removal of a permit is reported.
+	removeRetry = time.Second
+)
+
+// loadGate makes loads from the weight store wait for their turn.
+type loadGate interface {
+	// Acquire returns when the load may start, or with ctx's error.
+	Acquire(ctx context.Context, ask wire.LoadAsk) error
+	// Release reports the end of a load that Acquire let start.
+	Release(ask wire.LoadAsk, took time.Duration)
+}
+
+// engineOrders gives orders to the engine and writes permits, on goroutines of
+// its own.
+type engineOrders struct {
+	ctx         context.Context
+	loop        *loop
+	engine      engine.Engine
+	store       platform.KeyValueStore
+	gate        loadGate
+	table       *modelTable
+	runner      string
+	incarnation string
+	fence       int64
+	next        atomic.Int64
+}
+
+func (o *engineOrders) order(target engine.Target, mib int64) engine.Order {
+	return engine.Order{
+		ID:        fmt.Sprintf("%s-%d", o.incarnation, o.next.Add(1)),
+		Fence:     o.fence,
+		Target:    target,
+		MemoryMiB: mib,
+	}
+}
+
+func (o *engineOrders) loadModel(load loadOrder) {
+	go o.runLoad(load)
+}
+
+func (o *engineOrders) runLoad(load loadOrder) {
+	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+	defer cancel()
+	ask := wire.LoadAsk{
+		Runner:         o.runner,
+		Model:          load.id.Model,
+		Version:        load.id.Version,
+		Waiting:        load.waiting,
+		DeadlineMillis: millis(time.Until(load.deadline)),
+	}
+	if load.remote {
+		if err := o.gate.Acquire(ctx, ask); err != nil {
+			o.loop.post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonLoadFailed) })
+			return
+		}
+	}
+	started := time.Now()
+	err, ordered := o.orderLoad(ctx, load)
+	if load.remote {
+		o.gate.Release(ask, time.Since(started))
+	}
+	if !ordered {
+		o.loop.post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonNoPermit) })
+		return
+	}
+	o.loop.post(func() { o.table.loadEnded(time.Now(), load.id, err) })
+}
+
+// orderLoad orders a load if the permit still stands.
+func (o *engineOrders) orderLoad(ctx context.Context, load loadOrder) (err error, ordered bool) {
+	permitted := false
+	o.loop.do(func() { permitted = o.table.mayOrderLoad(load.id) })
+	if !permitted {
+		return nil, false
+	}
+	return o.engine.Load(ctx, o.order(load.target, load.memoryMiB)), true
+}
+
+func (o *engineOrders) loadAdapter(target engine.Target, mib int64, done func(error)) {
+	order := o.order(target, mib)
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+		defer cancel()
+		err := o.engine.Load(ctx, order)
+		o.loop.post(func() { done(err) })
+	}()
+}
+
+func (o *engineOrders) unload(target engine.Target, done func(error)) {
+	order := o.order(target, 0)
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, unloadTimeout)
+		defer cancel()
+		err := o.engine.Unload(ctx, order)
+		o.loop.post(func() { done(err) })
+	}()
+}
+
+func (o *engineOrders) removePermit(change placement.Change) {
+	go func() {
+		event := o.writeRemoval(change)
+		if _, failed := event.(placement.RemoveFailed); failed {
+			pause(o.ctx, removeRetry)
+		}
+		o.loop.post(func() { o.table.perform(o.table.holder.Step(event)) })
+	}()
+}
+
+func (o *engineOrders) writeRemoval(change placement.Change) placement.HolderEvent {
+	id := placement.Of(&change.Placement)
+	failed := placement.RemoveFailed{Model: id}
+	condition, op, err := change.Transaction()
+	if err != nil {
+		return failed
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+	defer cancel()
+	result, err := o.store.Txn(ctx, []platform.Compare{condition}, []platform.Op{op})
+	if err != nil || !result.Succeeded {
+		return failed
+	}
+	return placement.Removed{Model: id, Revision: result.Revision}
+}
+
+func (o *engineOrders) readPlacement(id placement.ModelVersion) {
+	go func() {
+		for o.ctx.Err() == nil {
+			current, err := o.fetchPlacement(id)
+			if err == nil {
+				event := placement.PlacementChanged{Placement: current}
+				o.loop.post(func() { o.table.perform(o.table.holder.Step(event)) })
+				return
+			}
+			pause(o.ctx, removeRetry)
+		}
+	}()
+}
+
+func (o *engineOrders) fetchPlacement(id placement.ModelVersion) (wire.Placement, error) {
+	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+	defer cancel()
+	result, err := o.store.Range(ctx, placement.Key(id), false)
+	if err != nil {
+		return wire.Placement{}, err
+	}
+	if len(result.Values) == 0 {
+		return wire.Placement{Model: id.Model, Version: id.Version, Revision: result.Revision}, nil
+	}
+	return placement.Decode(result.Values[0])
+}
+
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/agent/reconcile.go
@@ -0,0 +1,191 @@
+package agent
+
+import (
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/ledger"
+	"teaselgauge.example/teaselgauge/pkg/placement"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// reconcileInterval is the time between two reads of the engine's state.
+	reconcileInterval = time.Second
+	// settleDelay is how long an order with a lost answer may still take effect
+	// after the engine's state last showed no change under way.
+	settleDelay = 2 * time.Second
+)
+
+// adopt takes in the engine's state at the start of the incarnation.
+func (t *modelTable) adopt(now time.Time, state engine.State) {
+	t.note(t.ledger.Adopt(state))
+	var held []placement.ModelVersion
+	for _, resident := range state.Residents {
+		if resident.Target.Adapter != "" {
+			t.adoptAdapter(now, resident)
+			continue
+		}
+		m := t.model(modelOf(resident.Target))
+		t.adoptModel(now, m, resident)
+		if m.state == wire.ModelLoaded {
+			held = append(held, m.id)
+		}
+	}
+	t.controller.resize(state.Slots)
+	t.perform(t.holder.Step(placement.EngineRead{Held: held}))
+}
+
+func (t *modelTable) adoptModel(now time.Time, m *model, resident engine.Resident) {
+	m.cache = resident.Cache
+	if resident.MemoryMiB > 0 {
+		m.memoryMiB = resident.MemoryMiB
+	}
+	if resident.State == engine.StateAbsent {
+		return
+	}
+	m.state = wire.ModelLoaded
+	m.uncertain = resident.State != engine.StateLoaded
+	m.lastUsed = now
+	m.orderEnded = now
+}
+
+func (t *modelTable) adoptAdapter(now time.Time, resident engine.Resident) {
+	if resident.State == engine.StateAbsent {
+		return
+	}
+	t.adapters[resident.Target] = &adapter{
+		target:     resident.Target,
+		state:      wire.ModelLoaded,
+		uncertain:  resident.State != engine.StateLoaded,
+		lastUsed:   now,
+		orderEnded: now,
+	}
+}
+
+func modelOf(target engine.Target) placement.ModelVersion {
+	return placement.ModelVersion{Model: target.Model, Version: target.Version}
+}
+
+// observe takes in a state of the engine that was read from readAt on. It
+// settles orders whose answers were lost, and notices what the engine lost or
+// holds without an order of this incarnation.
+func (t *modelTable) observe(now, readAt time.Time, state engine.State) {
+	t.controller.resize(state.Slots)
+	residents := make(map[engine.Target]engine.Resident, len(state.Residents))
+	for _, resident := range state.Residents {
+		residents[resident.Target] = resident
+		t.observeCache(resident)
+	}
+	for _, a := range t.adapters {
+		t.observeAdapter(a, readAt, residents[a.target])
+	}
+	for _, m := range t.models {
+		t.observeModel(now, m, readAt, residents[m.target()])
+	}
+	t.observeUnknown(now, readAt, state.Residents)
+	t.controller.advance(now)
+}
+
+func (t *modelTable) observeCache(resident engine.Resident) {
+	if resident.Target.Adapter != "" {
+		return
+	}
+	t.model(modelOf(resident.Target)).cache = resident.Cache
+}
+
+// isSettled tells whether an order that ended at ended can no longer be seen to
+// change a state that was read from readAt on.
+func isSettled(readAt, ended time.Time, resident engine.Resident) bool {
+	changing := resident.State == engine.StateLoading || resident.State == engine.StateUnloading
+	return !changing && readAt.Sub(ended) >= settleDelay
+}
+
+func (t *modelTable) observeModel(now time.Time, m *model, readAt time.Time, resident engine.Resident) {
+	inOrder := m.state == wire.ModelLoading || m.state == wire.ModelUnloading
+	if m.state == wire.ModelAbsent || (inOrder && !m.uncertain) || !isSettled(readAt, m.orderEnded, resident) {
+		return
+	}
+	present := resident.State == engine.StateLoaded
+	if !m.uncertain && present {
+		return
+	}
+	if !present {
+		t.modelLost(now, m)
+		return
+	}
+	t.note(t.ledger.Settle(m.target(), true))
+	m.uncertain = false
+	m.state = wire.ModelLoaded
+	if m.revoked {
+		t.beginUnload(m, "revoked")
+	}
+}
+
+// modelLost records that the engine doesn't hold a model, after an order with a
+// lost answer or a restart of the engine.
+func (t *modelTable) modelLost(now time.Time, m *model) {
+	if !m.uncertain {
+		t.controller.logger.Warn("engine lost a model", "model", m.id.String())
+	}
+	for target, a := range t.adapters {
+		if target.Model == m.id.Model && target.Version == m.id.Version {
+			t.dropAccount(target)
+			t.adapterEnded(now, a, wire.ReasonLoadFailed)
+			delete(t.adapters, target)
+		}
+	}
+	t.dropAccount(m.target())
+	t.becameAbsent(m)
+}
+
+// dropAccount frees the memory of a target that the engine doesn't hold.
+func (t *modelTable) dropAccount(target engine.Target) {
+	if t.ledger.Get(target).State == ledger.Absent {
+		return
+	}
+	if t.ledger.Get(target).State != ledger.Unsure {
+		t.note(t.ledger.Uncertain(target))
+	}
+	t.note(t.ledger.Settle(target, false))
+}
+
+func (t *modelTable) observeAdapter(a *adapter, readAt time.Time, resident engine.Resident) {
+	if !a.uncertain || !isSettled(readAt, a.orderEnded, resident) {
+		return
+	}
+	present := resident.State == engine.StateLoaded
+	t.note(t.ledger.Settle(a.target, present))
+	a.uncertain = false
+	if present {
+		a.state = wire.ModelLoaded
+		return
+	}
+	delete(t.adapters, a.target)
+}
+
+// observeUnknown unloads what the engine holds without an account: the late
+// effect of an order of an earlier incarnation.
+func (t *modelTable) observeUnknown(now, readAt time.Time, residents []engine.Resident) {
+	for _, resident := range residents {
+		if resident.State != engine.StateLoaded || resident.Target.Adapter != "" {
+			continue
+		}
+		m := t.model(modelOf(resident.Target))
+		if m.state != wire.ModelAbsent || readAt.Sub(m.orderEnded) < settleDelay {
+			continue
+		}
+		t.controller.logger.Warn("engine holds a model without an order", "model", m.id.String())
+		if err := t.ledger.Reserve(m.target(), resident.MemoryMiB); err != nil {
+			t.note(err)
+		} else {
+			t.note(t.ledger.Hold(m.target()))
+		}
+		m.memoryMiB = resident.MemoryMiB
+		m.state = wire.ModelLoaded
+		m.lastUsed = now
+		if _, ok := t.holder.BeginLoad(m.id.Model, m.id.Version); !ok {
+			t.beginUnload(m, "no permit")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/agent/server.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// resumeGrace is how long a request whose link is cut goes on, so that the
+	// entry can ask for the rest of the answer.
+	resumeGrace = 5 * time.Second
+	// firstFrameTimeout bounds the wait for the first frame of a stream.
+	firstFrameTimeout = 5 * time.Second
+)
+
+// server answers the streams that entries open.
+type server struct {
+	controller *controller
+}
+
+// ServeStream implements wire.Handler.
+func (s *server) ServeStream(ctx context.Context, peer wire.Peer, stream *wire.Stream) {
+	defer stream.Close()
+	stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
+	frame, err := stream.Receive()
+	if err != nil {
+		return
+	}
+	stream.SetReadDeadline(time.Time{})
+	switch {
+	case frame.Request != nil:
+		s.serveRequest(ctx, stream, frame.Request)
+	case frame.Resume != nil:
+		s.serveResume(ctx, stream, frame.Resume)
+	case frame.Probe != nil:
+		s.serveProbe(stream, frame.Probe)
+	default:
+		s.controller.logger.Warn("unexpected frame", "peer", peer.Host)
+		stream.Cancel()
+	}
+}
+
+func (s *server) serveProbe(stream *wire.Stream, probe *wire.Probe) {
+	var status *wire.Status
+	s.controller.loop.do(func() {
+		if probe.Leaving {
+			s.controller.leave("host list")
+		}
+		status = s.controller.status(time.Now())
+	})
+	if status != nil {
+		_ = stream.Send(&wire.Frame{Status: status})
+	}
+}
+
+func (s *server) serveRequest(ctx context.Context, stream *wire.Stream, request *wire.Request) {
+	var t *ticket
+	var status *wire.Status
+	served := s.controller.loop.do(func() {
+		t = s.controller.arrive(time.Now(), request)
+		status = s.controller.status(time.Now())
+	})
+	if !served {
+		return
+	}
+	if refusal := t.refusedAtOnce(); refusal != nil {
+		refusal.Status = status
+		_ = stream.Send(&wire.Frame{Refusal: refusal})
+		return
+	}
+	accepted := &wire.Accepted{RequestID: request.ID, Incarnation: s.controller.incarnation, Status: status}
+	if err := stream.Send(&wire.Frame{Accepted: accepted}); err != nil {
+		s.linkLost(t, err)
+		return
+	}
+	s.stream(ctx, stream, t, 0)
+}
+
+// refusedAtOnce returns a copy of the refusal of a request that ended on
+// arrival, or nil.
+func (t *ticket) refusedAtOnce() *wire.Refusal {
+	head, _, refusal := t.answer.result()
+	if head != nil || refusal == nil {
+		return nil
+	}
+	copied := *refusal
+	return &copied
+}
+
+func (s *server) serveResume(ctx context.Context, stream *wire.Stream, resume *wire.Resume) {
+	var t *ticket
+	s.controller.loop.do(func() {
+		if resume.Incarnation == s.controller.incarnation {
+			t = s.controller.tickets[resume.RequestID]
+		}
+	})
+	if t == nil {
+		_ = stream.Send(&wire.Frame{Refusal: &wire.Refusal{
+			RequestID:        resume.RequestID,
+			Outcome:          wire.OutcomeUnknown,
+			Reason:           wire.ReasonNotFound,
+			RetryAfterMillis: millis(retryWhenLeaving),
+		}})
+		return
+	}
+	t.resumed()
+	s.stream(ctx, stream, t, resume.Offset)
+}
+
+// stream forwards an answer and watches whether the entry gives it up.
+func (s *server) stream(ctx context.Context, stream *wire.Stream, t *ticket, offset int64) {
+	streamCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(stream.Context(), cancel)
+	defer stop()
+	err := forward(streamCtx, stream, t.answer, offset, s.currentStatus)
+	if err == nil {
+		return
+	}
+	if cause := context.Cause(stream.Context()); cause != nil {
+		err = cause
+	}
+	s.linkLost(t, err)
+}
+
+func (s *server) currentStatus() *wire.Status {
+	var status *wire.Status
+	s.controller.loop.do(func() { status = s.controller.status(time.Now()) })
+	return status
+}
+
+// linkLost cancels a request that the entry gave up. If the link broke instead,
+// the entry has some time to resume the answer.
+func (s *server) linkLost(t *ticket, err error) {
+	var streamErr *quic.StreamError
+	if errors.As(err, &streamErr) && streamErr.Remote {
+		s.controller.loop.post(func() { s.controller.cancelled(time.Now(), t) })
+		return
+	}
+	t.abandoned(resumeGrace, func() {
+		s.controller.loop.post(func() { s.controller.cancelled(time.Now(), t) })
+	})
+}
--- /dev/null
+++ b/pkg/agent/sync.go
@@ -0,0 +1,193 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/placement"
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// hostListInterval is the time between two reads of the host list. Agents
+	// need only the entries' addresses, so they read it seldom.
+	hostListInterval = 10 * time.Second
+	// hostListRetry is the time to the next read after a failed or empty one.
+	hostListRetry = time.Second
+	// syncWait is how long an entry holds a Sync back without news.
+	syncWait = 20 * time.Second
+	// syncSlack is how much longer than syncWait an agent waits for the answer.
+	syncSlack  = 3 * time.Second
+	minBackoff = 200 * time.Millisecond
+	maxBackoff = 5 * time.Second
+)
+
+// backoff returns the pause after a number of failures in a row, with jitter.
+func backoff(failures int) time.Duration {
+	pause := minBackoff << min(failures, 10)
+	pause = min(pause, maxBackoff)
+	return pause/2 + rand.N(pause/2+1)
+}
+
+// entryDirectory knows the entries that this agent talks to.
+type entryDirectory struct {
+	host   settings.Host
+	lister platform.HostLister
+	logger *slog.Logger
+	seed   uint64
+	peers  atomic.Pointer[[]peer]
+}
+
+// peer is an entry's identity and address.
+type peer struct {
+	id      string
+	address string
+}
+
+// refresh reads the host list until ctx ends.
+func (d *entryDirectory) refresh(ctx context.Context) {
+	view := membership.NewView()
+	for ctx.Err() == nil {
+		hosts, err := d.lister.Hosts(ctx)
+		if err != nil {
+			d.logger.Warn("host list unreadable", "error", err)
+			pause(ctx, hostListRetry)
+			continue
+		}
+		view.HostsListed(time.Now(), hosts)
+		d.choose(view.Snapshot())
+		if len(d.list()) == 0 {
+			pause(ctx, hostListRetry)
+			continue
+		}
+		pause(ctx, hostListInterval)
+	}
+}
+
+func (d *entryDirectory) choose(snapshot *membership.Snapshot) {
+	self := membership.Entry{ID: d.host.ID, FailureDomain: d.host.FailureDomain, Region: d.host.Region}
+	entries := snapshot.Entries()
+	addresses := make(map[string]string, len(entries))
+	for _, entry := range entries {
+		addresses[entry.ID] = entry.Address
+	}
+	var peers []peer
+	for _, id := range membership.SyncPeers(self, entries, d.seed) {
+		peers = append(peers, peer{id: id, address: addresses[id]})
+	}
+	d.peers.Store(&peers)
+}
+
+// list returns the entries in order of preference.
+func (d *entryDirectory) list() []peer {
+	peers := d.peers.Load()
+	if peers == nil {
+		return nil
+	}
+	return *peers
+}
+
+// permitReader brings placements to the modelTable.
+type permitReader struct {
+	loop      *loop
+	table     *modelTable
+	store     platform.KeyValueStore
+	node      *wire.Node
+	directory *entryDirectory
+	logger    *slog.Logger
+	runner    string
+}
+
+// readOwn reads all placements from the key-value service. No permit is used
+// before this has succeeded.
+func (p *permitReader) readOwn(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		read, err := p.readOnce(ctx)
+		if err == nil {
+			p.loop.do(func() { p.table.perform(p.table.holder.Step(read)) })
+			p.logger.Info("permits read", "revision", read.Revision, "placements", len(read.Placements))
+			return
+		}
+		p.logger.Warn("permits unreadable", "error", err)
+		pause(ctx, backoff(failures))
+	}
+}
+
+func (p *permitReader) readOnce(ctx context.Context) (placement.PlacementRead, error) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	result, err := p.store.Range(callCtx, placement.KeyPrefix, true)
+	if err != nil {
+		return placement.PlacementRead{}, err
+	}
+	read := placement.PlacementRead{Revision: result.Revision}
+	for _, value := range result.Values {
+		decoded, err := placement.Decode(value)
+		if err != nil {
+			p.logger.Error("placement unreadable", "key", value.Key, "error", err)
+			continue
+		}
+		read.Placements = append(read.Placements, decoded)
+	}
+	return read, nil
+}
+
+// follow asks entries for newer placements until ctx ends.
+func (p *permitReader) follow(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		if p.followOnce(ctx, failures) {
+			failures = 0
+			continue
+		}
+		pause(ctx, backoff(failures))
+		failures++
+	}
+}
+
+func (p *permitReader) followOnce(ctx context.Context, failures int) bool {
+	peers := p.directory.list()
+	if len(peers) == 0 {
+		return false
+	}
+	entry := peers[failures%len(peers)]
+	var revision int64
+	p.loop.do(func() { revision = p.table.holder.Revision() })
+	update, err := p.ask(ctx, entry, revision)
+	if err != nil {
+		p.logger.Debug("sync failed", "entry", entry.id, "error", err)
+		return false
+	}
+	p.loop.do(func() { p.take(update) })
+	return true
+}
+
+func (p *permitReader) ask(ctx context.Context, entry peer, revision int64) (*wire.Update, error) {
+	callCtx, cancel := context.WithTimeout(ctx, syncWait+syncSlack)
+	defer cancel()
+	answer, err := p.node.Call(callCtx, entry.id, entry.address, &wire.Frame{Sync: &wire.Sync{
+		PlacementRevision: revision,
+		WaitMillis:        millis(syncWait),
+		Runner:            p.runner,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Update == nil {
+		return nil, errUnexpectedFrame
+	}
+	return answer.Update, nil
+}
+
+func (p *permitReader) take(update *wire.Update) {
+	for _, relayed := range update.Placements {
+		p.table.perform(p.table.holder.Step(placement.PlacementRelayed{Placement: relayed}))
+	}
+	p.table.controller.advance(time.Now())
+}
--- /dev/null
+++ b/pkg/keys/identify.go
@@ -0,0 +1,16 @@
+package keys
+
+import (
+	"crypto/tls"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// Identify returns the peer of a connection in the form of the inner protocol.
+func Identify(state tls.ConnectionState) (wire.Peer, error) {
+	id, role, err := PeerIdentity(state)
+	if err != nil {
+		return wire.Peer{}, err
+	}
+	return wire.Peer{Host: id, Role: role}, nil
+}
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -298,3 +298,32 @@
 	}
 	return m
 }
+
+// Kept is one standing permit of the runner.
+type Kept struct {
+	Model ModelVersion
+	// Keep tells that the replica stays loaded without requests.
+	Keep bool
+	// MemoryMiB is the accelerator memory of the replica; zero means not known.
+	MemoryMiB int64
+}
+
+// Kept returns the runner's standing permits.
+func (h *Holder) Kept() []Kept {
+	if !h.Ready() {
+		return nil
+	}
+	var kept []Kept
+	for id, m := range h.models {
+		if _, ok := h.permit(m); !ok {
+			continue
+		}
+		index := permitOf(m.placement.Permits, h.runner)
+		kept = append(kept, Kept{
+			Model:     id,
+			Keep:      m.placement.Permits[index].Keep,
+			MemoryMiB: m.placement.MemoryMiB,
+		})
+	}
+	return kept
+}
--- a/pkg/wire/stream.go
+++ b/pkg/wire/stream.go
@@ -81,3 +81,9 @@
 		s.done = nil
 	}
 }
+
+// abort makes pending reads and writes fail without freeing the stream.
+func (s *Stream) abort() {
+	s.stream.CancelRead(streamCancelled)
+	s.stream.CancelWrite(streamCancelled)
+}
