--- /dev/null
+++ b/pkg/loading/coordinator.go
@@ -0,0 +1,199 @@
+package loading
+
+import (
+	"math"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// minPoll and maxPoll bound the wait after which a waiting agent asks again.
+	minPoll = 20 * time.Millisecond
+	maxPoll = 250 * time.Millisecond
+	// askTTL is how long a waiting load counts that isn't asked for again.
+	askTTL = 4 * maxPoll
+	// minGrantTTL is the least time for which a start counts as running when its
+	// end isn't reported.
+	minGrantTTL = 30 * time.Second
+	// grantTTLLoads is that time in mean load durations.
+	grantTTLLoads = 4
+	// initialLoad is the mean load duration before any was reported.
+	initialLoad = 5 * time.Second
+	// loadSmoothing is the weight of a new observation in the mean duration.
+	loadSmoothing = 0.2
+	// waitingBonus is how much earlier a load counts as asked for, for each
+	// request that waits for it.
+	waitingBonus = 500 * time.Millisecond
+	// maxBonusWaiting bounds the requests that count for waitingBonus.
+	maxBonusWaiting = 16
+)
+
+// Order is the order in which a Coordinator hands out starts.
+type Order uint8
+
+// The orders.
+const (
+	// OrderArrival starts the load that was asked for first.
+	OrderArrival Order = iota
+	// OrderDeadline starts the load with the earliest deadline.
+	OrderDeadline
+	// OrderWaiting starts the load that was asked for first, after moving each
+	// one ahead by the number of requests that wait for it.
+	OrderWaiting
+)
+
+// loadID names a load at a runner.
+type loadID struct {
+	runner string
+	target engine.Target
+}
+
+// ask is a waiting load.
+type ask struct {
+	id       loadID
+	first    time.Time
+	seen     time.Time
+	waiting  int
+	deadline time.Time
+}
+
+// Coordinator hands out the starts of all agents' loads. Use NewCoordinator.
+type Coordinator struct {
+	limits    StoreLimits
+	order     Order
+	asks      map[loadID]*ask
+	grants    map[loadID]time.Time
+	nextStart time.Time
+	meanLoad  time.Duration
+}
+
+// NewCoordinator returns a coordinator without state. A process that becomes the
+// coordinator starts with it.
+func NewCoordinator(limits StoreLimits, order Order) *Coordinator {
+	return &Coordinator{
+		limits:   limits,
+		order:    order,
+		asks:     map[loadID]*ask{},
+		grants:   map[loadID]time.Time{},
+		meanLoad: initialLoad,
+	}
+}
+
+// Ask answers an agent's message. A slot with a wait of zero grants the start;
+// otherwise the agent asks again after the wait.
+func (c *Coordinator) Ask(now time.Time, m wire.LoadAsk) wire.LoadSlot {
+	id := loadID{runner: m.Runner, target: engine.Target{Model: m.Model, Version: m.Version}}
+	c.expire(now)
+	if m.Done {
+		c.done(id, m)
+		return wire.LoadSlot{}
+	}
+	if _, ok := c.grants[id]; ok {
+		return wire.LoadSlot{}
+	}
+	a := c.note(now, id, m)
+	position := c.position(a)
+	free := c.limits.AtOnce - len(c.grants)
+	if position < free && !now.Before(c.nextStart) {
+		c.grant(now, id)
+		return wire.LoadSlot{}
+	}
+	wait := c.wait(now, position, free)
+	return wire.LoadSlot{WaitMillis: uint32(wait.Milliseconds()), Position: position}
+}
+
+// Waiting returns the number of waiting loads.
+func (c *Coordinator) Waiting() int { return len(c.asks) }
+
+// Running returns the number of loads that count as running.
+func (c *Coordinator) Running() int { return len(c.grants) }
+
+func (c *Coordinator) done(id loadID, m wire.LoadAsk) {
+	delete(c.asks, id)
+	delete(c.grants, id)
+	if m.TookMillis == 0 {
+		return
+	}
+	took := time.Duration(m.TookMillis) * time.Millisecond
+	c.meanLoad += time.Duration(loadSmoothing * float64(took-c.meanLoad))
+}
+
+func (c *Coordinator) note(now time.Time, id loadID, m wire.LoadAsk) *ask {
+	a := c.asks[id]
+	if a == nil {
+		a = &ask{id: id, first: now}
+		c.asks[id] = a
+	}
+	a.seen = now
+	a.waiting = m.Waiting
+	a.deadline = now.Add(time.Duration(m.DeadlineMillis) * time.Millisecond)
+	return a
+}
+
+func (c *Coordinator) grant(now time.Time, id loadID) {
+	delete(c.asks, id)
+	ttl := max(grantTTLLoads*c.meanLoad, minGrantTTL)
+	c.grants[id] = now.Add(ttl)
+	c.nextStart = now.Add(durationOf(1 / c.limits.StartsPerSecond))
+}
+
+// expire drops the loads of agents that fell silent.
+func (c *Coordinator) expire(now time.Time) {
+	for id, a := range c.asks {
+		if now.Sub(a.seen) > askTTL {
+			delete(c.asks, id)
+		}
+	}
+	for id, until := range c.grants {
+		if now.After(until) {
+			delete(c.grants, id)
+		}
+	}
+}
+
+// position counts the loads that start before an ask.
+func (c *Coordinator) position(a *ask) int {
+	n := 0
+	for _, other := range c.asks {
+		if other != a && c.before(other, a) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Coordinator) before(a, b *ask) bool {
+	if ka, kb := c.key(a), c.key(b); !ka.Equal(kb) {
+		return ka.Before(kb)
+	}
+	if a.id.runner != b.id.runner {
+		return a.id.runner < b.id.runner
+	}
+	if a.id.target.Model != b.id.target.Model {
+		return a.id.target.Model < b.id.target.Model
+	}
+	return a.id.target.Version < b.id.target.Version
+}
+
+func (c *Coordinator) key(a *ask) time.Time {
+	switch c.order {
+	case OrderDeadline:
+		return a.deadline
+	case OrderWaiting:
+		return a.first.Add(-waitingBonus * time.Duration(min(a.waiting, maxBonusWaiting)))
+	default:
+		return a.first
+	}
+}
+
+// wait is when an agent at the position should ask again.
+func (c *Coordinator) wait(now time.Time, position, free int) time.Duration {
+	wait := c.nextStart.Sub(now)
+	if position >= free {
+		ends := float64(position-max(free, 0)+1) / float64(max(c.limits.AtOnce, 1))
+		wait = max(wait, time.Duration(math.Min(ends, 1)*float64(c.meanLoad)/4))
+	}
+	return min(max(wait, minPoll), maxPoll)
+}
--- /dev/null
+++ b/pkg/loading/gaps.go
@@ -0,0 +1,77 @@
+package loading
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// bucketsPerOctave is the resolution of gap lengths.
+	bucketsPerOctave = 2
+	// firstBucketEnd is the length in seconds below which gaps aren't told apart.
+	firstBucketEnd = 1.0
+	// gapBuckets covers gaps of up to about twelve days.
+	gapBuckets = 41
+	// observationDecay is the weight of a bucket's past at a new observation.
+	observationDecay = 0.97
+	// siteObservations is the weight of the site's gaps in a model's estimate,
+	// in observations of a bucket.
+	siteObservations = 2.0
+	// priorObservations is the weight of the prior in the site's estimate.
+	priorObservations = 4.0
+	// priorEnd is the probability of the prior that a gap that reached a bucket
+	// ends in it.
+	priorEnd = 0.08
+)
+
+// bucketEnd is the upper end of a bucket in seconds.
+func bucketEnd(bucket int) float64 {
+	return firstBucketEnd * math.Exp2(float64(bucket)/bucketsPerOctave)
+}
+
+// bucketStart is the lower end of a bucket in seconds.
+func bucketStart(bucket int) float64 {
+	if bucket == 0 {
+		return 0
+	}
+	return bucketEnd(bucket - 1)
+}
+
+// bucketOf returns the bucket of a gap, at most gapBuckets-1.
+func bucketOf(gap time.Duration) int {
+	s := gap.Seconds()
+	if s < firstBucketEnd {
+		return 0
+	}
+	bucket := int(math.Floor(math.Log2(s/firstBucketEnd)*bucketsPerOctave)) + 1
+	return min(bucket, gapBuckets-1)
+}
+
+// gaps estimates, for each bucket, the probability that a gap that lasted until
+// the bucket ends in it. Each bucket decays by its own observations, so that the
+// many short gaps of a burst don't push out the few long ones.
+type gaps struct {
+	reached [gapBuckets]float64
+	ended   [gapBuckets]float64
+}
+
+func (g *gaps) observe(gap time.Duration) {
+	last := bucketOf(gap)
+	for b := 0; b <= last; b++ {
+		g.reached[b] = g.reached[b]*observationDecay + 1
+		g.ended[b] *= observationDecay
+	}
+	g.ended[last]++
+}
+
+// end returns the probability that a gap that reached the bucket ends in it.
+// site is nil for the site's own estimate.
+func (g *gaps) end(bucket int, site *gaps) float64 {
+	prior := priorEnd
+	weight := priorObservations
+	if site != nil {
+		prior = site.end(bucket, nil)
+		weight = siteObservations
+	}
+	return (g.ended[bucket] + weight*prior) / (g.reached[bucket] + weight)
+}
--- /dev/null
+++ b/pkg/loading/keeper.go
@@ -0,0 +1,147 @@
+package loading
+
+import (
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/lists"
+)
+
+// The weights of a site whose policy names none.
+const (
+	DefaultColdStartWeight = 1.0
+	DefaultIdleWeight      = 0.01
+)
+
+// maxTracked bounds the models whose gaps a Keeper remembers.
+const maxTracked = 4096
+
+// Keeper chooses how long idle models stay loaded. Use NewKeeper.
+type Keeper struct {
+	models map[engine.Target]*history
+	site   gaps
+}
+
+// history is what a Keeper knows of one model.
+type history struct {
+	gaps gaps
+	// last is the model's last activity.
+	last time.Time
+}
+
+// NewKeeper returns a keeper without history.
+func NewKeeper() *Keeper {
+	return &Keeper{models: map[engine.Target]*history{}}
+}
+
+// Arrived records a request for a model.
+func (k *Keeper) Arrived(now time.Time, target engine.Target) {
+	h := k.models[target]
+	if h == nil {
+		k.makeRoom()
+		k.models[target] = &history{last: now}
+		return
+	}
+	gap := now.Sub(h.last)
+	h.gaps.observe(gap)
+	k.site.observe(gap)
+	h.last = now
+}
+
+// Finished records the end of a model's last running request. The gap until the
+// next request counts from here.
+func (k *Keeper) Finished(now time.Time, target engine.Target) {
+	if h := k.models[target]; h != nil {
+		h.last = now
+	}
+}
+
+// makeRoom forgets the model that was idle longest when too many are tracked.
+func (k *Keeper) makeRoom() {
+	if len(k.models) < maxTracked {
+		return
+	}
+	var oldest engine.Target
+	var last time.Time
+	for target, h := range k.models {
+		if last.IsZero() || h.last.Before(last) {
+			oldest = target
+			last = h.last
+		}
+	}
+	delete(k.models, oldest)
+}
+
+// KeepUntil returns when an idle model should be unloaded if no request arrives.
+// loadTime is the expected duration of a load, and memoryShare the share of the
+// accelerator's memory that the model holds, from 0 to 1.
+//
+// Keeping the model through a bucket of gap lengths costs idle time; unloading
+// it costs a cold start at the next request. Working back from the longest gap,
+// the model is kept through the buckets in which keeping costs less.
+func (k *Keeper) KeepUntil(now time.Time, target engine.Target, loadTime time.Duration, memoryShare float64, policy lists.Policy) time.Time {
+	h := k.models[target]
+	if h == nil {
+		h = &history{last: now}
+	}
+	coldStart := coldStartWeight(policy) * loadTime.Seconds()
+	idlePerSecond := idleWeight(policy) * memoryShare
+	from := bucketOf(now.Sub(h.last))
+	stop := gapBuckets - 1
+	cost := coldStart
+	for b := gapBuckets - 1; b >= from; b-- {
+		keep := k.keepCost(&h.gaps, b, cost, idlePerSecond)
+		if keep < coldStart {
+			cost = keep
+			continue
+		}
+		cost = coldStart
+		stop = b
+	}
+	return h.last.Add(durationOf(bucketStart(stop)))
+}
+
+// keepCost is the expected cost of keeping a model through a bucket and then
+// going on at the given cost.
+func (k *Keeper) keepCost(g *gaps, bucket int, after, idlePerSecond float64) float64 {
+	end := g.end(bucket, &k.site)
+	width := bucketEnd(bucket) - bucketStart(bucket)
+	idle := idlePerSecond * width * (1 - end/2)
+	return idle + (1-end)*after
+}
+
+// ArrivalProbability is the probability that a request for an idle model
+// arrives within the duration.
+func (k *Keeper) ArrivalProbability(now time.Time, target engine.Target, within time.Duration) float64 {
+	h := k.models[target]
+	if h == nil {
+		h = &history{last: now}
+	}
+	age := now.Sub(h.last).Seconds()
+	until := age + within.Seconds()
+	none := 1.0
+	for b := bucketOf(now.Sub(h.last)); b < gapBuckets && bucketStart(b) < until; b++ {
+		start := max(bucketStart(b), age)
+		covered := (min(bucketEnd(b), until) - start) / (bucketEnd(b) - bucketStart(b))
+		none *= 1 - h.gaps.end(b, &k.site)*min(max(covered, 0), 1)
+	}
+	return 1 - none
+}
+
+func coldStartWeight(policy lists.Policy) float64 {
+	if policy.ColdStartWeight == 0 {
+		return DefaultColdStartWeight
+	}
+	return policy.ColdStartWeight
+}
+
+func idleWeight(policy lists.Policy) float64 {
+	if policy.IdleWeight == 0 {
+		return DefaultIdleWeight
+	}
+	return policy.IdleWeight
+}
+
+func durationOf(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
