--- /dev/null
+++ b/pkg/command/command.go
@@ -0,0 +1,161 @@
+// Package command holds the subcommands of both binaries, apart from the one
+// that runs the process.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/urfave/cli/v3"
+
+	"teaselgauge.example/teaselgauge/pkg/lists"
+)
+
+// The exit codes.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1 // anything else
+	ExitUsage    = 2 // wrong flags or arguments
+	ExitConflict = 3 // the lists have another revision
+	ExitRefused  = 4 // settings or lists have problems
+)
+
+// UsageError is a wrong use of the command line.
+type UsageError struct{ Err error }
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UsageError) Unwrap() error { return e.Err }
+
+// RefusedError tells that a document has problems.
+type RefusedError struct{ Err error }
+
+// Error implements error.
+func (e *RefusedError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+func usagef(format string, args ...any) error {
+	return &UsageError{Err: fmt.Errorf(format, args...)}
+}
+
+// EntryCommands returns the subcommands of teaselgauge-entry.
+func EntryCommands() []*cli.Command {
+	return []*cli.Command{
+		keysCommand(),
+		listsCommand(),
+		checkEntrySettingsCommand(),
+		statusCommand(),
+		dumpCommand(),
+		versionCommand(),
+	}
+}
+
+// AgentCommands returns the subcommands of teaselgauge-agent.
+func AgentCommands() []*cli.Command {
+	return []*cli.Command{
+		checkAgentSettingsCommand(),
+		dumpCommand(),
+		versionCommand(),
+	}
+}
+
+// Run runs a binary's command line, prints its error to the root's ErrWriter
+// and returns the exit code.
+func Run(ctx context.Context, root *cli.Command, args []string) int {
+	prepare(root)
+	err := root.Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(root.ErrWriter, "%s: %v\n", root.Name, err)
+	return exitCode(err)
+}
+
+// prepare makes all commands return their errors, so that Run alone prints
+// them and decides the exit code.
+func prepare(root *cli.Command) {
+	root.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	root.HideVersion = true
+	if root.ErrWriter == nil {
+		root.ErrWriter = cli.ErrWriter
+	}
+	setUsageError(root)
+}
+
+func setUsageError(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &UsageError{Err: err}
+	}
+	if command.Action == nil {
+		command.Action = requireSubcommand
+	}
+	for _, sub := range command.Commands {
+		setUsageError(sub)
+	}
+}
+
+// requireSubcommand is the action of commands that only group others.
+func requireSubcommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return usagef("unknown command %q, see --help", c.Args().First())
+	}
+	return usagef("a command is required, see --help")
+}
+
+func exitCode(err error) int {
+	var usage *UsageError
+	var conflict *lists.ConflictError
+	var check *lists.CheckError
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &check), errors.As(err, &refused):
+		return ExitRefused
+	default:
+		return ExitFailure
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			printVersion(c.Root().Writer)
+			return nil
+		},
+	}
+}
+
+// Version returns the module's version, or the commit of a local build.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" && info.Main.Version == "(devel)" {
+			return setting.Value
+		}
+	}
+	return info.Main.Version
+}
+
+func printVersion(w io.Writer) {
+	info, _ := debug.ReadBuildInfo()
+	goVersion := "unknown"
+	if info != nil {
+		goVersion = info.GoVersion
+	}
+	fmt.Fprintf(w, "teaselgauge %s %s\n", Version(), goVersion)
+}
--- /dev/null
+++ b/pkg/lists/store.go
@@ -0,0 +1,263 @@
+package lists
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/google/uuid"
+
+	"teaselgauge.example/teaselgauge/pkg/platform"
+)
+
+const (
+	// readAttempts bounds how often Get starts again when a newer revision
+	// replaces chunks while it reads.
+	readAttempts = 4
+	// maxBatchBytes and maxBatchOps bound one transaction.
+	maxBatchBytes = 512 << 10
+	maxBatchOps   = 64
+)
+
+// Store keeps the lists in the key-value service: content-addressed chunks
+// under one manifest, which is switched by compare-and-swap. The manifest's
+// modification revision is the revision of the lists. A Store is safe for
+// concurrent use.
+type Store struct {
+	kv          platform.KeyValueStore
+	manifestKey string
+	chunkPrefix string
+
+	mu sync.Mutex
+	// cache holds the raw chunks of the last revision read, by digest.
+	cache map[string][]byte
+	// orphans holds the chunks that were written here for a change that lost
+	// its race. The next accepted change deletes them.
+	orphans map[string]bool
+}
+
+// NewStore returns a store whose keys start with prefix.
+func NewStore(kv platform.KeyValueStore, prefix string) *Store {
+	return &Store{
+		kv:          kv,
+		manifestKey: prefix + "/lists/manifest",
+		chunkPrefix: prefix + "/lists/chunks/",
+		cache:       make(map[string][]byte),
+		orphans:     make(map[string]bool),
+	}
+}
+
+// ManifestKey returns the one key that changes with each revision, for watches.
+func (s *Store) ManifestKey() string { return s.manifestKey }
+
+// Get reads the newest revision. Only chunks that the last read didn't have are
+// fetched. Without any lists it returns a snapshot of revision zero. An
+// *UnreadableError tells that the stored revision makes no sense.
+func (s *Store) Get(ctx context.Context) (Snapshot, error) {
+	for attempt := 1; ; attempt++ {
+		snapshot, err := s.get(ctx)
+		var missing *missingChunkError
+		if !errors.As(err, &missing) || attempt == readAttempts {
+			return snapshot, err
+		}
+	}
+}
+
+func (s *Store) get(ctx context.Context) (Snapshot, error) {
+	current, revision, err := s.readManifest(ctx)
+	if err != nil || current == nil {
+		return Snapshot{}, err
+	}
+	raw, err := s.readChunks(ctx, current.Chunks)
+	if err != nil {
+		if isStoreError(err) {
+			return Snapshot{}, fmt.Errorf("lists: %w", err)
+		}
+		return Snapshot{}, &UnreadableError{Revision: revision, Err: err}
+	}
+	plans, allowances, err := join(raw)
+	if err != nil {
+		return Snapshot{}, &UnreadableError{Revision: revision, Err: err}
+	}
+	return Snapshot{Revision: revision, Plans: plans, Allowances: allowances}, nil
+}
+
+func isStoreError(err error) bool {
+	var storeErr *platform.StoreError
+	return errors.As(err, &storeErr)
+}
+
+// readManifest returns nil and revision zero if there is no manifest.
+func (s *Store) readManifest(ctx context.Context) (*manifest, int64, error) {
+	result, err := s.kv.Range(ctx, s.manifestKey, false)
+	if err != nil {
+		return nil, 0, fmt.Errorf("lists: %w", err)
+	}
+	if len(result.Values) == 0 {
+		return nil, 0, nil
+	}
+	value := result.Values[0]
+	current, err := parseManifest(value.Value)
+	if err != nil {
+		return nil, value.ModRevision, &UnreadableError{Revision: value.ModRevision, Err: err}
+	}
+	return current, value.ModRevision, nil
+}
+
+// missingChunkError tells that a chunk of a manifest isn't stored.
+type missingChunkError struct{ sum string }
+
+func (e *missingChunkError) Error() string { return "chunk " + e.sum + " is missing" }
+
+// readChunks returns the concatenated chunks and makes them the cache.
+func (s *Store) readChunks(ctx context.Context, sums []string) ([]byte, error) {
+	fresh := make(map[string][]byte, len(sums))
+	var raw []byte
+	for _, sum := range sums {
+		part, err := s.readChunk(ctx, sum)
+		if err != nil {
+			return nil, err
+		}
+		if len(raw)+len(part) > MaxDocumentBytes {
+			return nil, ErrTooLarge
+		}
+		fresh[sum] = part
+		raw = append(raw, part...)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cache = fresh
+	return raw, nil
+}
+
+func (s *Store) readChunk(ctx context.Context, sum string) ([]byte, error) {
+	if part, ok := s.cached(sum); ok {
+		return part, nil
+	}
+	result, err := s.kv.Range(ctx, s.chunkPrefix+sum, false)
+	if err != nil {
+		return nil, err
+	}
+	if len(result.Values) == 0 {
+		return nil, &missingChunkError{sum: sum}
+	}
+	part, err := inflate(result.Values[0].Value, maxRawChunkBytes)
+	if err != nil {
+		return nil, fmt.Errorf("chunk %s: %w", sum, err)
+	}
+	if sumOf(part) != sum {
+		return nil, fmt.Errorf("chunk %s holds other content", sum)
+	}
+	return part, nil
+}
+
+func (s *Store) cached(sum string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part, ok := s.cache[sum]
+	return part, ok
+}
+
+// Put checks both documents and makes them the current revision if the current
+// one is still expectedRevision, zero meaning that there is none yet. It returns
+// the new revision. Errors: *CheckError, *ConflictError, *UncertainError; any
+// other error means that the change was not made.
+func (s *Store) Put(ctx context.Context, expectedRevision int64, plans Plans, allowances Allowances, author string) (int64, error) {
+	if err := Check(plans, allowances); err != nil {
+		return 0, err
+	}
+	chunks, err := split(plans, allowances)
+	if err != nil {
+		return 0, err
+	}
+	current, revision, err := s.readManifest(ctx)
+	var unreadable *UnreadableError
+	if err != nil && !errors.As(err, &unreadable) {
+		return 0, err
+	}
+	if revision != expectedRevision {
+		return 0, &ConflictError{Expected: expectedRevision, Current: revision}
+	}
+	if err := s.writeChunks(ctx, chunks, current.references()); err != nil {
+		return 0, err
+	}
+	next := current.successor(revision, uuid.NewString(), author, sums(chunks))
+	change := &manifestSwitch{store: s, expected: expectedRevision, next: next}
+	return change.run(ctx)
+}
+
+func sums(chunks []chunk) []string {
+	out := make([]string, len(chunks))
+	for i, part := range chunks {
+		out[i] = part.sum
+	}
+	return out
+}
+
+// writeChunks stores the chunks that aren't stored for sure. A chunk outside
+// the kept manifests is written even if it may be there, because only kept
+// chunks are safe from deletion.
+func (s *Store) writeChunks(ctx context.Context, chunks []chunk, stored map[string]bool) error {
+	var batch []platform.Op
+	size := 0
+	for _, part := range chunks {
+		if stored[part.sum] {
+			continue
+		}
+		value, err := deflate(part.raw)
+		if err != nil {
+			return fmt.Errorf("lists: compress: %w", err)
+		}
+		if len(batch) == maxBatchOps || size+len(value) > maxBatchBytes {
+			if err := s.writeBatch(ctx, batch); err != nil {
+				return err
+			}
+			batch, size = nil, 0
+		}
+		batch = append(batch, platform.Op{Key: s.chunkPrefix + part.sum, Value: value})
+		size += len(value)
+		s.markOrphan(part.sum)
+	}
+	return s.writeBatch(ctx, batch)
+}
+
+func (s *Store) writeBatch(ctx context.Context, batch []platform.Op) error {
+	if len(batch) == 0 {
+		return nil
+	}
+	return retry(ctx, func() error {
+		_, err := s.kv.Txn(ctx, nil, batch)
+		return err
+	})
+}
+
+func (s *Store) markOrphan(sum string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orphans[sum] = true
+}
+
+// orphansOutside returns the orphans that a manifest doesn't need.
+func (s *Store) orphansOutside(m *manifest) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	refs := m.references()
+	var found []string
+	for sum := range s.orphans {
+		if !refs[sum] {
+			found = append(found, sum)
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
+func (s *Store) forgetOrphans(sums []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sum := range sums {
+		delete(s.orphans, sum)
+	}
+}
