--- /dev/null
+++ b/testkit/standin/hostlist/hostlist.go
@@ -0,0 +1,92 @@
+// Package hostlist is a stand-in for the platform's list of hosts, which shows
+// a change only after a lag.
+package hostlist
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/testkit/standin/httpapi"
+)
+
+// version is the list from a moment on.
+type version struct {
+	from  time.Time
+	hosts []platform.Host
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	lag time.Duration
+	mux *http.ServeMux
+
+	mu sync.Mutex
+	// versions holds the list in force and those to come, in order.
+	versions []version
+	reads    int64
+}
+
+// Counters hold the number of reads.
+type Counters struct {
+	Reads int64 `json:"reads"`
+}
+
+// New returns an empty list that shows changes after the lag.
+func New(lag time.Duration) *Server {
+	s := &Server{lag: lag, mux: http.NewServeMux(), versions: []version{{hosts: []platform.Host{}}}}
+	s.mux.HandleFunc("GET /hosts", s.handleGet)
+	s.mux.HandleFunc("PUT /hosts", s.handlePut)
+	s.mux.HandleFunc("GET /counters", s.handleCounters)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// Set replaces the list after the lag. The first list is in force at once.
+func (s *Server) Set(hosts []platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := time.Now().Add(s.lag)
+	if len(s.versions) == 1 && len(s.versions[0].hosts) == 0 {
+		from = time.Time{}
+	}
+	s.versions = append(s.versions, version{from: from, hosts: hosts})
+}
+
+// Hosts returns the list in force.
+func (s *Server) Hosts() []platform.Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for len(s.versions) > 1 && !s.versions[1].from.After(now) {
+		s.versions = s.versions[1:]
+	}
+	return s.versions[0].hosts
+}
+
+func (s *Server) handleGet(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	httpapi.Write(w, http.StatusOK, s.Hosts())
+}
+
+func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
+	hosts := []platform.Host{}
+	if !httpapi.Read(w, r, &hosts) {
+		return
+	}
+	s.Set(hosts)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleCounters(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	httpapi.Write(w, http.StatusOK, Counters{Reads: s.reads})
+}
--- /dev/null
+++ b/testkit/standin/keyvalue/keyvalue.go
@@ -0,0 +1,340 @@
+// Package keyvalue is a stand-in for the platform's key-value service: the part
+// of etcd's v3 JSON/HTTP gateway that the product uses, held in memory, with
+// faults set over HTTP.
+package keyvalue
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"teaselgauge.example/teaselgauge/testkit/standin/httpapi"
+)
+
+const (
+	// maxValueBytes is the largest value that a put may hold.
+	maxValueBytes = 1 << 20
+	// maxTxnOps is the largest number of changes of one transaction.
+	maxTxnOps = 128
+)
+
+// Faults are the failures that the stand-in shows.
+type Faults struct {
+	// Down breaks every connection before a call takes effect, and all watches.
+	Down bool `json:"down"`
+	// DelayMillis is added to each call, in milliseconds.
+	DelayMillis int `json:"delay_ms"`
+	// LoseAnswerOfNextWrites is the number of writes that take effect and get
+	// no answer.
+	LoseAnswerOfNextWrites int `json:"lose_answer_of_next_writes"`
+	// LoseAnswerRate is the share of writes that take effect and get no answer,
+	// from 0 to 1.
+	LoseAnswerRate float64 `json:"lose_answer_rate"`
+	// Seed starts the choice of the lost answers.
+	Seed uint64 `json:"seed"`
+}
+
+// Counters hold the number of calls by kind. A watch counts as one.
+type Counters struct {
+	Range          int64 `json:"range"`
+	Txn            int64 `json:"txn"`
+	TxnFailed      int64 `json:"txn_failed"`
+	LeaseGrant     int64 `json:"lease_grant"`
+	LeaseKeepAlive int64 `json:"lease_keepalive"`
+	LeaseRevoke    int64 `json:"lease_revoke"`
+	Watch          int64 `json:"watch"`
+	LostAnswers    int64 `json:"lost_answers"`
+	Refused        int64 `json:"refused"`
+	// Revision is the revision of the last change.
+	Revision int64 `json:"revision"`
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	store *store
+	mux   *http.ServeMux
+
+	mu       sync.Mutex
+	faults   Faults
+	counters Counters
+	random   *rand.Rand
+	// outage is closed while the service is down.
+	outage chan struct{}
+}
+
+// New returns an empty store without faults.
+func New() *Server {
+	s := &Server{
+		store:  newStore(),
+		mux:    http.NewServeMux(),
+		random: rand.New(rand.NewPCG(0, 0)),
+		outage: make(chan struct{}),
+	}
+	s.mux.HandleFunc("POST /v3/kv/range", s.call(s.handleRange))
+	s.mux.HandleFunc("POST /v3/kv/txn", s.call(s.handleTxn))
+	s.mux.HandleFunc("POST /v3/kv/compaction", s.call(s.handleCompaction))
+	s.mux.HandleFunc("POST /v3/lease/grant", s.call(s.handleGrant))
+	s.mux.HandleFunc("POST /v3/lease/keepalive", s.call(s.handleKeepAlive))
+	s.mux.HandleFunc("POST /v3/lease/revoke", s.call(s.handleRevoke))
+	s.mux.HandleFunc("POST /v3/watch", s.call(s.handleWatch))
+	s.mux.HandleFunc("POST /faults", s.handleFaults)
+	s.mux.HandleFunc("GET /counters", s.handleCounters)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// Close stops the leases.
+func (s *Server) Close() {
+	s.store.close()
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if faults.Down && !s.faults.Down {
+		close(s.outage)
+	}
+	if !faults.Down && s.faults.Down {
+		s.outage = make(chan struct{})
+	}
+	s.faults = faults
+	s.random = rand.New(rand.NewPCG(faults.Seed, 0))
+}
+
+// Counters returns the calls so far.
+func (s *Server) Counters() Counters {
+	s.store.mu.Lock()
+	revision := s.store.revision
+	s.store.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counters := s.counters
+	counters.Revision = revision
+	return counters
+}
+
+// call wraps a gateway call with the outage and the delay.
+func (s *Server) call(handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		faults := s.faults
+		if faults.Down {
+			s.counters.Refused++
+		}
+		s.mu.Unlock()
+		if faults.Down || !httpapi.Sleep(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond) {
+			httpapi.Abort()
+		}
+		handler(w, r)
+	}
+}
+
+func (s *Server) count(counter *int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*counter++
+}
+
+// losesAnswer tells whether the answer of the write at hand is lost.
+func (s *Server) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.faults.LoseAnswerRate > 0 && s.random.Float64() < s.faults.LoseAnswerRate
+	if s.faults.LoseAnswerOfNextWrites > 0 {
+		s.faults.LoseAnswerOfNextWrites--
+		lost = true
+	}
+	if lost {
+		s.counters.LostAnswers++
+	}
+	return lost
+}
+
+func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !httpapi.Read(w, r, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	httpapi.Write(w, http.StatusOK, faults)
+}
+
+func (s *Server) handleCounters(w http.ResponseWriter, _ *http.Request) {
+	httpapi.Write(w, http.StatusOK, s.Counters())
+}
+
+func (s *Server) handleRange(w http.ResponseWriter, r *http.Request) {
+	var request rangeRequest
+	if !httpapi.Read(w, r, &request) {
+		return
+	}
+	s.count(&s.counters.Range)
+	s.store.mu.Lock()
+	kvs := s.store.readRange(request.Key, request.RangeEnd)
+	revision := s.store.revision
+	s.store.mu.Unlock()
+	httpapi.Write(w, http.StatusOK, rangeResponse{
+		Header: header{Revision: revision}, KVs: kvs, Count: int64(len(kvs)),
+	})
+}
+
+func (s *Server) handleTxn(w http.ResponseWriter, r *http.Request) {
+	var request txnRequest
+	if !httpapi.Read(w, r, &request) {
+		return
+	}
+	if err := request.check(); err != nil {
+		httpapi.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.count(&s.counters.Txn)
+	response, err := s.store.txn(request)
+	if err != nil {
+		httpapi.Fail(w, http.StatusNotFound, err.Error())
+		return
+	}
+	if !response.Succeeded {
+		s.count(&s.counters.TxnFailed)
+	}
+	if s.losesAnswer() {
+		httpapi.Abort()
+	}
+	httpapi.Write(w, http.StatusOK, response)
+}
+
+func (s *Server) handleCompaction(w http.ResponseWriter, r *http.Request) {
+	var request compactionRequest
+	if !httpapi.Read(w, r, &request) {
+		return
+	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	if request.Revision > s.store.revision {
+		httpapi.Fail(w, http.StatusBadRequest, "required revision is a future revision")
+		return
+	}
+	s.store.compactBefore(request.Revision)
+	httpapi.Write(w, http.StatusOK, compactionResponse{Header: header{Revision: s.store.revision}})
+}
+
+func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
+	var request leaseRequest
+	if !httpapi.Read(w, r, &request) {
+		return
+	}
+	if request.TTL <= 0 {
+		httpapi.Fail(w, http.StatusBadRequest, "TTL must be positive")
+		return
+	}
+	s.count(&s.counters.LeaseGrant)
+	s.store.mu.Lock()
+	id := s.store.grant(request.ID, time.Duration(request.TTL)*time.Second)
+	revision := s.store.revision
+	s.store.mu.Unlock()
+	if s.losesAnswer() {
+		httpapi.Abort()
+	}
+	httpapi.Write(w, http.StatusOK, leaseResponse{Header: header{Revision: revision}, ID: id, TTL: request.TTL})
+}
+
+func (s *Server) handleKeepAlive(w http.ResponseWriter, r *http.Request) {
+	var request leaseRequest
+	if !httpapi.Read(w, r, &request) {
+		return
+	}
+	s.count(&s.counters.LeaseKeepAlive)
+	s.store.mu.Lock()
+	ttl := s.store.keepAlive(request.ID)
+	revision := s.store.revision
+	s.store.mu.Unlock()
+	response := leaseResponse{Header: header{Revision: revision}, ID: request.ID, TTL: int64(ttl / time.Second)}
+	httpapi.Write(w, http.StatusOK, keepAliveResponse{Result: response})
+}
+
+func (s *Server) handleRevoke(w http.ResponseWriter, r *http.Request) {
+	var request leaseRequest
+	if !httpapi.Read(w, r, &request) {
+		return
+	}
+	s.count(&s.counters.LeaseRevoke)
+	s.store.mu.Lock()
+	found := s.store.revoke(request.ID)
+	revision := s.store.revision
+	s.store.mu.Unlock()
+	if !found {
+		httpapi.Fail(w, http.StatusNotFound, errNoLease.Error())
+		return
+	}
+	if s.losesAnswer() {
+		httpapi.Abort()
+	}
+	httpapi.Write(w, http.StatusOK, leaseResponse{Header: header{Revision: revision}, ID: request.ID})
+}
+
+func (s *Server) handleWatch(w http.ResponseWriter, r *http.Request) {
+	var request watchRequest
+	if !httpapi.Read(w, r, &request) {
+		return
+	}
+	s.count(&s.counters.Watch)
+	s.mu.Lock()
+	outage := s.outage
+	s.mu.Unlock()
+	err := s.watch(r.Context(), json.NewEncoder(w), http.NewResponseController(w), request.Create, outage)
+	if errors.Is(err, errOutage) {
+		httpapi.Abort()
+	}
+}
+
+// errOutage tells that a watch ends since the service is down.
+var errOutage = errors.New("outage")
+
+func (s *Server) watch(ctx context.Context, encoder *json.Encoder, flusher *http.ResponseController, create watchCreate, outage <-chan struct{}) error {
+	send := func(result watchResult) error {
+		if err := encoder.Encode(watchMessage{Result: result}); err != nil {
+			return fmt.Errorf("send: %w", err)
+		}
+		return flusher.Flush()
+	}
+	s.store.mu.Lock()
+	next, compacted := create.StartRevision, s.store.compacted
+	current := header{Revision: s.store.revision}
+	s.store.mu.Unlock()
+	if next == 0 {
+		next = current.Revision + 1
+	}
+	if err := send(watchResult{Header: current, Created: true}); err != nil {
+		return err
+	}
+	if next < compacted {
+		return send(watchResult{Header: current, Canceled: true, CompactRevision: compacted})
+	}
+	for {
+		s.store.mu.Lock()
+		events, revision, changed := s.store.since(next, create.Key, create.RangeEnd)
+		s.store.mu.Unlock()
+		next = revision + 1
+		if len(events) > 0 {
+			if err := send(watchResult{Header: header{Revision: revision}, Events: events}); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-changed:
+		case <-outage:
+			return errOutage
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/testkit/standin/modelengine/runs.go
@@ -0,0 +1,282 @@
+package modelengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/testkit/standin/httpapi"
+)
+
+const (
+	// defaultTokens is the length of an answer to a request that bounds none.
+	defaultTokens = 8
+	// maxKeptRuns is the number of answers kept for resume.
+	maxKeptRuns = 4096
+)
+
+// Prompt holds the fields of a request that the engine reads.
+type Prompt struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages,omitempty"`
+	Prompt    json.RawMessage `json:"prompt,omitempty"`
+	MaxTokens int             `json:"max_tokens,omitempty"`
+	Stream    bool            `json:"stream,omitempty"`
+}
+
+// Text returns the answer to a request body by a target: the words "echo", the
+// target's name, a hash of the messages or the prompt, and numbered words up to
+// the maximum of tokens.
+func Text(target engine.Target, body []byte) (string, error) {
+	var prompt Prompt
+	if err := json.Unmarshal(body, &prompt); err != nil {
+		return "", fmt.Errorf("decode body: %w", err)
+	}
+	tokens, err := prompt.tokens(target)
+	return strings.Join(tokens, ""), err
+}
+
+func (p Prompt) tokens(target engine.Target) ([]string, error) {
+	source := p.Messages
+	if len(source) == 0 {
+		source = p.Prompt
+	}
+	if len(source) == 0 {
+		return nil, errors.New("neither messages nor prompt")
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, source); err != nil {
+		return nil, fmt.Errorf("compact prompt: %w", err)
+	}
+	count := p.MaxTokens
+	if count <= 0 {
+		count = defaultTokens
+	}
+	tokens := []string{"echo", " " + Name(target), fmt.Sprintf(" %016x", xxhash.Sum64(compact.Bytes()))}
+	for i := len(tokens); i < count; i++ {
+		tokens = append(tokens, " w"+strconv.Itoa(i))
+	}
+	return tokens, nil
+}
+
+// run is one request and its answer, which grows while it is generated.
+type run struct {
+	requestID string
+	target    engine.Target
+	stream    bool
+	chat      bool
+	tokens    []string
+	cancel    context.CancelFunc
+
+	mu      sync.Mutex
+	answer  []byte
+	done    bool
+	aborted bool
+	changed chan struct{}
+}
+
+func (r *run) append(data []byte, done bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answer = append(r.answer, data...)
+	r.done = done
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *run) abort() {
+	r.mu.Lock()
+	r.aborted = true
+	r.mu.Unlock()
+	r.append(nil, true)
+}
+
+// from returns what there is of the answer from an offset on, whether it is
+// complete, and a channel that is closed when there is more.
+func (r *run) from(offset int64) (data []byte, done, aborted bool, changed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	offset = min(offset, int64(len(r.answer)))
+	return r.answer[offset:], r.done, r.aborted, r.changed
+}
+
+func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	body, err := httpapi.Body(w, r)
+	if err != nil {
+		refuse(http.StatusBadRequest, "%v", err).write(w)
+		return
+	}
+	current, f := s.newRun(r, body)
+	if f != nil {
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+		f.write(w)
+		return
+	}
+	priority, _ := strconv.Atoi(r.Header.Get(engine.HeaderPriority))
+	ctx, cancel := context.WithCancel(context.Background())
+	current.cancel = cancel
+	s.keep(current)
+	go s.generate(ctx, current, priority)
+	s.mu.Lock()
+	cut := s.faults.CutNextAfterBytes
+	s.faults.CutNextAfterBytes = 0
+	delay := time.Duration(s.faults.DelayAnswersMillis) * time.Millisecond
+	s.mu.Unlock()
+	if !httpapi.Sleep(r.Context(), delay) {
+		return
+	}
+	serve(w, r, current, 0, cut)
+}
+
+// newRun checks a request and takes a reference to its target.
+func (s *Server) newRun(r *http.Request, body []byte) (*run, *failure) {
+	var prompt Prompt
+	if err := json.Unmarshal(body, &prompt); err != nil {
+		return nil, refuse(http.StatusBadRequest, "decode body: %v", err)
+	}
+	target := requestTarget(r, prompt)
+	tokens, err := prompt.tokens(target)
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "%v", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	res := s.targets[target]
+	if res == nil || res.state != engine.StateLoaded {
+		s.journal.violate(&s.journal.violations.RunsNotLoaded)
+		return nil, refuse(http.StatusNotFound, "%s is not loaded", Name(target))
+	}
+	if s.faults.FailNextCalls > 0 {
+		s.faults.FailNextCalls--
+		return nil, &failure{status: http.StatusInternalServerError, text: "call failed"}
+	}
+	current := &run{
+		requestID: r.Header.Get(engine.HeaderRequestID),
+		target:    target,
+		stream:    prompt.Stream,
+		chat:      strings.HasSuffix(r.URL.Path, "/chat/completions"),
+		tokens:    tokens,
+		changed:   make(chan struct{}),
+	}
+	if s.faults.CrossNext > 0 {
+		s.faults.CrossNext--
+		current.requestID = "crossed-" + current.requestID
+		current.tokens = []string{"echo", " crossed"}
+	}
+	res.running++
+	return current, nil
+}
+
+// requestTarget reads the target from the headers, or the model from the body.
+func requestTarget(r *http.Request, prompt Prompt) engine.Target {
+	target := engine.Target{
+		Model:          r.Header.Get(engine.HeaderModel),
+		Version:        r.Header.Get(engine.HeaderModelVersion),
+		Adapter:        r.Header.Get(engine.HeaderAdapter),
+		AdapterVersion: r.Header.Get(engine.HeaderAdapterVersion),
+	}
+	if target.Model == "" {
+		target.Model, target.Version, _ = strings.Cut(prompt.Model, "@")
+	}
+	return target
+}
+
+// keep remembers a run for resume and cancel and forgets the oldest one.
+func (s *Server) keep(current *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[current.requestID] = current
+	s.runIDs = append(s.runIDs, current.requestID)
+	if len(s.runIDs) > maxKeptRuns {
+		delete(s.runs, s.runIDs[0])
+		s.runIDs = s.runIDs[1:]
+	}
+}
+
+// generate waits for a slot and makes the answer token by token, also if the
+// agent goes away, until the run is cancelled.
+func (s *Server) generate(ctx context.Context, current *run, priority int) {
+	defer current.cancel()
+	defer s.release(current)
+	if !s.takeSlot(ctx, priority) {
+		current.abort()
+		s.recordRun(EventRunCancelled, current)
+		return
+	}
+	defer s.freeSlot()
+	s.recordRun(EventRunStarted, current)
+	for i, token := range current.tokens {
+		if !httpapi.Sleep(ctx, s.options.TokenTime) {
+			current.abort()
+			s.recordRun(EventRunCancelled, current)
+			return
+		}
+		if current.stream {
+			current.append(current.chunk(token, i == len(current.tokens)-1), false)
+		}
+	}
+	current.append(current.ending(), true)
+	s.recordRun(EventRunEnded, current)
+}
+
+func (s *Server) release(current *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if res := s.targets[current.target]; res != nil {
+		res.running--
+	}
+	s.notify()
+}
+
+func (s *Server) recordRun(event Event, current *run) {
+	s.mu.Lock()
+	used := s.used
+	s.mu.Unlock()
+	s.journal.add(Entry{Event: event, RequestID: current.requestID, Target: current.target, UsedMiB: used})
+}
+
+func (s *Server) findRun(requestID string) *run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[requestID]
+}
+
+// cancelBody is the body of a cancel.
+type cancelBody struct {
+	RequestID string `json:"request_id"`
+}
+
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
+	var body cancelBody
+	if !httpapi.Read(w, r, &body) {
+		return
+	}
+	current := s.findRun(body.RequestID)
+	if current == nil {
+		refuse(http.StatusNotFound, "unknown request").write(w)
+		return
+	}
+	current.cancel()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleResume(w http.ResponseWriter, r *http.Request) {
+	current := s.findRun(r.URL.Query().Get("request_id"))
+	offset, err := strconv.ParseInt(r.URL.Query().Get("offset"), 10, 64)
+	if current == nil || err != nil || offset < 0 {
+		refuse(http.StatusNotFound, "unknown request or offset").write(w)
+		return
+	}
+	s.recordRun(EventResumed, current)
+	serve(w, r, current, offset, 0)
+}
