--- /dev/null
+++ b/pkg/engine/main_test.go
@@ -0,0 +1,11 @@
+package engine
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- /dev/null
+++ b/pkg/platform/etcd_test.go
@@ -0,0 +1,183 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"teaselgauge.example/teaselgauge/pkg/settings"
+)
+
+func newClient(t *testing.T, endpoints ...string) *Etcd {
+	t.Helper()
+	client, err := NewEtcd(settings.KeyValue{Endpoints: endpoints, Prefix: "/", TimeoutMillis: 500})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+func TestTxnEncoding(t *testing.T) {
+	request := newTxnRequest(
+		[]Compare{{Key: "a"}, {Key: "b", ModRevision: 1 << 60}},
+		[]Op{{Key: "a", Value: []byte{0, 0xff}, Lease: 9}, {Key: "b", Delete: true}},
+	)
+	got, err := json.Marshal(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"compare":[` +
+		`{"key":"YQ==","target":"MOD","result":"EQUAL","mod_revision":"0"},` +
+		`{"key":"Yg==","target":"MOD","result":"EQUAL","mod_revision":"1152921504606846976"}],` +
+		`"success":[{"requestPut":{"key":"YQ==","value":"AP8=","lease":"9"}},{"requestDeleteRange":{"key":"Yg=="}}],` +
+		`"failure":[{"requestRange":{"key":"YQ=="}},{"requestRange":{"key":"Yg=="}}]}`
+	if string(got) != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+}
+
+func TestTxnDecoding(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"header":{"cluster_id":"1","revision":"7"},"responses":[`+
+			`{"response_range":{"header":{"revision":"7"},"kvs":[{"key":"YQ==","create_revision":"3","mod_revision":"5","version":"2","value":"AP8="}],"count":"1"}},`+
+			`{"response_range":{"header":{"revision":"7"}}}]}`)
+	}))
+	defer server.Close()
+	got, err := newClient(t, server.URL).Txn(t.Context(), []Compare{{Key: "a"}, {Key: "b"}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	current := []KeyValue{{Key: "a", Value: []byte{0, 0xff}, CreateRevision: 3, ModRevision: 5}}
+	if want := (TxnResult{Revision: 7, Current: current}); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestPrefixRange(t *testing.T) {
+	tests := []struct{ prefix, key, end string }{
+		{"", "\x00", "\x00"},
+		{"/site/", "/site/", "/site0"},
+		{"a\xff", "a\xff", "b"},
+		{"\xff\xff", "\xff\xff", "\x00"},
+	}
+	for _, test := range tests {
+		key, end := prefixRange(test.prefix)
+		if string(key) != test.key || string(end) != test.end {
+			t.Errorf("prefixRange(%q) = %q, %q, want %q, %q", test.prefix, key, end, test.key, test.end)
+		}
+	}
+}
+
+// TestTxnOutcome checks which failed transactions may have been made, and that
+// none of them goes to the second endpoint.
+func TestTxnOutcome(t *testing.T) {
+	status := func(code int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(code)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	tests := []struct {
+		name      string
+		handler   http.HandlerFunc
+		uncertain bool
+	}{
+		{"dropped", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true},
+		{"unavailable", status(503, `{"error":"etcdserver: request timed out","code":14}`), true},
+		{"gateway timeout", status(504, ""), true},
+		{"internal", status(500, ""), true},
+		{"redirect", status(307, ""), true},
+		{"no JSON", status(200, "<html>"), true},
+		{"cut JSON", status(200, `{"header":`), true},
+		{"invalid", status(400, `{"error":"etcdserver: too many operations","code":3}`), false},
+		{"too many requests", status(429, ""), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			first := httptest.NewServer(test.handler)
+			defer first.Close()
+			var resent atomic.Int64
+			second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				resent.Add(1)
+				_, _ = io.WriteString(w, "{}")
+			}))
+			defer second.Close()
+			_, err := newClient(t, first.URL, second.URL).Txn(t.Context(), nil, []Op{{Key: "a"}})
+			var failure *StoreError
+			if !errors.As(err, &failure) || failure.Uncertain != test.uncertain {
+				t.Errorf("error %v, want *StoreError with Uncertain = %v", err, test.uncertain)
+			}
+			if resent.Load() != 0 {
+				t.Error("the transaction was sent again")
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionIsCertain(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	client := newClient(t, server.URL)
+	if _, err := client.Txn(t.Context(), nil, nil); err == nil || IsUncertain(err) {
+		t.Errorf("transaction: error %v, want a certain failure", err)
+	}
+	if _, err := client.Range(t.Context(), "a", false); err == nil {
+		t.Error("range succeeded")
+	}
+}
+
+// TestNextEndpoint checks that reads go on to the next endpoint after any
+// failure and writes after a refused connection.
+func TestNextEndpoint(t *testing.T) {
+	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer broken.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"header":{"revision":"4"},"succeeded":true}`)
+	}))
+	defer good.Close()
+	if got, err := newClient(t, broken.URL, good.URL).Range(t.Context(), "a", true); err != nil || got.Revision != 4 {
+		t.Errorf("range: %+v, %v", got, err)
+	}
+	if got, err := newClient(t, gone.URL, good.URL).Txn(t.Context(), nil, nil); err != nil || !got.Succeeded {
+		t.Errorf("transaction: %+v, %v", got, err)
+	}
+}
+
+func TestHostList(t *testing.T) {
+	tests := []struct {
+		name, body string
+		hosts      int
+		ok         bool
+	}{
+		{"hosts", `[{"id":"a","role":"agent","state":"leaving","address":"127.0.0.1:1"},{"id":"b"}]`, 2, true},
+		{"empty", `[]`, 0, true},
+		{"null", `null`, 0, false},
+		{"cut", `[{"id":"a"}`, 0, false},
+		{"no id", `[{}]`, 0, false},
+		{"twice", `[{"id":"a"},{"id":"a"}]`, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.Copy(w, strings.NewReader(test.body))
+			}))
+			defer server.Close()
+			list := NewHostList(settings.HostList{URL: server.URL})
+			defer list.Close()
+			hosts, err := list.Hosts(t.Context())
+			var failure *HostListError
+			if (err == nil) != test.ok || len(hosts) != test.hosts || (err != nil && !errors.As(err, &failure)) {
+				t.Errorf("got %v, %v", hosts, err)
+			}
+		})
+	}
+}
