--- /dev/null
+++ b/pkg/callers/refusal.go
@@ -0,0 +1,158 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// Reasons of refusals that only the callers' interface gives.
+const (
+	ReasonUnauthenticated wire.Reason = "unauthenticated"    // no API key, or an unknown one
+	ReasonTooLarge        wire.Reason = "too-large"          // the body exceeds its bound
+	ReasonMethod          wire.Reason = "method-not-allowed" // the path takes other methods
+	ReasonBodyTimeout     wire.Reason = "body-timeout"       // the body came too slowly or broke off
+)
+
+// Headers of answers and refusals.
+const (
+	HeaderRequestID  = "X-Request-Id"
+	HeaderOutcome    = "X-Outcome"
+	headerRetryAfter = "Retry-After"
+)
+
+// statusClientGone is the customary status of a request whose caller left.
+const statusClientGone = 499
+
+// The error types of the OpenAI form.
+const (
+	typeInvalid   = "invalid_request_error"
+	typeAuth      = "authentication_error"
+	typeNotFound  = "not_found_error"
+	typeConflict  = "conflict_error"
+	typeRateLimit = "rate_limit_error"
+	typeServer    = "server_error"
+)
+
+// errorClass is how a reason looks towards callers.
+type errorClass struct {
+	status int
+	kind   string
+	// retryAfter is used if the refusal names none.
+	retryAfter time.Duration
+}
+
+const (
+	retrySoon = time.Second
+	// retryLists is about the time in which a change of the lists is in force.
+	retryLists = 15 * time.Second
+)
+
+// errorClasses maps each reason to its class. See docs/METRICS.md for the
+// operators' form of the table.
+var errorClasses = map[wire.Reason]errorClass{
+	wire.ReasonInvalid:      {http.StatusBadRequest, typeInvalid, retrySoon},
+	ReasonUnauthenticated:   {http.StatusUnauthorized, typeAuth, retryLists},
+	wire.ReasonNotFound:     {http.StatusNotFound, typeNotFound, retryLists},
+	ReasonMethod:            {http.StatusMethodNotAllowed, typeInvalid, retrySoon},
+	ReasonBodyTimeout:       {http.StatusRequestTimeout, typeInvalid, retrySoon},
+	wire.ReasonBoundLost:    {http.StatusConflict, typeConflict, retrySoon},
+	ReasonTooLarge:          {http.StatusRequestEntityTooLarge, typeInvalid, retrySoon},
+	wire.ReasonKeyReused:    {http.StatusUnprocessableEntity, typeInvalid, retrySoon},
+	wire.ReasonQueueFull:    {http.StatusTooManyRequests, typeRateLimit, retrySoon},
+	wire.ReasonRate:         {http.StatusTooManyRequests, typeRateLimit, retrySoon},
+	wire.ReasonCancelled:    {statusClientGone, typeServer, retrySoon},
+	wire.ReasonEngine:       {http.StatusBadGateway, typeServer, retrySoon},
+	wire.ReasonLeaving:      {http.StatusServiceUnavailable, typeServer, retrySoon},
+	wire.ReasonNoPermit:     {http.StatusServiceUnavailable, typeServer, retrySoon},
+	wire.ReasonNoMemory:     {http.StatusServiceUnavailable, typeServer, retrySoon},
+	wire.ReasonLoadFailed:   {http.StatusServiceUnavailable, typeServer, retrySoon},
+	wire.ReasonStore:        {http.StatusServiceUnavailable, typeServer, retrySoon},
+	wire.ReasonBoundElse:    {http.StatusServiceUnavailable, typeServer, retrySoon},
+	wire.ReasonUnavailable:  {http.StatusServiceUnavailable, typeServer, retrySoon},
+	wire.ReasonShuttingDown: {http.StatusServiceUnavailable, typeServer, retrySoon},
+	wire.ReasonDeadline:     {http.StatusGatewayTimeout, typeServer, retrySoon},
+}
+
+// unknownClass is the class of a reason that this version doesn't know.
+var unknownClass = errorClass{http.StatusInternalServerError, typeServer, retrySoon}
+
+func classOf(reason wire.Reason) errorClass {
+	if class, ok := errorClasses[reason]; ok {
+		return class
+	}
+	return unknownClass
+}
+
+// errorBody is the OpenAI form of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string      `json:"message"`
+	Type    string      `json:"type"`
+	Code    wire.Reason `json:"code"`
+	// Outcome is not-run, unknown or ran.
+	Outcome          string `json:"outcome"`
+	RetryAfterMillis int64  `json:"retry_after_ms"`
+	RequestID        string `json:"request_id"`
+}
+
+// notRun returns a refusal of a request that was sent nowhere.
+func notRun(reason wire.Reason, detail string) *wire.Refusal {
+	return &wire.Refusal{Outcome: wire.OutcomeNotRun, Reason: reason, Detail: detail}
+}
+
+func retryAfter(refusal *wire.Refusal) time.Duration {
+	if refusal.RetryAfterMillis > 0 {
+		return time.Duration(refusal.RetryAfterMillis) * time.Millisecond
+	}
+	return classOf(refusal.Reason).retryAfter
+}
+
+// retryAfterSeconds rounds up, so that a caller never comes back early.
+func retryAfterSeconds(d time.Duration) string {
+	seconds := (d + time.Second - 1) / time.Second
+	return strconv.FormatInt(int64(seconds), 10)
+}
+
+func encodeRefusal(requestID string, refusal *wire.Refusal) []byte {
+	class := classOf(refusal.Reason)
+	message := refusal.Detail
+	if message == "" {
+		message = string(refusal.Reason)
+	}
+	body := errorBody{Error: errorDetail{
+		Message:          message,
+		Type:             class.kind,
+		Code:             refusal.Reason,
+		Outcome:          refusal.Outcome.String(),
+		RetryAfterMillis: retryAfter(refusal).Milliseconds(),
+		RequestID:        requestID,
+	}}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return []byte(`{"error":{"message":"internal error"}}`)
+	}
+	return encoded
+}
+
+// writeRefusal writes a refusal as a whole response.
+func writeRefusal(w http.ResponseWriter, requestID string, refusal *wire.Refusal) {
+	body := encodeRefusal(requestID, refusal)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set(HeaderOutcome, refusal.Outcome.String())
+	header.Set(headerRetryAfter, retryAfterSeconds(retryAfter(refusal)))
+	if refusal.Reason == ReasonUnauthenticated {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(classOf(refusal.Reason).status)
+	// The caller may be gone; there is nobody else to tell.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/pkg/logging/logging.go
@@ -0,0 +1,68 @@
+// Package logging makes the processes' loggers: one line of key=value pairs for
+// each event, on the standard error stream, without secrets.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+
+	"teaselgauge.example/teaselgauge/pkg/settings"
+)
+
+const redacted = "[redacted]"
+
+// secretNames are parts of the names of attributes whose values are not logged.
+var secretNames = []string{
+	"authorization", "api_key", "apikey", "api-key", "bearer", "credential", "password", "private_key", "secret",
+}
+
+// secretSuffixes end the names of attributes whose values are not logged.
+var secretSuffixes = []string{"token", "key_hash", "cookie"}
+
+// New returns a logger that writes to w.
+func New(w io.Writer, config settings.Log) (*slog.Logger, error) {
+	level := slog.LevelInfo
+	if config.Level != "" {
+		if err := level.UnmarshalText([]byte(config.Level)); err != nil {
+			return nil, fmt.Errorf("logging: level %q: %w", config.Level, err)
+		}
+	}
+	handler := slog.NewTextHandler(w, &slog.HandlerOptions{
+		Level:       level,
+		ReplaceAttr: redact,
+	})
+	return slog.New(handler), nil
+}
+
+// redact keeps the values of attributes that carry secrets out of the log.
+func redact(_ []string, attr slog.Attr) slog.Attr {
+	if isSecret(attr.Key) || isBearer(attr.Value) {
+		attr.Value = slog.StringValue(redacted)
+	}
+	return attr
+}
+
+func isSecret(name string) bool {
+	name = strings.ToLower(name)
+	for _, part := range secretNames {
+		if strings.Contains(name, part) {
+			return true
+		}
+	}
+	for _, suffix := range secretSuffixes {
+		if strings.HasSuffix(name, suffix) {
+			return true
+		}
+	}
+	return false
+}
+
+// isBearer finds a credential under an innocent name.
+func isBearer(value slog.Value) bool {
+	if value.Kind() != slog.KindString {
+		return false
+	}
+	return strings.Contains(strings.ToLower(value.String()), "bearer ")
+}
