--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -46,22 +46,26 @@
 		{
 			"behind the own plan",
 			[]Item{{ID: "1", Plan: "p", Priority: 1, Tokens: 500}},
-			Item{Plan: "p", Tokens: 100}, 4 * second, 0, wire.ReasonDeadline,
+			Item{Plan: "p", Tokens: 100},
+			4 * second, 0, wire.ReasonDeadline,
 		},
 		{
 			"before a later deadline of the own plan",
 			[]Item{{ID: "1", Plan: "p", Tokens: 50000}},
-			Item{Plan: "p", Tokens: 100}, 4 * second, 0, "",
+			Item{Plan: "p", Tokens: 100},
+			4 * second, 0, "",
 		},
 		{
 			"another plan's burst takes no more than its share",
 			[]Item{{ID: "1", Plan: "q", Weight: 1, Tokens: 50000}},
-			Item{Plan: "p", Weight: 1, Tokens: 100}, 4 * second, 0, "",
+			Item{Plan: "p", Weight: 1, Tokens: 100},
+			4 * second, 0, "",
 		},
 		{
 			"a cold model's queue isn't ahead",
 			[]Item{{ID: "1", Plan: "p", Priority: 2, Tokens: 50000, Target: cold}},
-			Item{Plan: "p", Tokens: 100}, 4 * second, 0, "",
+			Item{Plan: "p", Tokens: 100},
+			4 * second, 0, "",
 		},
 	}
 	for _, tt := range tests {
--- a/pkg/agent/admin.go
+++ b/pkg/agent/admin.go
@@ -26,7 +26,7 @@
 
 func (a *Agent) serveReady(w http.ResponseWriter, _ *http.Request) {
 	leaving := true
-	a.controller.loop.do(func() { leaving = a.controller.leaving })
+	a.controller.loop.Do(func() { leaving = a.controller.leaving })
 	if leaving {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 
+	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/engine"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/platform"
@@ -103,7 +104,7 @@
 		a.wait.Wait()
 	}()
 	a.controller = newController(workCtx, a.config, a.incarnation, a.logger)
-	a.wait.Go(func() { a.controller.loop.run(workCtx) })
+	a.wait.Go(func() { a.controller.loop.Run(workCtx) })
 	a.wait.Go(func() { a.directory.refresh(workCtx) })
 	if err := a.openBackend(ctx, workCtx); err != nil {
 		return err
@@ -156,7 +157,7 @@
 		incarnation: a.incarnation,
 		fence:       claimed.fence,
 	}
-	c.loop.do(func() {
+	c.loop.Do(func() {
 		c.models = newModelTable(c, claimed.state.MemoryMiB, orders)
 		orders.table = c.models
 		c.models.adopt(time.Now(), claimed.state)
@@ -174,7 +175,7 @@
 // reconcile reads the engine's state from time to time.
 func (a *Agent) reconcile(ctx context.Context, client engine.Engine) {
 	for ctx.Err() == nil {
-		pause(ctx, reconcileInterval)
+		backoff.Sleep(ctx, reconcileInterval)
 		readAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
 		state, err := client.State(callCtx)
@@ -183,7 +184,7 @@
 			a.logger.Warn("engine state unreadable", "error", err)
 			continue
 		}
-		a.controller.loop.do(func() { a.controller.models.observe(time.Now(), readAt, state) })
+		a.controller.loop.Do(func() { a.controller.models.observe(time.Now(), readAt, state) })
 	}
 }
 
@@ -239,18 +240,18 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			a.controller.loop.post(func() { a.controller.tick(time.Now()) })
+			a.controller.loop.Post(func() { a.controller.tick(time.Now()) })
 		}
 	}
 }
 
 // drain refuses new requests and waits for those in flight.
 func (a *Agent) drain() {
-	a.controller.loop.do(func() { a.controller.leave("signal") })
+	a.controller.loop.Do(func() { a.controller.leave("signal") })
 	deadline := time.Now().Add(time.Duration(a.config.Limits.DrainMillis) * time.Millisecond)
 	for time.Now().Before(deadline) {
 		idle := false
-		a.controller.loop.do(func() { idle = a.controller.idle() })
+		a.controller.loop.Do(func() { idle = a.controller.idle() })
 		if idle {
 			break
 		}
--- a/pkg/agent/claim.go
+++ b/pkg/agent/claim.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/engine"
 )
 
@@ -32,7 +33,7 @@
 		return claimed{}, err
 	}
 	if !c.checksFences {
-		pause(ctx, settleDelay)
+		backoff.Sleep(ctx, settleDelay)
 	}
 	for ctx.Err() == nil {
 		state, err := c.readState(ctx)
@@ -42,7 +43,7 @@
 		if err != nil {
 			c.logger.Warn("engine state unreadable", "error", err)
 		}
-		pause(ctx, engineRetry)
+		backoff.Sleep(ctx, engineRetry)
 	}
 	return claimed{}, fmt.Errorf("claim the engine: %w", ctx.Err())
 }
@@ -60,7 +61,7 @@
 			}
 		}
 		c.logger.Warn("engine can't be claimed yet", "error", err)
-		pause(ctx, engineRetry)
+		backoff.Sleep(ctx, engineRetry)
 	}
 	return 0, fmt.Errorf("claim the engine: %w", ctx.Err())
 }
--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -7,6 +7,7 @@
 
 	"teaselgauge.example/teaselgauge/pkg/admission"
 	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/eventloop"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -22,7 +23,7 @@
 
 // controller holds the control state. Its methods run on the loop.
 type controller struct {
-	loop        *loop
+	loop        *eventloop.Loop
 	ctx         context.Context
 	logger      *slog.Logger
 	runner      string
@@ -46,7 +47,7 @@
 func newController(ctx context.Context, config settings.Agent, incarnation string, logger *slog.Logger) *controller {
 	limits := admission.Limits{MaxQueued: config.Limits.MaxQueued, Slots: config.Backend.Slots}
 	return &controller{
-		loop:        newLoop(),
+		loop:        eventloop.New(),
 		ctx:         ctx,
 		logger:      logger,
 		runner:      config.Host.ID,
@@ -183,7 +184,7 @@
 	}
 	t.cancel()
 	time.AfterFunc(answerRetention, func() {
-		c.loop.post(func() {
+		c.loop.Post(func() {
 			if c.tickets[t.request.ID] == t {
 				delete(c.tickets, t.request.ID)
 			}
--- a/pkg/agent/keyed.go
+++ b/pkg/agent/keyed.go
@@ -173,7 +173,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	events := k.records.create(callCtx, batch)
-	k.controller.loop.post(func() { k.stepAll(time.Now(), events) })
+	k.controller.loop.Post(func() { k.stepAll(time.Now(), events) })
 }
 
 // flush runs until ctx ends and hands over batches when they are due.
@@ -185,7 +185,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			k.controller.loop.post(func() { k.flushDue(time.Now()) })
+			k.controller.loop.Post(func() { k.flushDue(time.Now()) })
 		}
 	}
 }
@@ -272,7 +272,7 @@
 		ctx, cancel := context.WithTimeout(k.controller.ctx, recordTimeout)
 		defer cancel()
 		event := k.records.read(ctx, key)
-		k.controller.loop.post(func() { k.step(time.Now(), event) })
+		k.controller.loop.Post(func() { k.step(time.Now(), event) })
 	}()
 }
 
--- a/pkg/agent/orders.go
+++ b/pkg/agent/orders.go
@@ -6,7 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/eventloop"
 	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -35,7 +37,7 @@
 // its own.
 type engineOrders struct {
 	ctx         context.Context
-	loop        *loop
+	loop        *eventloop.Loop
 	engine      engine.Engine
 	store       platform.KeyValueStore
 	gate        loadGate
@@ -71,7 +73,7 @@
 	}
 	if load.remote {
 		if err := o.gate.Acquire(ctx, ask); err != nil {
-			o.loop.post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonLoadFailed) })
+			o.loop.Post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonLoadFailed) })
 			return
 		}
 	}
@@ -81,16 +83,16 @@
 		o.gate.Release(ask, time.Since(started))
 	}
 	if !ordered {
-		o.loop.post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonNoPermit) })
+		o.loop.Post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonNoPermit) })
 		return
 	}
-	o.loop.post(func() { o.table.loadEnded(time.Now(), load.id, err) })
+	o.loop.Post(func() { o.table.loadEnded(time.Now(), load.id, err) })
 }
 
 // orderLoad orders a load if the permit still stands.
 func (o *engineOrders) orderLoad(ctx context.Context, load loadOrder) (err error, ordered bool) {
 	permitted := false
-	o.loop.do(func() { permitted = o.table.mayOrderLoad(load.id) })
+	o.loop.Do(func() { permitted = o.table.mayOrderLoad(load.id) })
 	if !permitted {
 		return nil, false
 	}
@@ -103,7 +105,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 		defer cancel()
 		err := o.engine.Load(ctx, order)
-		o.loop.post(func() { done(err) })
+		o.loop.Post(func() { done(err) })
 	}()
 }
 
@@ -113,7 +115,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, unloadTimeout)
 		defer cancel()
 		err := o.engine.Unload(ctx, order)
-		o.loop.post(func() { done(err) })
+		o.loop.Post(func() { done(err) })
 	}()
 }
 
@@ -121,9 +123,9 @@
 	go func() {
 		event := o.writeRemoval(change)
 		if _, failed := event.(placement.RemoveFailed); failed {
-			pause(o.ctx, removeRetry)
+			backoff.Sleep(o.ctx, removeRetry)
 		}
-		o.loop.post(func() { o.table.perform(o.table.holder.Step(event)) })
+		o.loop.Post(func() { o.table.perform(o.table.holder.Step(event)) })
 	}()
 }
 
@@ -149,10 +151,10 @@
 			current, err := o.fetchPlacement(id)
 			if err == nil {
 				event := placement.PlacementChanged{Placement: current}
-				o.loop.post(func() { o.table.perform(o.table.holder.Step(event)) })
+				o.loop.Post(func() { o.table.perform(o.table.holder.Step(event)) })
 				return
 			}
-			pause(o.ctx, removeRetry)
+			backoff.Sleep(o.ctx, removeRetry)
 		}
 	}()
 }
@@ -169,13 +171,3 @@
 	}
 	return placement.Decode(result.Values[0])
 }
-
-// pause waits for a time or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/agent/runner.go
+++ b/pkg/agent/runner.go
@@ -41,7 +41,7 @@
 	}
 	took := time.Since(started)
 	tokens := countTokens(t)
-	r.controller.loop.post(func() { r.controller.finish(time.Now(), t, tokens, took) })
+	r.controller.loop.Post(func() { r.controller.finish(time.Now(), t, tokens, took) })
 }
 
 // countTokens estimates the tokens that a request has used: zero if it did not
@@ -70,7 +70,7 @@
 			t.refuse(wire.OutcomeNotRun, reason, retryAfterEngineFailure, "adapter "+target.Adapter)
 			return
 		}
-		defer r.controller.loop.post(func() { r.controller.models.releaseAdapter(time.Now(), target) })
+		defer r.controller.loop.Post(func() { r.controller.models.releaseAdapter(time.Now(), target) })
 	}
 	result, err := r.engine.Call(t.ctx, engine.Call{
 		RequestID:   t.request.ID,
@@ -93,7 +93,7 @@
 // acquireAdapter waits until the request's adapter is loaded.
 func (r *runner) acquireAdapter(t *ticket, target engine.Target) wire.Reason {
 	result := make(chan wire.Reason, 1)
-	r.controller.loop.post(func() {
+	r.controller.loop.Post(func() {
 		r.controller.models.acquireAdapter(time.Now(), target, t.request.AdapterMemoryMiB, func(reason wire.Reason) { result <- reason })
 	})
 	select {
@@ -110,7 +110,7 @@
 	select {
 	case reason := <-result:
 		if reason == "" {
-			r.controller.loop.post(func() { r.controller.models.releaseAdapter(time.Now(), target) })
+			r.controller.loop.Post(func() { r.controller.models.releaseAdapter(time.Now(), target) })
 		}
 	case <-r.controller.ctx.Done():
 	}
--- a/pkg/agent/server.go
+++ b/pkg/agent/server.go
@@ -47,7 +47,7 @@
 
 func (s *server) serveProbe(stream *wire.Stream, probe *wire.Probe) {
 	var status *wire.Status
-	s.controller.loop.do(func() {
+	s.controller.loop.Do(func() {
 		if probe.Leaving {
 			s.controller.leave("host list")
 		}
@@ -61,7 +61,7 @@
 func (s *server) serveRequest(ctx context.Context, stream *wire.Stream, request *wire.Request) {
 	var t *ticket
 	var status *wire.Status
-	served := s.controller.loop.do(func() {
+	served := s.controller.loop.Do(func() {
 		t = s.controller.arrive(time.Now(), request)
 		status = s.controller.status(time.Now())
 	})
@@ -94,7 +94,7 @@
 
 func (s *server) serveResume(ctx context.Context, stream *wire.Stream, resume *wire.Resume) {
 	var t *ticket
-	s.controller.loop.do(func() {
+	s.controller.loop.Do(func() {
 		if resume.Incarnation == s.controller.incarnation {
 			t = s.controller.tickets[resume.RequestID]
 		}
@@ -130,7 +130,7 @@
 
 func (s *server) currentStatus() *wire.Status {
 	var status *wire.Status
-	s.controller.loop.do(func() { status = s.controller.status(time.Now()) })
+	s.controller.loop.Do(func() { status = s.controller.status(time.Now()) })
 	return status
 }
 
@@ -139,10 +139,10 @@
 func (s *server) linkLost(t *ticket, err error) {
 	var streamErr *quic.StreamError
 	if errors.As(err, &streamErr) && streamErr.Remote {
-		s.controller.loop.post(func() { s.controller.cancelled(time.Now(), t) })
+		s.controller.loop.Post(func() { s.controller.cancelled(time.Now(), t) })
 		return
 	}
 	t.abandoned(resumeGrace, func() {
-		s.controller.loop.post(func() { s.controller.cancelled(time.Now(), t) })
+		s.controller.loop.Post(func() { s.controller.cancelled(time.Now(), t) })
 	})
 }
--- a/pkg/agent/sync.go
+++ b/pkg/agent/sync.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/eventloop"
 	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/platform"
@@ -23,18 +24,9 @@
 	// syncWait is how long an entry holds a Sync back without news.
 	syncWait = 20 * time.Second
 	// syncSlack is how much longer than syncWait an agent waits for the answer.
-	syncSlack  = 3 * time.Second
-	minBackoff = 200 * time.Millisecond
-	maxBackoff = 5 * time.Second
+	syncSlack = 3 * time.Second
 )
 
-// backoff returns the pause after a number of failures in a row, with jitter.
-func backoff(failures int) time.Duration {
-	pause := minBackoff << min(failures, 10)
-	pause = min(pause, maxBackoff)
-	return pause/2 + rand.N(pause/2+1)
-}
-
 // entryDirectory knows the entries that this agent talks to.
 type entryDirectory struct {
 	host   settings.Host
@@ -57,16 +49,16 @@
 		hosts, err := d.lister.Hosts(ctx)
 		if err != nil {
 			d.logger.Warn("host list unreadable", "error", err)
-			pause(ctx, hostListRetry)
+			backoff.Sleep(ctx, hostListRetry)
 			continue
 		}
 		view.HostsListed(time.Now(), hosts)
 		d.choose(view.Snapshot())
 		if len(d.list()) == 0 {
-			pause(ctx, hostListRetry)
+			backoff.Sleep(ctx, hostListRetry)
 			continue
 		}
-		pause(ctx, hostListInterval)
+		backoff.Sleep(ctx, hostListInterval)
 	}
 }
 
@@ -95,7 +87,7 @@
 
 // permitReader brings placements to the modelTable.
 type permitReader struct {
-	loop      *loop
+	loop      *eventloop.Loop
 	table     *modelTable
 	store     platform.KeyValueStore
 	node      *wire.Node
@@ -110,12 +102,12 @@
 	for failures := 0; ctx.Err() == nil; failures++ {
 		read, err := p.readOnce(ctx)
 		if err == nil {
-			p.loop.do(func() { p.table.perform(p.table.holder.Step(read)) })
+			p.loop.Do(func() { p.table.perform(p.table.holder.Step(read)) })
 			p.logger.Info("permits read", "revision", read.Revision, "placements", len(read.Placements))
 			return
 		}
 		p.logger.Warn("permits unreadable", "error", err)
-		pause(ctx, backoff(failures))
+		backoff.Sleep(ctx, backoff.Duration(failures))
 	}
 }
 
@@ -146,7 +138,7 @@
 			failures = 0
 			continue
 		}
-		pause(ctx, backoff(failures))
+		backoff.Sleep(ctx, backoff.Duration(failures))
 		failures++
 	}
 }
@@ -158,13 +150,13 @@
 	}
 	entry := peers[failures%len(peers)]
 	var revision int64
-	p.loop.do(func() { revision = p.table.holder.Revision() })
+	p.loop.Do(func() { revision = p.table.holder.Revision() })
 	update, err := p.ask(ctx, entry, revision)
 	if err != nil {
 		p.logger.Debug("sync failed", "entry", entry.id, "error", err)
 		return false
 	}
-	p.loop.do(func() { p.take(update) })
+	p.loop.Do(func() { p.take(update) })
 	return true
 }
 
--- /dev/null
+++ b/pkg/entry/dispatch.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/callers"
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/routing"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// dispatcher gets requests served by agents. It implements callers.Dispatcher.
+type dispatcher struct {
+	node    *wire.Node
+	control *control
+	budget  *routing.RetryBudget
+}
+
+// Dispatch implements callers.Dispatcher.
+func (d *dispatcher) Dispatch(ctx context.Context, request *wire.Request, sink callers.Sink) *wire.Refusal {
+	d.complete(request)
+	x := &exchange{node: d.node, control: d.control, request: request, sink: sink}
+	defer x.close()
+	attempt := routing.NewAttempt(workOf(ctx, request), d.budget, rand.Uint64())
+	action := attempt.Start(time.Now(), d.control.current().table)
+	for {
+		event, refusal, done := d.perform(ctx, x, action)
+		if done {
+			return refusal
+		}
+		action = attempt.Step(time.Now(), event, d.control.current().table)
+	}
+}
+
+// complete adds what the agent needs of the lists.
+func (d *dispatcher) complete(request *wire.Request) {
+	index := d.control.current().index
+	if index == nil || request.Model == "" {
+		return
+	}
+	policy := index.Policy()
+	request.ColdStartWeight = policy.ColdStartWeight
+	request.IdleWeight = policy.IdleWeight
+	request.MemoryMiB = modelMemory(index, request)
+	request.AdapterMemoryMiB = adapterMemory(index, request)
+}
+
+func modelMemory(index *lists.Index, request *wire.Request) int64 {
+	model, ok := index.Model(request.Model, request.Version)
+	if !ok {
+		return 0
+	}
+	return model.MemoryMiB
+}
+
+func adapterMemory(index *lists.Index, request *wire.Request) int64 {
+	adapter, ok := index.Adapter(request.Adapter, request.AdapterVersion)
+	if !ok {
+		return 0
+	}
+	return adapter.MemoryMiB
+}
+
+func workOf(ctx context.Context, request *wire.Request) routing.Work {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(time.Duration(request.BudgetMillis) * time.Millisecond)
+	}
+	return routing.Work{
+		RequestID: request.ID,
+		Query: routing.Query{
+			Model:       request.Model,
+			Version:     request.Version,
+			Service:     request.Service,
+			AffinityKey: affinityKey(request),
+		},
+		Idempotent: request.Idempotent,
+		Deadline:   deadline,
+	}
+}
+
+// affinityKey brings repetitions of a keyed call to the same agent.
+func affinityKey(request *wire.Request) string {
+	if request.IdempotencyKey == "" {
+		return ""
+	}
+	return request.Plan + "\x00" + request.IdempotencyKey
+}
+
+// perform carries out one action and returns the event that follows, or the
+// request's end.
+func (d *dispatcher) perform(ctx context.Context, x *exchange, action routing.Action) (event routing.Event, refusal *wire.Refusal, done bool) {
+	switch a := action.(type) {
+	case routing.Send:
+		backoff.Sleep(ctx, a.After)
+		event = x.send(ctx, a.Target)
+	case routing.Resume:
+		backoff.Sleep(ctx, a.After)
+		event = x.resume(ctx, a)
+	case routing.Done:
+		return nil, nil, true
+	case routing.Fail:
+		return nil, &a.Refusal, true
+	}
+	if event == nil {
+		event = x.next(ctx)
+	}
+	return event, nil, false
+}
--- /dev/null
+++ b/pkg/entry/dump.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/state"
+)
+
+// controlDump is the part of the state dump on control state.
+type controlDump struct {
+	ListsRevision     int64            `json:"lists_revision"`
+	ListsRejected     *lists.Rejection `json:"lists_rejected,omitempty"`
+	PlacementRevision int64            `json:"placement_revision"`
+	Placements        any              `json:"placements"`
+	Agents            any              `json:"agents"`
+	Entries           any              `json:"entries"`
+	LoadsRunning      int              `json:"loads_running"`
+	LoadsWaiting      int              `json:"loads_waiting"`
+}
+
+// linksDump is the part of the state dump on connections.
+type linksDump struct {
+	Connections int `json:"connections"`
+	InFlight    int `json:"in_flight"`
+}
+
+func (e *Entry) registerDump(dump *state.Registry) {
+	dump.Register("control", func() any { return e.dumpControl() })
+	dump.Register("links", func() any {
+		return linksDump{Connections: e.node.Connections(), InFlight: e.callers.InFlight()}
+	})
+}
+
+func (e *Entry) dumpControl() controlDump {
+	var dump controlDump
+	e.control.loop.Do(func() {
+		members := e.control.members.Snapshot()
+		dump.ListsRevision = e.control.register.Revision()
+		dump.ListsRejected = e.control.register.Rejected()
+		dump.Agents = members.Agents()
+		dump.Entries = members.Entries()
+		dump.LoadsRunning = e.control.coordinator.Running()
+		dump.LoadsWaiting = e.control.coordinator.Waiting()
+	})
+	_, dump.PlacementRevision = e.control.feed.revisions()
+	dump.Placements = e.control.feed.allPlacements()
+	return dump
+}
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,276 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/adminapi"
+	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/callers"
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/loading"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/routing"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/state"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// drainNotice is how long a stopping entry goes on taking requests after its
+	// readiness has turned false, so that the balancer turns away first.
+	drainNotice = 2 * time.Second
+	// drainPoll is the time between two looks whether all requests have ended.
+	drainPoll = 20 * time.Millisecond
+	// closeTimeout bounds the orderly end of HTTP connections.
+	closeTimeout = 2 * time.Second
+)
+
+// Entry is the process on an entry host.
+type Entry struct {
+	config   settings.Entry
+	version  string
+	logger   *slog.Logger
+	store    platform.KeyValueStore
+	lister   platform.HostLister
+	control  *control
+	lists    *lists.Store
+	decider  *deciderLoop
+	node     *wire.Node
+	registry *metrics.Registry
+	callers  *callers.Handler
+	ready    readiness
+	servers  []*http.Server
+	wait     sync.WaitGroup
+}
+
+// Run serves until ctx ends, then drains: readiness turns false, and after a
+// notice to the balancer new requests are refused while those in flight end.
+func Run(ctx context.Context, config settings.Entry, version string, logger *slog.Logger) error {
+	e := &Entry{config: config, version: version, logger: logger, registry: metrics.NewRegistry()}
+	// Work goes on while the process drains, after ctx has ended.
+	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer func() {
+		stopWork()
+		e.cleanUp()
+		e.wait.Wait()
+	}()
+	if err := e.provision(); err != nil {
+		return fmt.Errorf("entry %s: %w", config.Host.ID, err)
+	}
+	e.work(workCtx)
+	if err := e.listen(); err != nil {
+		return fmt.Errorf("entry %s: %w", config.Host.ID, err)
+	}
+	logger.Info("serving", "host", config.Host.ID, "callers", config.Listen.Callers,
+		"admin", config.Listen.Admin, "inner", e.node.Address())
+	<-ctx.Done()
+	e.drain()
+	return nil
+}
+
+// provision opens the clients and the inner socket.
+func (e *Entry) provision() error {
+	store, err := platform.NewEtcd(e.config.KeyValue)
+	if err != nil {
+		return err
+	}
+	e.store = platform.WithPrefix(store, e.config.KeyValue.Prefix)
+	e.lister = platform.NewHostList(e.config.HostList)
+	e.lists = lists.NewStore(e.store, "")
+	e.control = newControl(loading.StoreLimits{
+		StartsPerSecond: e.config.WeightStore.LoadsPerSecond,
+		AtOnce:          e.config.WeightStore.LoadsAtOnce,
+	}, e.logger)
+	e.decider = newDeciderLoop(e.config.Host.ID, e.control, e.store, e.logger)
+	e.control.listsChanged = e.decider.hurry
+	if err := e.openNode(); err != nil {
+		return err
+	}
+	return e.openCallers()
+}
+
+func (e *Entry) openNode() error {
+	serverTLS, err := keys.ServerConfig(e.config.TLS, keys.RoleEntry, keys.RoleAgent)
+	if err != nil {
+		return err
+	}
+	clientTLS, err := keys.ClientConfig(e.config.TLS, keys.RoleEntry, keys.RoleAgent)
+	if err != nil {
+		return err
+	}
+	e.node, err = wire.NewNode(wire.NodeConfig{
+		Address:   e.config.Listen.Inner,
+		ServerTLS: serverTLS,
+		ClientTLS: clientTLS,
+		Identify:  keys.Identify,
+		Handler:   &server{control: e.control},
+		Logger:    e.logger,
+	})
+	return err
+}
+
+func (e *Entry) openCallers() error {
+	handler, err := callers.New(callers.Config{
+		Resolver:   &resolver{control: e.control},
+		Dispatcher: &dispatcher{node: e.node, control: e.control, budget: routing.NewRetryBudget()},
+		Limits:     e.config.Limits,
+		Metrics:    metrics.NewEntry(e.registry.Scope()),
+		Logger:     e.logger,
+		Ready:      e.isReady,
+	})
+	e.callers = handler
+	return err
+}
+
+// work starts the background work.
+func (e *Entry) work(ctx context.Context) {
+	self := e.config.Host.ID
+	follow := &source{
+		self:    self,
+		control: e.control,
+		store:   e.store,
+		lists:   e.lists,
+		node:    e.node,
+		logger:  e.logger,
+		seed:    newSeed(),
+	}
+	probes := &prober{self: self, control: e.control, node: e.node}
+	e.wait.Go(func() { e.control.loop.Run(ctx) })
+	e.wait.Go(func() { e.pollHosts(ctx) })
+	e.wait.Go(func() { e.publish(ctx) })
+	e.wait.Go(func() { follow.run(ctx) })
+	e.wait.Go(func() { probes.run(ctx) })
+	e.wait.Go(func() { e.decider.run(ctx) })
+}
+
+// pollHosts reads the host list until ctx ends.
+func (e *Entry) pollHosts(ctx context.Context) {
+	interval := time.Duration(e.config.HostList.PollMillis) * time.Millisecond
+	for ctx.Err() == nil {
+		hosts, err := e.lister.Hosts(ctx)
+		if err != nil {
+			e.logger.Warn("host list unreadable", "error", err)
+		} else {
+			e.control.loop.Do(func() { e.control.hostsListed(time.Now(), hosts) })
+		}
+		backoff.Sleep(ctx, interval)
+	}
+}
+
+// publish makes learnt statuses visible to routing.
+func (e *Entry) publish(ctx context.Context) {
+	ticker := time.NewTicker(publishInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.control.loop.Post(e.control.publishMembers)
+		}
+	}
+}
+
+// listen opens the addresses for callers and administrators.
+func (e *Entry) listen() error {
+	if err := e.listenHTTP(e.config.Listen.Callers, e.callers); err != nil {
+		return err
+	}
+	return e.listenHTTP(e.config.Listen.Admin, e.adminHandler())
+}
+
+func (e *Entry) listenHTTP(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	if e.config.CallersTLS != nil {
+		certificate, err := tls.LoadX509KeyPair(e.config.CallersTLS.CertFile, e.config.CallersTLS.KeyFile)
+		if err != nil {
+			_ = listener.Close()
+			return fmt.Errorf("callers_tls: %w", err)
+		}
+		listener = tls.NewListener(listener, &tls.Config{
+			Certificates: []tls.Certificate{certificate},
+			MinVersion:   tls.VersionTLS12,
+		})
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug),
+	}
+	e.servers = append(e.servers, server)
+	e.wait.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			e.logger.Error("HTTP server ended", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+func (e *Entry) adminHandler() http.Handler {
+	dump := state.NewRegistry(state.Identity{
+		Program: "teaselgauge-entry",
+		Version: e.version,
+		HostID:  e.config.Host.ID,
+	}, nil)
+	e.registerDump(dump)
+	api := adminapi.New(adminapi.Config{
+		Credentials: e.config.Admin,
+		Lists:       e.lists,
+		Status:      &statusSource{self: e.config.Host.ID, control: e.control},
+		Dump:        func() any { return dump.Dump() },
+		Logger:      e.logger,
+	})
+	mux := http.NewServeMux()
+	mux.Handle("/", api)
+	mux.Handle("GET /metrics", e.registry.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// drain stops taking requests and waits for those in flight.
+func (e *Entry) drain() {
+	e.logger.Info("draining", "in_flight", e.callers.InFlight())
+	e.ready.stop()
+	time.Sleep(drainNotice)
+	e.callers.StartDraining()
+	deadline := time.Now().Add(time.Duration(e.config.Limits.DrainMillis) * time.Millisecond)
+	for e.callers.InFlight() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+	}
+	e.logger.Info("stopped", "host", e.config.Host.ID, "in_flight", e.callers.InFlight())
+}
+
+func (e *Entry) cleanUp() {
+	for _, server := range e.servers {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+		cancel()
+	}
+	if e.node != nil {
+		e.node.Close()
+	}
+	_ = e.registry.Close()
+}
--- a/pkg/entry/feed.go
+++ b/pkg/entry/feed.go
@@ -1,41 +1,28 @@
 package entry
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"sync"
 
 	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// maxListsBytes bounds the uncompressed size of relayed lists.
-const maxListsBytes = 64 << 20
-
-// placementKey names a placement.
-type placementKey struct {
-	Model   string
-	Version string
-}
-
 // feed is what this entry knows of lists and placements and relays to others.
 // Revisions only go up.
 type feed struct {
 	mu         sync.Mutex
 	lists      []byte
 	listsRev   int64
-	placements map[placementKey]wire.Placement
+	placements map[placement.ModelVersion]wire.Placement
 	placeRev   int64
 	changed    chan struct{}
 }
 
 func newFeed() *feed {
 	return &feed{
-		placements: make(map[placementKey]wire.Placement),
+		placements: make(map[placement.ModelVersion]wire.Placement),
 		changed:    make(chan struct{}),
 	}
 }
@@ -48,7 +35,7 @@
 
 // setLists records a revision of the lists and tells whether it is news.
 func (f *feed) setLists(snapshot lists.Snapshot) (bool, error) {
-	packed, err := packLists(snapshot)
+	packed, err := lists.EncodeSnapshot(snapshot)
 	if err != nil {
 		return false, err
 	}
@@ -69,13 +56,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var news []wire.Placement
-	for _, placement := range placements {
-		key := placementKey{Model: placement.Model, Version: placement.Version}
-		if placement.Revision <= f.placements[key].Revision {
+	for _, read := range placements {
+		id := placement.Of(&read)
+		if read.Revision <= f.placements[id].Revision {
 			continue
 		}
-		f.placements[key] = placement
-		news = append(news, placement)
+		f.placements[id] = read
+		news = append(news, read)
 	}
 	if revision > f.placeRev {
 		f.placeRev = revision
@@ -98,8 +85,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := make([]wire.Placement, 0, len(f.placements))
-	for _, placement := range f.placements {
-		all = append(all, placement)
+	for _, known := range f.placements {
+		all = append(all, known)
 	}
 	return all
 }
@@ -132,34 +119,10 @@
 		update.ListsRevision = f.listsRev
 		update.Lists = f.lists
 	}
-	for _, placement := range f.placements {
-		if placement.Revision > sync.PlacementRevision {
-			update.Placements = append(update.Placements, placement)
+	for _, known := range f.placements {
+		if known.Revision > sync.PlacementRevision {
+			update.Placements = append(update.Placements, known)
 		}
 	}
 	return update
 }
-
-func packLists(snapshot lists.Snapshot) ([]byte, error) {
-	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("pack lists: %w", err)
-	}
-	if err := json.NewEncoder(writer).Encode(snapshot); err != nil {
-		return nil, fmt.Errorf("pack lists: %w", err)
-	}
-	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("pack lists: %w", err)
-	}
-	return packed.Bytes(), nil
-}
-
-func unpackLists(packed []byte) (lists.Snapshot, error) {
-	reader := io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxListsBytes)
-	var snapshot lists.Snapshot
-	if err := json.NewDecoder(reader).Decode(&snapshot); err != nil {
-		return lists.Snapshot{}, fmt.Errorf("unpack lists: %w", err)
-	}
-	return snapshot, nil
-}
--- /dev/null
+++ b/pkg/entry/source.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/placement"
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// storeTimeout bounds one read of the key-value service.
+	storeTimeout = 5 * time.Second
+	// syncWait is how long a peer holds a Sync back without news.
+	syncWait = 20 * time.Second
+	// syncSlack is how much longer than its wait a Sync may take.
+	syncSlack = 3 * time.Second
+	// memberWait is the pause while no host list has been read.
+	memberWait = 200 * time.Millisecond
+	// directReadInterval is the least time between two reads of the key-value
+	// service by an entry that doesn't watch it.
+	directReadInterval = 10 * time.Second
+	// roleReview is how often an entry looks whether it should watch.
+	roleReview = 15 * time.Second
+)
+
+var errUnexpectedFrame = errors.New("unexpected answer")
+
+// source keeps the entry's lists and placements up to date. A few entries of
+// each failure domain watch the key-value service; the others learn from them,
+// as all do while the key-value service is away.
+type source struct {
+	self    string
+	control *control
+	store   platform.KeyValueStore
+	lists   *lists.Store
+	node    *wire.Node
+	logger  *slog.Logger
+	seed    uint64
+	// lastDirect is when an entry that doesn't watch last read the key-value
+	// service.
+	lastDirect time.Time
+}
+
+// run follows lists and placements until ctx ends.
+func (s *source) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		members := s.control.current().members
+		if len(members.Entries()) == 0 {
+			backoff.Sleep(ctx, memberWait)
+			continue
+		}
+		if s.followOnce(ctx, members, failures) {
+			failures = 0
+			continue
+		}
+		backoff.Sleep(ctx, backoff.Duration(failures))
+		failures++
+	}
+}
+
+// followOnce follows the key-value service or a peer for a while. It returns
+// false on failure.
+func (s *source) followOnce(ctx context.Context, members *membership.Snapshot, failures int) bool {
+	if slices.Contains(membership.Watchers(members.Entries()), s.self) {
+		if err := s.watch(ctx); err == nil {
+			return true
+		} else if ctx.Err() == nil {
+			s.logger.Warn("key-value service unreadable", "error", err)
+		}
+		return s.syncAll(ctx, members)
+	}
+	if s.syncOne(ctx, members, failures, syncWait) {
+		return true
+	}
+	s.readDirectly(ctx)
+	return false
+}
+
+// readDirectly reads the key-value service for an entry that reaches no peer.
+func (s *source) readDirectly(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(s.lastDirect) < directReadInterval {
+		return
+	}
+	s.lastDirect = now
+	if _, err := s.read(ctx); err != nil {
+		s.logger.Warn("key-value service unreadable", "error", err)
+	}
+}
+
+// watch reads everything and then follows changes for roleReview or until the
+// watch breaks.
+func (s *source) watch(ctx context.Context) error {
+	revision, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	watchCtx, cancel := context.WithTimeout(ctx, roleReview)
+	defer cancel()
+	results := make(chan error, 2)
+	go func() { results <- s.watchPlacements(watchCtx, revision) }()
+	go func() { results <- s.watchLists(watchCtx, revision) }()
+	first := <-results
+	cancel()
+	second := <-results
+	if errors.Is(first, context.DeadlineExceeded) || watchCtx.Err() == context.DeadlineExceeded {
+		return nil
+	}
+	return errors.Join(first, second)
+}
+
+// read reads lists and placements and returns the revision from which a watch
+// misses nothing.
+func (s *source) read(ctx context.Context) (int64, error) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	result, err := s.store.Range(callCtx, placement.KeyPrefix, true)
+	if err != nil {
+		return 0, err
+	}
+	placements := s.decode(result.Values)
+	s.control.loop.Do(func() { s.control.placementsRead(time.Now(), result.Revision, placements) })
+	if err := s.readLists(callCtx); err != nil {
+		return 0, err
+	}
+	return result.Revision, nil
+}
+
+func (s *source) decode(values []platform.KeyValue) []wire.Placement {
+	placements := make([]wire.Placement, 0, len(values))
+	for _, value := range values {
+		decoded, err := placement.Decode(value)
+		if err != nil {
+			s.logger.Error("placement unreadable", "key", value.Key, "error", err)
+			continue
+		}
+		placements = append(placements, decoded)
+	}
+	return placements
+}
+
+func (s *source) readLists(ctx context.Context) error {
+	snapshot, err := s.lists.Get(ctx)
+	var unreadable *lists.UnreadableError
+	if errors.As(err, &unreadable) {
+		s.control.loop.Do(func() { s.control.listsUnreadable(unreadable.Revision, err) })
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.control.loop.Do(func() { s.control.listsOffered(snapshot) })
+	return nil
+}
+
+func (s *source) watchPlacements(ctx context.Context, after int64) error {
+	return s.store.Watch(ctx, placement.KeyPrefix, after, func(revision int64, events []platform.WatchEvent) {
+		var values []platform.KeyValue
+		for _, event := range events {
+			if !event.Deleted {
+				values = append(values, event.Value)
+			}
+		}
+		placements := s.decode(values)
+		s.control.loop.Do(func() { s.control.placementsRead(time.Now(), revision, placements) })
+	})
+}
+
+func (s *source) watchLists(ctx context.Context, after int64) error {
+	var readErr error
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	err := s.store.Watch(watchCtx, s.lists.ManifestKey(), after, func(int64, []platform.WatchEvent) {
+		callCtx, cancelCall := context.WithTimeout(ctx, storeTimeout)
+		defer cancelCall()
+		if readErr = s.readLists(callCtx); readErr != nil {
+			cancel()
+		}
+	})
+	if readErr != nil {
+		return readErr
+	}
+	return err
+}
+
+// syncAll asks all its peers at once without waiting, so that the newest
+// revision among them is found, and tells whether any answered.
+func (s *source) syncAll(ctx context.Context, members *membership.Snapshot) bool {
+	answered := false
+	peers := s.peers(members)
+	for i := range peers {
+		if s.syncWith(ctx, peers[i], 0) {
+			answered = true
+		}
+	}
+	if answered {
+		backoff.Sleep(ctx, time.Second)
+	}
+	return answered
+}
+
+func (s *source) syncOne(ctx context.Context, members *membership.Snapshot, failures int, wait time.Duration) bool {
+	peers := s.peers(members)
+	if len(peers) == 0 {
+		return false
+	}
+	return s.syncWith(ctx, peers[failures%len(peers)], wait)
+}
+
+func (s *source) peers(members *membership.Snapshot) []*membership.Entry {
+	byID := make(map[string]*membership.Entry)
+	for _, entry := range members.Entries() {
+		byID[entry.ID] = entry
+	}
+	self := byID[s.self]
+	if self == nil {
+		self = &membership.Entry{ID: s.self}
+	}
+	var peers []*membership.Entry
+	for _, id := range membership.SyncPeers(*self, members.Entries(), s.seed) {
+		if entry := byID[id]; entry != nil && id != s.self {
+			peers = append(peers, entry)
+		}
+	}
+	return peers
+}
+
+func (s *source) syncWith(ctx context.Context, peer *membership.Entry, wait time.Duration) bool {
+	callCtx, cancel := context.WithTimeout(ctx, wait+syncSlack)
+	defer cancel()
+	listsRevision, placementRevision := s.control.feed.revisions()
+	answer, err := s.node.Call(callCtx, peer.ID, peer.Address, &wire.Frame{Sync: &wire.Sync{
+		ListsRevision:     listsRevision,
+		PlacementRevision: placementRevision,
+		WaitMillis:        uint32(wait.Milliseconds()),
+	}})
+	if err != nil || answer.Update == nil {
+		s.logger.Debug("sync failed", "entry", peer.ID, "error", err)
+		return false
+	}
+	s.take(answer.Update)
+	return true
+}
+
+func (s *source) take(update *wire.Update) {
+	s.control.loop.Do(func() {
+		s.control.placementsRead(time.Now(), update.PlacementRevision, update.Placements)
+	})
+	if len(update.Lists) == 0 {
+		return
+	}
+	snapshot, err := lists.DecodeSnapshot(update.Lists)
+	if err != nil {
+		s.logger.Error("relayed lists unreadable", "revision", update.ListsRevision, "error", err)
+		return
+	}
+	s.control.loop.Do(func() { s.control.listsOffered(snapshot) })
+}
+
+// newSeed spreads the entries over their peers.
+func newSeed() uint64 { return rand.Uint64() }
--- a/pkg/placement/decider.go
+++ b/pkg/placement/decider.go
@@ -141,12 +141,13 @@
 	if before != nil {
 		e.change.ExpectRevision = before.Revision
 		e.change.Placement.Permits = slices.Clone(before.Permits)
+		e.change.Placement.MemoryMiB = before.MemoryMiB
 	}
 	return e
 }
 
 func (e *edit) appendTo(changes []Change) []Change {
-	if e.change.Granted+e.change.Revoked+e.change.Removed == 0 {
+	if e.change.Granted+e.change.Revoked+e.change.Removed+e.change.Described == 0 {
 		return changes
 	}
 	return append(changes, e.change)
@@ -174,9 +175,31 @@
 	if demand.BusyPermits == 0 && demand.WaitMillis == 0 {
 		e.revokeIdle(wanted)
 	}
+	e.describe(model)
 	return e.appendTo(changes)
 }
 
+// describe copies from the lists what the runners need to know: the memory of a
+// replica and which replicas stay loaded.
+func (e *edit) describe(model *lists.Model) {
+	if e.change.Placement.MemoryMiB != model.MemoryMiB {
+		e.change.Placement.MemoryMiB = model.MemoryMiB
+		e.change.Described++
+	}
+	kept := 0
+	for i := range e.change.Placement.Permits {
+		permit := &e.change.Placement.Permits[i]
+		keep := e.isUsable(i) && kept < model.MinReplicas
+		if keep {
+			kept++
+		}
+		if permit.Keep != keep {
+			permit.Keep = keep
+			e.change.Described++
+		}
+	}
+}
+
 // removeGone removes the permits of hosts that are gone.
 func (e *edit) removeGone() {
 	kept := e.change.Placement.Permits[:0]
--- a/pkg/placement/store.go
+++ b/pkg/placement/store.go
@@ -74,6 +74,8 @@
 	Granted int
 	Revoked int
 	Removed int
+	// Described counts changes of what runners are told of a replica.
+	Described int
 }
 
 // Transaction returns the condition and the operation that make the change.
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -20,6 +20,9 @@
 	DefaultMaxDeadline  = time.Hour
 	DefaultDrain        = 10 * time.Minute
 
+	DefaultLoadsPerSecond = 4.0
+	DefaultLoadsAtOnce    = 4
+
 	DefaultServiceSlots   = 8
 	DefaultAgentMaxQueued = 1024
 )
@@ -83,6 +86,7 @@
 	e.HostList.fillDefaults()
 	e.Log.fillDefaults()
 	e.Limits.fillDefaults()
+	e.WeightStore.fillDefaults()
 }
 
 func (a *Agent) fillDefaults() {
@@ -90,6 +94,7 @@
 	a.HostList.fillDefaults()
 	a.Log.fillDefaults()
 	a.Limits.fillDefaults()
+	a.WeightStore.fillDefaults()
 	if a.Backend.Kind == BackendService {
 		setDefault(&a.Backend.Slots, DefaultServiceSlots)
 	}
@@ -103,6 +108,11 @@
 	setDefault(&h.PollMillis, millis(DefaultHostListPoll))
 }
 
+func (w *WeightStore) fillDefaults() {
+	setDefault(&w.LoadsPerSecond, DefaultLoadsPerSecond)
+	setDefault(&w.LoadsAtOnce, DefaultLoadsAtOnce)
+}
+
 func (l *Log) fillDefaults() {
 	setDefault(&l.Level, DefaultLogLevel)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -39,6 +39,15 @@
 	PollMillis int `json:"poll_ms,omitempty" validate:"min=0,max=60000"`
 }
 
+// WeightStore states the limits of the platform's weight store, for all runners
+// of the site together.
+type WeightStore struct {
+	// LoadsPerSecond is the rate of load starts. Default 4.
+	LoadsPerSecond float64 `json:"loads_per_second,omitempty" validate:"min=0,max=1000000"`
+	// LoadsAtOnce is the number of loads that run at full speed. Default 4.
+	LoadsAtOnce int `json:"loads_at_once,omitempty" validate:"min=0,max=1000000"`
+}
+
 // Log says what is logged.
 type Log struct {
 	// Level is debug, info, warn or error. Default info.
@@ -88,15 +97,16 @@
 
 // Entry holds the settings of teaselgauge-entry.
 type Entry struct {
-	Host       Host              `json:"host"`
-	Listen     EntryListen       `json:"listen"`
-	TLS        InnerTLS          `json:"tls"`
-	CallersTLS *CallersTLS       `json:"callers_tls,omitempty"`
-	KeyValue   KeyValue          `json:"key_value"`
-	HostList   HostList          `json:"host_list"`
-	Admin      []AdminCredential `json:"admin,omitempty" validate:"dive"`
-	Limits     EntryLimits       `json:"limits"`
-	Log        Log               `json:"log"`
+	Host        Host              `json:"host"`
+	Listen      EntryListen       `json:"listen"`
+	TLS         InnerTLS          `json:"tls"`
+	CallersTLS  *CallersTLS       `json:"callers_tls,omitempty"`
+	KeyValue    KeyValue          `json:"key_value"`
+	HostList    HostList          `json:"host_list"`
+	Admin       []AdminCredential `json:"admin,omitempty" validate:"dive"`
+	Limits      EntryLimits       `json:"limits"`
+	WeightStore WeightStore       `json:"weight_store"`
+	Log         Log               `json:"log"`
 }
 
 // BackendKind tells what stands behind an agent.
@@ -144,12 +154,13 @@
 
 // Agent holds the settings of teaselgauge-agent.
 type Agent struct {
-	Host     Host        `json:"host"`
-	Listen   AgentListen `json:"listen"`
-	TLS      InnerTLS    `json:"tls"`
-	KeyValue KeyValue    `json:"key_value"`
-	HostList HostList    `json:"host_list"`
-	Backend  Backend     `json:"backend"`
-	Limits   AgentLimits `json:"limits"`
-	Log      Log         `json:"log"`
+	Host        Host        `json:"host"`
+	Listen      AgentListen `json:"listen"`
+	TLS         InnerTLS    `json:"tls"`
+	KeyValue    KeyValue    `json:"key_value"`
+	HostList    HostList    `json:"host_list"`
+	Backend     Backend     `json:"backend"`
+	Limits      AgentLimits `json:"limits"`
+	WeightStore WeightStore `json:"weight_store"`
+	Log         Log         `json:"log"`
 }
--- a/pkg/wire/call.go
+++ b/pkg/wire/call.go
@@ -12,7 +12,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		stream.SetReadDeadline(deadline)
 	}
-	stop := context.AfterFunc(ctx, stream.abort)
+	stop := context.AfterFunc(ctx, stream.Abort)
 	defer stop()
 	if err := stream.Send(frame); err != nil {
 		return nil, err
--- a/pkg/wire/stream.go
+++ b/pkg/wire/stream.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// abort makes pending reads and writes fail without freeing the stream.
-func (s *Stream) abort() {
+// Abort makes pending reads and writes fail without freeing the stream.
+func (s *Stream) Abort() {
 	s.stream.CancelRead(streamCancelled)
 	s.stream.CancelWrite(streamCancelled)
 }
