Pace loads through the coordinator and keep models by their own history

Cause: loads started as soon as wanted, whatever the weight store could take, and idle models stayed a fixed time. Change: the agent asks the coordinating entry for each start of a load from the weight store and falls back to the fixed split when it is silent; adapters wait for a place in the window; keep-alive and eviction come from the model's gaps between requests and the site's weights. Ruled out: pacing loads from memory or disk, which don't touch the store.

--- a/cmd/teaselgauge-agent/main.go
+++ b/cmd/teaselgauge-agent/main.go
@@ -46,5 +46,5 @@
 	if err != nil {
 		return fmt.Errorf("log settings: %w", err)
 	}
-	return agent.Run(ctx, config, logger)
+	return agent.Run(ctx, config, command.Version(), logger)
 }
--- a/pkg/agent/adapters.go
+++ b/pkg/agent/adapters.go
@@ -22,6 +22,12 @@
 	orderEnded time.Time
 }
 
+// adapterLoad is an adapter's load that waits for a place in the window.
+type adapterLoad struct {
+	adapter *adapter
+	mib     int64
+}
+
 // acquireAdapter makes an adapter ready for one request and calls done on the
 // loop. The request's model is loaded and counts the request as running.
 func (t *modelTable) acquireAdapter(now time.Time, target engine.Target, mib int64, done func(wire.Reason)) {
@@ -58,7 +64,7 @@
 	err := t.ledger.Reserve(a.target, mib)
 	if errors.Is(err, ledger.ErrNoMemory) {
 		t.evictIdleAdapter(a)
-		t.evictIdleModel(now)
+		t.evictIdleModel(now, a.target)
 		t.adapterEnded(now, a, wire.ReasonNoMemory)
 		return
 	}
@@ -68,11 +74,26 @@
 		return
 	}
 	a.state = wire.ModelLoading
-	t.orders.loadAdapter(a.target, mib, func(err error) { t.adapterLoaded(time.Now(), a, err) })
+	t.adapterLoads = append(t.adapterLoads, adapterLoad{adapter: a, mib: mib})
+	t.pumpAdapters(now)
+}
+
+// pumpAdapters starts the adapter loads for which the window has a place.
+func (t *modelTable) pumpAdapters(now time.Time) {
+	for len(t.adapterLoads) > 0 && t.window.Start(now) {
+		load := t.adapterLoads[0]
+		t.adapterLoads = t.adapterLoads[1:]
+		t.orders.loadAdapter(load.adapter.target, load.mib, func(err error) {
+			t.adapterLoaded(time.Now(), now, load.adapter, err)
+		})
+	}
 }
 
-func (t *modelTable) adapterLoaded(now time.Time, a *adapter, err error) {
+func (t *modelTable) adapterLoaded(now, started time.Time, a *adapter, err error) {
 	a.orderEnded = now
+	t.window.Done(now, now.Sub(started))
+	t.controller.metrics.Load("adapter", loadResult(err), now.Sub(started))
+	t.pumpAdapters(now)
 	if err == nil {
 		t.note(t.ledger.Hold(a.target))
 		a.state = wire.ModelLoaded
@@ -121,7 +142,7 @@
 }
 
 // evictIdleModel orders the idle model whose loss costs least out of memory.
-func (t *modelTable) evictIdleModel(now time.Time) {
+func (t *modelTable) evictIdleModel(now time.Time, wanted engine.Target) {
 	var idle []*model
 	for _, m := range t.models {
 		if m.isIdle() && !m.keep {
@@ -129,9 +150,7 @@
 		}
 	}
 	const anySize = 1
-	for _, victim := range t.retention.victims(now, idle, anySize, t.heldWithAdapters) {
-		t.beginUnload(victim, "evicted")
-	}
+	t.evict(now, idle, anySize, t.model(modelOf(wanted)).policy)
 }
 
 // unloadAdaptersOf unloads a model's adapters and then calls done, unless an
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -16,6 +16,8 @@
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/engine"
 	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/loading"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -38,6 +40,7 @@
 // Agent is one incarnation of the process.
 type Agent struct {
 	config      settings.Agent
+	version     string
 	logger      *slog.Logger
 	incarnation string
 	store       platform.KeyValueStore
@@ -45,6 +48,8 @@
 	controller  *controller
 	node        *wire.Node
 	directory   *entryDirectory
+	coordinator *coordinatorClient
+	registry    *metrics.Registry
 	guard       net.Listener
 	admin       *http.Server
 	wait        sync.WaitGroup
@@ -52,8 +57,14 @@
 
 // Run serves until ctx ends, then drains: it refuses new requests and returns
 // when those in flight have ended or the drain time is over.
-func Run(ctx context.Context, config settings.Agent, logger *slog.Logger) error {
-	a := &Agent{config: config, logger: logger, incarnation: uuid.NewString()}
+func Run(ctx context.Context, config settings.Agent, version string, logger *slog.Logger) error {
+	a := &Agent{
+		config:      config,
+		version:     version,
+		logger:      logger,
+		incarnation: uuid.NewString(),
+		registry:    metrics.NewRegistry(),
+	}
 	if err := a.provision(ctx); err != nil {
 		a.cleanUp()
 		return fmt.Errorf("agent %s: %w", config.Host.ID, err)
@@ -79,6 +90,8 @@
 		lister: a.lister,
 		logger: a.logger,
 		seed:   rand.Uint64(),
+
+		runnersChanged: func(int) {},
 	}
 	return nil
 }
@@ -93,6 +106,7 @@
 	if a.guard != nil {
 		_ = a.guard.Close()
 	}
+	_ = a.registry.Close()
 }
 
 func (a *Agent) serve(ctx context.Context) error {
@@ -103,9 +117,9 @@
 		a.cleanUp()
 		a.wait.Wait()
 	}()
-	a.controller = newController(workCtx, a.config, a.incarnation, a.logger)
+	a.controller = newController(workCtx, a.config, a.incarnation, metrics.NewAgent(a.registry.Scope()), a.logger)
+	a.coordinator = &coordinatorClient{ctx: workCtx, loop: a.controller.loop, directory: a.directory}
 	a.wait.Go(func() { a.controller.loop.Run(workCtx) })
-	a.wait.Go(func() { a.directory.refresh(workCtx) })
 	if err := a.openBackend(ctx, workCtx); err != nil {
 		return err
 	}
@@ -152,26 +166,25 @@
 		loop:        c.loop,
 		engine:      client,
 		store:       a.store,
-		gate:        openGate{},
-		runner:      c.runner,
 		incarnation: a.incarnation,
 		fence:       claimed.fence,
 	}
 	c.loop.Do(func() {
 		c.models = newModelTable(c, claimed.state.MemoryMiB, orders)
+		c.models.pace(loading.StoreLimits{
+			StartsPerSecond: a.config.WeightStore.LoadsPerSecond,
+			AtOnce:          a.config.WeightStore.LoadsAtOnce,
+		}, a.coordinator.ask)
 		orders.table = c.models
 		c.models.adopt(time.Now(), claimed.state)
 	})
+	a.directory.runnersChanged = func(runners int) {
+		c.loop.Post(func() { c.models.setRunners(runners) })
+	}
 	a.wait.Go(func() { a.reconcile(workCtx, client) })
 	return nil
 }
 
-// openGate lets every load start at once.
-type openGate struct{}
-
-func (openGate) Acquire(context.Context, wire.LoadAsk) error { return nil }
-func (openGate) Release(wire.LoadAsk, time.Duration)         {}
-
 // reconcile reads the engine's state from time to time.
 func (a *Agent) reconcile(ctx context.Context, client engine.Engine) {
 	for ctx.Err() == nil {
@@ -208,6 +221,8 @@
 	if err != nil {
 		return err
 	}
+	a.coordinator.node.Store(a.node)
+	a.wait.Go(func() { a.directory.refresh(a.controller.ctx) })
 	a.followPermits()
 	return a.listenAdmin()
 }
--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/admission"
-	"teaselgauge.example/teaselgauge/pkg/engine"
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -26,6 +26,7 @@
 	loop        *eventloop.Loop
 	ctx         context.Context
 	logger      *slog.Logger
+	metrics     *metrics.Agent
 	runner      string
 	incarnation string
 	services    []string
@@ -44,12 +45,13 @@
 	start func(*ticket)
 }
 
-func newController(ctx context.Context, config settings.Agent, incarnation string, logger *slog.Logger) *controller {
+func newController(ctx context.Context, config settings.Agent, incarnation string, metered *metrics.Agent, logger *slog.Logger) *controller {
 	limits := admission.Limits{MaxQueued: config.Limits.MaxQueued, Slots: config.Backend.Slots}
 	return &controller{
 		loop:        eventloop.New(),
 		ctx:         ctx,
 		logger:      logger,
+		metrics:     metered,
 		runner:      config.Host.ID,
 		incarnation: incarnation,
 		services:    config.Backend.Services,
@@ -121,7 +123,7 @@
 	}
 	t.waiting = true
 	if c.models != nil {
-		c.models.queued(t.target())
+		c.models.queued(t.target(), t.deadline)
 	}
 	c.advance(now)
 }
@@ -142,6 +144,7 @@
 			continue
 		}
 		c.leftQueue(t)
+		c.metrics.QueueWait(t.request.Plan, now.Sub(t.arrived))
 		if c.models != nil {
 			c.models.started(t.target())
 		}
@@ -179,6 +182,7 @@
 
 // retire keeps the ended answer for a while, so that it can be resumed.
 func (c *controller) retire(t *ticket) {
+	c.metrics.RequestDone(t.outcome())
 	if t.finished != nil {
 		t.finished(t)
 	}
@@ -215,6 +219,7 @@
 
 // tick refuses what can no longer make its deadline and looks at idle models.
 func (c *controller) tick(now time.Time) {
+	c.metrics.Requests(c.queue.Len(), c.queue.Running())
 	for _, item := range c.queue.Expire(now) {
 		if t := c.tickets[item.ID]; t != nil {
 			wait := c.queue.ExpectedWait(now, item.Plan, item.Weight)
@@ -278,7 +283,3 @@
 	const newPlan, newWeight = "", 1
 	return c.queue.ExpectedWait(now, newPlan, newWeight)
 }
-
-func toTarget(target admission.Target) engine.Target {
-	return engine.Target{Model: target.Model, Version: target.Version}
-}
--- a/pkg/agent/models.go
+++ b/pkg/agent/models.go
@@ -9,12 +9,19 @@
 	"teaselgauge.example/teaselgauge/pkg/admission"
 	"teaselgauge.example/teaselgauge/pkg/engine"
 	"teaselgauge.example/teaselgauge/pkg/ledger"
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/loading"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// loadFailureBackoff is how long a model isn't loaded again after a failure.
-const loadFailureBackoff = 2 * time.Second
+const (
+	// loadFailureBackoff is how long a model isn't loaded again after a failure.
+	loadFailureBackoff = 2 * time.Second
+	// keptLoadDeadline is the urgency of a load that no request waits for.
+	keptLoadDeadline = time.Minute
+)
 
 // model is the state of one model version at this runner.
 type model struct {
@@ -34,15 +41,13 @@
 	// orderEnded is when the last order ended.
 	orderEnded  time.Time
 	loadStarted time.Time
+	// paced tells that the load under way comes from the weight store.
+	paced       bool
 	lastUsed    time.Time
 	failedUntil time.Time
-	costs       siteCosts
-}
-
-// siteCosts are the site's weights of its two measures.
-type siteCosts struct {
-	coldStart float64
-	idle      float64
+	// deadline is the earliest of the requests that wait for a load.
+	deadline time.Time
+	policy   lists.Policy
 }
 
 func (m *model) target() engine.Target {
@@ -65,10 +70,14 @@
 	ledger     *ledger.Ledger
 	holder     *placement.Holder
 	orders     orderer
-	retention  *retention
+	keeper     *loading.Keeper
+	pacer      *loadPacer
 	estimates  *loadEstimator
 	models     map[placement.ModelVersion]*model
 	adapters   map[engine.Target]*adapter
+	window     *loading.AdapterWindow
+	// adapterLoads holds the adapters that wait for a place in window.
+	adapterLoads []adapterLoad
 }
 
 // orderer carries out what the table decides. Each order runs on its own
@@ -97,13 +106,31 @@
 		ledger:     ledger.New(capacityMiB),
 		holder:     placement.NewHolder(c.runner),
 		orders:     orders,
-		retention:  newRetention(),
+		keeper:     loading.NewKeeper(),
 		estimates:  newLoadEstimator(),
 		models:     make(map[placement.ModelVersion]*model),
 		adapters:   make(map[engine.Target]*adapter),
+		window:     loading.NewAdapterWindow(1),
 	}
 }
 
+// pace connects the table to the pacing of loads from the weight store.
+func (t *modelTable) pace(limits loading.StoreLimits, ask func(wire.LoadAsk, func(wire.LoadSlot, bool))) {
+	const alone = 1
+	t.pacer = &loadPacer{
+		table:   t,
+		guided:  loading.NewGuided(limits, alone, loading.FallbackSplit),
+		waiting: make(map[engine.Target]pacedLoad),
+		ask:     ask,
+	}
+}
+
+// setRunners takes in the number of runners that share the weight store.
+func (t *modelTable) setRunners(runners int) {
+	t.pacer.guided.SetAgents(runners)
+	t.window.SetAgents(runners)
+}
+
 func (t *modelTable) model(id placement.ModelVersion) *model {
 	m := t.models[id]
 	if m == nil {
@@ -124,8 +151,8 @@
 	if request.MemoryMiB > 0 && m.state == wire.ModelAbsent {
 		m.memoryMiB = request.MemoryMiB
 	}
-	m.costs = siteCosts{coldStart: request.ColdStartWeight, idle: request.IdleWeight}
-	t.retention.arrived(now, m.id)
+	m.policy = lists.Policy{ColdStartWeight: request.ColdStartWeight, IdleWeight: request.IdleWeight}
+	t.keeper.Arrived(now, m.target())
 	if m.revoked {
 		return 0, wire.ReasonNoPermit
 	}
@@ -201,8 +228,12 @@
 	return m != nil && m.state == wire.ModelLoaded && !m.uncertain && !m.revoked
 }
 
-func (t *modelTable) queued(target admission.Target) {
-	t.lookup(target).waiting++
+func (t *modelTable) queued(target admission.Target, deadline time.Time) {
+	m := t.lookup(target)
+	if m.waiting == 0 || deadline.Before(m.deadline) {
+		m.deadline = deadline
+	}
+	m.waiting++
 }
 
 func (t *modelTable) dequeued(target admission.Target) {
@@ -217,6 +248,9 @@
 	m := t.lookup(target)
 	m.running--
 	m.lastUsed = now
+	if m.running == 0 {
+		t.keeper.Finished(now, m.target())
+	}
 	if m.revoked && m.running == 0 {
 		t.beginUnload(m, "revoked")
 	}
@@ -237,6 +271,7 @@
 	for _, m := range wanted {
 		t.startLoad(now, m)
 	}
+	t.pacer.pump(now)
 }
 
 func (t *modelTable) startLoad(now time.Time, m *model) {
@@ -259,14 +294,38 @@
 	}
 	m.state = wire.ModelLoading
 	m.loadStarted = now
-	t.orders.loadModel(loadOrder{
+	order := loadOrder{
 		id:        m.id,
 		target:    m.target(),
 		memoryMiB: m.memoryMiB,
 		remote:    m.cache == engine.CacheRemote || m.cache == "",
 		waiting:   m.waiting,
-		deadline:  now.Add(time.Minute),
-	})
+		deadline:  now.Add(keptLoadDeadline),
+	}
+	if m.waiting > 0 {
+		order.deadline = m.deadline
+	}
+	m.paced = order.remote
+	if m.paced {
+		t.pacer.want(now, order)
+		return
+	}
+	t.orders.loadModel(order)
+}
+
+// pacedEnded tells the pacer of the end of a load from the weight store.
+func (t *modelTable) pacedEnded(now time.Time, m *model, took time.Duration) {
+	if m.paced {
+		m.paced = false
+		t.pacer.ended(now, m.target(), took, t.estimates.expected(m.cache))
+	}
+}
+
+// loadDropped gives up a load that waited for its turn.
+func (t *modelTable) loadDropped(_ time.Time, m *model) {
+	t.note(t.ledger.Cancel(m.target()))
+	m.state = wire.ModelAbsent
+	t.settleRevoked(m)
 }
 
 // makeRoom unloads idle models until the unloads under way free enough memory
@@ -286,8 +345,26 @@
 			idle = append(idle, other)
 		}
 	}
-	for _, victim := range t.retention.victims(now, idle, m.memoryMiB-room, t.heldWithAdapters) {
-		t.beginUnload(victim, "evicted")
+	t.evict(now, idle, m.memoryMiB-room, m.policy)
+}
+
+// evict unloads the idle models whose loss costs least until needed MiB will be
+// free.
+func (t *modelTable) evict(now time.Time, idle []*model, needed int64, policy lists.Policy) {
+	if needed <= 0 {
+		return
+	}
+	candidates := make([]loading.Candidate, 0, len(idle))
+	for _, m := range idle {
+		candidates = append(candidates, loading.Candidate{
+			Target:   m.target(),
+			MiB:      t.heldWithAdapters(m),
+			LoadTime: t.estimates.expected(engine.CacheMemory),
+		})
+	}
+	victims, _ := t.keeper.ChooseVictims(now, candidates, needed, policy)
+	for _, victim := range victims {
+		t.beginUnload(t.model(modelOf(victim)), "evicted")
 	}
 }
 
@@ -306,6 +383,7 @@
 	m := t.model(id)
 	t.note(t.ledger.Cancel(m.target()))
 	m.state = wire.ModelAbsent
+	t.pacedEnded(now, m, 0)
 	t.controller.failWaiting(now, m.queueTarget(), reason, "")
 	t.settleRevoked(m)
 	t.controller.advance(now)
@@ -316,6 +394,8 @@
 	m := t.model(id)
 	m.orderEnded = now
 	took := now.Sub(m.loadStarted)
+	t.pacedEnded(now, m, took)
+	t.controller.metrics.Load("model", loadResult(err), took)
 	if err != nil {
 		t.loadFailed(now, m, err)
 		return
@@ -346,6 +426,17 @@
 	t.controller.advance(now)
 }
 
+func loadResult(err error) metrics.Result {
+	switch {
+	case err == nil:
+		return metrics.ResultOK
+	case isNotRun(err):
+		return metrics.ResultError
+	default:
+		return metrics.ResultUncertain
+	}
+}
+
 func isNotRun(err error) bool {
 	var engineErr *engine.Error
 	return errors.As(err, &engineErr) && engineErr.NotRun
@@ -372,6 +463,7 @@
 		return
 	}
 	m.state = wire.ModelUnloading
+	t.controller.metrics.Unload(cause)
 	t.controller.logger.Info("unloading model", "model", m.id.String(), "cause", cause)
 	t.unloadAdaptersOf(m, func() { t.unloadModel(m) })
 }
@@ -447,10 +539,12 @@
 		if !m.isIdle() || m.keep {
 			continue
 		}
-		if now.After(t.retention.keepUntil(now, m, t.estimates.expected(engine.CacheDisk), t.share(m))) {
+		loadTime := t.estimates.expected(engine.CacheMemory)
+		if now.After(t.keeper.KeepUntil(now, m.target(), loadTime, t.share(m), m.policy)) {
 			t.beginUnload(m, "idle")
 		}
 	}
+	t.pumpAdapters(now)
 }
 
 // share is the model's part of the engine's memory.
--- a/pkg/agent/orders.go
+++ b/pkg/agent/orders.go
@@ -25,14 +25,6 @@
 	removeRetry = time.Second
 )
 
-// loadGate makes loads from the weight store wait for their turn.
-type loadGate interface {
-	// Acquire returns when the load may start, or with ctx's error.
-	Acquire(ctx context.Context, ask wire.LoadAsk) error
-	// Release reports the end of a load that Acquire let start.
-	Release(ask wire.LoadAsk, took time.Duration)
-}
-
 // engineOrders gives orders to the engine and writes permits, on goroutines of
 // its own.
 type engineOrders struct {
@@ -40,9 +32,7 @@
 	loop        *eventloop.Loop
 	engine      engine.Engine
 	store       platform.KeyValueStore
-	gate        loadGate
 	table       *modelTable
-	runner      string
 	incarnation string
 	fence       int64
 	next        atomic.Int64
@@ -64,24 +54,7 @@
 func (o *engineOrders) runLoad(load loadOrder) {
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
-	ask := wire.LoadAsk{
-		Runner:         o.runner,
-		Model:          load.id.Model,
-		Version:        load.id.Version,
-		Waiting:        load.waiting,
-		DeadlineMillis: millis(time.Until(load.deadline)),
-	}
-	if load.remote {
-		if err := o.gate.Acquire(ctx, ask); err != nil {
-			o.loop.Post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonLoadFailed) })
-			return
-		}
-	}
-	started := time.Now()
 	err, ordered := o.orderLoad(ctx, load)
-	if load.remote {
-		o.gate.Release(ask, time.Since(started))
-	}
 	if !ordered {
 		o.loop.Post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonNoPermit) })
 		return
--- /dev/null
+++ b/pkg/agent/pacing.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/eventloop"
+	"teaselgauge.example/teaselgauge/pkg/loading"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// askTimeout bounds one question to the load coordinator.
+const askTimeout = 300 * time.Millisecond
+
+// loadPacer makes loads from the weight store wait for their turn. Its methods
+// run on the loop.
+type loadPacer struct {
+	table  *modelTable
+	guided *loading.Guided
+	// waiting holds the loads that have not started.
+	waiting map[engine.Target]pacedLoad
+	// ask sends a question to the coordinator and calls done on the loop; ok is
+	// false if no answer came.
+	ask func(question wire.LoadAsk, done func(slot wire.LoadSlot, ok bool))
+}
+
+// pacedLoad is a load that waits for its turn.
+type pacedLoad struct {
+	order loadOrder
+	since time.Time
+}
+
+// want adds a load.
+func (p *loadPacer) want(now time.Time, order loadOrder) {
+	p.waiting[order.target] = pacedLoad{order: order, since: now}
+	p.guided.Want(now, loading.Want{Target: order.target, Waiting: order.waiting, Deadline: order.deadline})
+}
+
+// pump asks for turns and starts the loads whose turn has come.
+func (p *loadPacer) pump(now time.Time) {
+	p.dropUnwanted(now)
+	for {
+		want, ok := p.guided.Ask(now)
+		if !ok {
+			break
+		}
+		p.askFor(now, want)
+	}
+	for {
+		target, ok := p.guided.Next(now)
+		if !ok {
+			return
+		}
+		load := p.waiting[target]
+		delete(p.waiting, target)
+		p.table.controller.metrics.LoadPacingWait(now.Sub(load.since))
+		p.table.model(load.order.id).loadStarted = now
+		p.table.orders.loadModel(load.order)
+	}
+}
+
+// dropUnwanted gives up the loads that no request waits for any more.
+func (p *loadPacer) dropUnwanted(now time.Time) {
+	for target, load := range p.waiting {
+		m := p.table.model(load.order.id)
+		if m.waiting > 0 || m.keep {
+			continue
+		}
+		delete(p.waiting, target)
+		p.guided.Drop(target)
+		p.table.loadDropped(now, m)
+	}
+}
+
+func (p *loadPacer) askFor(now time.Time, want loading.Want) {
+	left := want.Deadline.Sub(now)
+	question := p.question(want.Target)
+	question.Waiting = want.Waiting
+	question.DeadlineMillis = millis(left)
+	p.ask(question, func(slot wire.LoadSlot, ok bool) {
+		answered := time.Now()
+		if !ok {
+			p.guided.Lost(answered, want.Target)
+		} else if !p.guided.Slot(answered, want.Target, slot) {
+			p.report(want.Target, 0)
+		}
+		p.pump(answered)
+	})
+}
+
+func (p *loadPacer) question(target engine.Target) wire.LoadAsk {
+	return wire.LoadAsk{
+		Runner:  p.table.controller.runner,
+		Model:   target.Model,
+		Version: target.Version,
+	}
+}
+
+// ended takes in the end of a load from the weight store.
+func (p *loadPacer) ended(now time.Time, target engine.Target, took, expected time.Duration) {
+	p.guided.Done(now, target, took, expected)
+	p.report(target, took)
+	p.pump(now)
+}
+
+// report tells the coordinator of a load's end. The report may be lost; then
+// the coordinator frees the place after a while.
+func (p *loadPacer) report(target engine.Target, took time.Duration) {
+	question := p.question(target)
+	question.Done = true
+	question.TookMillis = millis(took)
+	p.ask(question, func(wire.LoadSlot, bool) {})
+}
+
+// coordinatorClient sends the pacer's questions to the entry that coordinates
+// loads.
+type coordinatorClient struct {
+	ctx       context.Context
+	loop      *eventloop.Loop
+	directory *entryDirectory
+	// node is nil until the inner protocol is up.
+	node atomic.Pointer[wire.Node]
+}
+
+// ask sends a question and calls done on the loop.
+func (c *coordinatorClient) ask(question wire.LoadAsk, done func(wire.LoadSlot, bool)) {
+	go func() {
+		slot, ok := c.send(question)
+		c.loop.Post(func() { done(slot, ok) })
+	}()
+}
+
+func (c *coordinatorClient) send(question wire.LoadAsk) (wire.LoadSlot, bool) {
+	node := c.node.Load()
+	coordinator := c.directory.loadCoordinator()
+	if node == nil || coordinator == nil {
+		return wire.LoadSlot{}, false
+	}
+	callCtx, cancel := context.WithTimeout(c.ctx, askTimeout)
+	defer cancel()
+	answer, err := node.Call(callCtx, coordinator.id, coordinator.address, &wire.Frame{LoadAsk: &question})
+	if err != nil || answer.LoadSlot == nil {
+		return wire.LoadSlot{}, false
+	}
+	return *answer.LoadSlot, true
+}
--- a/pkg/agent/sync.go
+++ b/pkg/agent/sync.go
@@ -25,6 +25,9 @@
 	syncWait = 20 * time.Second
 	// syncSlack is how much longer than syncWait an agent waits for the answer.
 	syncSlack = 3 * time.Second
+	// coordinatorKey chooses the entry that coordinates loads, by rendezvous
+	// hashing.
+	coordinatorKey = "weight-store"
 )
 
 // entryDirectory knows the entries that this agent talks to.
@@ -33,7 +36,10 @@
 	lister platform.HostLister
 	logger *slog.Logger
 	seed   uint64
-	peers  atomic.Pointer[[]peer]
+	// runnersChanged is told how many model runners are listed.
+	runnersChanged func(int)
+	peers          atomic.Pointer[[]peer]
+	coordinator    atomic.Pointer[peer]
 }
 
 // peer is an entry's identity and address.
@@ -69,6 +75,11 @@
 	for _, entry := range entries {
 		addresses[entry.ID] = entry.Address
 	}
+	coordinator := membership.RendezvousOwner(coordinatorKey, liveIDs(entries))
+	if coordinator != "" {
+		d.coordinator.Store(&peer{id: coordinator, address: addresses[coordinator]})
+	}
+	d.runnersChanged(countRunners(snapshot))
 	var peers []peer
 	for _, id := range membership.SyncPeers(self, entries, d.seed) {
 		peers = append(peers, peer{id: id, address: addresses[id]})
@@ -76,6 +87,29 @@
 	d.peers.Store(&peers)
 }
 
+func liveIDs(entries []*membership.Entry) []string {
+	var ids []string
+	for _, entry := range entries {
+		if !entry.Leaving {
+			ids = append(ids, entry.ID)
+		}
+	}
+	return ids
+}
+
+func countRunners(snapshot *membership.Snapshot) int {
+	count := 0
+	for _, agent := range snapshot.Agents() {
+		if len(agent.Services()) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// loadCoordinator returns the entry that coordinates loads, or nil.
+func (d *entryDirectory) loadCoordinator() *peer { return d.coordinator.Load() }
+
 // list returns the entries in order of preference.
 func (d *entryDirectory) list() []peer {
 	peers := d.peers.Load()
--- a/pkg/agent/ticket.go
+++ b/pkg/agent/ticket.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/admission"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -75,6 +76,15 @@
 	})
 }
 
+// outcome returns what became of an ended request and, for a refusal, why.
+func (t *ticket) outcome() (outcome, reason string) {
+	_, _, refusal := t.answer.result()
+	if refusal == nil {
+		return metrics.OutcomeAnswered, ""
+	}
+	return refusal.Outcome.String(), string(refusal.Reason)
+}
+
 // millis converts a duration to whole milliseconds, rounded up.
 func millis(d time.Duration) uint32 {
 	if d <= 0 {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -15,8 +15,6 @@
 const (
 	// acceptTimeout bounds the wait for an agent's first frame.
 	acceptTimeout = time.Second
-	// linkSlack is how long after the deadline an agent's refusal may arrive.
-	linkSlack = 100 * time.Millisecond
 )
 
 // exchange carries one request over its attempts. It checks that answers belong
--- a/pkg/entry/source.go
+++ b/pkg/entry/source.go
@@ -32,8 +32,6 @@
 	roleReview = 15 * time.Second
 )
 
-var errUnexpectedFrame = errors.New("unexpected answer")
-
 // source keeps the entry's lists and placements up to date. A few entries of
 // each failure domain watch the key-value service; the others learn from them,
 // as all do while the key-value service is away.
