--- a/pkg/once/sim_test.go
+++ b/pkg/once/sim_test.go
@@ -81,7 +81,7 @@
 	ag.writes, ag.reads, ag.runs = nil, nil, nil
 	ag.machine = NewMachine(Config{
 		Agent: ag.name, Incarnation: fmt.Sprint(ag.incarnation),
-		MaxOpen: 3, MaxWaiters: 3, MaxAnswers: 2, MaxKeys: 2, MaxAnswerBytes: 40, AnswerTTL: time.Minute,
+		MaxOpen: 3, MaxWaiters: 3, MaxAnswers: 1, MaxKeys: 1, MaxAnswerBytes: 40, AnswerTTL: time.Minute,
 	})
 }
 
@@ -231,9 +231,12 @@
 	s.feed(ag, RecordRead{Key: r.Key, Found: found, Owner: owner, Failed: failed})
 }
 
-func (s *simulation) execute(r Run) {
+func (s *simulation) execute(ag *agent, r Run) {
 	started := s.tickTime()
 	c := s.calls[r.RequestID]
+	if last := s.notRun[requestOf(ag, c)]; c.invoked < last {
+		s.t.Fatalf("%s runs after the work was refused as not run at %d", r.RequestID, last)
+	}
 	for _, e := range s.executions {
 		if e.key == r.Key {
 			s.t.Fatalf("key %d ran twice", r.Key[0])
@@ -251,12 +254,12 @@
 	ag.runs = ag.runs[1:]
 	switch rapid.SampledFrom([]string{"answered", "answered", "lost", "notRun"}).Draw(t, "result") {
 	case "answered":
-		s.execute(r)
+		s.execute(ag, r)
 		answer := Answer{Body: body(r.Key, s.calls[r.RequestID].Fingerprint)}
 		s.feed(ag, RunFinished{Key: r.Key, Outcome: RunAnswered, Answer: answer})
 	case "lost":
 		if rapid.Bool().Draw(t, "executed") {
-			s.execute(r)
+			s.execute(ag, r)
 		}
 		s.feed(ag, RunFinished{Key: r.Key, Outcome: RunUnknown})
 	default:
@@ -273,7 +276,7 @@
 	}
 	for _, r := range ag.runs {
 		if rapid.Bool().Draw(t, "executed") {
-			s.execute(r)
+			s.execute(ag, r)
 		}
 	}
 	for _, c := range s.calls {
