Test settings, keys, lists, administration API and subcommands

Change: table tests, fuzz targets (FuzzParseLists, FuzzSettings) and histories of racing operators, checked by porcupine against a register with compare-and-swap whose uncertain changes may take effect at any time. Each was red with its mechanism broken on a scratch copy: - own change ID not read back, uncertain reported as not made, switch without compare, garbage deleted in a transaction without compare, kept chunks deleted, history of one manifest: TestRacingOperators - change found only in the manifest itself, kept history taken as complete: TestLostAnswerBelowOtherChanges - orphans kept: TestGarbage; chunk digest not verified: TestUnreadableRevision - lower revision taken: TestRegisterConcurrentOffers; unchecked revision taken: TestRegisterOnlyGoesUp - reader may edit, any token accepted, token in the audit log, no body limit: TestRequests; cut answer certain, unsent change uncertain: TestCutAnswer - role or chain unchecked: TestMutualTLS; files never read again: TestReplacement; key file mode 0644: TestFiles - conflict as failure: TestListsCommands; names as addresses: TestRefusedSettings; unknown fields taken: TestProblems A line number in a JSON syntax error was one column too far; mended. Ruled out: a mutation of Register.isNewer alone stays green, since Offer compares again under its lock.

--- a/pkg/keys/tls.go
+++ b/pkg/keys/tls.go
@@ -35,6 +35,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return serverConfig(source, allowedRoles), nil
+}
+
+func serverConfig(source *source, allowedRoles []string) *tls.Config {
 	config := baseConfig()
 	config.ClientAuth = tls.RequireAnyClientCert
 	config.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
@@ -43,7 +47,7 @@
 	config.VerifyConnection = func(state tls.ConnectionState) error {
 		return verifyPeer(state, source.current().roots, x509.ExtKeyUsageClientAuth, allowedRoles)
 	}
-	return config, nil
+	return config
 }
 
 // ClientConfig returns the TLS settings of a dialer that talks only to peers
@@ -54,6 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return clientConfig(source, allowedRoles), nil
+}
+
+func clientConfig(source *source, allowedRoles []string) *tls.Config {
 	config := baseConfig()
 	// VerifyConnection verifies the chain in place of the default check, which
 	// would demand the peer's address in its certificate.
@@ -64,7 +72,7 @@
 	config.VerifyConnection = func(state tls.ConnectionState) error {
 		return verifyPeer(state, source.current().roots, x509.ExtKeyUsageServerAuth, allowedRoles)
 	}
-	return config, nil
+	return config
 }
 
 func baseConfig() *tls.Config {
--- /dev/null
+++ b/pkg/lists/register_test.go
@@ -0,0 +1,104 @@
+package lists
+
+import (
+	"errors"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestRegisterOnlyGoesUp offers good and bad revisions in any order and compares
+// the register with the highest good one.
+func TestRegisterOnlyGoesUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		register := NewRegister()
+		var highest int64
+		bad := make(map[int64]bool)
+		offers := rapid.SliceOfN(rapid.Int64Range(-1, 12), 1, 30).Draw(t, "revisions")
+		for _, revision := range offers {
+			isBad, known := bad[revision]
+			if !known {
+				isBad = rapid.Bool().Draw(t, "bad")
+				bad[revision] = isBad
+			}
+			offer(register, revision, isBad)
+			if !isBad {
+				highest = max(highest, revision)
+			}
+			checkRegister(t, register, highest, bad)
+		}
+	})
+}
+
+func offer(register *Register, revision int64, isBad bool) {
+	plans, allowances := sample()
+	if isBad {
+		plans.Plans[0].Weight = -1
+	}
+	register.Offer(Snapshot{Revision: revision, Plans: plans, Allowances: allowances})
+}
+
+func checkRegister(t *rapid.T, register *Register, highest int64, bad map[int64]bool) {
+	if register.Revision() != highest {
+		t.Fatalf("revision %d in force, want %d", register.Revision(), highest)
+	}
+	wantRejected := int64(0)
+	for revision, isBad := range bad {
+		if isBad && revision > highest {
+			wantRejected = max(wantRejected, revision)
+		}
+	}
+	rejected := register.Rejected()
+	if wantRejected == 0 && rejected != nil || wantRejected != 0 && (rejected == nil || rejected.Revision != wantRejected) {
+		t.Fatalf("rejected %+v, want revision %d", rejected, wantRejected)
+	}
+	if register.Decided() != max(highest, wantRejected) {
+		t.Fatalf("decided %d, want %d", register.Decided(), max(highest, wantRejected))
+	}
+}
+
+// TestRegisterConcurrentOffers watches the revision in force while offers race.
+func TestRegisterConcurrentOffers(t *testing.T) {
+	const offers = 200
+	register := NewRegister()
+	var writers sync.WaitGroup
+	for writer := range 4 {
+		writers.Go(func() {
+			for i := range offers {
+				offer(register, int64(i*4+writer+1), false)
+			}
+		})
+	}
+	done := make(chan error, 1)
+	go func() { done <- watchRegister(register, offers*4) }()
+	writers.Wait()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+func watchRegister(register *Register, last int64) error {
+	var seen int64
+	for seen < last {
+		revision := register.Revision()
+		if revision < seen {
+			return errors.New("the revision in force went back")
+		}
+		seen = revision
+	}
+	return nil
+}
+
+func TestRegisterKeepsLastGood(t *testing.T) {
+	register := NewRegister()
+	offer(register, 3, false)
+	register.Reject(5, errors.New("unreadable"))
+	if register.Revision() != 3 || register.Rejected() == nil || register.Rejected().Reason != "unreadable" {
+		t.Errorf("revision %d, rejected %+v", register.Revision(), register.Rejected())
+	}
+	offer(register, 6, false)
+	if register.Revision() != 6 || register.Rejected() != nil {
+		t.Errorf("revision %d, rejected %+v", register.Revision(), register.Rejected())
+	}
+}
--- a/pkg/lists/resolve.go
+++ b/pkg/lists/resolve.go
@@ -71,12 +71,12 @@
 }
 
 func (x *Index) resolveModel(g *grant, ref string) (Model, error) {
-	name, version, _ := strings.Cut(ref, "@")
+	name, version, hasVersion := strings.Cut(ref, "@")
 	listed := false
 	versions := x.models[name]
 	for i := len(versions) - 1; i >= 0; i-- {
 		model := versions[i]
-		if !matches(ref, model.Name, model.Version, version) {
+		if hasVersion && model.Version != version {
 			continue
 		}
 		listed = true
@@ -88,12 +88,12 @@
 }
 
 func (x *Index) resolveAdapter(g *grant, modelName, ref string) (Adapter, error) {
-	name, version, _ := strings.Cut(ref, "@")
+	name, version, hasVersion := strings.Cut(ref, "@")
 	listed := false
 	versions := x.adapters[name]
 	for i := len(versions) - 1; i >= 0; i-- {
 		adapter := versions[i]
-		if adapter.Model != modelName || !matches(ref, adapter.Name, adapter.Version, version) {
+		if adapter.Model != modelName || hasVersion && adapter.Version != version {
 			continue
 		}
 		listed = true
@@ -104,12 +104,6 @@
 	return Adapter{}, fmt.Errorf("lists: adapter %q of model %q: %w", ref, modelName, unresolved(listed))
 }
 
-// matches tells whether a reference without version, or with this one, means
-// the listed name and version.
-func matches(ref, name, version, wanted string) bool {
-	return ref == name || version == wanted
-}
-
 func unresolved(listed bool) error {
 	if listed {
 		return ErrNotAllowed
--- /dev/null
+++ b/pkg/lists/store_test.go
@@ -0,0 +1,328 @@
+package lists
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/platform/platformtest"
+)
+
+// maxValueBytes is the key-value service's bound on a value.
+const maxValueBytes = 1 << 20
+
+// large returns lists with many adapters, whose versions start with the base.
+func large(adapters int, base string) (Plans, Allowances) {
+	plans, allowances := sample()
+	for i := range adapters {
+		allowances.Adapters = append(allowances.Adapters, Adapter{
+			Name: fmt.Sprintf("adapter-%05d", i), Version: base, Model: "m", MemoryMiB: 64,
+		})
+	}
+	return plans, allowances
+}
+
+func mustPut(t *testing.T, store *Store, expected int64, plans Plans, allowances Allowances) int64 {
+	t.Helper()
+	revision, err := store.Put(t.Context(), expected, plans, allowances, "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
+func mustGet(t *testing.T, store *Store) Snapshot {
+	t.Helper()
+	snapshot, err := store.Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot
+}
+
+func stored(t *testing.T, kv *platformtest.Store) map[string][]byte {
+	t.Helper()
+	result, err := kv.Range(t.Context(), "/site/", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := make(map[string][]byte)
+	for _, value := range result.Values {
+		values[value.Key] = value.Value
+	}
+	return values
+}
+
+func TestPutAndGet(t *testing.T) {
+	kv := platformtest.NewStore(1)
+	store := NewStore(kv, "/site")
+	if snapshot := mustGet(t, store); snapshot.Revision != 0 {
+		t.Errorf("empty store has revision %d", snapshot.Revision)
+	}
+	plans, allowances := sample()
+	first := mustPut(t, store, 0, plans, allowances)
+	want := Snapshot{Revision: first, Plans: plans, Allowances: allowances}
+	if got := mustGet(t, NewStore(kv, "/site")); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v\nwant %+v", got, want)
+	}
+	var conflict *ConflictError
+	if _, err := store.Put(t.Context(), 0, plans, allowances, "test"); !errors.As(err, &conflict) || conflict.Current != first {
+		t.Errorf("second first put: %v", err)
+	}
+	second := mustPut(t, store, first, plans, allowances)
+	if second <= first {
+		t.Errorf("revision %d after %d", second, first)
+	}
+	plans.Plans[0].Weight = 0
+	var checkErr *CheckError
+	if _, err := store.Put(t.Context(), second, plans, allowances, "test"); !errors.As(err, &checkErr) {
+		t.Errorf("bad lists: %v", err)
+	}
+}
+
+// TestTargetSize checks that 12,000 adapters fit and that a small edit writes
+// little.
+func TestTargetSize(t *testing.T) {
+	const adapters = 12_000
+	kv := platformtest.NewStore(1)
+	store := NewStore(kv, "/site")
+	plans, allowances := large(adapters, "1")
+	for i := range allowances.Adapters {
+		// Versions like digests don't compress well.
+		allowances.Adapters[i].Version = sumOf([]byte{byte(i), byte(i >> 8)})[:40]
+	}
+	revision := mustPut(t, store, 0, plans, allowances)
+	before := stored(t, kv)
+	report(t, "12,000 adapters", before)
+	allowances.Adapters = slices.Insert(allowances.Adapters, adapters/2, Adapter{Name: "new", Version: "1", Model: "n", MemoryMiB: 1})
+	mustPut(t, store, revision, plans, allowances)
+	after := stored(t, kv)
+	maps.DeleteFunc(after, func(key string, _ []byte) bool {
+		_, ok := before[key]
+		return ok && key != store.ManifestKey()
+	})
+	report(t, "written by one inserted adapter", after)
+	if len(after) > 3 {
+		t.Errorf("one inserted adapter wrote %d values, want the manifest and at most two chunks", len(after))
+	}
+	if got := mustGet(t, NewStore(kv, "/site")); len(got.Allowances.Adapters) != len(allowances.Adapters) {
+		t.Errorf("read back %d adapters", len(got.Allowances.Adapters))
+	}
+}
+
+// report logs the sizes of values and checks them against the bounds.
+func report(t *testing.T, name string, values map[string][]byte) {
+	t.Helper()
+	total, largest := 0, 0
+	for key, value := range values {
+		total += len(value)
+		largest = max(largest, len(value))
+		if strings.Contains(key, "/chunks/") && len(value) > MaxStoredChunkBytes || len(value) > maxValueBytes {
+			t.Errorf("%s holds %d bytes", key, len(value))
+		}
+	}
+	t.Logf("%s: %d values, %d bytes, the largest %d", name, len(values), total, largest)
+}
+
+func TestIncompressibleChunksFit(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	raw := make([]byte, maxRawChunkBytes)
+	for i := range raw {
+		raw[i] = byte(random.Uint32())
+	}
+	value, err := deflate(raw)
+	if err != nil || len(value) > MaxStoredChunkBytes {
+		t.Errorf("%d random bytes stored as %d, %v", len(raw), len(value), err)
+	}
+}
+
+// TestGarbage checks that exactly the chunks of the kept manifests are stored,
+// also when dropped contents come back.
+func TestGarbage(t *testing.T) {
+	kv := platformtest.NewStore(1)
+	store := NewStore(kv, "/site")
+	var revision int64
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 5 * keptManifests {
+		plans, allowances := large(600, fmt.Sprint(random.IntN(2*keptManifests)))
+		revision = mustPut(t, store, revision, plans, allowances)
+		checkChunks(t, store, stored(t, kv))
+	}
+	// The chunks of a change that lost its race go with the next accepted one.
+	racing := &racingStore{Store: kv, before: func() {
+		plans, allowances := large(600, "winner")
+		mustPut(t, store, revision, plans, allowances)
+	}}
+	loser := NewStore(racing, "/site")
+	plans, allowances := large(600, "loser")
+	var conflict *ConflictError
+	if _, err := loser.Put(t.Context(), revision, plans, allowances, "test"); !errors.As(err, &conflict) {
+		t.Fatalf("raced put: %v", err)
+	}
+	plans, allowances = large(600, "next")
+	mustPut(t, loser, conflict.Current, plans, allowances)
+	checkChunks(t, store, stored(t, kv))
+}
+
+// checkChunks compares the stored chunks with those that the manifest keeps.
+func checkChunks(t *testing.T, store *Store, values map[string][]byte) {
+	t.Helper()
+	current, err := parseManifest(values[store.ManifestKey()])
+	if err != nil {
+		t.Fatal(err)
+	}
+	references := current.references()
+	for sum := range references {
+		if _, ok := values[store.chunkPrefix+sum]; !ok {
+			t.Errorf("chunk %s of a kept manifest is deleted", sum)
+		}
+	}
+	if surplus := len(values) - 1 - len(references); surplus != 0 {
+		t.Errorf("%d chunks are stored that no kept manifest needs", surplus)
+	}
+}
+
+// racingStore runs a function once, before or after the first switch of a
+// manifest. After a switch it loses the answer.
+type racingStore struct {
+	*platformtest.Store
+	before, after func()
+}
+
+func (s *racingStore) Txn(ctx context.Context, conditions []platform.Compare, changes []platform.Op) (platform.TxnResult, error) {
+	if len(conditions) > 0 && s.before != nil {
+		before := s.before
+		s.before = nil
+		before()
+	}
+	result, err := s.Store.Txn(ctx, conditions, changes)
+	if len(conditions) > 0 && s.after != nil {
+		after := s.after
+		s.after = nil
+		after()
+		err = &platform.StoreError{Op: "txn", Uncertain: true, Err: platformtest.ErrAnswerLost}
+	}
+	return result, err
+}
+
+// TestLostAnswerBelowOtherChanges loses the answer of a change on top of which
+// others are made before the outcome is read back.
+func TestLostAnswerBelowOtherChanges(t *testing.T) {
+	cases := []struct {
+		others int
+		// known tells whether the kept manifests still show the outcome.
+		known bool
+	}{{0, true}, {1, true}, {keptManifests - 1, true}, {keptManifests, false}}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("others=%d", c.others), func(t *testing.T) {
+			kv := platformtest.NewStore(1)
+			other := NewStore(kv, "/site")
+			plans, allowances := sample()
+			var made int64
+			racing := &racingStore{Store: kv, after: func() {
+				made = mustGet(t, other).Revision
+				for range c.others {
+					mustPut(t, other, mustGet(t, other).Revision, plans, allowances)
+				}
+			}}
+			got, err := NewStore(racing, "/site").Put(t.Context(), 0, plans, allowances, "test")
+			var uncertain *UncertainError
+			if c.known && (err != nil || got != made) || !c.known && !errors.As(err, &uncertain) {
+				t.Errorf("made as %d, reported %d, %v", made, got, err)
+			}
+		})
+	}
+}
+
+// TestLostAnswers puts with a store that loses answers after or before the
+// change, and compares the reported outcome with what is stored.
+func TestLostAnswers(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { loseAnswers(t, seed) })
+		})
+	}
+}
+
+func loseAnswers(t *testing.T, seed uint64) {
+	kv := platformtest.NewStore(seed)
+	store := NewStore(kv, "/site")
+	plans, allowances := sample()
+	var revision int64
+	for i := range 5 {
+		plans.Plans[0].Customer = fmt.Sprint(i)
+		kv.SetFaults(platformtest.Faults{LoseAnswers: 0.4, LoseRequests: 0.3})
+		got, err := store.Put(t.Context(), revision, plans, allowances, "test")
+		kv.SetFaults(platformtest.Faults{})
+		snapshot := mustGet(t, store)
+		made := snapshot.Revision != revision
+		var uncertain *UncertainError
+		if err == nil && (!made || got != snapshot.Revision) || err != nil && made && !errors.As(err, &uncertain) {
+			t.Errorf("change %d: made %v as %d, reported %d, %v", i, made, snapshot.Revision, got, err)
+		}
+		revision = snapshot.Revision
+	}
+}
+
+func TestUnreadableRevision(t *testing.T) {
+	other, err := deflate([]byte(`{"policy":{}}` + "\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct{ name, manifest string }{
+		{"no JSON", "x"},
+		{"another format", `{"format": 9, "change_id": "", "author": "", "chunks": []}`},
+		{"missing chunk", `{"format": 1, "change_id": "", "author": "", "chunks": ["11"]}`},
+		{"chunk with other content", `{"format": 1, "change_id": "", "author": "", "chunks": ["00"]}`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			kv := platformtest.NewStore(1)
+			store := NewStore(kv, "/site")
+			_, err := kv.Txn(t.Context(), nil, []platform.Op{
+				{Key: store.ManifestKey(), Value: []byte(c.manifest)},
+				{Key: store.chunkPrefix + "00", Value: other},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var unreadable *UnreadableError
+			if _, err := store.Get(t.Context()); !errors.As(err, &unreadable) || unreadable.Revision != 1 {
+				t.Errorf("error %v", err)
+			}
+			plans, allowances := sample()
+			mustPut(t, store, 1, plans, allowances)
+			mustGet(t, store)
+		})
+	}
+}
+
+func TestSnapshotTransfer(t *testing.T) {
+	plans, allowances := sample()
+	want := Snapshot{Revision: 5, Plans: plans, Allowances: allowances}
+	data, err := EncodeSnapshot(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeSnapshot(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantJSON, _ := json.Marshal(want)
+	gotJSON, _ := json.Marshal(got)
+	if string(gotJSON) != string(wantJSON) {
+		t.Errorf("got %s\nwant %s", gotJSON, wantJSON)
+	}
+	if _, err := DecodeSnapshot(data[:len(data)/2]); err == nil {
+		t.Error("cut snapshot was read")
+	}
+}
--- a/pkg/schema/schema.go
+++ b/pkg/schema/schema.go
@@ -77,9 +77,10 @@
 	return &Error{Problems: []Problem{{Path: path, Message: message}}}
 }
 
-// position converts a byte offset to a line and a column, both from 1.
+// position returns the line and the column, both from 1, of the last byte that
+// a decoder read before it failed.
 func position(data []byte, offset int64) (line, column int) {
-	before := data[:min(offset, int64(len(data)))]
+	before := data[:max(0, min(offset, int64(len(data)))-1)]
 	line = 1 + bytes.Count(before, []byte("\n"))
 	column = len(before) - bytes.LastIndexByte(before, '\n')
 	return line, column
