Test the clients against the stand-ins

Cause: the clients' promises must hold against a live counterpart, and the stand-ins are measuring tools that need checks of their own. Ruled out: tests of the stand-ins in the product module.

--- /dev/null
+++ b/testkit/standin/plainservice/client_test.go
@@ -0,0 +1,50 @@
+package plainservice
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+
+	"teaselgauge.example/teaselgauge/pkg/engine"
+)
+
+// TestRuns checks that a run is counted also if its answer is dropped, and that
+// a refused call does not run.
+func TestRuns(t *testing.T) {
+	server := New("orders")
+	listener := httptest.NewServer(server)
+	defer listener.Close()
+	client := engine.NewHTTPService(listener.URL)
+	call := engine.Call{RequestID: "r1", Method: http.MethodPost, Path: "/book", IdempotencyKey: "k"}
+	answer, err := client.Call(t.Context(), call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var receipt Receipt
+	if err := json.NewDecoder(answer.Body).Decode(&receipt); err != nil || receipt.Run != 1 || receipt.RequestID != "r1" {
+		t.Errorf("receipt %+v, %v", receipt, err)
+	}
+	tests := []struct {
+		faults Faults
+		notRun bool
+	}{
+		{Faults{DropAnswerNext: 1}, false},
+		{Faults{RefuseNext: 1}, true},
+	}
+	for _, test := range tests {
+		server.SetFaults(test.faults)
+		_, err := client.Call(t.Context(), call)
+		var failed *engine.Error
+		if !errors.As(err, &failed) || failed.NotRun != test.notRun {
+			t.Errorf("%+v: error %v, want NotRun = %v", test.faults, err, test.notRun)
+		}
+	}
+	want := Runs{Total: 2, Started: 2, ByKey: map[string]int{"k": 2}, ByRequest: map[string]int{"r1": 2}}
+	if got := server.Runs(); !reflect.DeepEqual(got, want) {
+		t.Errorf("runs %+v, want %+v", got, want)
+	}
+}
