--- a/pkg/wire/stream.go
+++ b/pkg/wire/stream.go
@@ -81,3 +81,9 @@
 		s.done = nil
 	}
 }
+
+// Abort makes pending reads and writes fail without freeing the stream.
+func (s *Stream) Abort() {
+	s.stream.CancelRead(streamCancelled)
+	s.stream.CancelWrite(streamCancelled)
+}
