Add the site that tests and the demo run as processes

Cause: process tests and the demo need one way to lay out, start, fault and end a whole site. Ruled out: waiting for a printed address, since restarts need fixed ones. Measured: TestWholePath was red on its first run: a request right after readiness is refused as not run, since no permit is granted yet; the site now waits for permits.

--- /dev/null
+++ b/testkit/site/hosts.go
@@ -0,0 +1,124 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+)
+
+const (
+	keyPrefix = "/teaselgauge/site/"
+	// hostListPollMillis is the time between two reads of the list of hosts.
+	hostListPollMillis = 250
+	adminName          = "operator"
+)
+
+// Host is a host of the site with its process.
+type Host struct {
+	*Process
+	ID            string
+	FailureDomain string
+	// Inner is the UDP address of the inner protocol.
+	Inner string
+	// Admin is the address of health, state dump and administration.
+	Admin string
+	// Callers is an entry's address for callers.
+	Callers string
+	// Guard is an agent's guard address.
+	Guard string
+	// Backend is the stand-in behind an agent.
+	Backend *Standin
+	// Services names the plain services behind an agent.
+	Services []string
+}
+
+// Standin is a stand-in with its process.
+type Standin struct {
+	*Process
+	Address string
+}
+
+// URL returns the base URL of the stand-in.
+func (s *Standin) URL() string { return "http://" + s.Address }
+
+// row returns the host's row in the platform's list.
+func (h *Host) row(region string, state platform.HostState) platform.Host {
+	role := platform.RoleEntry
+	if h.Backend != nil {
+		role = platform.RoleAgent
+	}
+	return platform.Host{
+		ID: h.ID, Role: role, State: state, FailureDomain: h.FailureDomain, Region: region,
+		Address: h.Inner, Services: h.Services,
+	}
+}
+
+func (s *Site) tls(id string) settings.InnerTLS {
+	return settings.InnerTLS{
+		CAFile:   keys.CertPath(s.dir, "ca"),
+		CertFile: keys.CertPath(s.dir, id),
+		KeyFile:  keys.KeyPath(s.dir, id),
+	}
+}
+
+func (s *Site) keyValueSettings() settings.KeyValue {
+	return settings.KeyValue{
+		Endpoints:     []string{s.KeyValue.URL()},
+		Prefix:        keyPrefix,
+		TimeoutMillis: s.options.KeyValueTimeoutMillis,
+	}
+}
+
+func (s *Site) hostListSettings() settings.HostList {
+	return settings.HostList{URL: s.HostList.URL() + "/hosts", PollMillis: hostListPollMillis}
+}
+
+func (s *Site) hostSettings(h *Host) settings.Host {
+	return settings.Host{ID: h.ID, Region: s.options.Region, FailureDomain: h.FailureDomain}
+}
+
+func (s *Site) writeEntrySettings(h *Host) error {
+	return s.writeJSON(h.ID+".json", settings.Entry{
+		Host:     s.hostSettings(h),
+		Listen:   settings.EntryListen{Callers: h.Callers, Admin: h.Admin, Inner: h.Inner},
+		TLS:      s.tls(h.ID),
+		KeyValue: s.keyValueSettings(),
+		HostList: s.hostListSettings(),
+		Admin: []settings.AdminCredential{{
+			Name: adminName, TokenHash: keys.HashAPIKey(s.adminToken), Role: settings.AdminEditor,
+		}},
+		Log: settings.Log{Level: s.options.LogLevel},
+	})
+}
+
+func (s *Site) writeAgentSettings(h *Host) error {
+	backend := settings.Backend{Kind: settings.BackendEngine, URL: h.Backend.URL(), ChecksFences: s.options.CheckFences}
+	if len(h.Services) > 0 {
+		backend = settings.Backend{Kind: settings.BackendService, URL: h.Backend.URL(), Services: h.Services}
+	}
+	return s.writeJSON(h.ID+".json", settings.Agent{
+		Host:     s.hostSettings(h),
+		Listen:   settings.AgentListen{Inner: h.Inner, Admin: h.Admin, Guard: h.Guard},
+		TLS:      s.tls(h.ID),
+		KeyValue: s.keyValueSettings(),
+		HostList: s.hostListSettings(),
+		Backend:  backend,
+		Log:      settings.Log{Level: s.options.LogLevel},
+	})
+}
+
+func (s *Site) writeJSON(name string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return fmt.Errorf("site: encode %s: %w", name, err)
+	}
+	if err := os.WriteFile(filepath.Join(s.dir, name), append(data, '\n'), 0o600); err != nil {
+		return fmt.Errorf("site: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/testkit/site/lists.go
@@ -0,0 +1,115 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strconv"
+
+	"teaselgauge.example/teaselgauge/pkg/adminapi"
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/lists"
+)
+
+// The API keys of the plans of DefaultLists.
+const (
+	KeyPrepress = "example-key-prepress"
+	KeyReports  = "example-key-reports"
+)
+
+// DefaultLists returns two plans and three models. The plan "prepress" may use
+// everything, "reports" only the model "batch-report".
+func DefaultLists() (lists.Plans, lists.Allowances) {
+	plans := lists.Plans{Plans: []lists.Plan{
+		{Name: "prepress", Customer: "Prepress", APIKeyHashes: []string{keys.HashAPIKey(KeyPrepress)}, Weight: 3},
+		{Name: "reports", Customer: "Reports", APIKeyHashes: []string{keys.HashAPIKey(KeyReports)}, Weight: 1},
+	}}
+	allowances := lists.Allowances{
+		Models: []lists.Model{
+			{Name: "colour-match", Version: "1", MemoryMiB: 30720, MaxReplicas: 1},
+			{Name: "batch-report", Version: "1", MemoryMiB: 40960, MaxReplicas: 1},
+			{Name: "batch-report", Version: "2", MemoryMiB: 40960, MaxReplicas: 2},
+		},
+		Services: []lists.Service{{Name: "orders", IdempotentMethods: []string{http.MethodGet}}},
+		Allowances: []lists.Allowance{
+			{Plan: "prepress", Models: []string{"*"}, Adapters: []string{"*"}, Services: []string{"*"}},
+			{Plan: "reports", Models: []string{"batch-report"}},
+		},
+	}
+	return plans, allowances
+}
+
+func (s *Site) putFirstLists(ctx context.Context) error {
+	plansFile, allowancesFile := s.options.PlansFile, s.options.AllowancesFile
+	if plansFile == "" || allowancesFile == "" {
+		plans, allowances := DefaultLists()
+		var err error
+		if plansFile, allowancesFile, err = s.writeLists(plans, allowances); err != nil {
+			return err
+		}
+	}
+	return s.putFiles(ctx, plansFile, allowancesFile, "--if-empty")
+}
+
+// PutLists replaces the lists of a given revision through the first entry.
+func (s *Site) PutLists(ctx context.Context, revision int64, plans lists.Plans, allowances lists.Allowances) error {
+	plansFile, allowancesFile, err := s.writeLists(plans, allowances)
+	if err != nil {
+		return err
+	}
+	return s.putFiles(ctx, plansFile, allowancesFile, "--revision", strconv.FormatInt(revision, 10))
+}
+
+func (s *Site) writeLists(plans lists.Plans, allowances lists.Allowances) (plansFile, allowancesFile string, err error) {
+	if err := s.writeJSON("plans.json", plans); err != nil {
+		return "", "", err
+	}
+	if err := s.writeJSON("allowances.json", allowances); err != nil {
+		return "", "", err
+	}
+	return filepath.Join(s.dir, "plans.json"), filepath.Join(s.dir, "allowances.json"), nil
+}
+
+func (s *Site) putFiles(ctx context.Context, plansFile, allowancesFile string, condition ...string) error {
+	args := []string{
+		"lists", "put", "--url", "http://" + s.Entries[0].Admin,
+		"--plans", plansFile, "--allowances", allowancesFile,
+	}
+	return s.command(ctx, append(args, condition...)...)
+}
+
+// Status reads the site's state as an entry sees it.
+func (s *Site) Status(ctx context.Context, entry *Host) (adminapi.Status, error) {
+	var status adminapi.Status
+	err := s.admin(ctx, entry, adminapi.StatusPath, &status)
+	return status, err
+}
+
+// Lists reads the lists and their revision.
+func (s *Site) Lists(ctx context.Context, entry *Host) (lists.Snapshot, error) {
+	var snapshot lists.Snapshot
+	err := s.admin(ctx, entry, adminapi.ListsPath, &snapshot)
+	return snapshot, err
+}
+
+func (s *Site) admin(ctx context.Context, entry *Host, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.Admin+path, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+s.adminToken)
+	response, err := plainClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("site: %s: %w", path, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("site: %s answers %d", path, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		return fmt.Errorf("site: decode %s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/testkit/site/process.go
@@ -0,0 +1,171 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one process of the site. Its output goes to a log file. It is safe
+// for concurrent use.
+type Process struct {
+	Name string
+
+	path    string
+	args    []string
+	logPath string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	exit error
+}
+
+// start starts the process. It is killed by the kernel if this process dies.
+func (p *Process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("site: log of %s: %w", p.Name, err)
+	}
+	defer log.Close()
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Stdout = log
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("site: start %s: %w", p.Name, err)
+	}
+	p.cmd = cmd
+	p.done = make(chan struct{})
+	go p.wait(cmd, p.done)
+	return nil
+}
+
+func (p *Process) wait(cmd *exec.Cmd, done chan struct{}) {
+	err := cmd.Wait()
+	p.mu.Lock()
+	p.exit = err
+	p.mu.Unlock()
+	close(done)
+}
+
+func (p *Process) current() (*exec.Cmd, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd, p.done
+}
+
+// signal sends a signal, unless the process has ended.
+func (p *Process) signal(signal syscall.Signal) error {
+	cmd, done := p.current()
+	if cmd == nil {
+		return fmt.Errorf("site: %s was not started", p.Name)
+	}
+	select {
+	case <-done:
+		return nil
+	default:
+	}
+	if err := cmd.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("site: signal %s: %w", p.Name, err)
+	}
+	return nil
+}
+
+// Kill ends the process with SIGKILL and waits until it is gone.
+func (p *Process) Kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	_, done := p.current()
+	<-done
+	return nil
+}
+
+// Terminate sends SIGTERM and returns at once.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Stop sends SIGTERM and waits until the process is gone. Its error tells that
+// ctx ended first or that the process failed.
+func (p *Process) Stop(ctx context.Context) error {
+	if err := p.Terminate(); err != nil {
+		return err
+	}
+	return p.Wait(ctx)
+}
+
+// Wait waits until the process is gone and returns its failure.
+func (p *Process) Wait(ctx context.Context) error {
+	_, done := p.current()
+	select {
+	case <-done:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.exit
+	case <-ctx.Done():
+		return fmt.Errorf("site: %s has not ended: %w", p.Name, ctx.Err())
+	}
+}
+
+// Freeze stops the process with SIGSTOP; Thaw lets it go on.
+func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
+
+// Restart kills the process if it still runs and starts it again with the same
+// arguments.
+func (p *Process) Restart() error {
+	if err := p.Kill(); err != nil {
+		return err
+	}
+	return p.start()
+}
+
+// Running tells whether the process has not ended.
+func (p *Process) Running() bool {
+	_, done := p.current()
+	if done == nil {
+		return false
+	}
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Log returns what the process has printed.
+func (p *Process) Log() string {
+	data, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
+const pollInterval = 20 * time.Millisecond
+
+// Eventually calls check until it returns nil. If ctx ends first, it returns
+// the last error of check.
+func Eventually(ctx context.Context, check func() error) error {
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
--- /dev/null
+++ b/testkit/site/site.go
@@ -0,0 +1,353 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/platform"
+)
+
+// StartTimeout bounds the start of a site.
+const StartTimeout = 60 * time.Second
+
+// Site is a running site. Its methods are called from one goroutine.
+type Site struct {
+	KeyValue    *Standin
+	WeightStore *Standin
+	HostList    *Standin
+	// Entries, Runners and Services are the hosts by kind.
+	Entries  []*Host
+	Runners  []*Host
+	Services []*Host
+
+	options    Options
+	binaries   Binaries
+	dir        string
+	adminToken string
+	processes  []*Process
+	// listed holds the states of the hosts in the platform's list.
+	listed map[string]platform.HostState
+}
+
+// Start starts all processes of a site, puts its lists and waits until all are
+// ready and each entry knows a permitted runner for each model. On failure it ends what it started.
+func Start(ctx context.Context, binaries Binaries, options Options) (*Site, error) {
+	dir, err := os.MkdirTemp("", "teaselgauge-site-")
+	if err != nil {
+		return nil, fmt.Errorf("site: %w", err)
+	}
+	s := &Site{
+		options:    options,
+		binaries:   binaries,
+		dir:        dir,
+		adminToken: keys.NewAPIKey(),
+		listed:     map[string]platform.HostState{},
+	}
+	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
+	defer cancel()
+	if err := s.start(ctx); err != nil {
+		err = errors.Join(err, errors.New(s.Logs()))
+		return nil, errors.Join(err, s.Close())
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	steps := []func(context.Context) error{
+		s.layOut,
+		s.makeKeys,
+		s.startStandins,
+		s.listHosts,
+		s.startHosts,
+		s.putFirstLists,
+		s.awaitReady,
+		s.awaitPermits,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends all processes and removes the site's files.
+func (s *Site) Close() error {
+	var failures []error
+	for i := len(s.processes) - 1; i >= 0; i-- {
+		if s.processes[i].Running() {
+			failures = append(failures, s.processes[i].Kill())
+		}
+	}
+	return errors.Join(append(failures, os.RemoveAll(s.dir))...)
+}
+
+// AdminToken returns the token of an administrator who may edit the lists.
+func (s *Site) AdminToken() string { return s.adminToken }
+
+// Logs returns the ends of all logs.
+func (s *Site) Logs() string {
+	const shown = 4000
+	var text strings.Builder
+	for _, process := range s.processes {
+		log := process.Log()
+		fmt.Fprintf(&text, "--- %s\n%s\n", process.Name, log[max(0, len(log)-shown):])
+	}
+	return text.String()
+}
+
+// layOut chooses the addresses.
+func (s *Site) layOut(context.Context) error {
+	free := &ports{next: s.options.BasePort}
+	defer free.release()
+	// Callers' addresses come first, so that those of a fixed base are easy to
+	// remember.
+	for i := range s.options.Entries {
+		host := &Host{ID: "entry-" + strconv.Itoa(i+1), FailureDomain: s.options.failureDomain(i)}
+		if err := assign(free, &host.Callers, &host.Admin, &host.Inner); err != nil {
+			return err
+		}
+		s.addHost(&s.Entries, host, s.binaries.Entry)
+	}
+	if err := s.layOutStandins(free); err != nil {
+		return err
+	}
+	for i := range s.options.Runners {
+		host := &Host{ID: "runner-" + strconv.Itoa(i+1), FailureDomain: s.options.failureDomain(i)}
+		flags := append(s.engineFlags(), s.options.EngineFlags...)
+		if err := s.layOutAgent(free, &s.Runners, host, "engine", flags); err != nil {
+			return err
+		}
+	}
+	for i := range s.options.Services {
+		host := &Host{ID: "service-" + strconv.Itoa(i+1), FailureDomain: s.options.failureDomain(i)}
+		host.Services = []string{s.options.ServiceName}
+		if err := s.layOutAgent(free, &s.Services, host, "service", []string{"--name", s.options.ServiceName}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func assign(free *ports, addresses ...*string) error {
+	for _, address := range addresses {
+		given, err := free.address()
+		if err != nil {
+			return err
+		}
+		*address = given
+	}
+	return nil
+}
+
+func (s *Site) engineFlags() []string {
+	return []string{
+		"--memory-mib", strconv.FormatInt(s.options.RunnerMemoryMiB, 10),
+		"--weightstore", s.WeightStore.URL(),
+		"--check-fences=" + strconv.FormatBool(s.options.CheckFences),
+	}
+}
+
+func (s *Site) layOutStandins(free *ports) error {
+	var err error
+	if s.KeyValue, err = s.layOutStandin(free, "keyvalue", "keyvalue", nil); err != nil {
+		return err
+	}
+	if s.WeightStore, err = s.layOutStandin(free, "weightstore", "weightstore", s.options.WeightStoreFlags); err != nil {
+		return err
+	}
+	s.HostList, err = s.layOutStandin(free, "hostlist", "hostlist", []string{"--lag", s.options.hostListLag().String()})
+	return err
+}
+
+func (s *Site) layOutStandin(free *ports, name, kind string, flags []string) (*Standin, error) {
+	address, err := free.address()
+	if err != nil {
+		return nil, err
+	}
+	args := append([]string{kind, "--listen", address}, flags...)
+	return &Standin{Process: s.process(name, s.binaries.Standin, args), Address: address}, nil
+}
+
+func (s *Site) layOutAgent(free *ports, hosts *[]*Host, host *Host, kind string, flags []string) error {
+	var err error
+	if host.Backend, err = s.layOutStandin(free, host.ID+"-backend", kind, flags); err != nil {
+		return err
+	}
+	if err := assign(free, &host.Inner, &host.Admin, &host.Guard); err != nil {
+		return err
+	}
+	s.addHost(hosts, host, s.binaries.Agent)
+	return nil
+}
+
+func (s *Site) addHost(hosts *[]*Host, host *Host, binary string) {
+	host.Process = s.process(host.ID, binary, []string{"run", "--settings", filepath.Join(s.dir, host.ID+".json")})
+	*hosts = append(*hosts, host)
+	s.listed[host.ID] = platform.HostLive
+}
+
+func (s *Site) process(name, binary string, args []string) *Process {
+	process := &Process{Name: name, path: binary, args: args, logPath: filepath.Join(s.dir, name+".log")}
+	s.processes = append(s.processes, process)
+	return process
+}
+
+// Hosts returns all hosts.
+func (s *Site) Hosts() []*Host {
+	hosts := append([]*Host{}, s.Entries...)
+	hosts = append(hosts, s.Runners...)
+	return append(hosts, s.Services...)
+}
+
+// makeKeys makes the site's authority and the keys of all hosts.
+func (s *Site) makeKeys(ctx context.Context) error {
+	if err := s.command(ctx, "keys", "ca", "--dir", s.dir); err != nil {
+		return err
+	}
+	for _, host := range s.Hosts() {
+		role := string(host.row("", platform.HostLive).Role)
+		if err := s.command(ctx, "keys", "host", "--dir", s.dir, "--id", host.ID, "--role", role); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// command runs a subcommand of the entry's program.
+func (s *Site) command(ctx context.Context, args ...string) error {
+	cmd := exec.CommandContext(ctx, s.binaries.Entry, args...)
+	cmd.Env = append(os.Environ(), "TEASELGAUGE_ADMIN_TOKEN="+s.adminToken)
+	output, err := cmd.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("site: %s: %w: %s", strings.Join(args, " "), err, output)
+	}
+	return nil
+}
+
+func (s *Site) startStandins(ctx context.Context) error {
+	standins := []*Standin{s.KeyValue, s.WeightStore, s.HostList}
+	for _, host := range s.Hosts() {
+		if host.Backend != nil {
+			standins = append(standins, host.Backend)
+		}
+	}
+	for _, standin := range standins {
+		if err := standin.start(); err != nil {
+			return err
+		}
+	}
+	for _, standin := range standins {
+		if err := standin.awaitListening(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Standin) awaitListening(ctx context.Context) error {
+	return Eventually(ctx, func() error {
+		conn, err := net.Dial("tcp", s.Address)
+		if err != nil {
+			return fmt.Errorf("site: %s: %w", s.Name, err)
+		}
+		return conn.Close()
+	})
+}
+
+func (s *Site) startHosts(ctx context.Context) error {
+	for _, host := range s.Entries {
+		if err := s.writeEntrySettings(host); err != nil {
+			return err
+		}
+	}
+	for _, host := range append(append([]*Host{}, s.Runners...), s.Services...) {
+		if err := s.writeAgentSettings(host); err != nil {
+			return err
+		}
+	}
+	for _, host := range s.Hosts() {
+		if err := host.start(); err != nil {
+			return err
+		}
+	}
+	for _, host := range s.Hosts() {
+		if err := host.await(ctx, "/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until the host's process says that it is ready.
+func (h *Host) AwaitReady(ctx context.Context) error { return h.await(ctx, "/readyz") }
+
+func (h *Host) await(ctx context.Context, path string) error {
+	return Eventually(ctx, func() error {
+		status, err := get(ctx, "http://"+h.Admin+path)
+		if err != nil {
+			return fmt.Errorf("site: %s: %w", h.ID, err)
+		}
+		if status != http.StatusOK {
+			return fmt.Errorf("site: %s: %s answers %d", h.ID, path, status)
+		}
+		return nil
+	})
+}
+
+func get(ctx context.Context, url string) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := plainClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+func (s *Site) awaitReady(ctx context.Context) error {
+	for _, host := range s.Hosts() {
+		if err := host.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitPermits waits until each entry knows a permitted runner for each model.
+func (s *Site) awaitPermits(ctx context.Context) error {
+	for _, entry := range s.Entries {
+		if err := Eventually(ctx, func() error { return s.checkPermits(ctx, entry) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) checkPermits(ctx context.Context, entry *Host) error {
+	status, err := s.Status(ctx, entry)
+	if err != nil {
+		return err
+	}
+	for _, model := range status.Models {
+		if model.Permitted == 0 {
+			return fmt.Errorf("site: %s: no permit for %s@%s", entry.ID, model.Model, model.Version)
+		}
+	}
+	return nil
+}
--- a/testkit/standin/modelengine/client_test.go
+++ b/testkit/standin/modelengine/client_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -70,28 +68,6 @@
 	return string(data), err
 }
 
-// text returns the words of an answer.
-func text(t *testing.T, answer string) string {
-	t.Helper()
-	var words strings.Builder
-	for _, line := range strings.Split(answer, "\n") {
-		line = strings.TrimPrefix(line, "data: ")
-		if line == "" || line == "[DONE]" {
-			continue
-		}
-		var completion Completion
-		if err := json.Unmarshal([]byte(line), &completion); err != nil {
-			t.Fatalf("%q: %v", line, err)
-		}
-		for _, part := range []*Message{completion.Choices[0].Message, completion.Choices[0].Delta} {
-			if part != nil {
-				words.WriteString(part.Content)
-			}
-		}
-	}
-	return words.String()
-}
-
 func failed(t *testing.T, err error) *engine.Error {
 	t.Helper()
 	var e *engine.Error
@@ -114,7 +90,7 @@
 				t.Fatal(err)
 			}
 			want, err := Text(target, call(id, stream).Body)
-			if got := text(t, answer); err != nil || got != want {
+			if got, contentErr := Content([]byte(answer), stream); err != nil || contentErr != nil || got != want {
 				t.Errorf("answer %q, want %q (%v)", got, want, err)
 			}
 		}
@@ -139,7 +115,11 @@
 	}
 	server.SetFaults(Faults{})
 	answer, err := read(t.Context(), client, call("next", false))
-	if want, _ := Text(target, call("next", false).Body); err != nil || text(t, answer) != want {
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Content([]byte(answer), false)
+	if want, _ := Text(target, call("next", false).Body); err != nil || got != want {
 		t.Errorf("the next request got %q, %v", answer, err)
 	}
 }
