Confirm revocations by an unload ordered after them; retry failed engine calls

Cause: the leaving test was red: the holder now wants each revocation confirmed by an unload ordered after it was seen, and the agent confirmed without the epoch, so the permit of a leaving runner was never removed and no other runner got one (66 s of refusals, then the test's deadline). The answers test was red: a crossed or failed engine answer ended in an error when the model had a single replica, since a runner that refused isn't asked again. Change: the agent keeps the epoch to confirm, orders an unload also for an absent model, and tries again when it fails. A model request without an answer is given to the engine a second time. Ruled out: letting the entry ask the same runner again, which would meet the retained refusal of the same request id.

--- a/pkg/agent/models.go
+++ b/pkg/agent/models.go
@@ -19,6 +19,8 @@
 const (
 	// loadFailureBackoff is how long a model isn't loaded again after a failure.
 	loadFailureBackoff = 2 * time.Second
+	// unloadRetry is the pause before an unload that failed is ordered again.
+	unloadRetry = time.Second
 	// keptLoadDeadline is the urgency of a load that no request waits for.
 	keptLoadDeadline = time.Minute
 )
@@ -34,8 +36,14 @@
 	running int
 	// keep tells that the permit demands a loaded replica.
 	keep bool
-	// revoked tells that the permit is gone and the model must leave memory.
-	revoked bool
+	// revoked tells that the model must leave memory; revokedEpoch is the permit
+	// that the holder wants confirmed by an unload ordered from then on.
+	revoked      bool
+	revokedEpoch int64
+	// confirming tells that such an unload of an absent model is under way.
+	confirming bool
+	// unloadFor is the revokedEpoch at the time of the last unload's order.
+	unloadFor int64
 	// uncertain tells that the answer to the last order was lost.
 	uncertain bool
 	// orderEnded is when the last order ended.
@@ -446,15 +454,42 @@
 func (t *modelTable) becameAbsent(m *model) {
 	m.state = wire.ModelAbsent
 	m.uncertain = false
-	m.revoked = false
+	if m.revoked {
+		t.settleRevoked(m)
+		return
+	}
 	t.perform(t.holder.Step(placement.Unloaded{Model: m.id}))
 }
 
-// settleRevoked confirms a revocation of a model that isn't in memory.
+// settleRevoked confirms the revocation of a model that isn't in memory. The
+// engine must carry out an unload that was ordered after the revocation was
+// seen, as this incarnation may have been replaced while it was paused.
 func (t *modelTable) settleRevoked(m *model) {
-	if m.revoked && m.state == wire.ModelAbsent {
-		t.becameAbsent(m)
+	if !m.revoked || m.state != wire.ModelAbsent || m.confirming {
+		return
 	}
+	m.confirming = true
+	epoch := m.revokedEpoch
+	t.orders.unload(m.target(), func(err error) {
+		m.confirming = false
+		m.orderEnded = time.Now()
+		if err != nil {
+			t.controller.logger.Warn("unload not confirmed", "model", m.id.String(), "error", err)
+			return
+		}
+		t.confirmRevoked(m, epoch)
+	})
+}
+
+// confirmRevoked tells the holder that an unload ordered for an epoch was
+// carried out.
+func (t *modelTable) confirmRevoked(m *model, epoch int64) {
+	if epoch != m.revokedEpoch {
+		t.settleRevoked(m)
+		return
+	}
+	m.revoked = false
+	t.perform(t.holder.Step(placement.Unloaded{Model: m.id, Epoch: epoch}))
 }
 
 // beginUnload orders a loaded model without running requests out of memory.
@@ -474,6 +509,10 @@
 		m.state = wire.ModelLoaded
 		return
 	}
+	m.unloadFor = 0
+	if m.revoked {
+		m.unloadFor = m.revokedEpoch
+	}
 	t.orders.unload(m.target(), func(err error) { t.unloadEnded(time.Now(), m, err) })
 }
 
@@ -486,7 +525,12 @@
 		return
 	}
 	t.note(t.ledger.Settle(m.target(), false))
-	t.becameAbsent(m)
+	if m.revoked && m.unloadFor == m.revokedEpoch {
+		m.state = wire.ModelAbsent
+		t.confirmRevoked(m, m.unloadFor)
+	} else {
+		t.becameAbsent(m)
+	}
 	t.controller.advance(now)
 }
 
@@ -495,7 +539,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case placement.Unload:
-			t.revoke(time.Now(), a.Model)
+			t.revoke(time.Now(), a)
 		case placement.RemovePermit:
 			t.orders.removePermit(a.Change)
 		case placement.ReadPlacement:
@@ -506,15 +550,13 @@
 }
 
 // revoke takes a model out of service and, once it is unused, out of memory.
-func (t *modelTable) revoke(now time.Time, id placement.ModelVersion) {
-	m := t.model(id)
+func (t *modelTable) revoke(now time.Time, order placement.Unload) {
+	m := t.model(order.Model)
 	m.revoked = true
+	m.revokedEpoch = order.Epoch
 	m.keep = false
 	t.controller.failWaiting(now, m.queueTarget(), wire.ReasonNoPermit, "")
-	if m.state == wire.ModelAbsent && !m.uncertain {
-		t.becameAbsent(m)
-		return
-	}
+	t.settleRevoked(m)
 	t.beginUnload(m, "revoked")
 }
 
@@ -533,7 +575,7 @@
 func (t *modelTable) tick(now time.Time) {
 	for _, m := range t.models {
 		if m.revoked {
-			t.beginUnload(m, "revoked")
+			t.retryRevoked(now, m)
 			continue
 		}
 		if !m.isIdle() || m.keep {
@@ -547,6 +589,15 @@
 	t.pumpAdapters(now)
 }
 
+// retryRevoked goes on with a revocation that isn't confirmed yet.
+func (t *modelTable) retryRevoked(now time.Time, m *model) {
+	if now.Sub(m.orderEnded) < unloadRetry {
+		return
+	}
+	t.settleRevoked(m)
+	t.beginUnload(m, "revoked")
+}
+
 // share is the model's part of the engine's memory.
 func (t *modelTable) share(m *model) float64 {
 	capacity := t.ledger.Capacity()
--- a/pkg/agent/runner.go
+++ b/pkg/agent/runner.go
@@ -13,6 +13,9 @@
 
 const (
 	readBufferBytes = 32 << 10
+	// maxEngineCalls bounds how often a request without an answer is given to the
+	// engine. Model requests are idempotent.
+	maxEngineCalls = 2
 	// maxEngineResumes bounds how often a cut answer is resumed at the engine.
 	maxEngineResumes = 3
 	cancelTimeout    = 2 * time.Second
@@ -72,7 +75,7 @@
 		}
 		defer r.controller.loop.Post(func() { r.controller.models.releaseAdapter(time.Now(), target) })
 	}
-	result, err := r.engine.Call(t.ctx, engine.Call{
+	call := engine.Call{
 		RequestID:   t.request.ID,
 		Path:        t.request.Path,
 		ContentType: t.request.ContentType,
@@ -80,9 +83,11 @@
 		Target:      target,
 		Priority:    t.request.Priority,
 		Stream:      t.request.Stream,
-	})
-	if err == nil {
-		err = r.copyAnswer(t, result)
+	}
+	err := r.callEngine(t, call)
+	for calls := 1; err != nil && t.answer.size() == 0 && t.ctx.Err() == nil && calls < maxEngineCalls; calls++ {
+		r.controller.logger.Warn("engine call failed, trying again", "request", call.RequestID, "error", err)
+		err = r.callEngine(t, call)
 	}
 	for resumes := 0; err != nil && t.answer.size() > 0 && resumes < maxEngineResumes; resumes++ {
 		err = r.resume(t, err)
@@ -90,6 +95,14 @@
 	r.conclude(t, err)
 }
 
+func (r *runner) callEngine(t *ticket, call engine.Call) error {
+	result, err := r.engine.Call(t.ctx, call)
+	if err != nil {
+		return err
+	}
+	return r.copyAnswer(t, result)
+}
+
 // acquireAdapter waits until the request's adapter is loaded.
 func (r *runner) acquireAdapter(t *ticket, target engine.Target) wire.Reason {
 	result := make(chan wire.Reason, 1)
