--- a/pkg/loading/coordinator.go
+++ b/pkg/loading/coordinator.go
@@ -128,10 +128,19 @@
 	}
 	a.seen = now
 	a.waiting = m.Waiting
-	a.deadline = now.Add(time.Duration(m.DeadlineMillis) * time.Millisecond)
+	a.moveDeadline(now.Add(time.Duration(m.DeadlineMillis) * time.Millisecond))
 	return a
 }
 
+// moveDeadline takes in a deadline. Small delays are ignored: the time
+// left of an overdue load is always zero, and loads whose deadlines move with
+// each ask would stand behind each other for ever.
+func (a *ask) moveDeadline(deadline time.Time) {
+	if a.deadline.IsZero() || deadline.Before(a.deadline) || deadline.Sub(a.deadline) > askTTL {
+		a.deadline = deadline
+	}
+}
+
 func (c *Coordinator) grant(now time.Time, id loadID) {
 	delete(c.asks, id)
 	ttl := max(grantTTLLoads*c.meanLoad, minGrantTTL)
