--- /dev/null
+++ b/testkit/bench/pacing/main.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/loading"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "pacing",
+		Usage: "compare load pacing and keep-alive in virtual time",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Value: 5, Usage: "number of seeds, from 1"},
+			&cli.StringFlag{Name: "table", Value: "all", Usage: "pacing, keepalive or all"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return compare(os.Stdout, c.Int("seeds"), c.String("table"))
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func compare(w io.Writer, seeds int, table string) error {
+	for _, s := range sites {
+		if table != "keepalive" {
+			if err := comparePacing(w, s, seeds); err != nil {
+				return err
+			}
+		}
+		if table != "pacing" {
+			if err := compareKeepAlive(w, s, seeds); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func runSeeds(s site, policy lists.Policy, v variant, f faults, load workload, seeds int) result {
+	var sum result
+	for seed := range seeds {
+		sum.add(run(s, policy, v, f, load, uint64(seed+1)))
+	}
+	return sum
+}
+
+func comparePacing(w io.Writer, s site, seeds int) error {
+	fmt.Fprintf(w, "\npacing, %s, seeds 1-%d, %d bursts each\n", s.name, seeds, bursts)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "fault\tpacer\tcold p50\tp95\tp99\tlate %\tloads\tasks\t")
+	for _, f := range []faults{{name: "none"}, {name: "slow x3", slow: 3}, {name: "coordinator lost", lost: true}} {
+		for _, v := range pacingVariants {
+			r := runSeeds(s, s.policy, v, f, burstArrivals, seeds)
+			late := 100 * float64(r.missed) / float64(max(len(r.cold), 1))
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.1f\t%d\t%d\t\n", f.name, v.name,
+				show(r.quantile(0.5)), show(r.quantile(0.95)), show(r.quantile(0.99)), late, r.loads, r.asks)
+		}
+	}
+	return t.Flush()
+}
+
+func compareKeepAlive(w io.Writer, s site, seeds int) error {
+	fmt.Fprintf(w, "\nkeep-alive, %s, seeds 1-%d, one day each\n", s.name, seeds)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "weights\tkeep-alive\tcold %\tp50\tp95\tp99\tall p99\tidle h/day\tloads\tcost/day\t")
+	for _, other := range sites {
+		for _, v := range keepAliveVariants {
+			r := runSeeds(s, other.policy, v, faults{}, dayArrivals, seeds)
+			days := float64(seeds)
+			cold := 100 * float64(len(r.cold)) / float64(r.requests)
+			fmt.Fprintf(t, "%s\t%s\t%.2f\t%s\t%s\t%s\t%s\t%.1f\t%.0f\t%.0f\t\n", other.name, v.name, cold,
+				show(r.quantile(0.5)), show(r.quantile(0.95)), show(r.quantile(0.99)), show(r.overall(0.99)),
+				r.idle/3600/days, float64(r.loads)/days, r.cost(other.policy)/days)
+		}
+	}
+	return t.Flush()
+}
+
+// overall returns the q-quantile of the wait of all requests; those that met a
+// loaded model waited for nothing.
+func (r *result) overall(q float64) time.Duration {
+	warm := 1 - float64(len(r.cold))/float64(r.requests)
+	if q <= warm {
+		return 0
+	}
+	return r.quantile((q - warm) / (1 - warm))
+}
+
+// cost is the weighted sum of the waits for loads and of idle time.
+func (r *result) cost(policy lists.Policy) float64 {
+	var waits float64
+	for _, c := range r.cold {
+		waits += c.Seconds()
+	}
+	return policy.ColdStartWeight*waits + policy.IdleWeight*r.idle
+}
+
+func show(d time.Duration) string {
+	return fmt.Sprintf("%.2fs", d.Seconds())
+}
+
+func split(s site) loading.Pacer    { return loading.NewSplit(s.limits, s.runners) }
+func adaptive(s site) loading.Pacer { return loading.NewAdaptive(s.limits, s.runners) }
+func guided(s site) loading.Pacer {
+	return loading.NewGuided(s.limits, s.runners, loading.FallbackSplit)
+}
+
+func positioned(s site) loading.Pacer {
+	return loading.NewGuided(s.limits, s.runners, loading.FallbackPosition)
+}
+
+func unpaced(s site) loading.Pacer {
+	free := loading.StoreLimits{StartsPerSecond: 1e6, AtOnce: 1e6}
+	return loading.NewSplit(free, 1)
+}
+
+func keepFor(d time.Duration) func(*runner, *replica) time.Time {
+	return func(r *runner, _ *replica) time.Time { return r.trial.clock.now.Add(d) }
+}
+
+// keepBreakEven keeps a model until its idle time costs as much as a cold start.
+func keepBreakEven(r *runner, rep *replica) time.Time {
+	policy := r.trial.policy
+	cold := policy.ColdStartWeight * rep.model.loadTime.Seconds()
+	idle := policy.IdleWeight * memoryShare(rep.model)
+	return r.trial.clock.now.Add(time.Duration(cold / idle * float64(time.Second)))
+}
+
+func keepByHistory(r *runner, rep *replica) time.Time {
+	now := r.trial.clock.now
+	return r.keeper.KeepUntil(now, rep.target(), rep.model.loadTime, memoryShare(rep.model), r.trial.policy)
+}
+
+const (
+	burstKeepAlive = time.Minute
+	fixedKeepAlive = 10 * time.Minute
+)
+
+var pacingVariants = []variant{
+	{name: "unpaced, own choice", pacer: unpaced, keepAlive: keepFor(burstKeepAlive), ownChoice: true},
+	{name: "unpaced", pacer: unpaced, keepAlive: keepFor(burstKeepAlive)},
+	{name: "split", pacer: split, keepAlive: keepFor(burstKeepAlive)},
+	{name: "adaptive", pacer: adaptive, keepAlive: keepFor(burstKeepAlive)},
+	{name: "guided, arrival", pacer: guided, keepAlive: keepFor(burstKeepAlive), order: loading.OrderArrival},
+	{name: "guided, deadline", pacer: guided, keepAlive: keepFor(burstKeepAlive), order: loading.OrderDeadline},
+	{name: "guided, waiting", pacer: guided, keepAlive: keepFor(burstKeepAlive), order: loading.OrderWaiting},
+	{name: "guided, waiting, position", pacer: positioned, keepAlive: keepFor(burstKeepAlive), order: loading.OrderWaiting},
+}
+
+var keepAliveVariants = []variant{
+	{name: "10 min, own choice, unpaced", pacer: unpaced, keepAlive: keepFor(fixedKeepAlive), ownChoice: true},
+	{name: "10 min", pacer: guided, keepAlive: keepFor(fixedKeepAlive), order: loading.OrderWaiting},
+	{name: "break-even", pacer: guided, keepAlive: keepBreakEven, order: loading.OrderWaiting},
+	{name: "history", pacer: guided, keepAlive: keepByHistory, order: loading.OrderWaiting},
+}
--- /dev/null
+++ b/testkit/bench/pacing/trial.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/loading"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// askTimeout is how long an agent waits for the coordinator's answer.
+const askTimeout = 250 * time.Millisecond
+
+// variant is a set of choices to compare.
+type variant struct {
+	name      string
+	pacer     func(site) loading.Pacer
+	keepAlive func(*runner, *replica) time.Time
+	order     loading.Order
+	// ownChoice lets every entry choose a runner for itself.
+	ownChoice bool
+}
+
+// faults are what happens during a trial.
+type faults struct {
+	name string
+	// slow is the factor of load times in the first minute of every third burst.
+	slow float64
+	// lost makes the coordinator fail in every second burst and start anew,
+	// without state, a while later.
+	lost bool
+}
+
+const (
+	slowFor = time.Minute
+	lostAt  = 1500 * time.Millisecond
+	lostFor = 5 * time.Second
+)
+
+// result is what a trial measures.
+type result struct {
+	requests int
+	loads    int
+	missed   int
+	asks     int
+	// idle is in accelerator-seconds: seconds times the share of the memory.
+	idle float64
+	cold []time.Duration
+}
+
+// trial is one run.
+type trial struct {
+	site        site
+	policy      lists.Policy
+	variant     variant
+	clock       *clock
+	start       time.Time
+	store       *store
+	models      []model
+	runners     []*runner
+	coordinator *loading.Coordinator
+	result      result
+}
+
+// run performs a trial and returns its result.
+func run(s site, policy lists.Policy, v variant, f faults, load workload, seed uint64) result {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	c := &clock{now: start}
+	t := &trial{
+		site:        s,
+		policy:      policy,
+		variant:     v,
+		clock:       c,
+		start:       start,
+		store:       &store{clock: c, limits: s.limits, slow: 1, updated: start},
+		models:      newModels(s, rng),
+		coordinator: loading.NewCoordinator(s.limits, v.order),
+	}
+	for i := range s.runners {
+		t.runners = append(t.runners, newRunner(t, i))
+	}
+	arrivals := load(s, t.models, rng)
+	for _, a := range arrivals {
+		c.at(start.Add(a.at), func() { t.route(a).request(a) })
+	}
+	t.plan(f)
+	last := start.Add(arrivals[len(arrivals)-1].at)
+	c.run(last.Add(burstEvery))
+	t.closeIdle()
+	return t.result
+}
+
+// plan schedules the faults of all bursts.
+func (t *trial) plan(f faults) {
+	for burst := range bursts {
+		begin := t.start.Add(time.Duration(burst) * burstEvery)
+		if f.slow > 0 && burst%3 == 0 {
+			t.clock.at(begin, func() { t.store.setSlow(f.slow) })
+			t.clock.at(begin.Add(slowFor), func() { t.store.setSlow(1) })
+		}
+		if f.lost && burst%2 == 0 {
+			t.clock.at(begin.Add(lostAt), func() { t.coordinator = nil })
+			t.clock.at(begin.Add(lostAt+lostFor), func() {
+				t.coordinator = loading.NewCoordinator(t.site.limits, t.variant.order)
+			})
+		}
+	}
+}
+
+// route chooses the runner of a request by rendezvous hashing.
+func (t *trial) route(a arrival) *runner {
+	key := fmt.Sprint(a.model)
+	if t.variant.ownChoice {
+		key = fmt.Sprint(a.model, "/", a.entry)
+	}
+	var best *runner
+	var highest uint64
+	for _, r := range t.runners {
+		if h := xxhash.Sum64String(key + "/" + r.name); best == nil || h > highest {
+			best = r
+			highest = h
+		}
+	}
+	return best
+}
+
+// ask sends a message to the coordinator and calls back with its answer.
+func (t *trial) ask(m wire.LoadAsk, answer func(wire.LoadSlot, bool)) {
+	t.result.asks++
+	t.clock.after(t.site.delay, func() {
+		if t.coordinator == nil {
+			t.clock.after(askTimeout-t.site.delay, func() { answer(wire.LoadSlot{}, false) })
+			return
+		}
+		slot := t.coordinator.Ask(t.clock.now, m)
+		t.clock.after(t.site.delay, func() { answer(slot, true) })
+	})
+}
+
+func (t *trial) earliestDeadline(waiting []arrival) time.Time {
+	first := waiting[0].deadline
+	for _, a := range waiting {
+		first = min(first, a.deadline)
+	}
+	return t.start.Add(first)
+}
+
+// coldStart records that a waiting request starts.
+func (t *trial) coldStart(a arrival) {
+	now := t.clock.now.Sub(t.start)
+	t.result.cold = append(t.result.cold, now-a.at)
+	if now > a.deadline {
+		t.result.missed++
+	}
+}
+
+func (t *trial) closeIdle() {
+	for _, r := range t.runners {
+		for _, rep := range r.order {
+			r.endIdle(rep)
+		}
+	}
+}
+
+func (t *trial) must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (r *result) add(o result) {
+	r.requests += o.requests
+	r.loads += o.loads
+	r.missed += o.missed
+	r.asks += o.asks
+	r.idle += o.idle
+	r.cold = append(r.cold, o.cold...)
+}
+
+// quantile returns the q-quantile of the cold starts.
+func (r *result) quantile(q float64) time.Duration {
+	if len(r.cold) == 0 {
+		return 0
+	}
+	slices.Sort(r.cold)
+	return r.cold[int(q*float64(len(r.cold)-1))]
+}
