Order starts by urgency and waiting requests, and overlap the coordinator's loads

Cause: guided pacing had a longer tail than no pacing at all, since places at the weight store stood idle until the next agent asked; and loads ordered by waiting requests were late three times as often in a slow store as by deadline. Change: agents near the front ask after 25 ms, those behind after half of their expected wait; one load more than full speed may run; OrderUrgent puts loads with near deadlines first and the others by age and waiting requests.

--- a/pkg/loading/coordinator.go
+++ b/pkg/loading/coordinator.go
@@ -1,7 +1,6 @@
 package loading
 
 import (
-	"math"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/engine"
@@ -10,10 +9,16 @@
 
 const (
 	// minPoll and maxPoll bound the wait after which a waiting agent asks again.
-	minPoll = 20 * time.Millisecond
-	maxPoll = 250 * time.Millisecond
+	minPoll = 25 * time.Millisecond
+	maxPoll = time.Second
+	// pollShare is the share of a load's expected wait after which its agent
+	// asks again.
+	pollShare = 0.5
+	// overlap is the number of loads above those at full speed that may run, so
+	// that the weight store isn't idle while the next start's message travels.
+	overlap = 1
 	// askTTL is how long a waiting load counts that isn't asked for again.
-	askTTL = 4 * maxPoll
+	askTTL = 3 * maxPoll
 	// minGrantTTL is the least time for which a start counts as running when its
 	// end isn't reported.
 	minGrantTTL = 30 * time.Second
@@ -39,6 +44,9 @@
 	OrderArrival Order = iota
 	// OrderDeadline starts the load with the earliest deadline.
 	OrderDeadline
+	// OrderUrgent starts the loads first whose deadline is near, by deadline, and
+	// the others as OrderWaiting does.
+	OrderUrgent
 	// OrderWaiting starts the load that was asked for first, after moving each
 	// one ahead by the number of requests that wait for it.
 	OrderWaiting
@@ -94,8 +102,8 @@
 		return wire.LoadSlot{}
 	}
 	a := c.note(now, id, m)
-	position := c.position(a)
-	free := c.limits.AtOnce - len(c.grants)
+	position := c.position(now, a)
+	free := c.limits.AtOnce + overlap - len(c.grants)
 	if position < free && !now.Before(c.nextStart) {
 		c.grant(now, id)
 		return wire.LoadSlot{}
@@ -145,7 +153,8 @@
 	delete(c.asks, id)
 	ttl := max(grantTTLLoads*c.meanLoad, minGrantTTL)
 	c.grants[id] = now.Add(ttl)
-	c.nextStart = now.Add(durationOf(1 / c.limits.StartsPerSecond))
+	interval := durationOf(1 / c.limits.StartsPerSecond)
+	c.nextStart = now.Add(interval)
 }
 
 // expire drops the loads of agents that fell silent.
@@ -162,20 +171,49 @@
 	}
 }
 
+// key places an ask in the order. Lower ranks go first.
+func (c *Coordinator) key(now time.Time, a *ask) (rank int, at time.Time) {
+	waited := a.first.Add(-waitingBonus * time.Duration(min(a.waiting, maxBonusWaiting)))
+	switch c.order {
+	case OrderDeadline:
+		return 0, a.deadline
+	case OrderWaiting:
+		return 0, waited
+	case OrderUrgent:
+		if a.deadline.Sub(now) < c.drainTime() {
+			return 0, a.deadline
+		}
+		return 1, waited
+	default:
+		return 0, a.first
+	}
+}
+
+// drainTime is the expected time until all waiting loads have ended.
+func (c *Coordinator) drainTime() time.Duration {
+	rounds := float64(len(c.asks))/float64(max(c.limits.AtOnce, 1)) + 1
+	return time.Duration(rounds * float64(c.meanLoad))
+}
+
 // position counts the loads that start before an ask.
-func (c *Coordinator) position(a *ask) int {
+func (c *Coordinator) position(now time.Time, a *ask) int {
 	n := 0
 	for _, other := range c.asks {
-		if other != a && c.before(other, a) {
+		if other != a && c.before(now, other, a) {
 			n++
 		}
 	}
 	return n
 }
 
-func (c *Coordinator) before(a, b *ask) bool {
-	if ka, kb := c.key(a), c.key(b); !ka.Equal(kb) {
-		return ka.Before(kb)
+func (c *Coordinator) before(now time.Time, a, b *ask) bool {
+	rankA, atA := c.key(now, a)
+	rankB, atB := c.key(now, b)
+	if rankA != rankB {
+		return rankA < rankB
+	}
+	if !atA.Equal(atB) {
+		return atA.Before(atB)
 	}
 	if a.id.runner != b.id.runner {
 		return a.id.runner < b.id.runner
@@ -186,23 +224,13 @@
 	return a.id.target.Version < b.id.target.Version
 }
 
-func (c *Coordinator) key(a *ask) time.Time {
-	switch c.order {
-	case OrderDeadline:
-		return a.deadline
-	case OrderWaiting:
-		return a.first.Add(-waitingBonus * time.Duration(min(a.waiting, maxBonusWaiting)))
-	default:
-		return a.first
-	}
-}
-
-// wait is when an agent at the position should ask again.
+// wait is when an agent at the position should ask again. Loads near the front
+// ask often, so that a free place is taken at once.
 func (c *Coordinator) wait(now time.Time, position, free int) time.Duration {
-	wait := c.nextStart.Sub(now)
+	expected := c.nextStart.Sub(now)
 	if position >= free {
-		ends := float64(position-max(free, 0)+1) / float64(max(c.limits.AtOnce, 1))
-		wait = max(wait, time.Duration(math.Min(ends, 1)*float64(c.meanLoad)/4))
+		rounds := float64(position-max(free, 0)) / float64(max(c.limits.AtOnce, 1))
+		expected = max(expected, time.Duration(pollShare*rounds*float64(c.meanLoad)))
 	}
-	return min(max(wait, minPoll), maxPoll)
+	return min(max(expected, minPoll), maxPoll)
 }
