--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -61,6 +61,12 @@
 			Item{Plan: "p", Weight: 1, Tokens: 100},
 			4 * second, 0, "",
 		},
+		{
+			"another plan's burst beside the own plan's queue",
+			[]Item{{ID: "1", Plan: "q", Weight: 1, Tokens: 50000}, {ID: "2", Plan: "p", Weight: 1, Priority: 1, Tokens: 100}},
+			Item{Plan: "p", Weight: 1, Tokens: 100},
+			4 * second, 0, "",
+		},
 		{
 			"a cold model's queue isn't ahead",
 			[]Item{{ID: "1", Plan: "p", Priority: 2, Tokens: 50000, Target: cold}},
@@ -128,6 +134,32 @@
 	}
 }
 
+func TestLatePlanGetsNoCredit(t *testing.T) {
+	q := New(Limits{MaxQueued: 1000, Slots: 1})
+	for i := range 60 {
+		mustQueue(t, q, Item{ID: fmt.Sprint("p", i), Plan: "p", Tokens: 10}, 0)
+	}
+	serve := func(n int) map[string]int {
+		served := map[string]int{}
+		for range n {
+			item, ok := q.Next(testStart, always)
+			if !ok {
+				t.Fatal("nothing to run")
+			}
+			served[item.Plan]++
+			q.Finish(testStart, item.ID, item.Tokens, 0)
+		}
+		return served
+	}
+	serve(30)
+	for i := range 60 {
+		mustQueue(t, q, Item{ID: fmt.Sprint("q", i), Plan: "q", Tokens: 10}, 0)
+	}
+	if served := serve(20); served["p"] < 9 || served["q"] < 9 {
+		t.Errorf("served %v", served)
+	}
+}
+
 func TestNextHonoursRate(t *testing.T) {
 	q := New(Limits{MaxQueued: 10, Slots: 4})
 	mustQueue(t, q, Item{ID: "1", Plan: "p", Tokens: 300, TokensPerSecond: 100}, 0)
