--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -153,6 +153,9 @@
 	if _, err := keys.ServerConfig(files, keys.RoleAgent); err != nil {
 		t.Error(err)
 	}
+	expect(t, ExitOK, "entry-1  entry  teaselgauge ca  ", "keys", "show", "--cert", keys.CertPath(dir, "entry-1"))
+	expect(t, ExitOK, "teaselgauge ca  authority  ", "keys", "show", "--cert", keys.CertPath(dir, "ca"))
+	expect(t, ExitFailure, "no PEM certificate", "keys", "show", "--cert", keys.KeyPath(dir, "ca"))
 	output := expect(t, ExitOK, "hash: ", "keys", "api-key")
 	fields := strings.Fields(output)
 	code, hash := run(t, fields[1]+"\n", "keys", "hash")
--- a/pkg/command/keys.go
+++ b/pkg/command/keys.go
@@ -32,6 +32,7 @@
 		Commands: []*cli.Command{
 			keysAuthorityCommand(),
 			keysHostCommand(),
+			keysShowCommand(),
 			keysAPIKeyCommand(),
 			keysHashCommand(),
 		},
@@ -131,6 +132,26 @@
 	return nil
 }
 
+func keysShowCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "show",
+		Usage: "print who certificates belong to and how long they are valid",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "cert", Required: true, Usage: "PEM file of one or several certificates"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			descriptions, err := keys.Describe(c.String("cert"))
+			if err != nil {
+				return err
+			}
+			table := newTable(c)
+			fmt.Fprintln(table, "NAME\tROLE\tISSUER\tEXPIRES")
+			for _, d := range descriptions {
+				fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", d.Name, d.Role, d.Issuer, d.Expires.UTC().Format(time.RFC3339))
+			}
+			return table.Flush()
+		},
+	}
+}
+
 func keysAPIKeyCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "api-key",
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -1,8 +1,10 @@
 package keys
 
 import (
+	"bytes"
 	"crypto/tls"
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -204,6 +206,38 @@
 	}
 }
 
+func TestCallersConfig(t *testing.T) {
+	site := newAuthority(t, "site")
+	files := writeHost(t, site, "entry-1", RoleEntry, site)
+	server, err := CallersConfig(settings.CallersTLS{CertFile: files.CertFile, KeyFile: files.KeyFile})
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificate, err := server.GetCertificate(nil)
+	if err != nil || certificate.Leaf.Subject.CommonName != "entry-1" {
+		t.Errorf("certificate %v, %v", certificate, err)
+	}
+	if _, err := CallersConfig(settings.CallersTLS{CertFile: files.KeyFile, KeyFile: files.KeyFile}); err == nil {
+		t.Error("a key taken as a certificate")
+	}
+}
+
+func TestExpiryIsLogged(t *testing.T) {
+	var log bytes.Buffer
+	standard := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	defer slog.SetDefault(standard)
+	source, err := newSource(writeHost(t, newAuthority(t, "site"), "agent-1", RoleAgent, newAuthority(t, "site")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	source.checked = time.Time{}
+	source.current()
+	if got := strings.Count(log.String(), `msg="certificate expires soon" subject=agent-1`); got != 1 {
+		t.Errorf("reported %d times, want once a day:\n%s", got, log.String())
+	}
+}
+
 func TestFiles(t *testing.T) {
 	dir := t.TempDir()
 	pair := newAuthority(t, "site")
--- a/pkg/keys/source.go
+++ b/pkg/keys/source.go
@@ -6,30 +6,40 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
-// checkInterval is the least time between two looks at the key files.
-const checkInterval = time.Second
+const (
+	// checkInterval is the least time between two looks at the key files.
+	checkInterval = time.Second
+	// expiryNotice is how long before its end a certificate is reported.
+	expiryNotice = 30 * 24 * time.Hour
+	// expiryRepeat is the time between two reports.
+	expiryRepeat = 24 * time.Hour
+)
 
 // material is what the key files held when they were read.
 type material struct {
 	certificate tls.Certificate
-	roots       *x509.CertPool
+	// roots is nil for certificates towards callers.
+	roots *x509.CertPool
 }
 
 // source reads key files and reads them again when they change. Files that
 // can't be read or don't fit each other leave the last material in use.
 type source struct {
-	files settings.InnerTLS
+	paths []string
+	read  func() (*material, error)
 
-	mu      sync.Mutex
-	checked time.Time
-	stamps  [3]fileStamp
-	value   *material
+	mu       sync.Mutex
+	checked  time.Time
+	reported time.Time
+	stamps   []fileStamp
+	value    *material
 }
 
 // fileStamp tells versions of a file apart.
@@ -39,13 +49,19 @@
 }
 
 func newSource(files settings.InnerTLS) (*source, error) {
-	s := &source{files: files, checked: time.Now()}
+	paths := []string{files.CAFile, files.CertFile, files.KeyFile}
+	return openSource(paths, func() (*material, error) { return readMaterial(files) })
+}
+
+func openSource(paths []string, read func() (*material, error)) (*source, error) {
+	s := &source{paths: paths, read: read, checked: time.Now()}
 	s.stamps = s.readStamps()
-	value, err := readMaterial(files)
+	value, err := read()
 	if err != nil {
 		return nil, err
 	}
 	s.value = value
+	s.reportExpiry(s.checked)
 	return s, nil
 }
 
@@ -59,27 +75,39 @@
 	}
 	s.checked = now
 	s.refresh()
+	s.reportExpiry(now)
 	return s.value
 }
 
 func (s *source) refresh() {
 	stamps := s.readStamps()
-	if stamps == s.stamps {
+	if slices.Equal(stamps, s.stamps) {
 		return
 	}
-	value, err := readMaterial(s.files)
+	value, err := s.read()
 	if err != nil {
 		slog.Error("key files unusable, last ones stay in use", "error", err)
 		return
 	}
 	s.stamps = stamps
 	s.value = value
-	slog.Info("key files read again", "cert_file", s.files.CertFile, "ca_file", s.files.CAFile)
+	s.reported = time.Time{}
+	slog.Info("key files read again", "files", s.paths)
+}
+
+// reportExpiry logs a certificate that ends soon, once a day.
+func (s *source) reportExpiry(now time.Time) {
+	leaf := s.value.certificate.Leaf
+	if leaf == nil || now.Add(expiryNotice).Before(leaf.NotAfter) || now.Sub(s.reported) < expiryRepeat {
+		return
+	}
+	s.reported = now
+	slog.Warn("certificate expires soon", "subject", leaf.Subject.CommonName, "expires", leaf.NotAfter)
 }
 
-func (s *source) readStamps() [3]fileStamp {
-	var stamps [3]fileStamp
-	for i, path := range [...]string{s.files.CAFile, s.files.CertFile, s.files.KeyFile} {
+func (s *source) readStamps() []fileStamp {
+	stamps := make([]fileStamp, len(s.paths))
+	for i, path := range s.paths {
 		info, err := os.Stat(path)
 		if err != nil {
 			continue
@@ -90,17 +118,25 @@
 }
 
 func readMaterial(files settings.InnerTLS) (*material, error) {
-	certificate, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
+	value, err := readCertificate(files.CertFile, files.KeyFile)
 	if err != nil {
-		return nil, fmt.Errorf("keys: certificate %s: %w", files.CertFile, err)
+		return nil, err
 	}
 	caPEM, err := os.ReadFile(files.CAFile)
 	if err != nil {
 		return nil, fmt.Errorf("keys: %w", err)
 	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(caPEM) {
+	value.roots = x509.NewCertPool()
+	if !value.roots.AppendCertsFromPEM(caPEM) {
 		return nil, fmt.Errorf("keys: %s holds no PEM certificate", files.CAFile)
 	}
-	return &material{certificate: certificate, roots: roots}, nil
+	return value, nil
+}
+
+func readCertificate(certFile, keyFile string) (*material, error) {
+	certificate, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, fmt.Errorf("keys: certificate %s: %w", certFile, err)
+	}
+	return &material{certificate: certificate}, nil
 }
