--- a/pkg/schema/schema_test.go
+++ b/pkg/schema/schema_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -46,6 +47,20 @@
 	}
 }
 
+func TestIsIdentifier(t *testing.T) {
+	long := strings.Repeat("a", 128)
+	for _, name := range []string{"a", "Z9", "0", "a.b-c_d", long} {
+		if !IsIdentifier(name) {
+			t.Errorf("%q refused", name)
+		}
+	}
+	for _, name := range []string{"", "-a", ".a", "_a", "a b", "a@1", "a:b", "a/b", "*", "é", "a\n", long + "a"} {
+		if IsIdentifier(name) {
+			t.Errorf("%q taken", name)
+		}
+	}
+}
+
 func problemsOf(t *testing.T, data string) []string {
 	t.Helper()
 	var target document
--- a/pkg/schema/validate.go
+++ b/pkg/schema/validate.go
@@ -5,15 +5,13 @@
 	"fmt"
 	"net/netip"
 	"reflect"
-	"regexp"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
 )
 
-// identifierPattern describes names of hosts, plans, models and the like. The
-// separators "@" and ":" of model references are not part of it.
-var identifierPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+// maxIdentifierBytes bounds an identifier.
+const maxIdentifierBytes = 128
 
 // validate is safe for concurrent use and caches the types that it has seen.
 var validate = newValidator()
@@ -46,9 +44,23 @@
 }
 
 // IsIdentifier tells whether name has 1 to 128 letters, digits, dots, hyphens
-// and underscores and starts with a letter or a digit.
+// and underscores and starts with a letter or a digit. Names of hosts, plans,
+// models and the like are identifiers; the separators "@" and ":" of model
+// references are not part of them.
 func IsIdentifier(name string) bool {
-	return identifierPattern.MatchString(name)
+	if name == "" || len(name) > maxIdentifierBytes || !isAlphanumeric(name[0]) {
+		return false
+	}
+	for i := range len(name) {
+		if !isAlphanumeric(name[i]) && name[i] != '.' && name[i] != '-' && name[i] != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+func isAlphanumeric(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
 }
 
 // Validate checks a struct against its validation tags. It returns nil or an
