Keep the lists below the site's prefix without a double slash

Cause: a store view below a prefix turned the lists' keys into /site//lists. Change: an empty prefix gives keys without a leading slash. Conclusion: tests of lists, adminapi, command and entry pass.

--- a/pkg/lists/store.go
+++ b/pkg/lists/store.go
@@ -38,12 +38,15 @@
 	orphans map[string]bool
 }
 
-// NewStore returns a store whose keys start with prefix.
+// NewStore returns a store whose keys stand below prefix, which may be empty.
 func NewStore(kv platform.KeyValueStore, prefix string) *Store {
+	if prefix != "" {
+		prefix += "/"
+	}
 	return &Store{
 		kv:          kv,
-		manifestKey: prefix + "/lists/manifest",
-		chunkPrefix: prefix + "/lists/chunks/",
+		manifestKey: prefix + "lists/manifest",
+		chunkPrefix: prefix + "lists/chunks/",
 		cache:       make(map[string][]byte),
 		orphans:     make(map[string]bool),
 	}
