Add make demo and make up

Cause: a newcomer must see the whole path with one command. Ruled out: go run in the targets, since it does not pass SIGTERM on.

--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,15 @@
 	GOWORK=off go mod tidy -diff
 	cd testkit && GOWORK=off go mod tidy -diff
 
+# demo runs a whole site, sends one request of each kind and checks the answers.
+demo:
+	go build -o $(BIN)/demo ./testkit/cmd/demo
+	$(BIN)/demo run
+
+# up keeps a whole site running on fixed ports until interrupted.
+up:
+	go build -o $(BIN)/demo ./testkit/cmd/demo
+	$(BIN)/demo up
+
 clean:
 	rm -rf $(BIN)
--- a/testkit/process/main_test.go
+++ b/testkit/process/main_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		if t.Failed() {
+		if t.Failed() || os.Getenv("SITE_LOGS") != "" {
 			t.Log(s.Logs())
 		}
 		if err := s.Close(); err != nil {
--- a/testkit/site/site.go
+++ b/testkit/site/site.go
@@ -331,23 +331,37 @@
 
 // awaitPermits waits until each entry knows a permitted runner for each model.
 func (s *Site) awaitPermits(ctx context.Context) error {
+	snapshot, err := s.Lists(ctx, s.Entries[0])
+	if err != nil {
+		return err
+	}
+	for _, model := range snapshot.Allowances.Models {
+		if err := s.AwaitModel(ctx, model.Name, model.Version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitModel waits until each entry knows a permitted runner for a model.
+func (s *Site) AwaitModel(ctx context.Context, model, version string) error {
 	for _, entry := range s.Entries {
-		if err := Eventually(ctx, func() error { return s.checkPermits(ctx, entry) }); err != nil {
+		if err := Eventually(ctx, func() error { return s.checkPermit(ctx, entry, model, version) }); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Site) checkPermits(ctx context.Context, entry *Host) error {
+func (s *Site) checkPermit(ctx context.Context, entry *Host, model, version string) error {
 	status, err := s.Status(ctx, entry)
 	if err != nil {
 		return err
 	}
-	for _, model := range status.Models {
-		if model.Permitted == 0 {
-			return fmt.Errorf("site: %s: no permit for %s@%s", entry.ID, model.Model, model.Version)
+	for _, row := range status.Models {
+		if row.Model == model && row.Version == version && row.Permitted > 0 {
+			return nil
 		}
 	}
-	return nil
+	return fmt.Errorf("site: %s: no permit for %s@%s", entry.ID, model, version)
 }
