--- a/testkit/site/site.go
+++ b/testkit/site/site.go
@@ -365,3 +365,10 @@
 	}
 	return fmt.Errorf("site: %s: no permit for %s@%s", entry.ID, model, version)
 }
+
+// StartSecond starts a second process with a host's settings, as a platform does
+// that takes the first one for dead.
+func (s *Site) StartSecond(host *Host) (*Process, error) {
+	second := s.process(fmt.Sprintf("%s-second-%d", host.ID, len(s.processes)), host.path, host.args)
+	return second, second.start()
+}
