--- a/pkg/callers/exchange.go
+++ b/pkg/callers/exchange.go
@@ -16,11 +16,8 @@
 )
 
 const (
-	// bodyTimeout bounds the arrival of a request's body.
-	bodyTimeout = 30 * time.Second
-	// writeGrace is how long after its deadline a caller may take to read the
-	// last of the answer.
-	writeGrace = 10 * time.Second
+	defaultBodyTimeout = 30 * time.Second
+	defaultWriteGrace  = 10 * time.Second
 )
 
 // exchange is one request and its response.
@@ -105,7 +102,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.request().Context(), left)
 	defer cancel()
-	x.boundWrites(left + writeGrace)
+	x.boundWrites(left + x.handler.writeGrace)
 	defer x.boundWrites(0)
 
 	request.BudgetMillis = uint32(max(left.Milliseconds(), 1))
@@ -154,7 +151,7 @@
 // readBody reads the request's body within its bounds.
 func (x *exchange) readBody() ([]byte, *wire.Refusal) {
 	h := x.handler
-	_ = x.controller().SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = x.controller().SetReadDeadline(time.Now().Add(h.bodyTimeout))
 	body := http.MaxBytesReader(x.writer(), x.request().Body, h.limits.MaxBodyBytes)
 	data, reserved, err := readBody(body, x.request().ContentLength, h.limits.MaxBodyBytes, &h.buffers)
 	if err != nil {
--- a/pkg/callers/handler.go
+++ b/pkg/callers/handler.go
@@ -42,6 +42,11 @@
 	logger     *slog.Logger
 	ready      func() bool
 	now        func() time.Time
+	// bodyTimeout bounds the arrival of a request's body.
+	bodyTimeout time.Duration
+	// writeGrace is how long after its deadline a caller may take to read the
+	// last of the answer.
+	writeGrace time.Duration
 
 	app      *iris.Application
 	requests gate
@@ -56,13 +61,15 @@
 	}
 	config.fill()
 	h := &Handler{
-		resolver:   config.Resolver,
-		dispatcher: config.Dispatcher,
-		limits:     config.Limits,
-		metrics:    config.Metrics,
-		logger:     config.Logger,
-		ready:      config.Ready,
-		now:        config.Now,
+		resolver:    config.Resolver,
+		dispatcher:  config.Dispatcher,
+		limits:      config.Limits,
+		metrics:     config.Metrics,
+		logger:      config.Logger,
+		ready:       config.Ready,
+		now:         config.Now,
+		bodyTimeout: defaultBodyTimeout,
+		writeGrace:  defaultWriteGrace,
 	}
 	h.requests.limit = int64(config.Limits.MaxRequests)
 	h.buffers.limit = max(minBufferBytes, 2*config.Limits.MaxBodyBytes)
--- a/pkg/callers/limits.go
+++ b/pkg/callers/limits.go
@@ -16,11 +16,11 @@
 )
 
 var (
-	errGateClosed     = errors.New("shutting down")
-	errGateFull       = errors.New("too many requests at once")
-	errTooLarge   = errors.New("size exceeds its bound")
-	errBodyBroken = errors.New("body broke off")
-	errBuffersFull    = errors.New("buffers are full")
+	errGateClosed  = errors.New("shutting down")
+	errGateFull    = errors.New("too many requests at once")
+	errTooLarge    = errors.New("size exceeds its bound")
+	errBodyBroken  = errors.New("body broke off")
+	errBuffersFull = errors.New("buffers are full")
 )
 
 // planGates holds a gate for each plan.
--- /dev/null
+++ b/pkg/metrics/metrics_test.go
@@ -0,0 +1,73 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+// TestText checks the text form and that docs/METRICS.md lists each name.
+func TestText(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	registry := NewRegistry()
+	useAll(NewEntry(registry.Scope()), NewAgent(registry.Scope()))
+	if err := registry.Close(); err != nil {
+		t.Fatal(err)
+	}
+	recorder := httptest.NewRecorder()
+	registry.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	text := recorder.Body.String()
+	for _, line := range []string{
+		`teaselgauge_entry_requests_total{kind="model",outcome="not-run",reason="queue-full"} 2`,
+		`teaselgauge_entry_request_seconds_bucket{kind="model",le="0.2"} 2`,
+		`teaselgauge_entry_request_seconds_sum{kind="model"} 0.3`,
+		`teaselgauge_agent_idle_accelerator_milliseconds_total 1500`,
+		`teaselgauge_agent_requests_queued 4`,
+	} {
+		if !strings.Contains(text, line+"\n") {
+			t.Errorf("%s is missing in\n%s", line, text)
+		}
+	}
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, match := range regexp.MustCompile(`(?m)^# TYPE (\S+)`).FindAllStringSubmatch(text, -1) {
+		if !strings.Contains(string(page), "`"+match[1]+"`") {
+			t.Errorf("docs/METRICS.md doesn't list %s", match[1])
+		}
+	}
+}
+
+func useAll(entry *Entry, agent *Agent) {
+	for range 2 {
+		entry.RequestDone(KindModel, "not-run", "queue-full", 150*time.Millisecond)
+	}
+	entry.FirstByte(KindModel, time.Second)
+	entry.Attempt(ResultOK)
+	entry.Retry("leaving")
+	entry.PermitChange("grant")
+	entry.Decision(time.Millisecond)
+	entry.InFlight(1)
+	entry.Members(2)
+	entry.Connections(3)
+	agent.RequestDone(OutcomeAnswered, "")
+	agent.QueueWait("press", time.Millisecond)
+	agent.Load("model", ResultOK, time.Second)
+	agent.ColdStart(time.Second)
+	agent.Unload("idle")
+	agent.IdleAccelerator(1500 * time.Millisecond)
+	agent.LoadPacingWait(0)
+	agent.Requests(4, 5)
+	agent.Memory(100, 50)
+	for _, c := range []*control{&entry.control, &agent.control} {
+		c.KeyValueCall("txn", ResultUncertain, time.Millisecond)
+		c.Sync(ResultOK, 100)
+		c.ListsRevision(9)
+	}
+}
