Keep sync cursors, gone hosts and unknown runners honest

Cause, found by reading how the processes use the decisions: - Holder.Revision was the highest revision known of any placement. A permit read alone, after a removal that failed, moved it past changes that the entries had not passed on yet, and these were never asked for: a revocation could stay unseen for ever. - View.PermitsNamed forgot gone hosts that the call didn't name, and entries call it with the changed placements only, so a gone host's permit could have stood ten minutes longer. - Decider replaced the permits of runners that the entry knows nothing of. An entry that just started knows few, so it would have granted and revoked permits for all its models. Change: RelayedUpTo moves the cursor, and an agent pauses when an answer doesn't move it; PermitsNamed only adds; unknown runners aren't replaced nor taken for surplus.

--- a/pkg/agent/sync.go
+++ b/pkg/agent/sync.go
@@ -191,6 +191,11 @@
 		return false
 	}
 	p.loop.Do(func() { p.take(update) })
+	if len(update.Placements) > 0 && update.PlacementRevision <= revision {
+		// The entry knows single placements ahead of all others and would answer
+		// at once again.
+		backoff.Sleep(ctx, backoff.Duration(0))
+	}
 	return true
 }
 
@@ -215,5 +220,6 @@
 	for _, relayed := range update.Placements {
 		p.table.perform(p.table.holder.Step(placement.PlacementRelayed{Placement: relayed}))
 	}
+	p.table.perform(p.table.holder.Step(placement.RelayedUpTo{Revision: update.PlacementRevision}))
 	p.table.controller.advance(time.Now())
 }
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -20,6 +20,10 @@
 	// replicas are replaced.
 	UnreachableAfter = 5 * time.Second
 
+	// forgetAfter bounds how long a host that is gone is remembered; its permits
+	// are removed long before.
+	forgetAfter = 7 * 24 * time.Hour
+
 	suspicionBase = 500 * time.Millisecond
 	suspicionMax  = 30 * time.Second
 	// maxRetired bounds the earlier incarnations remembered for each host.
@@ -127,9 +131,12 @@
 		return
 	}
 	record.gone = true
+	if now.Sub(record.silentSince) >= forgetAfter {
+		delete(v.hosts, id)
+	}
 }
 
-// PermitsNamed tells the view which hosts stored permits name. Only hosts that
+// PermitsNamed tells the view of hosts that stored permits name. Only hosts that
 // some entry saw in the list are granted permits, so one of them that stays
 // absent and silent for UnlistedGoneAfter counts as gone although this process
 // started too late to have seen it.
@@ -137,12 +144,6 @@
 	for _, id := range hostIDs {
 		v.record(now, id).named = true
 	}
-	for id, record := range v.hosts {
-		if record.gone && !slices.Contains(hostIDs, id) {
-			delete(v.hosts, id)
-			v.last = nil
-		}
-	}
 }
 
 // StatusReceived takes what an agent says of itself and tells whether it was
--- a/pkg/placement/decider.go
+++ b/pkg/placement/decider.go
@@ -189,7 +189,7 @@
 	kept := 0
 	for i := range e.change.Placement.Permits {
 		permit := &e.change.Placement.Permits[i]
-		keep := e.isUsable(i) && kept < model.MinReplicas
+		keep := e.isExpected(i) && kept < model.MinReplicas
 		if keep {
 			kept++
 		}
@@ -293,6 +293,25 @@
 	return !permit.Revoked && runner != nil && runner.usable()
 }
 
+// expected counts the usable permits and those of runners that the deciding
+// entry has not heard of yet. The latter aren't replaced: an entry that has just
+// started knows few runners.
+func (e *edit) expected() int {
+	count := 0
+	for i := range e.change.Placement.Permits {
+		if e.isExpected(i) {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *edit) isExpected(i int) bool {
+	permit := e.change.Placement.Permits[i]
+	unknown := e.round.runners[permit.Runner] == nil
+	return e.isUsable(i) || (unknown && !permit.Revoked)
+}
+
 // holds tells whether the permit's runner reports the model as held in
 // accelerator memory.
 func (e *edit) holds(i int) bool {
@@ -300,12 +319,12 @@
 	return runner != nil && runner.model(e.id).State != wire.ModelAbsent
 }
 
-// grant adds permits until the wanted number is usable. All permits count
+// grant adds permits until the wanted number is expected to be usable. All permits count
 // towards the maximum, also revoked and unreachable ones, as their replicas may
 // still be loaded.
 func (e *edit) grant(model *lists.Model, wanted int) {
 	permits := e.change.Placement.Permits
-	missing := min(wanted-e.usable(), model.MaxReplicas-len(permits))
+	missing := min(wanted-e.expected(), model.MaxReplicas-len(permits))
 	epoch := e.firstEpoch()
 	for range missing {
 		runner := e.best(model)
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -21,6 +21,8 @@
 	// readRevision is the revision of the own read; zero before it. No placement
 	// older than it is taken in.
 	readRevision int64
+	// relayedRevision is the revision up to which entries passed on everything.
+	relayedRevision int64
 	// engineRead tells whether the engine's state at the start is known.
 	engineRead bool
 	models     map[ModelVersion]*holding
@@ -80,14 +82,10 @@
 	return epoch, ok
 }
 
-// Revision returns the highest revision of the placements taken in, to ask
-// entries for newer ones.
+// Revision returns the revision up to which all placements were taken in, to ask
+// entries for newer ones. Single placements may be known at higher revisions.
 func (h *Holder) Revision() int64 {
-	highest := h.readRevision
-	for _, m := range h.models {
-		highest = max(highest, m.placement.Revision)
-	}
-	return highest
+	return max(h.readRevision, h.relayedRevision)
 }
 
 // Step takes one event and returns the actions that follow.
@@ -99,6 +97,8 @@
 		return h.changed(e.Placement)
 	case PlacementRelayed:
 		return h.relayed(e.Placement)
+	case RelayedUpTo:
+		h.relayedUpTo(e.Revision)
 	case EngineRead:
 		return h.engine(e)
 	case Unloaded:
@@ -162,6 +162,12 @@
 	return h.changed(placement)
 }
 
+func (h *Holder) relayedUpTo(revision int64) {
+	if h.readRevision > 0 {
+		h.relayedRevision = max(h.relayedRevision, revision)
+	}
+}
+
 func (h *Holder) engine(e EngineRead) []HolderAction {
 	if h.engineRead {
 		return nil
--- a/pkg/placement/holder_events.go
+++ b/pkg/placement/holder_events.go
@@ -27,6 +27,11 @@
 	Placement wire.Placement
 }
 
+// RelayedUpTo tells that an entry has passed on all placements up to a revision.
+type RelayedUpTo struct {
+	Revision int64
+}
+
 // EngineRead gives the models that the engine holds or may hold, once no earlier
 // incarnation can give it orders: they are dead, or the engine refuses their
 // fencing numbers, and their orders in flight are settled.
@@ -59,6 +64,7 @@
 func (PlacementRead) holderEvent()    {}
 func (PlacementChanged) holderEvent() {}
 func (PlacementRelayed) holderEvent() {}
+func (RelayedUpTo) holderEvent()      {}
 func (EngineRead) holderEvent()       {}
 func (Unloaded) holderEvent()         {}
 func (RemoveFailed) holderEvent()     {}
