--- a/pkg/membership/snapshot.go
+++ b/pkg/membership/snapshot.go
@@ -11,15 +11,8 @@
 
 // Agent is one agent as an entry sees it. It is immutable.
 type Agent struct {
-	ID            string
-	FailureDomain string
-	Region        string
-	// Address is the UDP address of the agent; empty until it is listed.
-	Address string
-	// Listed tells whether the newest list shows the host.
-	Listed bool
-	// ListLeaving tells whether the list shows the host as leaving.
-	ListLeaving bool
+	ID string
+	listing
 	// HasStatus tells whether Status holds the agent's own word.
 	HasStatus bool
 	Status    wire.Status
@@ -33,6 +26,18 @@
 	listServices []string
 }
 
+// listing is what the platform's list says of an agent.
+type listing struct {
+	FailureDomain string
+	Region        string
+	// Address is the UDP address of the agent; empty until it is listed.
+	Address string
+	// Listed tells whether the newest list shows the host.
+	Listed bool
+	// ListLeaving tells whether the list shows the host as leaving.
+	ListLeaving bool
+}
+
 // Leaving tells whether the agent gets no new work, by the list or by its own
 // word.
 func (a *Agent) Leaving() bool {
@@ -80,7 +85,7 @@
 
 // Snapshot is an immutable view of the members.
 type Snapshot struct {
-	agents   map[string]*Agent
+	agents   *agentMap
 	entries  []*Entry
 	services map[string][]string
 	gone     map[string]bool
@@ -88,13 +93,12 @@
 
 // Agent returns an agent that isn't gone.
 func (s *Snapshot) Agent(id string) (*Agent, bool) {
-	agent, ok := s.agents[id]
-	return agent, ok
+	return s.agents.get(id)
 }
 
 // Agents returns all agents that aren't gone, sorted by id.
 func (s *Snapshot) Agents() []*Agent {
-	return slices.SortedFunc(maps.Values(s.agents), func(a, b *Agent) int {
+	return slices.SortedFunc(s.agents.all, func(a, b *Agent) int {
 		return strings.Compare(a.ID, b.ID)
 	})
 }
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -32,16 +31,19 @@
 
 // View merges the sources into one view. It is not safe for concurrent use.
 type View struct {
-	agents   map[string]*Agent
-	entries  map[string]*Entry
-	hosts    map[string]*hostRecord
-	services map[string][]string
-	last     *Snapshot
+	agents  *agentMap
+	entries map[string]*Entry
+	hosts   map[string]*hostRecord
+	// services, sortedEntries, gone and last belong to the last snapshot; nil
+	// after a change.
+	services      map[string][]string
+	sortedEntries []*Entry
+	gone          map[string]bool
+	last          *Snapshot
 }
 
 // hostRecord holds what the view remembers of a host beyond its snapshot.
 type hostRecord struct {
-	listed bool
 	// seen tells whether the list has ever shown the host.
 	seen bool
 	// named tells whether a stored permit has named the host.
@@ -56,10 +58,9 @@
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
-		agents:   make(map[string]*Agent),
-		entries:  make(map[string]*Entry),
-		hosts:    make(map[string]*hostRecord),
-		services: make(map[string][]string),
+		agents:  newAgentMap(),
+		entries: make(map[string]*Entry),
+		hosts:   make(map[string]*hostRecord),
 	}
 }
 
@@ -80,43 +81,55 @@
 			v.hostAbsent(now, id, record)
 		}
 	}
-	v.indexServices()
-	v.last = nil
 }
 
 func (v *View) hostListed(now time.Time, host platform.Host) {
 	record := v.record(now, host.ID)
-	record.listed = true
 	record.seen = true
-	record.gone = false
 	record.silentSince = now
+	v.setGone(record, false)
 	if host.Role == platform.RoleEntry {
-		entry := v.entry(host.ID)
-		entry.FailureDomain = host.FailureDomain
-		entry.Region = host.Region
-		entry.Address = host.Address
-		entry.Leaving = host.State == platform.HostLeaving
-		v.entries[host.ID] = &entry
+		v.entryListed(host)
 		return
 	}
+	v.agentListed(host)
+}
+
+func (v *View) entryListed(host platform.Host) {
+	entry := v.entry(host.ID)
+	before := entry
+	entry.FailureDomain = host.FailureDomain
+	entry.Region = host.Region
+	entry.Address = host.Address
+	entry.Leaving = host.State == platform.HostLeaving
+	if entry != before || v.entries[host.ID] == nil {
+		v.setEntry(entry)
+	}
+}
+
+func (v *View) agentListed(host platform.Host) {
 	agent := v.agent(host.ID)
-	agent.FailureDomain = host.FailureDomain
-	agent.Region = host.Region
-	agent.Address = host.Address
-	agent.Listed = true
-	agent.ListLeaving = host.State == platform.HostLeaving
+	before := agent.listing
+	agent.listing = listing{
+		FailureDomain: host.FailureDomain,
+		Region:        host.Region,
+		Address:       host.Address,
+		Listed:        true,
+		ListLeaving:   host.State == platform.HostLeaving,
+	}
+	if agent.listing == before && slices.Equal(agent.listServices, host.Services) {
+		return
+	}
 	agent.listServices = host.Services
-	v.agents[host.ID] = &agent
+	v.setAgent(agent)
 }
 
 // hostAbsent handles a host that the newest list doesn't show.
 func (v *View) hostAbsent(now time.Time, id string, record *hostRecord) {
-	record.listed = false
-	delete(v.entries, id)
-	if agent, ok := v.agents[id]; ok && agent.Listed {
-		changed := *agent
-		changed.Listed = false
-		v.agents[id] = &changed
+	v.removeEntry(id)
+	if agent := v.agent(id); agent.Listed {
+		agent.Listed = false
+		v.setAgent(agent)
 	}
 	limit := GoneAfter
 	if !record.seen {
@@ -125,14 +138,16 @@
 	if now.Sub(record.silentSince) < limit {
 		return
 	}
-	delete(v.agents, id)
+	v.removeAgent(id)
 	if !record.seen && !record.named {
 		delete(v.hosts, id)
 		return
 	}
-	record.gone = true
+	v.setGone(record, true)
 	if now.Sub(record.silentSince) >= forgetAfter {
 		delete(v.hosts, id)
+		v.gone = nil
+		v.last = nil
 	}
 }
 
@@ -164,17 +179,12 @@
 	if agent.HasStatus && known != status.Incarnation {
 		record.retire(known)
 	}
-	reindex := !slices.Equal(agent.Status.Services, status.Services)
 	agent.HasStatus = true
 	agent.Status = status
 	agent.StatusAt = now
-	record.alive(now)
+	v.alive(now, record)
 	clearSuspicion(&agent, record)
-	v.agents[status.Runner] = &agent
-	if reindex {
-		v.indexServices()
-	}
-	v.last = nil
+	v.setAgent(agent)
 	return true
 }
 
@@ -186,26 +196,19 @@
 	if !ok {
 		return
 	}
-	if agent, isAgent := v.agents[hostID]; isAgent {
-		if now.Before(agent.SuspectedUntil) {
-			return
-		}
+	if agent, ok := v.agents.get(hostID); ok && !agent.Suspected(now) {
 		changed := *agent
 		if record.failures == 0 {
 			changed.FailingSince = now
 		}
 		changed.SuspectedUntil = record.suspect(now)
-		v.agents[hostID] = &changed
+		v.setAgent(changed)
 	}
-	if entry, isEntry := v.entries[hostID]; isEntry {
-		if now.Before(entry.SuspectedUntil) {
-			return
-		}
+	if entry, ok := v.entries[hostID]; ok && !now.Before(entry.SuspectedUntil) {
 		changed := *entry
 		changed.SuspectedUntil = record.suspect(now)
-		v.entries[hostID] = &changed
+		v.setEntry(changed)
 	}
-	v.last = nil
 }
 
 // CallSucceeded notes that a call to a host was answered, which ends suspicion.
@@ -214,57 +217,114 @@
 	if !ok {
 		return
 	}
-	record.alive(now)
+	v.alive(now, record)
 	if record.failures == 0 {
 		return
 	}
-	if agent, isAgent := v.agents[hostID]; isAgent {
+	record.failures = 0
+	if agent, ok := v.agents.get(hostID); ok {
 		changed := *agent
 		clearSuspicion(&changed, record)
-		v.agents[hostID] = &changed
+		v.setAgent(changed)
 	}
-	if entry, isEntry := v.entries[hostID]; isEntry {
+	if entry, ok := v.entries[hostID]; ok {
 		changed := *entry
 		changed.SuspectedUntil = time.Time{}
-		record.failures = 0
-		v.entries[hostID] = &changed
+		v.setEntry(changed)
 	}
-	v.last = nil
 }
 
-// Snapshot returns the current view. It is rebuilt only after a change.
+// Snapshot returns the current view. Only what changed since the last one is
+// rebuilt.
 func (v *View) Snapshot() *Snapshot {
 	if v.last != nil {
 		return v.last
 	}
-	gone := make(map[string]bool)
-	for id, record := range v.hosts {
-		if record.gone {
-			gone[id] = true
-		}
+	if v.services == nil {
+		v.services = indexServices(v.agents)
+	}
+	if v.sortedEntries == nil {
+		v.sortedEntries = sortedEntries(v.entries)
+	}
+	if v.gone == nil {
+		v.gone = goneHosts(v.hosts)
 	}
 	v.last = &Snapshot{
-		agents:   maps.Clone(v.agents),
-		entries:  sortedEntries(v.entries),
+		agents:   v.agents.share(),
+		entries:  v.sortedEntries,
 		services: v.services,
-		gone:     gone,
+		gone:     v.gone,
 	}
 	return v.last
 }
 
-// indexServices rebuilds the index from service to agents. The old index stays
-// untouched, as snapshots share it.
-func (v *View) indexServices() {
+func indexServices(agents *agentMap) map[string][]string {
 	index := make(map[string][]string)
-	for id, agent := range v.agents {
+	for agent := range agents.all {
 		for _, service := range agent.Services() {
-			index[service] = append(index[service], id)
+			index[service] = append(index[service], agent.ID)
 		}
 	}
 	for _, ids := range index {
 		slices.Sort(ids)
 	}
-	v.services = index
+	return index
+}
+
+func goneHosts(hosts map[string]*hostRecord) map[string]bool {
+	gone := make(map[string]bool)
+	for id, record := range hosts {
+		if record.gone {
+			gone[id] = true
+		}
+	}
+	return gone
+}
+
+func (v *View) setAgent(agent Agent) {
+	before, ok := v.agents.get(agent.ID)
+	if !ok || !slices.Equal(before.Services(), agent.Services()) {
+		v.services = nil
+	}
+	v.agents.set(&agent)
+	v.last = nil
+}
+
+func (v *View) removeAgent(id string) {
+	if v.agents.remove(id) {
+		v.services = nil
+		v.last = nil
+	}
+}
+
+func (v *View) setEntry(entry Entry) {
+	v.entries[entry.ID] = &entry
+	v.sortedEntries = nil
+	v.last = nil
+}
+
+func (v *View) removeEntry(id string) {
+	if v.entries[id] == nil {
+		return
+	}
+	delete(v.entries, id)
+	v.sortedEntries = nil
+	v.last = nil
+}
+
+func (v *View) setGone(record *hostRecord, gone bool) {
+	if record.gone == gone {
+		return
+	}
+	record.gone = gone
+	v.gone = nil
+	v.last = nil
+}
+
+// alive notes a sign of life.
+func (v *View) alive(now time.Time, record *hostRecord) {
+	record.silentSince = now
+	v.setGone(record, false)
 }
 
 func (v *View) record(now time.Time, id string) *hostRecord {
@@ -278,7 +338,7 @@
 
 // agent returns a copy that may be changed and stored.
 func (v *View) agent(id string) Agent {
-	if agent, ok := v.agents[id]; ok {
+	if agent, ok := v.agents.get(id); ok {
 		return *agent
 	}
 	return Agent{ID: id}
@@ -292,11 +352,6 @@
 	return Entry{ID: id}
 }
 
-func (r *hostRecord) alive(now time.Time) {
-	r.silentSince = now
-	r.gone = false
-}
-
 func (r *hostRecord) suspect(now time.Time) time.Time {
 	wait := suspicionBase << r.failures
 	if wait >= suspicionMax {
--- a/pkg/placement/candidates.go
+++ b/pkg/placement/candidates.go
@@ -63,6 +63,7 @@
 func (e *edit) best(model *lists.Model) *candidate {
 	key := e.id.String()
 	regions, domains := e.spread()
+	tiers := e.round.tiersOf(e.id)
 	var best *candidate
 	var bestRank rank
 	for _, runner := range e.round.order {
@@ -70,6 +71,7 @@
 			continue
 		}
 		candidateRank := e.rank(runner, model)
+		candidateRank.distance = int(wire.CacheMemory) - int(tiers[runner.ID])
 		candidateRank.sharedRegion = regions[runner.Region]
 		candidateRank.sharedDomain = domains[runner.FailureDomain]
 		if best != nil && candidateRank.compare(bestRank) > 0 {
@@ -84,12 +86,10 @@
 	return best
 }
 
-// rank leaves out the spread, and the tie break, whose zero is the best.
+// rank leaves out the spread, the distance, and the tie break, whose zero is the
+// best.
 func (e *edit) rank(runner *candidate, model *lists.Model) rank {
-	result := rank{
-		permits:  runner.permits,
-		distance: int(wire.CacheMemory) - int(runner.model(e.id).Cache),
-	}
+	result := rank{permits: runner.permits}
 	if runner.MemoryMiB < runner.residentMiB+model.MemoryMiB {
 		result.overfull = 1
 	}
@@ -118,3 +118,30 @@
 	}
 	return regions, domains
 }
+
+// tiersOf returns the cache tiers of the runners that have a model's checkpoint
+// nearer than in the weight store. The index of all models is built by the first
+// grant of a round, as most rounds grant nothing.
+func (r *round) tiersOf(id ModelVersion) map[string]wire.CacheTier {
+	if r.tiers == nil {
+		r.tiers = make(map[ModelVersion]map[string]wire.CacheTier)
+		for _, runner := range r.order {
+			r.indexTiers(runner)
+		}
+	}
+	return r.tiers[id]
+}
+
+func (r *round) indexTiers(runner *candidate) {
+	for i := range runner.Models {
+		status := &runner.Models[i]
+		if status.Cache == wire.CacheRemote {
+			continue
+		}
+		id := ModelVersion{Model: status.Model, Version: status.Version}
+		if r.tiers[id] == nil {
+			r.tiers[id] = make(map[string]wire.CacheTier)
+		}
+		r.tiers[id][runner.ID] = status.Cache
+	}
+}
--- a/pkg/placement/decider.go
+++ b/pkg/placement/decider.go
@@ -35,6 +35,8 @@
 	order []*candidate
 	// crowded is the number of permits from which a runner counts as crowded.
 	crowded int
+	// tiers is the index behind tiersOf.
+	tiers map[ModelVersion]map[string]wire.CacheTier
 }
 
 // candidate is a runner with what is placed on it.
--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -10,56 +10,57 @@
 // rendezvous hashing of the affinity key, or else the less loaded of two that
 // the random number picks.
 func (t *Table) chooseProvider(now time.Time, query Query, tried []string, random uint64) *membership.Agent {
-	var trusted []*membership.Agent
-	var suspected *membership.Agent
-	for _, id := range t.members.Providers(query.Service) {
+	ids := t.members.Providers(query.Service)
+	if query.AffinityKey == "" {
+		if agent := t.lessLoadedOfTwo(now, ids, tried, random); agent != nil {
+			return agent
+		}
+	}
+	var best, suspected *membership.Agent
+	for _, id := range ids {
 		agent := t.eligible(id, tried)
 		switch {
 		case agent == nil:
 		case agent.Suspected(now):
 			suspected = earliestTrusted(suspected, agent)
-		default:
-			trusted = append(trusted, agent)
+		case best == nil || isBetter(query, agent, best):
+			best = agent
 		}
 	}
-	switch {
-	case len(trusted) == 0:
+	if best == nil {
 		return suspected
-	case query.AffinityKey != "":
-		return owner(query.AffinityKey, trusted)
-	default:
-		return lessLoaded(trusted, random)
 	}
+	return best
 }
 
-func owner(key string, agents []*membership.Agent) *membership.Agent {
-	best := agents[0]
-	bestScore := membership.RendezvousScore(key, best.ID)
-	for _, agent := range agents[1:] {
-		score := membership.RendezvousScore(key, agent.ID)
-		if score > bestScore {
-			best = agent
-			bestScore = score
-		}
+// isBetter compares by the affinity key, or by load if there is none.
+func isBetter(query Query, a, b *membership.Agent) bool {
+	if query.AffinityKey == "" {
+		return load(a) < load(b)
 	}
-	return best
+	return membership.RendezvousScore(query.AffinityKey, a.ID) > membership.RendezvousScore(query.AffinityKey, b.ID)
 }
 
-// lessLoaded picks two different agents and returns the less loaded.
-func lessLoaded(agents []*membership.Agent, random uint64) *membership.Agent {
-	n := uint64(len(agents))
-	first := random % n
-	if n == 1 {
-		return agents[first]
-	}
-	second := (random / n) % (n - 1)
-	if second >= first {
-		second++
+// lessLoadedOfTwo picks two different agents and returns the less loaded one
+// that may be used, or nil.
+func (t *Table) lessLoadedOfTwo(now time.Time, ids, tried []string, random uint64) *membership.Agent {
+	n := uint64(len(ids))
+	if n < 2 {
+		return nil
 	}
-	if load(agents[second]) < load(agents[first]) {
-		return agents[second]
+	first := random % n
+	second := (first + 1 + (random/n)%(n-1)) % n
+	var best *membership.Agent
+	for _, i := range [...]uint64{first, second} {
+		agent := t.eligible(ids[i], tried)
+		if agent == nil || agent.Suspected(now) {
+			continue
+		}
+		if best == nil || load(agent) < load(best) {
+			best = agent
+		}
 	}
-	return agents[first]
+	return best
 }
 
 // load is the number of requests at an agent for each of its slots.
