Move the permits of models that kept replicas leave no room for

Cause: a model whose permits stand on runners filled by replicas that always stay loaded could never be loaded, and with all its permits there it would be refused for ever. Change: a decision first places all kept replicas and then the others, and revokes one such permit at a time if another runner has room. Edits of a placement have a file of their own. Conclusion: go test ./pkg/placement -run 'Decide|Generated' -rapid.checks=5000 passes.

--- a/pkg/placement/candidates.go
+++ b/pkg/placement/candidates.go
@@ -21,11 +21,16 @@
 	return runner.MemoryMiB > 0 && runner.MemoryMiB < model.MemoryMiB
 }
 
+// isFull tells whether the replicas that always stay loaded leave no room for a
+// model, or the memory isn't known.
+func isFull(runner *candidate, model *lists.Model) bool {
+	return runner.MemoryMiB < runner.residentMiB+model.MemoryMiB
+}
+
 // rank is a candidate's order of preference; lower is better in each field, and
 // the first field that differs decides.
 type rank struct {
-	// overfull: the replicas that always stay loaded leave no room, or the
-	// memory isn't known.
+	// overfull: isFull holds.
 	overfull int
 	// sharedRegion and sharedDomain count the model's usable permits in the same
 	// region and failure domain.
@@ -60,17 +65,17 @@
 }
 
 // best returns the most suitable runner without a permit, or nil.
-func (e *edit) best(model *lists.Model) *candidate {
+func (e *edit) best() *candidate {
 	key := e.id.String()
 	regions, domains := e.spread()
 	tiers := e.round.tiersOf(e.id)
 	var best *candidate
 	var bestRank rank
 	for _, runner := range e.round.order {
-		if tooSmall(runner, model) || permitOf(e.change.Placement.Permits, runner.ID) >= 0 {
+		if tooSmall(runner, e.model) || permitOf(e.change.Placement.Permits, runner.ID) >= 0 {
 			continue
 		}
-		candidateRank := e.rank(runner, model)
+		candidateRank := e.rank(runner)
 		candidateRank.distance = int(wire.CacheMemory) - int(tiers[runner.ID])
 		candidateRank.sharedRegion = regions[runner.Region]
 		candidateRank.sharedDomain = domains[runner.FailureDomain]
@@ -88,19 +93,19 @@
 
 // rank leaves out the spread, the distance, and the tie break, whose zero is the
 // best.
-func (e *edit) rank(runner *candidate, model *lists.Model) rank {
+func (e *edit) rank(runner *candidate) rank {
 	result := rank{permits: runner.permits}
-	if runner.MemoryMiB < runner.residentMiB+model.MemoryMiB {
+	if isFull(runner, e.model) {
 		result.overfull = 1
 	}
 	if runner.permits >= e.round.crowded {
 		result.crowded = 1
 	}
-	if runner.FreeMemoryMiB < model.MemoryMiB {
+	if runner.FreeMemoryMiB < e.model.MemoryMiB {
 		result.occupied = 1
 	}
 	if runner.MemoryMiB > 0 {
-		result.fill = fillSteps * (runner.committedMiB + model.MemoryMiB) / runner.MemoryMiB
+		result.fill = fillSteps * (runner.committedMiB + e.model.MemoryMiB) / runner.MemoryMiB
 	}
 	return result
 }
--- a/pkg/placement/decider.go
+++ b/pkg/placement/decider.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -66,19 +65,43 @@
 		listed[ModelVersion{Model: model.Name, Version: model.Version}] = model
 	}
 	r := d.newRound(problem, current, listed)
-	var changes []Change
+	return append(r.decideListed(problem, current), r.decideUnlisted(problem, listed)...)
+}
+
+// decideListed places the replicas that always stay loaded before all others, so
+// that the others find the room that is left.
+func (r *round) decideListed(problem *Problem, current map[ModelVersion]*wire.Placement) []Change {
+	var edits []*edit
 	for i := range problem.Models {
 		model := &problem.Models[i]
 		id := ModelVersion{Model: model.Name, Version: model.Version}
-		if problem.Owns == nil || problem.Owns(id) {
-			changes = r.decideListed(changes, id, model, current[id], problem.Demand[id])
+		if problem.owns(id) {
+			e := r.newEdit(id, model, current[id])
+			e.placeKept()
+			edits = append(edits, e)
 		}
 	}
+	var changes []Change
+	for _, e := range edits {
+		e.placeOthers(problem.Demand[e.id])
+		changes = e.appendTo(changes)
+	}
+	return changes
+}
+
+func (r *round) decideUnlisted(problem *Problem, listed map[ModelVersion]*lists.Model) []Change {
+	var changes []Change
 	for i := range problem.Current {
 		id := Of(&problem.Current[i])
-		if listed[id] == nil && (problem.Owns == nil || problem.Owns(id)) {
-			changes = r.decideUnlisted(changes, &problem.Current[i])
+		if listed[id] != nil || !problem.owns(id) {
+			continue
+		}
+		e := r.newEdit(id, nil, &problem.Current[i])
+		e.removeGone()
+		for j := range e.change.Placement.Permits {
+			e.revoke(j)
 		}
+		changes = e.appendTo(changes)
 	}
 	return changes
 }
@@ -109,249 +132,20 @@
 
 // countPermits adds a placement's permits to the load of their runners.
 func (r *round) countPermits(model *lists.Model, placement *wire.Placement) {
-	for i, permit := range placement.Permits {
-		if runner := r.runners[permit.Runner]; runner != nil {
-			runner.add(model, i < model.MinReplicas)
-		}
-	}
-}
-
-func (c *candidate) add(model *lists.Model, resident bool) {
-	c.permits++
-	c.committedMiB += model.MemoryMiB
-	if resident {
-		c.residentMiB += model.MemoryMiB
-	}
-}
-
-// base is the number of permits of a model without demand.
-func (r *round) base(model *lists.Model) int {
-	return max(model.MinReplicas, min(model.MaxReplicas, r.aheadOfNeed))
-}
-
-// edit is a placement while it is being changed.
-type edit struct {
-	round  *round
-	id     ModelVersion
-	before *wire.Placement
-	change Change
-}
-
-func (r *round) newEdit(id ModelVersion, before *wire.Placement) *edit {
-	e := &edit{round: r, id: id, before: before}
-	e.change.Placement = wire.Placement{Model: id.Model, Version: id.Version}
-	if before != nil {
-		e.change.ExpectRevision = before.Revision
-		e.change.Placement.Permits = slices.Clone(before.Permits)
-		e.change.Placement.MemoryMiB = before.MemoryMiB
-	}
-	return e
-}
-
-func (e *edit) appendTo(changes []Change) []Change {
-	if e.change.Granted+e.change.Revoked+e.change.Removed+e.change.Described == 0 {
-		return changes
-	}
-	return append(changes, e.change)
-}
-
-func (r *round) decideUnlisted(changes []Change, before *wire.Placement) []Change {
-	e := r.newEdit(Of(before), before)
-	e.removeGone()
-	for i := range e.change.Placement.Permits {
-		e.revoke(i)
-	}
-	return e.appendTo(changes)
-}
-
-func (r *round) decideListed(changes []Change, id ModelVersion, model *lists.Model, before *wire.Placement, demand Demand) []Change {
-	e := r.newEdit(id, before)
-	e.removeGone()
-	e.revokeUnfit(model)
-	e.revokeExcess(model)
-	wanted := r.base(model)
-	if demand.WaitMillis > DemandWaitMillis {
-		wanted = max(wanted, min(model.MaxReplicas, demand.BusyPermits+1))
-	}
-	e.grant(model, wanted)
-	if demand.BusyPermits == 0 && demand.WaitMillis == 0 {
-		e.revokeIdle(wanted)
-	}
-	e.describe(model)
-	return e.appendTo(changes)
-}
-
-// describe copies from the lists what the runners need to know: the memory of a
-// replica and which replicas stay loaded.
-func (e *edit) describe(model *lists.Model) {
-	if e.change.Placement.MemoryMiB != model.MemoryMiB {
-		e.change.Placement.MemoryMiB = model.MemoryMiB
-		e.change.Described++
-	}
-	kept := 0
-	for i := range e.change.Placement.Permits {
-		permit := &e.change.Placement.Permits[i]
-		keep := e.isExpected(i) && kept < model.MinReplicas
-		if keep {
-			kept++
-		}
-		if permit.Keep != keep {
-			permit.Keep = keep
-			e.change.Described++
-		}
-	}
-}
-
-// removeGone removes the permits of hosts that are gone.
-func (e *edit) removeGone() {
-	kept := e.change.Placement.Permits[:0]
-	for _, permit := range e.change.Placement.Permits {
-		runner := e.round.runners[permit.Runner]
-		if runner != nil && runner.Gone {
-			e.change.Removed++
-			continue
-		}
-		kept = append(kept, permit)
-	}
-	e.change.Placement.Permits = kept
-}
-
-func (e *edit) revoke(i int) {
-	permit := &e.change.Placement.Permits[i]
-	if permit.Revoked {
-		return
-	}
-	permit.Revoked = true
-	e.change.Revoked++
-}
-
-// revokeUnfit revokes the permits of runners that are leaving or too small.
-func (e *edit) revokeUnfit(model *lists.Model) {
-	for i, permit := range e.change.Placement.Permits {
-		runner := e.round.runners[permit.Runner]
+	for _, permit := range placement.Permits {
+		runner := r.runners[permit.Runner]
 		if runner == nil {
 			continue
 		}
-		if runner.Leaving || tooSmall(runner, model) {
-			e.revoke(i)
-		}
-	}
-}
-
-// revokeExcess revokes the permits above the model's maximum: those of runners
-// without the model loaded first, and the least preferred first.
-func (e *edit) revokeExcess(model *lists.Model) {
-	for _, wantLoaded := range []bool{false, true} {
-		for i := len(e.change.Placement.Permits) - 1; i >= 0; i-- {
-			if e.standing() <= model.MaxReplicas {
-				return
-			}
-			if wantLoaded || !e.holds(i) {
-				e.revoke(i)
-			}
-		}
-	}
-}
-
-// revokeIdle revokes usable permits above the wanted number, the least preferred
-// first, unless the runner holds the model. A surplus replica that is loaded
-// stays until its agent drops it for idleness.
-func (e *edit) revokeIdle(wanted int) {
-	for i := len(e.change.Placement.Permits) - 1; i >= 0; i-- {
-		if e.usable() <= wanted {
-			return
-		}
-		if e.isUsable(i) && !e.holds(i) {
-			e.revoke(i)
-		}
-	}
-}
-
-// standing counts the permits that aren't revoked.
-func (e *edit) standing() int {
-	count := 0
-	for _, permit := range e.change.Placement.Permits {
-		if !permit.Revoked {
-			count++
-		}
-	}
-	return count
-}
-
-// usable counts the permits on which a request may be served now.
-func (e *edit) usable() int {
-	count := 0
-	for i := range e.change.Placement.Permits {
-		if e.isUsable(i) {
-			count++
-		}
-	}
-	return count
-}
-
-func (e *edit) isUsable(i int) bool {
-	permit := e.change.Placement.Permits[i]
-	runner := e.round.runners[permit.Runner]
-	return !permit.Revoked && runner != nil && runner.usable()
-}
-
-// expected counts the usable permits and those of runners that the deciding
-// entry has not heard of yet. The latter aren't replaced: an entry that has just
-// started knows few runners.
-func (e *edit) expected() int {
-	count := 0
-	for i := range e.change.Placement.Permits {
-		if e.isExpected(i) {
-			count++
-		}
-	}
-	return count
-}
-
-func (e *edit) isExpected(i int) bool {
-	permit := e.change.Placement.Permits[i]
-	unknown := e.round.runners[permit.Runner] == nil
-	return e.isUsable(i) || (unknown && !permit.Revoked)
-}
-
-// holds tells whether the permit's runner reports the model as held in
-// accelerator memory.
-func (e *edit) holds(i int) bool {
-	runner := e.round.runners[e.change.Placement.Permits[i].Runner]
-	return runner != nil && runner.model(e.id).State != wire.ModelAbsent
-}
-
-// grant adds permits until the wanted number is expected to be usable. All permits count
-// towards the maximum, also revoked and unreachable ones, as their replicas may
-// still be loaded.
-func (e *edit) grant(model *lists.Model, wanted int) {
-	permits := e.change.Placement.Permits
-	missing := min(wanted-e.expected(), model.MaxReplicas-len(permits))
-	epoch := e.firstEpoch()
-	for range missing {
-		runner := e.best(model)
-		if runner == nil {
-			return
+		runner.permits++
+		runner.committedMiB += model.MemoryMiB
+		if permit.Keep {
+			runner.residentMiB += model.MemoryMiB
 		}
-		permit := wire.Permit{Runner: runner.ID, Epoch: epoch}
-		resident := len(e.change.Placement.Permits) < model.MinReplicas
-		runner.add(model, resident)
-		e.change.Placement.Permits = append(e.change.Placement.Permits, permit)
-		e.change.Granted++
-		epoch++
 	}
 }
 
-// firstEpoch returns an epoch above all that were granted before. Each
-// successful change has a higher expected revision than the one before, so
-// epochs stay unique also after the newest permit was removed.
-func (e *edit) firstEpoch() int64 {
-	epoch := e.change.ExpectRevision<<epochShift + 1
-	if e.before == nil {
-		return epoch
-	}
-	for _, permit := range e.before.Permits {
-		epoch = max(epoch, permit.Epoch+1)
-	}
-	return epoch
+// base is the number of permits of a model without demand.
+func (r *round) base(model *lists.Model) int {
+	return max(model.MinReplicas, min(model.MaxReplicas, r.aheadOfNeed))
 }
--- a/pkg/placement/decider_test.go
+++ b/pkg/placement/decider_test.go
@@ -61,6 +61,12 @@
 			p.Models[0].MaxReplicas = 2
 		}, "no change"},
 		{"unknown host isn't replaced", standing, func(p *Problem) { p.Runners = p.Runners[:3] }, "no change"},
+		{"no room beside kept replicas", standing, func(p *Problem) { keepAnother(p, "d") }, "c d- b"},
+		{"nowhere room", standing, func(p *Problem) {
+			for _, runner := range p.Runners {
+				keepAnother(p, runner.ID)
+			}
+		}, "no change"},
 		{"unlisted", standing, func(p *Problem) { p.Models = nil }, "c- d-"},
 		{"maximum lowered", standing, func(p *Problem) {
 			p.Models[0].MaxReplicas = 1
@@ -98,6 +104,16 @@
 	}
 }
 
+// keepAnother adds a model whose kept replica fills most of a runner.
+func keepAnother(p *Problem, runner string) {
+	name := "kept-on-" + runner
+	p.Models = append(p.Models, lists.Model{Name: name, Version: "1", MemoryMiB: 95, MinReplicas: 1, MaxReplicas: 1})
+	p.Current = append(p.Current, wire.Placement{
+		Model: name, Version: "1", Revision: 3, MemoryMiB: 95,
+		Permits: []wire.Permit{{Runner: runner, Epoch: 1, Keep: true}},
+	})
+}
+
 func describe(permits []wire.Permit) string {
 	text := ""
 	for i, permit := range permits {
--- a/pkg/placement/problem.go
+++ b/pkg/placement/problem.go
@@ -63,3 +63,7 @@
 	}
 	return wire.ModelStatus{}
 }
+
+func (p *Problem) owns(id ModelVersion) bool {
+	return p.Owns == nil || p.Owns(id)
+}
