--- /dev/null
+++ b/testkit/bench/queueing/doc.go
@@ -0,0 +1,6 @@
+// Command queueing compares the order in which an agent's waiting requests run.
+//
+// It drives the product's admission.Queue and a plain first-in, first-out queue
+// with the same generated requests in virtual time. The result depends only on
+// the seeds.
+package main
