--- a/pkg/agent/models.go
+++ b/pkg/agent/models.go
@@ -127,7 +127,7 @@
 	const alone = 1
 	t.pacer = &loadPacer{
 		table:   t,
-		guided:  loading.NewGuided(limits, alone, loading.FallbackSplit),
+		guided:  loading.NewGuided(limits, alone, loading.FallbackPosition),
 		waiting: make(map[engine.Target]pacedLoad),
 		ask:     ask,
 	}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -48,7 +48,7 @@
 		logger:       logger,
 		members:      membership.NewView(),
 		register:     lists.NewRegister(),
-		coordinator:  loading.NewCoordinator(limits, loading.OrderWaiting),
+		coordinator:  loading.NewCoordinator(limits, loading.OrderUrgent),
 		feed:         newFeed(),
 		listsChanged: func() {},
 	}
