--- a/pkg/adminapi/types.go
+++ b/pkg/adminapi/types.go
@@ -63,7 +63,6 @@
 	// MemoryMiB and FreeMemoryMiB are accelerator memory in MiB.
 	MemoryMiB     int64    `json:"memory_mib"`
 	FreeMemoryMiB int64    `json:"free_memory_mib"`
-	ListsRevision int64    `json:"lists_revision"`
 	Services      []string `json:"services,omitempty"`
 }
 
--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -19,7 +19,7 @@
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
-const token = "tg_secret"
+const adminToken = "tg_secret"
 
 type statusSource struct{}
 
@@ -53,7 +53,7 @@
 	if code != wantCode || !strings.Contains(output, wantOutput) {
 		t.Errorf("%q: exit code %d, want %d with %q; output:\n%s", args, code, wantCode, wantOutput, output)
 	}
-	if strings.Contains(output, token) {
+	if strings.Contains(output, adminToken) {
 		t.Errorf("%q prints the token", args)
 	}
 	return output
@@ -71,7 +71,7 @@
 func startAPI(t *testing.T, kv *platformtest.Store) {
 	t.Helper()
 	server := httptest.NewServer(adminapi.New(adminapi.Config{
-		Credentials: []settings.AdminCredential{{Name: "ann", TokenHash: keys.HashAPIKey(token), Role: settings.AdminEditor}},
+		Credentials: []settings.AdminCredential{{Name: "ann", TokenHash: keys.HashAPIKey(adminToken), Role: settings.AdminEditor}},
 		Lists:       lists.NewStore(kv, "/site"),
 		Status:      statusSource{},
 		Dump:        func() any { return struct{ Revision int }{4} },
@@ -79,7 +79,7 @@
 	}))
 	t.Cleanup(server.Close)
 	t.Setenv(envAdminURL, server.URL)
-	t.Setenv(envAdminToken, token)
+	t.Setenv(envAdminToken, adminToken)
 }
 
 func TestListsCommands(t *testing.T) {
@@ -127,7 +127,7 @@
 	expect(t, ExitOK, `"Revision": 4`, "dump")
 	t.Setenv(envAdminToken, "")
 	expect(t, ExitFailure, "unauthorized", "dump")
-	expect(t, ExitOK, `"Revision": 4`, "dump", "--token-file", write(t, "token", token+"\n"))
+	expect(t, ExitOK, `"Revision": 4`, "dump", "--token-file", write(t, "token", adminToken+"\n"))
 }
 
 func TestUsage(t *testing.T) {
--- a/pkg/command/status.go
+++ b/pkg/command/status.go
@@ -49,10 +49,10 @@
 	for _, m := range status.Models {
 		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\n", m.Model, m.Version, m.Permitted, m.Loading, m.Loaded, m.Queued)
 	}
-	fmt.Fprintln(table, "\nRUNNER\tFAILURE DOMAIN\tSTATE\tRUNNING\tQUEUED\tFREE MIB\tMIB\tLISTS")
+	fmt.Fprintln(table, "\nRUNNER\tFAILURE DOMAIN\tSTATE\tRUNNING\tQUEUED\tFREE MIB\tMIB")
 	for _, r := range status.Runners {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\n",
-			r.Host, r.FailureDomain, runnerState(r), r.Running, r.Queued, r.FreeMemoryMiB, r.MemoryMiB, r.ListsRevision)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\n",
+			r.Host, r.FailureDomain, runnerState(r), r.Running, r.Queued, r.FreeMemoryMiB, r.MemoryMiB)
 	}
 	fmt.Fprintln(table, "\nPLAN\tRUNNING\tANSWERED\tREFUSED")
 	for _, p := range status.Plans {
