--- a/pkg/lists/store_test.go
+++ b/pkg/lists/store_test.go
@@ -243,6 +243,42 @@
 	}
 }
 
+// slowReader runs a function before the first read of a chunk.
+type slowReader struct {
+	*platformtest.Store
+	before func()
+}
+
+func (s *slowReader) Range(ctx context.Context, key string, prefix bool) (platform.RangeResult, error) {
+	if strings.Contains(key, "/chunks/") && s.before != nil {
+		before := s.before
+		s.before = nil
+		before()
+	}
+	return s.Store.Range(ctx, key, prefix)
+}
+
+// TestChunksDeletedWhileReading replaces the lists so often during a read that
+// the chunks of the manifest that was read are deleted.
+func TestChunksDeletedWhileReading(t *testing.T) {
+	kv := platformtest.NewStore(1)
+	writer := NewStore(kv, "/site")
+	var revision int64
+	putNext := func() {
+		plans, allowances := large(1, fmt.Sprint(revision))
+		revision = mustPut(t, writer, revision, plans, allowances)
+	}
+	putNext()
+	reader := NewStore(&slowReader{Store: kv, before: func() {
+		for range keptManifests + 1 {
+			putNext()
+		}
+	}}, "/site")
+	if got := mustGet(t, reader); got.Revision != revision {
+		t.Errorf("read revision %d, want %d", got.Revision, revision)
+	}
+}
+
 // TestLostAnswers puts with a store that loses answers after or before the
 // change, and compares the reported outcome with what is stored.
 func TestLostAnswers(t *testing.T) {
