Relay only the changed chunks of the lists between entries

Change: the feed publishes through lists.Relay, and an entry that lacks a part asks for everything once.

--- a/pkg/entry/feed.go
+++ b/pkg/entry/feed.go
@@ -12,9 +12,9 @@
 // feed is what this entry knows of lists and placements and relays to others.
 // Revisions only go up.
 type feed struct {
+	relay *lists.Relay
+
 	mu         sync.Mutex
-	lists      []byte
-	listsRev   int64
 	placements map[placement.ModelVersion]wire.Placement
 	placeRev   int64
 	changed    chan struct{}
@@ -22,6 +22,7 @@
 
 func newFeed() *feed {
 	return &feed{
+		relay:      lists.NewRelay(),
 		placements: make(map[placement.ModelVersion]wire.Placement),
 		changed:    make(chan struct{}),
 	}
@@ -35,17 +36,12 @@
 
 // setLists records a revision of the lists and tells whether it is news.
 func (f *feed) setLists(snapshot lists.Snapshot) (bool, error) {
-	packed, err := lists.EncodeSnapshot(snapshot)
-	if err != nil {
+	isNews, err := f.relay.Publish(snapshot)
+	if !isNews || err != nil {
 		return false, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if snapshot.Revision <= f.listsRev {
-		return false, nil
-	}
-	f.lists = packed
-	f.listsRev = snapshot.Revision
 	f.notify()
 	return true, nil
 }
@@ -77,7 +73,7 @@
 func (f *feed) revisions() (listsRevision, placementRevision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listsRev, f.placeRev
+	return f.relay.Revision(), f.placeRev
 }
 
 // allPlacements returns a copy of all placements.
@@ -115,9 +111,8 @@
 
 func (f *feed) updateLocked(sync *wire.Sync) *wire.Update {
 	update := &wire.Update{PlacementRevision: f.placeRev}
-	if sync.Runner == "" && f.listsRev > sync.ListsRevision {
-		update.ListsRevision = f.listsRev
-		update.Lists = f.lists
+	if sync.Runner == "" {
+		f.addLists(update, sync.ListsRevision)
 	}
 	for _, known := range f.placements {
 		if known.Revision > sync.PlacementRevision {
@@ -126,3 +121,14 @@
 	}
 	return update
 }
+
+// addLists adds the lists unless the known revision is the newest. A revision
+// that can't be encoded was refused by setLists before.
+func (f *feed) addLists(update *wire.Update, known int64) {
+	data, err := f.relay.Update(known)
+	if err != nil || data == nil {
+		return
+	}
+	update.ListsRevision = f.relay.Revision()
+	update.Lists = data
+}
--- a/pkg/entry/source.go
+++ b/pkg/entry/source.go
@@ -46,6 +46,9 @@
 	// lastDirect is when an entry that doesn't watch last read the key-value
 	// service.
 	lastDirect time.Time
+	// wantsAll asks for the whole lists after an update that couldn't be put
+	// together.
+	wantsAll bool
 }
 
 // run follows lists and placements until ctx ends.
@@ -237,6 +240,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+syncSlack)
 	defer cancel()
 	listsRevision, placementRevision := s.control.feed.revisions()
+	if s.wantsAll {
+		listsRevision = 0
+	}
 	answer, err := s.node.Call(callCtx, peer.ID, peer.Address, &wire.Frame{Sync: &wire.Sync{
 		ListsRevision:     listsRevision,
 		PlacementRevision: placementRevision,
@@ -257,7 +263,8 @@
 	if len(update.Lists) == 0 {
 		return
 	}
-	snapshot, err := lists.DecodeSnapshot(update.Lists)
+	snapshot, err := s.control.feed.relay.Take(update.Lists)
+	s.wantsAll = errors.Is(err, lists.ErrOtherBase)
 	if err != nil {
 		s.logger.Error("relayed lists unreadable", "revision", update.ListsRevision, "error", err)
 		return
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -235,7 +235,7 @@
 // Update answers Sync. Empty fields hold no news.
 type Update struct {
 	ListsRevision int64 `cbor:"1,keyasint,omitempty"`
-	// Lists is the JSON form of lists.Snapshot, compressed with deflate.
+	// Lists is an update of lists.Relay to the revision.
 	Lists             []byte      `cbor:"2,keyasint,omitempty"`
 	PlacementRevision int64       `cbor:"3,keyasint,omitempty"`
 	Placements        []Placement `cbor:"4,keyasint,omitempty"`
