--- /dev/null
+++ b/testkit/bench/capacity/state.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strconv"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/platform/platformtest"
+	"teaselgauge.example/teaselgauge/pkg/routing"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+var (
+	adapterSizes = []int{1500, 3000, 6000, targetAdapters}
+	hostSizes    = []int{325, 650, 1300, targetEntries + targetRunners}
+)
+
+// measureLists measures the lists in force and the relaying of one change.
+func measureLists(ctx context.Context, report *report) error {
+	heap := &series{name: "lists: snapshot and index in force, heap", unit: "B", per: "adapter"}
+	packed := &series{name: "lists: relayed update, whole", unit: "B", per: "adapter"}
+	changed := &series{name: "lists: stored bytes of a change of one adapter", unit: "B", per: "adapter"}
+	calls := &series{name: "lists: key-value calls of such a change and one read of it", unit: "calls", per: "adapter"}
+	encode := &series{name: "lists: encode an update, processor", unit: "µs", per: "adapter"}
+	apply := &series{name: "lists: decode, check and index an update, processor", unit: "µs", per: "adapter"}
+	for _, size := range adapterSizes {
+		bytes, index := heapOf(func() *lists.Index { return lists.NewIndex(makeLists(size)) })
+		heap.add(size, bytes)
+		snapshot := index.Snapshot()
+		data, err := lists.EncodeSnapshot(snapshot)
+		if err != nil {
+			return err
+		}
+		packed.add(size, float64(len(data)))
+		encode.add(size, measureCost(func() { _, _ = lists.EncodeSnapshot(snapshot) }).micros)
+		apply.add(size, measureCost(func() { applyUpdate(data) }).micros)
+		written, callCount, err := changeOneAdapter(ctx, snapshot)
+		if err != nil {
+			return err
+		}
+		changed.add(size, written)
+		calls.add(size, callCount)
+	}
+	report.add(heap, packed, changed, calls, encode, apply)
+	return nil
+}
+
+func applyUpdate(data []byte) {
+	snapshot, err := lists.DecodeSnapshot(data)
+	if err == nil {
+		lists.NewRegister().Offer(snapshot)
+	}
+}
+
+// countingStore counts the bytes of all changes.
+type countingStore struct {
+	*platformtest.Store
+	written int
+}
+
+func (s *countingStore) Txn(ctx context.Context, conditions []platform.Compare, changes []platform.Op) (platform.TxnResult, error) {
+	for _, change := range changes {
+		s.written += len(change.Key) + len(change.Value)
+	}
+	return s.Store.Txn(ctx, conditions, changes)
+}
+
+func changeOneAdapter(ctx context.Context, snapshot lists.Snapshot) (written, calls float64, err error) {
+	const seed = 1
+	store := &countingStore{Store: platformtest.NewStore(seed)}
+	kept := lists.NewStore(store, "")
+	revision, err := kept.Put(ctx, 0, snapshot.Plans, snapshot.Allowances, "bench")
+	if err != nil {
+		return 0, 0, err
+	}
+	if _, err := kept.Get(ctx); err != nil {
+		return 0, 0, err
+	}
+	allowances := snapshot.Allowances
+	allowances.Adapters = append([]lists.Adapter(nil), allowances.Adapters...)
+	allowances.Adapters[len(allowances.Adapters)/2].MemoryMiB++
+	store.written = 0
+	before := store.Calls()
+	if _, err := kept.Put(ctx, revision, snapshot.Plans, allowances, "bench"); err != nil {
+		return 0, 0, err
+	}
+	if _, err := kept.Get(ctx); err != nil {
+		return 0, 0, err
+	}
+	return float64(store.written), float64(store.Calls() - before), nil
+}
+
+// measureMembers measures the view of all hosts.
+func measureMembers(_ context.Context, report *report) error {
+	heap := &series{name: "membership: view and snapshot with all statuses, heap", unit: "B", per: "host"}
+	listed := &series{name: "membership: take in a host list, processor", unit: "µs", per: "host"}
+	status := &series{name: "membership: take in a status and publish, processor", unit: "µs", per: "host"}
+	for _, size := range hostSizes {
+		now := time.Unix(0, 0)
+		hosts := makeHosts(size)
+		sequence := 1
+		bytes, view := heapOf(func() *membership.View { return fullView(now, hosts) })
+		heap.add(size, bytes)
+		listed.add(size, measureCost(func() {
+			view.HostsListed(now, hosts)
+			view.Snapshot()
+		}).micros)
+		table := routing.NewTable(view.Snapshot(), nil)
+		status.add(size, measureCost(func() {
+			sequence++
+			view.StatusReceived(now, makeStatus(size-1, sequence))
+			table = table.WithMembers(view.Snapshot())
+		}).micros)
+		runtime.KeepAlive(table)
+	}
+	report.add(heap, listed, status)
+	return nil
+}
+
+func fullView(now time.Time, hosts []platform.Host) *membership.View {
+	view := membership.NewView()
+	view.HostsListed(now, hosts)
+	for i, host := range hosts {
+		if host.Role == platform.RoleAgent {
+			view.StatusReceived(now, makeStatus(i, 1))
+		}
+	}
+	view.Snapshot()
+	return view
+}
+
+// measureHostList measures one reading of the platform's host list.
+func measureHostList(ctx context.Context, report *report) error {
+	size := &series{name: "host list: one reading, body", unit: "B", per: "host"}
+	read := &series{name: "host list: one reading, processor of both ends", unit: "µs", per: "host"}
+	for _, count := range hostSizes {
+		body, err := json.Marshal(makeHosts(count))
+		if err != nil {
+			return err
+		}
+		size.add(count, float64(len(body)))
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			_, _ = w.Write(body)
+		}))
+		client := platform.NewHostList(settings.HostList{URL: server.URL})
+		_, err = client.Hosts(ctx)
+		read.add(count, measureCost(func() { _, _ = client.Hosts(ctx) }).micros)
+		client.Close()
+		server.Close()
+		if err != nil {
+			return err
+		}
+	}
+	report.add(size, read)
+	return nil
+}
+
+// frameBytes is the encoded size of a frame.
+func frameBytes(frame *wire.Frame) float64 {
+	counter := &byteCounter{}
+	if err := wire.WriteFrame(counter, frame); err != nil {
+		return 0
+	}
+	return float64(counter.count)
+}
+
+type byteCounter struct{ count int }
+
+func (c *byteCounter) Write(data []byte) (int, error) {
+	c.count += len(data)
+	return len(data), nil
+}
