--- a/testkit/bench/capacity/decisions.go
+++ b/testkit/bench/capacity/decisions.go
@@ -154,6 +154,7 @@
 		restarted.add(hosts, float64(leaving.count))
 		restartedBytes.add(hosts, float64(leaving.bytes))
 	}
+	report.add(demandSeries()...)
 	report.add(failed, failedBytes, failedRounds, restarted, restartedBytes, largest)
 	return nil
 }
@@ -164,3 +165,32 @@
 	settle(problem)
 	return problem
 }
+
+// demandSeries counts the writes of one idle model whose demand rises to so many
+// busy replicas and falls again.
+func demandSeries() []*series {
+	count := &series{name: "a model wakes up and falls idle: writes", unit: "writes", per: "replica"}
+	bytes := &series{name: "a model wakes up and falls idle: bytes of these writes", unit: "B", per: "replica"}
+	for _, replicas := range []int{2, 4, 9, 18} {
+		problem := steadyProblem()
+		woken := placement.Of(&problem.Current[0])
+		problem.Current[0].Permits = nil
+		problem.Demand[woken] = placement.Demand{}
+		settle(problem)
+		var total writes
+		for busy := 1; busy < replicas; busy++ {
+			problem.Demand[woken] = placement.Demand{BusyPermits: busy, WaitMillis: 2 * placement.DemandWaitMillis}
+			total.add(settle(problem))
+		}
+		problem.Demand[woken] = placement.Demand{}
+		total.add(settle(problem))
+		count.add(replicas, float64(total.count))
+		bytes.add(replicas, float64(total.bytes))
+	}
+	return []*series{count, bytes}
+}
+
+func (w *writes) add(more writes) {
+	w.count += more.count
+	w.bytes += more.bytes
+}
--- a/testkit/bench/capacity/exchange.go
+++ b/testkit/bench/capacity/exchange.go
@@ -131,37 +131,84 @@
 // measureExchange measures the bytes of the control messages on the wire, both
 // directions together and with the headers of IPv4 and UDP.
 func measureExchange(ctx context.Context, report *report) error {
-	const idleTime, syncTime = 16 * time.Second, 4 * time.Second
+	const (
+		dials    = 10
+		probes   = 50
+		syncs    = 20
+		syncWait = 200 * time.Millisecond
+		idleTime = 16 * time.Second
+	)
 	p, err := newPair()
 	if err != nil {
 		return err
 	}
 	defer p.close()
+	dial, err := p.dialBytes(ctx, dials)
+	if err != nil {
+		return err
+	}
 	probe := func() error { return p.call(ctx, &wire.Frame{Probe: &wire.Probe{}}) }
+	if err := repeat(probes, probe); err != nil {
+		return err
+	}
 	steps := []struct {
 		name string
 		unit string
-		run  func() error
-		// over divides the bytes.
-		over float64
+		// times is how often call runs, and over divides the bytes.
+		times int
+		call  func() error
+		over  float64
 	}{
-		{"control: dial and first probe", "B", probe, 1},
-		{"control: probe on an open connection", "B", probe, 1},
-		{"control: a Sync held for 4 s without news", "B", func() error {
-			return p.call(ctx, &wire.Frame{Sync: &wire.Sync{WaitMillis: uint32(syncTime.Milliseconds())}})
-		}, 1},
-		{"control: an idle open connection", "B/s", func() error { time.Sleep(idleTime); return nil }, idleTime.Seconds()},
+		{"control: probe on an open connection", "B", probes, probe, probes},
+		{"control: a Sync without news", "B", syncs, func() error {
+			return p.call(ctx, &wire.Frame{Sync: &wire.Sync{WaitMillis: uint32(syncWait.Milliseconds())}})
+		}, syncs},
+		{"control: an idle open connection", "B/s", 1, func() error { time.Sleep(idleTime); return nil }, idleTime.Seconds()},
 	}
+	report.add(&series{name: "control: dial and first probe", unit: "B", points: []point{{dials, dial}}})
 	for _, step := range steps {
-		bytes, err := p.relay.during(step.run)
+		bytes, err := p.relay.during(func() error { return repeat(step.times, step.call) })
 		if err != nil {
 			return err
 		}
-		report.add(&series{name: step.name, unit: step.unit, points: []point{{1, bytes / step.over}}})
+		report.add(&series{name: step.name, unit: step.unit, points: []point{{step.times, bytes / step.over}}})
+	}
+	return nil
+}
+
+func repeat(times int, fn func() error) error {
+	for range times {
+		if err := fn(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// dialBytes returns the mean of connections through fresh relays, each with one
+// probe.
+func (p *pair) dialBytes(ctx context.Context, times int) (float64, error) {
+	const linger = time.Second
+	var relays []*relay
+	for range times {
+		fresh, err := newRelay(p.agent.Address())
+		if err != nil {
+			return 0, err
+		}
+		defer fresh.close()
+		relays = append(relays, fresh)
+		if _, err := p.entry.Call(ctx, runnerID(0), fresh.address(), &wire.Frame{Probe: &wire.Probe{}}); err != nil {
+			return 0, err
+		}
+	}
+	time.Sleep(linger)
+	total := int64(0)
+	for _, used := range relays {
+		total += used.bytes.Load()
+	}
+	return float64(total) / float64(times), nil
+}
+
 // measureTraffic measures requests and their streamed answers over the inner
 // protocol, both ends together.
 func measureTraffic(ctx context.Context, report *report) error {
@@ -186,14 +233,17 @@
 		processor.add(tokens, used.micros)
 		allocs.add(tokens, used.allocs)
 	}
+	const times = 20
 	for _, tokens := range chunkSizes {
-		bytes, err := p.relay.during(func() error {
-			return ask(ctx, p.entry, runnerID(0), p.relay.address(), tokens)
-		})
+		through := func() error { return ask(ctx, p.entry, runnerID(0), p.relay.address(), tokens) }
+		if err := repeat(times, through); err != nil {
+			return err
+		}
+		bytes, err := p.relay.during(func() error { return repeat(times, through) })
 		if err != nil {
 			return err
 		}
-		onWire.add(tokens, bytes)
+		onWire.add(tokens, bytes/times)
 	}
 	report.add(processor, allocs, onWire)
 	return nil
--- a/testkit/bench/capacity/main.go
+++ b/testkit/bench/capacity/main.go
@@ -31,6 +31,7 @@
 	{"links", measureLinks},
 	{"exchange", measureExchange},
 	{"traffic", measureTraffic},
+	{"processes", measureProcesses},
 }
 
 func main() {
--- a/testkit/bench/capacity/requests.go
+++ b/testkit/bench/capacity/requests.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -82,10 +83,10 @@
 }
 func (openAccess) Service(string) (callers.Service, bool) { return callers.Service{}, false }
 
-func newCallersHandler(tokens int) (http.Handler, error) {
+func newCallersHandler(dispatcher callers.Dispatcher) (http.Handler, error) {
 	return callers.New(callers.Config{
 		Resolver:   openAccess{},
-		Dispatcher: streamingDispatcher{tokens: tokens},
+		Dispatcher: dispatcher,
 		Limits: settings.EntryLimits{
 			MaxBodyBytes: 1 << 20, MaxRequests: 1000, DefaultDeadlineMillis: 60000, MaxDeadlineMillis: 60000,
 		},
@@ -107,7 +108,7 @@
 	allocs := &series{name: "callers: one stream without a socket, allocations", unit: "allocs", per: "token"}
 	loopback := &series{name: "callers: one stream over loopback HTTP with its client, processor", unit: "µs", per: "token"}
 	for _, tokens := range chunkSizes {
-		h, err := newCallersHandler(tokens)
+		h, err := newCallersHandler(streamingDispatcher{tokens: tokens})
 		if err != nil {
 			return err
 		}
@@ -124,9 +125,61 @@
 		server.Close()
 	}
 	report.add(handler, allocs, loopback)
+	return measureOpenStreams(report)
+}
+
+// waitingDispatcher holds requests until their caller leaves.
+type waitingDispatcher struct{}
+
+func (waitingDispatcher) Dispatch(ctx context.Context, _ *wire.Request, sink callers.Sink) *wire.Refusal {
+	_ = sink.Head(http.StatusOK, "text/event-stream")
+	<-ctx.Done()
+	return &wire.Refusal{Reason: wire.ReasonCancelled}
+}
+
+// measureOpenStreams measures the memory of open streams, whose callers are bare
+// sockets in the same process.
+func measureOpenStreams(report *report) error {
+	open := &series{name: "callers: open streams of 2 kB prompts, heap and stacks", unit: "B", per: "stream"}
+	h, err := newCallersHandler(waitingDispatcher{})
+	if err != nil {
+		return err
+	}
+	server := httptest.NewServer(h)
+	defer server.Close()
+	base := liveHeap()
+	opened := 0
+	for _, size := range []int{100, 400, 900} {
+		for ; opened < size; opened++ {
+			conn, err := openPrompt(server.Listener.Addr().String())
+			if err != nil {
+				return err
+			}
+			defer conn.Close()
+		}
+		open.add(size, liveHeap()-base)
+	}
+	report.add(open)
 	return nil
 }
 
+// openPrompt sends a prompt and waits for the first bytes of its answer.
+func openPrompt(address string) (net.Conn, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	request, err := newPrompt("http://" + address)
+	if err != nil {
+		return nil, err
+	}
+	if err := request.Write(conn); err != nil {
+		return nil, err
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return conn, err
+}
+
 func readStream(url string) {
 	request, err := newPrompt(url)
 	if err != nil {
--- a/testkit/bench/capacity/site.go
+++ b/testkit/bench/capacity/site.go
@@ -142,12 +142,12 @@
 	return problem
 }
 
-// permitRunners gives each model a permit on its share of the runners, as under
-// full load.
+// permitRunners gives each model permits on its share of the runners in each
+// failure domain, as under full load.
 func permitRunners(problem *placement.Problem) {
 	permits := make([][]wire.Permit, len(problem.Models))
 	for i := range problem.Runners {
-		m := i % len(problem.Models)
+		m := i / targetDomains % len(problem.Models)
 		permits[m] = append(permits[m], wire.Permit{Runner: problem.Runners[i].ID, Epoch: int64(i + 1)})
 	}
 	for i, model := range problem.Models {
--- a/testkit/site/process.go
+++ b/testkit/site/process.go
@@ -129,6 +129,15 @@
 	return p.start()
 }
 
+// PID returns the id of the newest start of the process, or zero.
+func (p *Process) PID() int {
+	cmd, _ := p.current()
+	if cmd == nil {
+		return 0
+	}
+	return cmd.Process.Pid
+}
+
 // Running tells whether the process has not ended.
 func (p *Process) Running() bool {
 	_, done := p.current()
