Agent: ask entries from the revision they know in full

An agent asked for placements above the highest revision among those that name its runner; placements of other runners have higher ones, so each Sync was answered at once with the same placements, without end. An older placement that reached the entry late would also have been missed for good. Change: the agent's position is the revision up to which the entry says that it knows all placements; an answer that brings placements and doesn't move the position is followed by a pause of 200 ms. Ruled out: sending only placements that name the runner; the agent would miss the removal of its permit.

--- a/pkg/agent/sync.go
+++ b/pkg/agent/sync.go
@@ -25,6 +25,9 @@
 	syncWait = 20 * time.Second
 	// syncSlack is how much longer than syncWait an agent waits for the answer.
 	syncSlack = 3 * time.Second
+	// syncPause is the wait after an answer that holds placements beyond the
+	// revision up to which the entry knows all, and would hold them again.
+	syncPause = 200 * time.Millisecond
 	// coordinatorKey chooses the entry that coordinates loads, by rendezvous
 	// hashing.
 	coordinatorKey = "weight-store"
@@ -128,6 +131,10 @@
 	directory *entryDirectory
 	logger    *slog.Logger
 	runner    string
+	// position is the revision up to which all placements were taken in. It goes
+	// by what entries say that they know, not by the placements themselves: most
+	// of them don't name this runner, and one may come before an older one.
+	position int64
 }
 
 // readOwn reads all placements from the key-value service. No permit is used
@@ -137,6 +144,7 @@
 		read, err := p.readOnce(ctx)
 		if err == nil {
 			p.loop.Do(func() { p.table.perform(p.table.holder.Step(read)) })
+			p.position = read.Revision
 			p.logger.Info("permits read", "revision", read.Revision, "placements", len(read.Placements))
 			return
 		}
@@ -183,22 +191,32 @@
 		return false
 	}
 	entry := peers[failures%len(peers)]
-	var revision int64
-	p.loop.Do(func() { revision = p.table.holder.Revision() })
-	update, err := p.ask(ctx, entry, revision)
+	update, err := p.ask(ctx, entry)
 	if err != nil {
 		p.logger.Debug("sync failed", "entry", entry.id, "error", err)
 		return false
 	}
 	p.loop.Do(func() { p.take(update) })
+	if !p.advance(update) && len(update.Placements) > 0 {
+		backoff.Sleep(ctx, syncPause)
+	}
+	return true
+}
+
+// advance moves the position and tells whether it did.
+func (p *permitReader) advance(update *wire.Update) bool {
+	if update.PlacementRevision <= p.position {
+		return false
+	}
+	p.position = update.PlacementRevision
 	return true
 }
 
-func (p *permitReader) ask(ctx context.Context, entry peer, revision int64) (*wire.Update, error) {
+func (p *permitReader) ask(ctx context.Context, entry peer) (*wire.Update, error) {
 	callCtx, cancel := context.WithTimeout(ctx, syncWait+syncSlack)
 	defer cancel()
 	answer, err := p.node.Call(callCtx, entry.id, entry.address, &wire.Frame{Sync: &wire.Sync{
-		PlacementRevision: revision,
+		PlacementRevision: p.position,
 		WaitMillis:        millis(syncWait),
 		Runner:            p.runner,
 	}})
