--- a/pkg/entry/source.go
+++ b/pkg/entry/source.go
@@ -23,6 +23,9 @@
 	syncWait = 20 * time.Second
 	// syncSlack is how much longer than its wait a Sync may take.
 	syncSlack = 3 * time.Second
+	// syncPause is the wait after an answer that didn't move the revision up to
+	// which all placements are known.
+	syncPause = 200 * time.Millisecond
 	// memberWait is the pause while no host list has been read.
 	memberWait = 200 * time.Millisecond
 	// directReadInterval is the least time between two reads of the key-value
@@ -253,6 +256,11 @@
 		return false
 	}
 	s.take(answer.Update)
+	if len(answer.Update.Placements) > 0 && answer.Update.PlacementRevision <= placementRevision {
+		// The peer knows single placements ahead of all others and would answer
+		// at once again.
+		backoff.Sleep(ctx, syncPause)
+	}
 	return true
 }
 
