Round the adapter window's share to the nearest, and measure it

Cause: 32 in transit divided by 18 runners was rounded down to one each, which left 14 places unused. Change: the share is rounded to the nearest; all agents together may exceed 32 by a third, which the store answers by proportionally longer loads.

--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,10 @@
 	go build -o $(BIN)/demo ./testkit/cmd/demo
 	$(BIN)/demo up
 
+# bench compares the policies with their baselines in virtual time.
+bench:
+	go run ./testkit/bench/pacing
+	go run ./testkit/bench/queueing
+
 clean:
 	rm -rf $(BIN)
--- a/pkg/loading/adapters.go
+++ b/pkg/loading/adapters.go
@@ -26,9 +26,10 @@
 // SetAgents changes the number of agents that share the weight store.
 func (w *AdapterWindow) SetAgents(agents int) { w.agents = max(agents, 1) }
 
-// Share is the number of adapters that the agent may have in transit.
+// Share is the number of adapters that the agent may have in transit, rounded to
+// the nearest: all agents together may exceed the bound by a third.
 func (w *AdapterWindow) Share() int {
-	return max(AdaptersInTransit/w.agents, 1)
+	return max((2*AdaptersInTransit+w.agents)/(2*w.agents), 1)
 }
 
 // Start takes a place in the window, which Done gives back. It returns false if
--- /dev/null
+++ b/testkit/bench/pacing/adapters.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"text/tabwriter"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/loading"
+)
+
+const (
+	adapterMin    = 5 * time.Millisecond
+	adapterMax    = 10 * time.Millisecond
+	adapterSpan   = 20 * time.Millisecond
+	adapterBursts = 500
+	adapterEvery  = time.Second
+)
+
+// adapterRunner is a runner with its window and the adapters that wait for it.
+type adapterRunner struct {
+	window  *loading.AdapterWindow
+	waiting []adapterWant
+}
+
+type adapterWant struct {
+	at       time.Time
+	duration time.Duration
+}
+
+// adapterTrial loads bursts of adapters at all runners.
+type adapterTrial struct {
+	clock   *clock
+	store   *store
+	runners []*adapterRunner
+	result  result
+	most    int
+}
+
+// adapterWindow is a way to divide the transit among agents.
+type adapterWindow struct {
+	name string
+	// agents is the number of agents that the window divides by.
+	agents func(site) int
+}
+
+var adapterWindows = []adapterWindow{
+	{name: "none", agents: func(site) int { return 1 }},
+	{name: "share rounded down", agents: func(s site) int {
+		share := loading.AdaptersInTransit / s.runners
+		return loading.AdaptersInTransit / share
+	}},
+	{name: "share to the nearest", agents: func(s site) int { return s.runners }},
+}
+
+func compareAdapters(w io.Writer, s site, seeds int) error {
+	fmt.Fprintf(w, "\nadapters, %s, seeds 1-%d, %d bursts each\n", s.name, seeds, adapterBursts)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "at once\twindow\twait p50\tp95\tp99\tmost in transit\t")
+	for _, wanted := range []int{s.adapters / 4, s.adapters, 4 * s.adapters} {
+		for _, window := range adapterWindows {
+			var sum result
+			most := 0
+			for seed := range seeds {
+				trial := runAdapters(s, window.agents(s), wanted, uint64(seed+1))
+				sum.add(trial.result)
+				most = max(most, trial.most)
+			}
+			fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%d\t\n", wanted, window.name,
+				millis(sum.quantile(0.5)), millis(sum.quantile(0.95)), millis(sum.quantile(0.99)), most)
+		}
+	}
+	return t.Flush()
+}
+
+func millis(d time.Duration) string {
+	return fmt.Sprintf("%.1fms", float64(d)/float64(time.Millisecond))
+}
+
+func runAdapters(s site, agents, wanted int, seed uint64) *adapterTrial {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	c := &clock{now: start}
+	limits := loading.StoreLimits{StartsPerSecond: 1e6, AtOnce: loading.AdaptersInTransit}
+	t := &adapterTrial{clock: c, store: &store{clock: c, limits: limits, slow: 1, updated: start}}
+	for range s.runners {
+		t.runners = append(t.runners, &adapterRunner{window: loading.NewAdapterWindow(agents)})
+	}
+	for burst := range adapterBursts {
+		for range wanted {
+			r := t.runners[rng.IntN(s.runners)]
+			duration := adapterMin + time.Duration(rng.Float64()*float64(adapterMax-adapterMin))
+			at := start.Add(time.Duration(burst)*adapterEvery + time.Duration(rng.Float64()*float64(adapterSpan)))
+			c.at(at, func() {
+				r.waiting = append(r.waiting, adapterWant{at: at, duration: duration})
+				t.pump(r)
+			})
+		}
+	}
+	c.run(start.Add(adapterBursts * adapterEvery))
+	return t
+}
+
+func (t *adapterTrial) pump(r *adapterRunner) {
+	for len(r.waiting) > 0 && r.window.Start(t.clock.now) {
+		want := r.waiting[0]
+		r.waiting = r.waiting[1:]
+		began := t.clock.now
+		t.store.load(want.duration, func() {
+			r.window.Done(t.clock.now, t.clock.now.Sub(began))
+			t.result.cold = append(t.result.cold, t.clock.now.Sub(want.at))
+			t.pump(r)
+		})
+	}
+	t.most = max(t.most, len(t.store.active))
+}
--- a/testkit/bench/pacing/site.go
+++ b/testkit/bench/pacing/site.go
@@ -9,11 +9,12 @@
 
 // site is one deployment.
 type site struct {
-	name    string
-	runners int
-	models  int
-	entries int
-	limits  loading.StoreLimits
+	name     string
+	runners  int
+	models   int
+	adapters int
+	entries  int
+	limits   loading.StoreLimits
 	// delay is the time of a message between two failure domains, one way.
 	delay  time.Duration
 	policy lists.Policy
@@ -27,21 +28,23 @@
 
 var sites = []site{
 	{
-		name:    "van-dijkhuis",
-		runners: 18,
-		models:  65,
-		entries: 4,
-		limits:  loading.StoreLimits{StartsPerSecond: 4, AtOnce: 4},
-		delay:   4 * time.Millisecond,
-		policy:  lists.Policy{ColdStartWeight: 1, IdleWeight: 0.002},
+		name:     "van-dijkhuis",
+		runners:  18,
+		models:   65,
+		adapters: 100,
+		entries:  4,
+		limits:   loading.StoreLimits{StartsPerSecond: 4, AtOnce: 4},
+		delay:    4 * time.Millisecond,
+		policy:   lists.Policy{ColdStartWeight: 1, IdleWeight: 0.002},
 	},
 	{
-		name:    "consortium",
-		runners: 9,
-		models:  20,
-		entries: 4,
-		limits:  loading.StoreLimits{StartsPerSecond: 2.5, AtOnce: 4},
-		delay:   5 * time.Millisecond,
-		policy:  lists.Policy{ColdStartWeight: 1, IdleWeight: 0.02},
+		name:     "consortium",
+		runners:  9,
+		models:   20,
+		adapters: 55,
+		entries:  4,
+		limits:   loading.StoreLimits{StartsPerSecond: 2.5, AtOnce: 4},
+		delay:    5 * time.Millisecond,
+		policy:   lists.Policy{ColdStartWeight: 1, IdleWeight: 0.02},
 	},
 }
