Check that a cursor of permits never goes back

Cause: the merged test of the reader held this case, the holder's did not. Change: one step more in TestHolderIgnoresLatePlacements.

--- a/pkg/placement/decider_test.go
+++ b/pkg/placement/decider_test.go
@@ -175,6 +175,7 @@
 	}
 	holder.Step(PlacementChanged{at(20, wire.Permit{Runner: "c", Epoch: 2})})
 	holder.Step(RelayedUpTo{Revision: 12})
+	holder.Step(RelayedUpTo{Revision: 7})
 	if revision := holder.Revision(); revision != 12 {
 		t.Errorf("asks for what is newer than %d", revision)
 	}
