Count key-value calls, attempts and decisions; show the plans' use; reload callers' keys

Change: the store is observed, dispatch and decisions count, the status shows each plan's use, the register takes lists in off the loop, and callers_tls is read again when its files change.

--- a/cmd/teaselgauge-entry/main.go
+++ b/cmd/teaselgauge-entry/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -46,5 +47,6 @@
 	if err != nil {
 		return fmt.Errorf("log settings: %w", err)
 	}
+	slog.SetDefault(logger)
 	return entry.Run(ctx, config, command.Version(), logger)
 }
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -50,6 +50,7 @@
 	directory   *entryDirectory
 	coordinator *coordinatorClient
 	registry    *metrics.Registry
+	metrics     *metrics.Agent
 	guard       net.Listener
 	admin       *http.Server
 	wait        sync.WaitGroup
@@ -83,7 +84,8 @@
 	if err != nil {
 		return err
 	}
-	a.store = platform.WithPrefix(store, a.config.KeyValue.Prefix)
+	a.metrics = metrics.NewAgent(a.registry.Scope())
+	a.store = platform.WithPrefix(platform.WithObserver(store, a.metrics.ObserveKeyValue), a.config.KeyValue.Prefix)
 	a.lister = platform.NewHostList(a.config.HostList)
 	a.directory = &entryDirectory{
 		host:   a.config.Host,
@@ -117,7 +119,7 @@
 		a.cleanUp()
 		a.wait.Wait()
 	}()
-	a.controller = newController(workCtx, a.config, a.incarnation, metrics.NewAgent(a.registry.Scope()), a.logger)
+	a.controller = newController(workCtx, a.config, a.incarnation, a.metrics, a.logger)
 	a.coordinator = &coordinatorClient{ctx: workCtx, loop: a.controller.loop, directory: a.directory}
 	a.wait.Go(func() { a.controller.loop.Run(workCtx) })
 	if err := a.openBackend(ctx, workCtx); err != nil {
--- a/pkg/callers/exchange.go
+++ b/pkg/callers/exchange.go
@@ -183,6 +183,9 @@
 		outcome, reason = refusal.Outcome.String(), string(refusal.Reason)
 	}
 	h.metrics.RequestDone(x.kind, outcome, reason, took)
+	if x.plan != "" {
+		h.plans.done(x.plan, refusal == nil)
+	}
 	if x.firstByte > 0 {
 		h.metrics.FirstByte(x.kind, x.firstByte)
 	}
--- a/pkg/callers/handler.go
+++ b/pkg/callers/handler.go
@@ -1,10 +1,12 @@
 package callers
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -124,6 +126,31 @@
 	return int(h.requests.running.Load())
 }
 
+// PlanUse is what the plan's requests at this entry came to.
+type PlanUse struct {
+	Plan     string
+	Running  int
+	Answered int64
+	Refused  int64
+}
+
+// PlanUses returns the use of all plans seen since the start, sorted by name.
+func (h *Handler) PlanUses() []PlanUse {
+	var uses []PlanUse
+	h.plans.uses.Range(func(name, value any) bool {
+		use := value.(*planUse)
+		uses = append(uses, PlanUse{
+			Plan:     name.(string),
+			Running:  int(use.running.Load()),
+			Answered: use.answered.Load(),
+			Refused:  use.refused.Load(),
+		})
+		return true
+	})
+	slices.SortFunc(uses, func(a, b PlanUse) int { return cmp.Compare(a.Plan, b.Plan) })
+	return uses
+}
+
 // StartDraining refuses requests that arrive from now on; running ones go on.
 // Readiness turns false. It may be called more than once.
 func (h *Handler) StartDraining() {
--- a/pkg/callers/limits.go
+++ b/pkg/callers/limits.go
@@ -23,18 +23,38 @@
 	errBuffersFull = errors.New("buffers are full")
 )
 
-// planGates holds a gate for each plan.
+// planUse counts one plan's requests.
+type planUse struct {
+	gate
+	answered atomic.Int64
+	refused  atomic.Int64
+}
+
+// planGates holds a gate and counts for each plan.
 type planGates struct {
-	gates sync.Map // plan name to *gate
+	uses sync.Map // plan name to *planUse
 }
 
-// enter counts a request of the plan; a limit of zero admits all.
-func (p *planGates) enter(plan string, limit int) (*gate, error) {
-	value, ok := p.gates.Load(plan)
+func (p *planGates) use(plan string) *planUse {
+	value, ok := p.uses.Load(plan)
 	if !ok {
-		value, _ = p.gates.LoadOrStore(plan, &gate{})
+		value, _ = p.uses.LoadOrStore(plan, &planUse{})
 	}
-	g := value.(*gate)
+	return value.(*planUse)
+}
+
+// done counts the end of a plan's request.
+func (p *planGates) done(plan string, answered bool) {
+	if answered {
+		p.use(plan).answered.Add(1)
+		return
+	}
+	p.use(plan).refused.Add(1)
+}
+
+// enter counts a request of the plan; a limit of zero admits all.
+func (p *planGates) enter(plan string, limit int) (*gate, error) {
+	g := &p.use(plan).gate
 	if err := g.enter(int64(limit)); err != nil {
 		return nil, err
 	}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -27,7 +27,8 @@
 }
 
 // control owns the entry's control state. Its methods run on the loop, but for
-// current, which any goroutine may call.
+// current, offerLists and listsUnreadable, which any goroutine may call; the
+// register is safe for concurrent use.
 type control struct {
 	loop        *eventloop.Loop
 	logger      *slog.Logger
@@ -132,8 +133,9 @@
 	return hosts
 }
 
-// listsOffered puts newer lists in force.
-func (c *control) listsOffered(snapshot lists.Snapshot) {
+// offerLists puts newer lists in force. It is called off the loop, since the
+// check and the index of large lists take tens of milliseconds.
+func (c *control) offerLists(snapshot lists.Snapshot) {
 	if snapshot.Revision == 0 || !c.register.Offer(snapshot) {
 		c.logRejected(snapshot.Revision)
 		return
@@ -141,14 +143,18 @@
 	if _, err := c.feed.setLists(snapshot); err != nil {
 		c.logger.Error("lists can't be relayed", "revision", snapshot.Revision, "error", err)
 	}
-	next := *c.current()
-	next.index = c.register.Current()
-	c.published.Store(&next)
+	c.loop.Do(c.publishLists)
 	c.logger.Info("lists in force", "revision", snapshot.Revision,
 		"plans", len(snapshot.Plans.Plans), "models", len(snapshot.Allowances.Models))
 	c.listsChanged()
 }
 
+func (c *control) publishLists() {
+	next := *c.current()
+	next.index = c.register.Current()
+	c.published.Store(&next)
+}
+
 // listsUnreadable records a stored revision that makes no sense.
 func (c *control) listsUnreadable(revision int64, reason error) {
 	c.register.Reject(revision, reason)
--- a/pkg/entry/decide.go
+++ b/pkg/entry/decide.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -29,13 +30,21 @@
 	control *control
 	store   platform.KeyValueStore
 	decider placement.Decider
+	metrics *metrics.Entry
 	logger  *slog.Logger
 	// wake asks for a decision before the interval is over.
 	wake chan struct{}
 }
 
-func newDeciderLoop(self string, c *control, store platform.KeyValueStore, logger *slog.Logger) *deciderLoop {
-	return &deciderLoop{self: self, control: c, store: store, logger: logger, wake: make(chan struct{}, 1)}
+func newDeciderLoop(self string, c *control, store platform.KeyValueStore, metered *metrics.Entry, logger *slog.Logger) *deciderLoop {
+	return &deciderLoop{
+		self:    self,
+		control: c,
+		store:   store,
+		metrics: metered,
+		logger:  logger,
+		wake:    make(chan struct{}, 1),
+	}
 }
 
 // hurry asks for a decision soon.
@@ -67,7 +76,10 @@
 	if problem == nil {
 		return
 	}
-	for _, change := range d.decider.Decide(problem) {
+	started := time.Now()
+	changes := d.decider.Decide(problem)
+	d.metrics.Decision(time.Since(started))
+	for _, change := range changes {
 		d.apply(ctx, change)
 	}
 }
@@ -179,10 +191,23 @@
 	written := change.Placement
 	written.Revision = result.Revision
 	d.take(written)
+	d.count(change)
 	d.logger.Info("placement written", "model", id.String(), "granted", change.Granted,
 		"revoked", change.Revoked, "removed", change.Removed, "revision", result.Revision)
 }
 
+func (d *deciderLoop) count(change placement.Change) {
+	for range change.Granted {
+		d.metrics.PermitChange("grant")
+	}
+	for range change.Revoked {
+		d.metrics.PermitChange("revoke")
+	}
+	for range change.Removed {
+		d.metrics.PermitChange("remove")
+	}
+}
+
 func (d *deciderLoop) takeCurrent(result platform.TxnResult) {
 	for _, value := range result.Current {
 		if value.ModRevision == 0 {
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -8,6 +8,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/callers"
 	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/routing"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -17,6 +18,7 @@
 	node    *wire.Node
 	control *control
 	budget  *routing.RetryBudget
+	metrics *metrics.Entry
 }
 
 // Dispatch implements callers.Dispatcher.
@@ -31,6 +33,7 @@
 		if done {
 			return refusal
 		}
+		x.lastEvent = causeOf(event)
 		action = attempt.Step(time.Now(), event, d.control.current().table)
 	}
 }
@@ -90,6 +93,19 @@
 	return request.Plan + "\x00" + request.IdempotencyKey
 }
 
+// countAttempt counts a request sent to an agent, and a retry if it is one.
+func (d *dispatcher) countAttempt(x *exchange, event routing.Event) {
+	x.attempts++
+	if x.attempts > 1 {
+		d.metrics.Retry(x.lastEvent)
+	}
+	if event != nil {
+		d.metrics.Attempt(metrics.ResultError)
+		return
+	}
+	d.metrics.Attempt(metrics.ResultOK)
+}
+
 // perform carries out one action and returns the event that follows, or the
 // request's end.
 func (d *dispatcher) perform(ctx context.Context, x *exchange, action routing.Action) (event routing.Event, refusal *wire.Refusal, done bool) {
@@ -97,6 +113,7 @@
 	case routing.Send:
 		backoff.Sleep(ctx, a.After)
 		event = x.send(ctx, a.Target)
+		d.countAttempt(x, event)
 	case routing.Resume:
 		backoff.Sleep(ctx, a.After)
 		event = x.resume(ctx, a)
@@ -110,3 +127,15 @@
 	}
 	return event, nil, false
 }
+
+// causeOf names an event as the cause of a retry.
+func causeOf(event routing.Event) string {
+	switch e := event.(type) {
+	case routing.Refused:
+		return string(e.Refusal.Reason)
+	case routing.CutAnswer:
+		return "cut"
+	default:
+		return "lost"
+	}
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -49,6 +49,7 @@
 	decider  *deciderLoop
 	node     *wire.Node
 	registry *metrics.Registry
+	metrics  *metrics.Entry
 	callers  *callers.Handler
 	ready    readiness
 	servers  []*http.Server
@@ -86,14 +87,15 @@
 	if err != nil {
 		return err
 	}
-	e.store = platform.WithPrefix(store, e.config.KeyValue.Prefix)
+	e.metrics = metrics.NewEntry(e.registry.Scope())
+	e.store = platform.WithPrefix(platform.WithObserver(store, e.metrics.ObserveKeyValue), e.config.KeyValue.Prefix)
 	e.lister = platform.NewHostList(e.config.HostList)
 	e.lists = lists.NewStore(e.store, "")
 	e.control = newControl(loading.StoreLimits{
 		StartsPerSecond: e.config.WeightStore.LoadsPerSecond,
 		AtOnce:          e.config.WeightStore.LoadsAtOnce,
 	}, e.logger)
-	e.decider = newDeciderLoop(e.config.Host.ID, e.control, e.store, e.logger)
+	e.decider = newDeciderLoop(e.config.Host.ID, e.control, e.store, e.metrics, e.logger)
 	e.control.listsChanged = e.decider.hurry
 	if err := e.openNode(); err != nil {
 		return err
@@ -123,12 +125,17 @@
 
 func (e *Entry) openCallers() error {
 	handler, err := callers.New(callers.Config{
-		Resolver:   &resolver{control: e.control},
-		Dispatcher: &dispatcher{node: e.node, control: e.control, budget: routing.NewRetryBudget()},
-		Limits:     e.config.Limits,
-		Metrics:    metrics.NewEntry(e.registry.Scope()),
-		Logger:     e.logger,
-		Ready:      e.isReady,
+		Resolver: &resolver{control: e.control},
+		Dispatcher: &dispatcher{
+			node:    e.node,
+			control: e.control,
+			budget:  routing.NewRetryBudget(),
+			metrics: e.metrics,
+		},
+		Limits:  e.config.Limits,
+		Metrics: e.metrics,
+		Logger:  e.logger,
+		Ready:   e.isReady,
 	})
 	e.callers = handler
 	return err
@@ -143,6 +150,7 @@
 		store:   e.store,
 		lists:   e.lists,
 		node:    e.node,
+		metrics: e.metrics,
 		logger:  e.logger,
 		seed:    newSeed(),
 	}
@@ -164,6 +172,8 @@
 			e.logger.Warn("host list unreadable", "error", err)
 		} else {
 			e.control.loop.Do(func() { e.control.hostsListed(time.Now(), hosts) })
+			e.metrics.Members(len(e.control.current().members.Agents()))
+			e.metrics.Connections(e.node.Connections())
 		}
 		backoff.Sleep(ctx, interval)
 	}
@@ -197,15 +207,12 @@
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	if e.config.CallersTLS != nil {
-		certificate, err := tls.LoadX509KeyPair(e.config.CallersTLS.CertFile, e.config.CallersTLS.KeyFile)
+		callersTLS, err := keys.CallersConfig(*e.config.CallersTLS)
 		if err != nil {
 			_ = listener.Close()
 			return fmt.Errorf("callers_tls: %w", err)
 		}
-		listener = tls.NewListener(listener, &tls.Config{
-			Certificates: []tls.Certificate{certificate},
-			MinVersion:   tls.VersionTLS12,
-		})
+		listener = tls.NewListener(listener, callersTLS)
 	}
 	server := &http.Server{
 		Handler:           handler,
@@ -232,7 +239,7 @@
 	api := adminapi.New(adminapi.Config{
 		Credentials: e.config.Admin,
 		Lists:       e.lists,
-		Status:      &statusSource{self: e.config.Host.ID, control: e.control},
+		Status:      &statusSource{self: e.config.Host.ID, control: e.control, callers: e.callers},
 		Dump:        func() any { return dump.Dump() },
 		Logger:      e.logger,
 	})
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -39,6 +39,10 @@
 	// held keeps the bytes of an answer that isn't streamed until it is whole.
 	held     []byte
 	passedOn bool
+
+	// attempts counts the sends; lastEvent names the cause of a further one.
+	attempts  int
+	lastEvent string
 }
 
 // open starts a stream to an agent with its first frame.
--- a/pkg/entry/source.go
+++ b/pkg/entry/source.go
@@ -11,6 +11,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -44,6 +45,7 @@
 	store   platform.KeyValueStore
 	lists   *lists.Store
 	node    *wire.Node
+	metrics *metrics.Entry
 	logger  *slog.Logger
 	seed    uint64
 	// lastDirect is when an entry that doesn't watch last read the key-value
@@ -157,13 +159,14 @@
 	snapshot, err := s.lists.Get(ctx)
 	var unreadable *lists.UnreadableError
 	if errors.As(err, &unreadable) {
-		s.control.loop.Do(func() { s.control.listsUnreadable(unreadable.Revision, err) })
+		s.control.listsUnreadable(unreadable.Revision, err)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	s.control.loop.Do(func() { s.control.listsOffered(snapshot) })
+	s.control.offerLists(snapshot)
+	s.metrics.ListsRevision(s.control.register.Revision())
 	return nil
 }
 
@@ -252,9 +255,11 @@
 		WaitMillis:        uint32(wait.Milliseconds()),
 	}})
 	if err != nil || answer.Update == nil {
+		s.metrics.Sync(metrics.ResultError, 0)
 		s.logger.Debug("sync failed", "entry", peer.ID, "error", err)
 		return false
 	}
+	s.metrics.Sync(metrics.ResultOK, len(answer.Update.Lists))
 	s.take(answer.Update)
 	if len(answer.Update.Placements) > 0 && answer.Update.PlacementRevision <= placementRevision {
 		// The peer knows single placements ahead of all others and would answer
@@ -277,7 +282,8 @@
 		s.logger.Error("relayed lists unreadable", "revision", update.ListsRevision, "error", err)
 		return
 	}
-	s.control.loop.Do(func() { s.control.listsOffered(snapshot) })
+	s.control.offerLists(snapshot)
+	s.metrics.ListsRevision(s.control.register.Revision())
 }
 
 // newSeed spreads the entries over their peers.
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/adminapi"
+	"teaselgauge.example/teaselgauge/pkg/callers"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -14,6 +15,7 @@
 type statusSource struct {
 	self    string
 	control *control
+	callers *callers.Handler
 }
 
 // Status implements adminapi.StatusSource.
@@ -26,6 +28,9 @@
 	for _, agent := range current.members.Agents() {
 		status.Runners = append(status.Runners, runnerStatus(now, agent))
 	}
+	for _, use := range s.callers.PlanUses() {
+		status.Plans = append(status.Plans, adminapi.PlanStatus(use))
+	}
 	if current.index == nil {
 		return status
 	}
--- a/pkg/metrics/common.go
+++ b/pkg/metrics/common.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"teaselgauge.example/teaselgauge/pkg/platform"
 )
 
 // Kind tells requests for models from calls of plain services.
@@ -56,6 +58,18 @@
 	c.keyValueTimes.with(labels{operation}).Record(took)
 }
 
+// ObserveKeyValue is a platform.Observer that counts calls.
+func (c *control) ObserveKeyValue(op platform.Operation, took time.Duration, err error) {
+	result := ResultOK
+	switch {
+	case platform.IsUncertain(err):
+		result = ResultUncertain
+	case err != nil:
+		result = ResultError
+	}
+	c.KeyValueCall(string(op), result, took)
+}
+
 // Sync counts an exchange of lists and placements with another process.
 func (c *control) Sync(result Result, bytes int) {
 	c.syncs.with(labels{string(result)}).Inc(1)
