Load a model whose callers' deadlines are shorter than its load

Cause: a request that can't wait for a load is refused at once, so a model whose callers all have short deadlines was never loaded and its callers came back for nothing. An entry without lists told callers that their key is unknown. Change: such a refusal has the model loaded for callers that come back within 30 s; without lists the refusal is 503, not run. Ruled out: letting the request wait past its deadline. TestNoListsYet is new.

--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -118,6 +118,7 @@
 		estimate.ReadyIn = readyIn
 	}
 	if refusal := c.queue.Offer(now, t.item(), estimate); refusal != nil {
+		c.noteLate(now, t, refusal.Reason)
 		c.end(now, t, wire.OutcomeNotRun, refusal.Reason, refusal.RetryAfter, "")
 		return
 	}
@@ -128,6 +129,15 @@
 	c.advance(now)
 }
 
+// noteLate has the model of a request that came too late for it loaded all the
+// same, so that the caller finds it when it comes back.
+func (c *controller) noteLate(now time.Time, t *ticket, reason wire.Reason) {
+	if c.models != nil && reason == wire.ReasonDeadline {
+		c.models.wantSoon(now, t.target())
+		c.models.loadWanted(now)
+	}
+}
+
 // advance orders loads and starts the requests that can run.
 func (c *controller) advance(now time.Time) {
 	if c.models != nil {
@@ -223,6 +233,7 @@
 	for _, item := range c.queue.Expire(now) {
 		if t := c.tickets[item.ID]; t != nil {
 			wait := c.queue.ExpectedWait(now, item.Plan, item.Weight)
+			c.noteLate(now, t, wire.ReasonDeadline)
 			c.end(now, t, wire.OutcomeNotRun, wire.ReasonDeadline, max(wait, retryWhenLeaving), "")
 		}
 	}
--- a/pkg/agent/models.go
+++ b/pkg/agent/models.go
@@ -21,6 +21,8 @@
 	loadFailureBackoff = 2 * time.Second
 	// unloadRetry is the pause before an unload that failed is ordered again.
 	unloadRetry = time.Second
+	// comeBackTime is how long a refused caller is expected to come back.
+	comeBackTime = 30 * time.Second
 	// keptLoadDeadline is the urgency of a load that no request waits for.
 	keptLoadDeadline = time.Minute
 )
@@ -53,6 +55,8 @@
 	paced       bool
 	lastUsed    time.Time
 	failedUntil time.Time
+	// wantedUntil is how long the model is loaded although no request waits.
+	wantedUntil time.Time
 	// deadline is the earliest of the requests that wait for a load.
 	deadline time.Time
 	policy   lists.Policy
@@ -66,6 +70,11 @@
 	return admission.Target{Model: m.id.Model, Version: m.id.Version}
 }
 
+// isWanted tells whether the model should be loaded.
+func (m *model) isWanted(now time.Time) bool {
+	return m.waiting > 0 || m.keep || now.Before(m.wantedUntil)
+}
+
 // isIdle tells whether the model is loaded and nothing needs it.
 func (m *model) isIdle() bool {
 	return m.state == wire.ModelLoaded && !m.uncertain && m.running == 0 && m.waiting == 0
@@ -244,6 +253,11 @@
 	m.waiting++
 }
 
+// wantSoon has a model loaded for requests that are expected to come back.
+func (t *modelTable) wantSoon(now time.Time, target admission.Target) {
+	t.lookup(target).wantedUntil = now.Add(comeBackTime)
+}
+
 func (t *modelTable) dequeued(target admission.Target) {
 	t.lookup(target).waiting--
 }
@@ -269,7 +283,7 @@
 func (t *modelTable) loadWanted(now time.Time) {
 	var wanted []*model
 	for _, m := range t.models {
-		if m.state == wire.ModelAbsent && !m.revoked && !m.uncertain && (m.waiting > 0 || m.keep) {
+		if m.state == wire.ModelAbsent && !m.revoked && !m.uncertain && m.isWanted(now) {
 			wanted = append(wanted, m)
 		}
 	}
--- a/pkg/agent/pacing.go
+++ b/pkg/agent/pacing.go
@@ -65,7 +65,7 @@
 func (p *loadPacer) dropUnwanted(now time.Time) {
 	for target, load := range p.waiting {
 		m := p.table.model(load.order.id)
-		if m.waiting > 0 || m.keep {
+		if m.isWanted(now) {
 			continue
 		}
 		delete(p.waiting, target)
--- a/pkg/callers/handler_test.go
+++ b/pkg/callers/handler_test.go
@@ -40,6 +40,32 @@
 // testAccess is both resolver and rights of one plan with one key.
 type testAccess struct{ plan Plan }
 
+func (a testAccess) Loaded() bool { return true }
+
+// noLists is a Resolver before the first lists.
+type noLists struct{}
+
+func (noLists) Access(KeyDigest) (Access, bool) { return nil, false }
+
+func (noLists) Loaded() bool { return false }
+
+// TestNoListsYet checks that a caller isn't told that its key is wrong while the
+// entry knows no keys at all.
+func TestNoListsYet(t *testing.T) {
+	limits := settings.EntryLimits{MaxBodyBytes: 1024, MaxRequests: 4, DefaultDeadlineMillis: 1000, MaxDeadlineMillis: 1000}
+	handler, err := New(Config{Resolver: noLists{}, Dispatcher: dispatchFunc(nil), Limits: limits})
+	if err != nil {
+		t.Fatal(err)
+	}
+	request := httptest.NewRequest(http.MethodGet, "/v1/models", nil)
+	request.Header.Set("Authorization", "Bearer any")
+	response := httptest.NewRecorder()
+	handler.ServeHTTP(response, request)
+	if response.Code != http.StatusServiceUnavailable || response.Header().Get(HeaderOutcome) != "not-run" || response.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, headers %v", response.Code, response.Header())
+	}
+}
+
 func (a testAccess) Access(key KeyDigest) (Access, bool) {
 	return a, key == KeyDigest(sha256.Sum256([]byte(testKey)))
 }
--- a/pkg/callers/headers.go
+++ b/pkg/callers/headers.go
@@ -118,6 +118,9 @@
 	}
 	digest := sha256.Sum256([]byte(value[len(bearerPrefix):]))
 	access, ok := h.resolver.Access(KeyDigest(digest))
+	if !ok && !h.resolver.Loaded() {
+		return nil, notRun(wire.ReasonUnavailable, "this entry host has no lists yet")
+	}
 	if !ok {
 		return nil, notRun(ReasonUnauthenticated, "the API key is unknown")
 	}
--- a/pkg/callers/resolver.go
+++ b/pkg/callers/resolver.go
@@ -10,6 +10,8 @@
 	// Access returns what the plan with the API key may use, and false for an
 	// unknown key. The result belongs to one revision of the lists.
 	Access(key KeyDigest) (Access, bool)
+	// Loaded tells whether any lists are in force.
+	Loaded() bool
 }
 
 // Access is what one plan may use at one revision of the lists. It is immutable.
--- a/pkg/entry/resolver.go
+++ b/pkg/entry/resolver.go
@@ -27,6 +27,9 @@
 	return &access{index: index, plan: plan}, true
 }
 
+// Loaded implements callers.Resolver.
+func (r *resolver) Loaded() bool { return r.control.current().index != nil }
+
 // access is what one plan may use at one revision. It implements callers.Access.
 type access struct {
 	index *lists.Index
--- a/testkit/bench/capacity/requests.go
+++ b/testkit/bench/capacity/requests.go
@@ -74,6 +74,7 @@
 type openAccess struct{}
 
 func (a openAccess) Access(callers.KeyDigest) (callers.Access, bool) { return a, true }
+func (a openAccess) Loaded() bool                                    { return true }
 func (openAccess) Plan() callers.Plan                                { return callers.Plan{Name: "plan-001", Weight: 1} }
 func (openAccess) ListsRevision() int64                              { return 1 }
 func (openAccess) Models() []string                                  { return nil }
