--- a/pkg/placement/decider_test.go
+++ b/pkg/placement/decider_test.go
@@ -200,6 +200,25 @@
 	}
 }
 
+// TestHolderConfirmsOnlyTheOrderedUnload checks that an answer to an eviction
+// that was under way, and may be of a paused incarnation, removes no permit.
+func TestHolderConfirmsOnlyTheOrderedUnload(t *testing.T) {
+	holder := NewHolder("c")
+	holder.Step(EngineRead{Held: []ModelVersion{testModel}})
+	holder.Step(PlacementRead{Revision: 9})
+	revoked := wire.Placement{Model: "m", Version: "1", Revision: 10, Permits: []wire.Permit{{Runner: "c", Epoch: 2, Revoked: true}}}
+	holder.Step(Unloaded{Model: testModel})
+	if actions := holder.Step(PlacementRelayed{revoked}); len(actions) != 1 || actions[0] != (Unload{Model: testModel, Epoch: 2}) {
+		t.Fatalf("revocation gave %v", actions)
+	}
+	if actions := holder.Step(Unloaded{Model: testModel}); len(actions) > 0 {
+		t.Errorf("an eviction's answer gave %v", actions)
+	}
+	if actions := holder.Step(Unloaded{Model: testModel, Epoch: 2}); len(actions) != 1 {
+		t.Errorf("the ordered unload gave %v", actions)
+	}
+}
+
 func TestStoredForm(t *testing.T) {
 	change := Change{Placement: wire.Placement{Model: "org/m", Version: "1", Permits: []wire.Permit{{Runner: "a", Epoch: 1}}}}
 	condition, op, err := change.Transaction()
