Don't cache test results

Cause: the tests of processes build the binaries themselves, so the test cache doesn't know what they depend on: a run with a broken agent answered "(cached)". Change: make test passes -count=1.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 
 BIN := bin
 PACKAGES := ./... ./testkit/...
-# The packages with decision logic run under the race detector.
-TEST_FLAGS ?= -race -timeout 20m
+# Results are not cached: the process tests run binaries that the test cache does
+# not know of.
+TEST_FLAGS ?= -race -count=1 -timeout 20m
 
 .PHONY: all build test check fmt tidy-check bench demo up fuzz clean
 
