Sharpen the process tests until each was seen red

Cause: three tests stayed green with their mechanism broken. Change: the stand-in engine counts repeated load orders; the kill during a load goes on asking while the engine loads; streams of the graceful stop last longer than the notice to the balancer and the end of HTTP connections. Ruled out: a second model that fits only without the first, which the admission's wait estimate refuses before memory matters.

--- a/testkit/process/faults_test.go
+++ b/testkit/process/faults_test.go
@@ -80,21 +80,23 @@
 	}
 }
 
-// TestKilledAgentDuringLoad kills an agent while its engine loads. The next
-// incarnation finds the load under way and orders no second one.
+// TestKilledAgentDuringLoad kills an agent while its engine loads and goes on
+// asking. The next incarnation finds the load under way and orders no second one.
 func TestKilledAgentDuringLoad(t *testing.T) {
-	s := start(t, nil)
+	s := start(t, func(o *site.Options) { o.Runners = 1 })
 	setLoadFaults(t, s, modelengine.Faults{FreezeLoads: true})
+	ask := func(entry *site.Host) error {
+		_, err := s.Caller(entry, site.KeyPrepress).Chat(t.Context(), colourMatch.Model, "cut off", false, deadline(10*time.Second))
+		return err
+	}
 	asked := make(chan error, 1)
-	go func() {
-		_, err := s.Caller(s.Entries[0], site.KeyPrepress).Chat(t.Context(), colourMatch.Model, "cut off", false, deadline(5*time.Second))
-		asked <- err
-	}()
+	go func() { asked <- ask(s.Entries[0]) }()
 	runner := holder(t, s, colourMatch)
 	must(t, runner.Restart())
-	if err := <-asked; err != nil {
-		t.Errorf("the waiting request got no answer: %v", err)
-	}
+	must(t, <-asked)
+	// The first may be lost on the connection to the killed agent.
+	must(t, ask(s.Entries[0]))
+	must(t, ask(s.Entries[0]))
 	setLoadFaults(t, s, modelengine.Faults{})
 	eventualChat(t, s, s.Entries[1], "after the restart")
 	if got := loads(t, s, colourMatch); got != 1 {
@@ -209,7 +211,7 @@
 
 // TestGracefulStop stops an agent and an entry while they carry streams.
 func TestGracefulStop(t *testing.T) {
-	s := start(t, func(o *site.Options) { o.EngineFlags = []string{"--token-time", "300ms"} })
+	s := start(t, func(o *site.Options) { o.EngineFlags = []string{"--token-time", "1s"} })
 	mustChat(t, s, s.Entries[0], "warm up", false)
 	runner := holder(t, s, colourMatch)
 	answers := make(chan error, len(s.Entries))
--- a/testkit/process/main_test.go
+++ b/testkit/process/main_test.go
@@ -114,8 +114,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if journal.Violations.Overcommits > 0 || journal.Violations.StaleOrders > 0 {
-			t.Errorf("%s: violations %+v", runner.ID, journal.Violations)
+		violations := journal.Violations
+		violations.RunsNotLoaded = 0
+		if violations != (modelengine.Violations{}) {
+			t.Errorf("%s: violations %+v", runner.ID, violations)
 		}
 		for _, entry := range journal.Entries {
 			if entry.Event == modelengine.EventLoadOrdered && entry.Target == target {
--- a/testkit/standin/modelengine/journal.go
+++ b/testkit/standin/modelengine/journal.go
@@ -48,6 +48,8 @@
 	// StaleOrders counts orders with an old fencing number that were carried
 	// out since the engine does not check.
 	StaleOrders int `json:"stale_orders"`
+	// RepeatedLoads counts orders to load what is loading or loaded.
+	RepeatedLoads int `json:"repeated_loads"`
 	// RunsNotLoaded counts requests for targets that aren't loaded.
 	RunsNotLoaded int `json:"runs_not_loaded"`
 }
--- a/testkit/standin/modelengine/orders.go
+++ b/testkit/standin/modelengine/orders.go
@@ -159,6 +159,9 @@
 func (s *Server) reserve(order engine.Order) (tier engine.CacheTier, done bool, f *failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.targets[order.Target] != nil {
+		s.journal.violate(&s.journal.violations.RepeatedLoads)
+	}
 	for {
 		r, ok := s.targets[order.Target]
 		if !ok {
