--- a/pkg/agent/sync.go
+++ b/pkg/agent/sync.go
@@ -25,6 +25,9 @@
 	syncWait = 20 * time.Second
 	// syncSlack is how much longer than syncWait an agent waits for the answer.
 	syncSlack = 3 * time.Second
+	// syncPause is the wait after an answer that holds placements beyond the
+	// revision up to which the entry knows all, and would hold them again.
+	syncPause = 200 * time.Millisecond
 	// coordinatorKey chooses the entry that coordinates loads, by rendezvous
 	// hashing.
 	coordinatorKey = "weight-store"
@@ -191,6 +194,11 @@
 		return false
 	}
 	p.loop.Do(func() { p.take(update) })
+	if len(update.Placements) > 0 && update.PlacementRevision <= revision {
+		// The entry knows single placements ahead of all others and would answer
+		// at once again.
+		backoff.Sleep(ctx, syncPause)
+	}
 	return true
 }
 
@@ -215,5 +223,6 @@
 	for _, relayed := range update.Placements {
 		p.table.perform(p.table.holder.Step(placement.PlacementRelayed{Placement: relayed}))
 	}
+	p.table.perform(p.table.holder.Step(placement.RelayedUpTo{Revision: update.PlacementRevision}))
 	p.table.controller.advance(time.Now())
 }
--- a/pkg/placement/protocol_test.go
+++ b/pkg/placement/protocol_test.go
@@ -3,12 +3,12 @@
 import (
 	"flag"
 	"fmt"
-	"hash/maphash"
 	"slices"
 	"strings"
 	"testing"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -22,6 +22,7 @@
 	for _, fenced := range []bool{true, false} {
 		for runners := 1; runners <= 2; runners++ {
 			t.Run(fmt.Sprintf("fenced=%t/runners=%d", fenced, runners), func(t *testing.T) {
+				t.Parallel()
 				start := newWorld(1, runners, 2)
 				start.fenced = fenced
 				start.bounded = true
@@ -35,13 +36,12 @@
 type node struct {
 	*world
 	parent *node
-	move   string
+	move   move
 	depth  int
 }
 
 func explore(t *testing.T, start *world, limit int) {
-	seed := maphash.MakeSeed()
-	seen := map[uint64]bool{maphash.String(seed, start.fingerprint()): true}
+	seen := map[uint64]bool{xxhash.Sum64String(start.fingerprint()): true}
 	queue := []*node{{world: start}}
 	deepest := 0
 	for len(queue) > 0 && len(seen) < limit {
@@ -49,12 +49,12 @@
 		queue = queue[1:]
 		deepest = at.depth
 		for _, move := range at.moves() {
-			next := &node{world: at.clone(), parent: at, move: move.name, depth: at.depth + 1}
+			next := &node{world: at.clone(), parent: at, move: move, depth: at.depth + 1}
 			move.run(next.world)
 			if fault := next.check(); fault != "" {
 				t.Fatalf("%s after %d states:\n%s", fault, len(seen), next.path())
 			}
-			hash := maphash.String(seed, next.fingerprint())
+			hash := xxhash.Sum64String(next.fingerprint())
 			if !seen[hash] {
 				seen[hash] = true
 				queue = append(queue, next)
@@ -68,7 +68,7 @@
 func (n *node) path() string {
 	var names []string
 	for ; n.parent != nil; n = n.parent {
-		names = append(names, n.move)
+		names = append(names, n.move.String())
 	}
 	slices.Reverse(names)
 	return strings.Join(names, "\n")
@@ -84,8 +84,7 @@
 		w.hostLoss = rapid.Bool().Draw(t, "host loss")
 		w.record = &recorder{}
 		for range rapid.IntRange(1, 300).Draw(t, "length") {
-			move := rapid.SampledFrom(w.moves()).Draw(t, "move")
-			move.run(w)
+			w.drawMove(t).run(w)
 			if fault := w.check(); fault != "" {
 				t.Fatal(fault)
 			}
@@ -97,6 +96,19 @@
 	})
 }
 
+// drawMove draws who moves before it draws the move, as deciders have many.
+func (w *world) drawMove(t *rapid.T) move {
+	moves := w.moves()
+	actor := rapid.IntRange(0, len(w.runners)+1).Draw(t, "actor")
+	own := slices.DeleteFunc(slices.Clone(moves), func(m move) bool { return m.actor != actor })
+	if len(own) == 0 {
+		own = moves
+	}
+	i := rapid.IntRange(0, len(own)-1).Draw(t, "move")
+	t.Log(own[i])
+	return own[i]
+}
+
 // settle ends all faults and checks that the permits become as decided.
 func (w *world) settle(t *rapid.T) {
 	for len(w.network) > 0 {
@@ -146,7 +158,7 @@
 		w.start(r)
 	}
 	w.engineRead(r, 0)
-	w.step(r, 0, PlacementRead{Revision: w.revision, Placements: slices.Clone(w.stored)})
+	w.storeRead(r, 0)
 	a := runner.agents[0]
 	for _, placement := range w.stored {
 		w.step(r, 0, PlacementChanged{placement})
@@ -156,9 +168,7 @@
 		case len(a.orders) > 0:
 			w.order(r, 0)
 		case len(a.answers) > 0:
-			answer := a.answers[0]
-			a.answers = a.answers[1:]
-			w.step(r, 0, answer)
+			w.answer(r, 0)
 		default:
 			w.act(r, 0)
 		}
