--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,10 @@
 
 clean:
 	rm -rf $(BIN)
+
+# bench-capacity prints the slopes that docs/CAPACITY.md works with. It takes
+# about ten minutes.
+.PHONY: bench-capacity
+bench-capacity:
+	go build -o $(BIN)/capacity ./testkit/bench/capacity
+	$(BIN)/capacity $(CAPACITY_FLAGS)
--- /dev/null
+++ b/testkit/bench/capacity/fleet.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/testkit/site"
+)
+
+const (
+	// learnRate is how many unknown agents an entry probes in a second, on
+	// average.
+	learnRate = 32
+	// connExpiry is after how long unused connections are surely closed.
+	connExpiry = 40 * time.Second
+	steadyTime = 30 * time.Second
+)
+
+// measureFleet measures one real entry before so many listed agents, which answer
+// probes in a process of their own. The entry watches the key-value service and
+// decides on one model, about its share among 390 entries.
+func measureFleet(ctx context.Context, report *report) error {
+	directory, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(directory)
+	binaries, err := site.Build(ctx, directory)
+	if err != nil {
+		return err
+	}
+	options := site.DefaultOptions()
+	options.Entries, options.Runners, options.Services = 1, 1, 0
+	options.HostListPollMillis = 1000
+	options.LogLevel = "info"
+	running, err := site.Start(ctx, binaries, options)
+	if err != nil {
+		return err
+	}
+	defer running.Close()
+	if err := putFleetLists(ctx, running); err != nil {
+		return err
+	}
+	agents, err := startAgents(running.Dir(), targetRunners)
+	if err != nil {
+		return err
+	}
+	defer agents.stop()
+	return observeFleet(ctx, report, running, agents)
+}
+
+func putFleetLists(ctx context.Context, running *site.Site) error {
+	current, err := running.Lists(ctx, running.Entries[0])
+	if err != nil {
+		return err
+	}
+	next := siteLists(targetAdapters)
+	next.Allowances.Models = next.Allowances.Models[:1]
+	for i := range next.Allowances.Adapters {
+		next.Allowances.Adapters[i].Model = next.Allowances.Models[0].Name
+	}
+	return running.PutLists(ctx, current.Revision, next.Plans, next.Allowances)
+}
+
+func observeFleet(ctx context.Context, report *report, running *site.Site, agents *agentProcess) error {
+	learning := &series{name: "an entry before a fleet: while it learns all agents, processor", unit: "% of a core", per: "agent"}
+	steady := &series{name: "an entry before a fleet: later, processor", unit: "% of a core", per: "agent"}
+	memory := &series{name: "an entry before a fleet: resident after learning, 12,000 adapters", unit: "B", per: "agent"}
+	entries := running.Entries
+	for _, size := range []int{250, 1000, targetRunners} {
+		if err := listFleet(ctx, running, agents, size); err != nil {
+			return err
+		}
+		learnTime := time.Duration(size/learnRate+1) * time.Second
+		before := ticksOf(entries)
+		time.Sleep(learnTime)
+		learning.add(size, percent(ticksOf(entries)-before, len(entries), learnTime))
+		memory.add(size, meanResident(entries))
+		time.Sleep(connExpiry)
+		before = ticksOf(entries)
+		time.Sleep(steadyTime)
+		steady.add(size, percent(ticksOf(entries)-before, len(entries), steadyTime))
+	}
+	report.add(learning, steady, memory)
+	return nil
+}
+
+// listFleet puts the first agents into the host list.
+func listFleet(ctx context.Context, running *site.Site, agents *agentProcess, count int) error {
+	entry := running.Entries[0]
+	hosts := []platform.Host{{
+		ID: entry.ID, Role: platform.RoleEntry, State: platform.HostLive, FailureDomain: entry.FailureDomain,
+		Region: "region-0", Address: entry.Inner,
+	}}
+	for i := range count {
+		hosts = append(hosts, platform.Host{
+			ID: runnerID(i), Role: platform.RoleAgent, State: platform.HostLive, FailureDomain: domainOf(i),
+			Region: regionOf(i), Address: agents.addresses[i],
+		})
+	}
+	body, err := json.Marshal(hosts)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, running.HostList.URL()+"/hosts", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode/100 != 2 {
+		return fmt.Errorf("host list: %s", answer.Status)
+	}
+	return nil
+}
--- a/testkit/bench/capacity/links.go
+++ b/testkit/bench/capacity/links.go
@@ -21,7 +21,7 @@
 
 const (
 	entryID  = "entry-0000"
-	validity = time.Hour
+	validity = 90 * 24 * time.Hour
 )
 
 // keyring issues host keys of one site in a directory.
--- a/testkit/bench/capacity/main.go
+++ b/testkit/bench/capacity/main.go
@@ -32,6 +32,7 @@
 	{"exchange", measureExchange},
 	{"traffic", measureTraffic},
 	{"processes", measureProcesses},
+	{"fleet", measureFleet},
 }
 
 func main() {
--- a/testkit/bench/capacity/processes.go
+++ b/testkit/bench/capacity/processes.go
@@ -80,8 +80,8 @@
 	if err != nil {
 		return err
 	}
-	i.entryProcessor.add(entries, percent(ticksOf(running.Entries)-entryTicks, len(running.Entries)))
-	i.agentProcessor.add(entries, percent(ticksOf(running.Runners)-agentTicks, len(running.Runners)))
+	i.entryProcessor.add(entries, percent(ticksOf(running.Entries)-entryTicks, len(running.Entries), observed))
+	i.agentProcessor.add(entries, percent(ticksOf(running.Runners)-agentTicks, len(running.Runners), observed))
 	i.entryMemory.add(entries, meanResident(running.Entries))
 	i.agentMemory.add(entries, meanResident(running.Runners))
 	i.addCalls(entries, before, after)
@@ -102,9 +102,10 @@
 	return site.Start(ctx, binaries, options)
 }
 
-func percent(ticks, processes int) float64 {
+// percent is the share of a core that the processes used on average.
+func percent(ticks, processes int, during time.Duration) float64 {
 	const whole = 100
-	return whole * float64(ticks) / ticksPerSecond / observed.Seconds() / float64(processes)
+	return whole * float64(ticks) / ticksPerSecond / during.Seconds() / float64(processes)
 }
 
 func meanResident(hosts []*site.Host) float64 {
--- a/testkit/site/hosts.go
+++ b/testkit/site/hosts.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -12,10 +13,9 @@
 )
 
 const (
-	keyPrefix = "/teaselgauge/site/"
-	// hostListPollMillis is the time between two reads of the list of hosts.
-	hostListPollMillis = 250
-	adminName          = "operator"
+	keyPrefix                 = "/teaselgauge/site/"
+	defaultHostListPollMillis = 250
+	adminName                 = "operator"
 )
 
 // Host is a host of the site with its process.
@@ -75,7 +75,7 @@
 }
 
 func (s *Site) hostListSettings() settings.HostList {
-	return settings.HostList{URL: s.HostList.URL() + "/hosts", PollMillis: hostListPollMillis}
+	return settings.HostList{URL: s.HostList.URL() + "/hosts", PollMillis: cmp.Or(s.options.HostListPollMillis, defaultHostListPollMillis)}
 }
 
 func (s *Site) hostSettings(h *Host) settings.Host {
--- a/testkit/site/options.go
+++ b/testkit/site/options.go
@@ -28,6 +28,9 @@
 	WeightStoreFlags []string `json:"weight_store_flags,omitempty"`
 	// HostListLagMillis is the lag of the list of hosts, in milliseconds.
 	HostListLagMillis int `json:"host_list_lag_ms,omitempty"`
+	// HostListPollMillis is the time between two reads of the list of hosts, in
+	// milliseconds; zero means 250.
+	HostListPollMillis int `json:"host_list_poll_ms,omitempty"`
 	// BasePort is the first of the consecutive ports; zero means free ports.
 	BasePort int `json:"base_port,omitempty"`
 	// PlansFile and AllowancesFile are the operators' lists; empty means those
--- a/testkit/site/site.go
+++ b/testkit/site/site.go
@@ -96,6 +96,9 @@
 // AdminToken returns the token of an administrator who may edit the lists.
 func (s *Site) AdminToken() string { return s.adminToken }
 
+// Dir returns the directory of the site's keys and settings.
+func (s *Site) Dir() string { return s.dir }
+
 // Logs returns the ends of all logs.
 func (s *Site) Logs() string {
 	const shown = 4000
