--- a/pkg/agent/sync.go
+++ b/pkg/agent/sync.go
@@ -131,10 +131,6 @@
 	directory *entryDirectory
 	logger    *slog.Logger
 	runner    string
-	// position is the revision up to which all placements were taken in. It goes
-	// by what entries say that they know, not by the placements themselves: most
-	// of them don't name this runner, and one may come before an older one.
-	position int64
 }
 
 // readOwn reads all placements from the key-value service. No permit is used
@@ -144,7 +140,6 @@
 		read, err := p.readOnce(ctx)
 		if err == nil {
 			p.loop.Do(func() { p.table.perform(p.table.holder.Step(read)) })
-			p.position = read.Revision
 			p.logger.Info("permits read", "revision", read.Revision, "placements", len(read.Placements))
 			return
 		}
@@ -191,32 +186,27 @@
 		return false
 	}
 	entry := peers[failures%len(peers)]
-	update, err := p.ask(ctx, entry)
+	var revision int64
+	p.loop.Do(func() { revision = p.table.holder.Revision() })
+	update, err := p.ask(ctx, entry, revision)
 	if err != nil {
 		p.logger.Debug("sync failed", "entry", entry.id, "error", err)
 		return false
 	}
 	p.loop.Do(func() { p.take(update) })
-	if !p.advance(update) && len(update.Placements) > 0 {
+	if len(update.Placements) > 0 && update.PlacementRevision <= revision {
+		// The entry knows single placements ahead of all others and would answer
+		// at once again.
 		backoff.Sleep(ctx, syncPause)
 	}
 	return true
 }
 
-// advance moves the position and tells whether it did.
-func (p *permitReader) advance(update *wire.Update) bool {
-	if update.PlacementRevision <= p.position {
-		return false
-	}
-	p.position = update.PlacementRevision
-	return true
-}
-
-func (p *permitReader) ask(ctx context.Context, entry peer) (*wire.Update, error) {
+func (p *permitReader) ask(ctx context.Context, entry peer, revision int64) (*wire.Update, error) {
 	callCtx, cancel := context.WithTimeout(ctx, syncWait+syncSlack)
 	defer cancel()
 	answer, err := p.node.Call(callCtx, entry.id, entry.address, &wire.Frame{Sync: &wire.Sync{
-		PlacementRevision: p.position,
+		PlacementRevision: revision,
 		WaitMillis:        millis(syncWait),
 		Runner:            p.runner,
 	}})
@@ -233,5 +223,6 @@
 	for _, relayed := range update.Placements {
 		p.table.perform(p.table.holder.Step(placement.PlacementRelayed{Placement: relayed}))
 	}
+	p.table.perform(p.table.holder.Step(placement.RelayedUpTo{Revision: update.PlacementRevision}))
 	p.table.controller.advance(time.Now())
 }
--- a/pkg/entry/source.go
+++ b/pkg/entry/source.go
@@ -11,6 +11,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -23,6 +24,9 @@
 	syncWait = 20 * time.Second
 	// syncSlack is how much longer than its wait a Sync may take.
 	syncSlack = 3 * time.Second
+	// syncPause is the wait after an answer that didn't move the revision up to
+	// which all placements are known.
+	syncPause = 200 * time.Millisecond
 	// memberWait is the pause while no host list has been read.
 	memberWait = 200 * time.Millisecond
 	// directReadInterval is the least time between two reads of the key-value
@@ -41,11 +45,15 @@
 	store   platform.KeyValueStore
 	lists   *lists.Store
 	node    *wire.Node
+	metrics *metrics.Entry
 	logger  *slog.Logger
 	seed    uint64
 	// lastDirect is when an entry that doesn't watch last read the key-value
 	// service.
 	lastDirect time.Time
+	// wantsAll asks for the whole lists after an update that couldn't be put
+	// together.
+	wantsAll bool
 }
 
 // run follows lists and placements until ctx ends.
@@ -151,13 +159,14 @@
 	snapshot, err := s.lists.Get(ctx)
 	var unreadable *lists.UnreadableError
 	if errors.As(err, &unreadable) {
-		s.control.loop.Do(func() { s.control.listsUnreadable(unreadable.Revision, err) })
+		s.control.listsUnreadable(unreadable.Revision, err)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	s.control.loop.Do(func() { s.control.listsOffered(snapshot) })
+	s.control.offerLists(snapshot)
+	s.metrics.ListsRevision(s.control.register.Revision())
 	return nil
 }
 
@@ -237,16 +246,26 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+syncSlack)
 	defer cancel()
 	listsRevision, placementRevision := s.control.feed.revisions()
+	if s.wantsAll {
+		listsRevision = 0
+	}
 	answer, err := s.node.Call(callCtx, peer.ID, peer.Address, &wire.Frame{Sync: &wire.Sync{
 		ListsRevision:     listsRevision,
 		PlacementRevision: placementRevision,
 		WaitMillis:        uint32(wait.Milliseconds()),
 	}})
 	if err != nil || answer.Update == nil {
+		s.metrics.Sync(metrics.ResultError, 0)
 		s.logger.Debug("sync failed", "entry", peer.ID, "error", err)
 		return false
 	}
+	s.metrics.Sync(metrics.ResultOK, len(answer.Update.Lists))
 	s.take(answer.Update)
+	if len(answer.Update.Placements) > 0 && answer.Update.PlacementRevision <= placementRevision {
+		// The peer knows single placements ahead of all others and would answer
+		// at once again.
+		backoff.Sleep(ctx, syncPause)
+	}
 	return true
 }
 
@@ -257,12 +276,14 @@
 	if len(update.Lists) == 0 {
 		return
 	}
-	snapshot, err := lists.DecodeSnapshot(update.Lists)
+	snapshot, err := s.control.feed.relay.Take(update.Lists)
+	s.wantsAll = errors.Is(err, lists.ErrOtherBase)
 	if err != nil {
 		s.logger.Error("relayed lists unreadable", "revision", update.ListsRevision, "error", err)
 		return
 	}
-	s.control.loop.Do(func() { s.control.listsOffered(snapshot) })
+	s.control.offerLists(snapshot)
+	s.metrics.ListsRevision(s.control.register.Revision())
 }
 
 // newSeed spreads the entries over their peers.
