Bench: slopes of costs, and the decisions together

Change: testkit/bench/capacity (make bench-capacity) measures codec, callers, lists, membership, host list, placement, faults, links, exchanges, traffic, idle sites of real processes and one real entry before up to 2,200 agents. testkit/bench/policy (in make bench) drives placement, routing, admission and keep-alive in virtual time against two baselines. Ruled out: wall time for processor costs, because the machine is shared; the process's own processor time is used.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 bench:
 	go run ./testkit/bench/pacing
 	go run ./testkit/bench/queueing
+	go run ./testkit/bench/policy
 
 clean:
 	rm -rf $(BIN)
--- a/testkit/bench/capacity/state.go
+++ b/testkit/bench/capacity/state.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,41 +24,92 @@
 	hostSizes    = []int{325, 650, 1300, targetEntries + targetRunners}
 )
 
-// measureLists measures the lists in force and the relaying of one change.
+// measureLists measures the lists in force and the relaying of a change of one
+// adapter.
 func measureLists(ctx context.Context, report *report) error {
 	heap := &series{name: "lists: snapshot and index in force, heap", unit: "B", per: "adapter"}
-	packed := &series{name: "lists: relayed update, whole", unit: "B", per: "adapter"}
-	changed := &series{name: "lists: stored bytes of a change of one adapter", unit: "B", per: "adapter"}
+	relayHeap := &series{name: "lists: relay of them, heap", unit: "B", per: "adapter"}
+	whole := &series{name: "lists: relayed to an entry without lists", unit: "B", per: "adapter"}
+	changed := &series{name: "lists: relayed change of one adapter", unit: "B", per: "adapter"}
+	publish := &series{name: "lists: publish and encode such a change, processor", unit: "µs", per: "adapter"}
+	apply := &series{name: "lists: take, check and index such a change, processor", unit: "µs", per: "adapter"}
+	stored := &series{name: "lists: stored bytes of such a change", unit: "B", per: "adapter"}
 	calls := &series{name: "lists: key-value calls of such a change and one read of it", unit: "calls", per: "adapter"}
-	encode := &series{name: "lists: encode an update, processor", unit: "µs", per: "adapter"}
-	apply := &series{name: "lists: decode, check and index an update, processor", unit: "µs", per: "adapter"}
 	for _, size := range adapterSizes {
 		bytes, index := heapOf(func() *lists.Index { return lists.NewIndex(makeLists(size)) })
 		heap.add(size, bytes)
 		snapshot := index.Snapshot()
-		data, err := lists.EncodeSnapshot(snapshot)
+		change, err := relayChange(snapshot)
 		if err != nil {
 			return err
 		}
-		packed.add(size, float64(len(data)))
-		encode.add(size, measureCost(func() { _, _ = lists.EncodeSnapshot(snapshot) }).micros)
-		apply.add(size, measureCost(func() { applyUpdate(data) }).micros)
+		relayHeap.add(size, change.heap)
+		whole.add(size, change.whole)
+		changed.add(size, change.changed)
+		publish.add(size, change.publish)
+		apply.add(size, change.apply)
 		written, callCount, err := changeOneAdapter(ctx, snapshot)
 		if err != nil {
 			return err
 		}
-		changed.add(size, written)
+		stored.add(size, written)
 		calls.add(size, callCount)
 	}
-	report.add(heap, packed, changed, calls, encode, apply)
+	report.add(heap, relayHeap, whole, changed, publish, apply, stored, calls)
 	return nil
 }
 
-func applyUpdate(data []byte) {
-	snapshot, err := lists.DecodeSnapshot(data)
-	if err == nil {
-		lists.NewRegister().Offer(snapshot)
+// relayCost is the cost of relaying one change between two entries.
+type relayCost struct {
+	heap, whole, changed float64
+	publish, apply       float64
+}
+
+func relayChange(snapshot lists.Snapshot) (relayCost, error) {
+	var cost relayCost
+	var sender *lists.Relay
+	cost.heap, sender = heapOf(func() *lists.Relay { return published(snapshot) })
+	receiver := published(snapshot)
+	whole, err := sender.Update(0)
+	if err != nil {
+		return cost, err
+	}
+	cost.whole = float64(len(whole))
+	next := withChangedAdapter(snapshot)
+	next.Revision++
+	cost.publish = measureCost(func() {
+		relay := published(snapshot)
+		_, _ = relay.Publish(next)
+		_, _ = relay.Update(snapshot.Revision)
+	}).micros - measureCost(func() { published(snapshot) }).micros
+	if _, err := sender.Publish(next); err != nil {
+		return cost, err
+	}
+	update, err := sender.Update(snapshot.Revision)
+	if err != nil {
+		return cost, err
 	}
+	cost.changed = float64(len(update))
+	cost.apply = measureCost(func() {
+		taken, err := receiver.Take(update)
+		if err == nil {
+			lists.NewRegister().Offer(taken)
+		}
+	}).micros
+	return cost, nil
+}
+
+func published(snapshot lists.Snapshot) *lists.Relay {
+	relay := lists.NewRelay()
+	// The bench's own lists are never too large.
+	_, _ = relay.Publish(snapshot)
+	return relay
+}
+
+func withChangedAdapter(snapshot lists.Snapshot) lists.Snapshot {
+	snapshot.Allowances.Adapters = slices.Clone(snapshot.Allowances.Adapters)
+	snapshot.Allowances.Adapters[len(snapshot.Allowances.Adapters)/2].MemoryMiB++
+	return snapshot
 }
 
 // countingStore counts the bytes of all changes.
@@ -84,12 +136,10 @@
 	if _, err := kept.Get(ctx); err != nil {
 		return 0, 0, err
 	}
-	allowances := snapshot.Allowances
-	allowances.Adapters = append([]lists.Adapter(nil), allowances.Adapters...)
-	allowances.Adapters[len(allowances.Adapters)/2].MemoryMiB++
+	next := withChangedAdapter(snapshot)
 	store.written = 0
 	before := store.Calls()
-	if _, err := kept.Put(ctx, revision, snapshot.Plans, allowances, "bench"); err != nil {
+	if _, err := kept.Put(ctx, revision, next.Plans, next.Allowances, "bench"); err != nil {
 		return 0, 0, err
 	}
 	if _, err := kept.Get(ctx); err != nil {
