--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,14 @@
 bench:
 	go run ./testkit/bench/pacing
 	go run ./testkit/bench/queueing
+	go run ./testkit/bench/policy
 
 clean:
 	rm -rf $(BIN)
+
+# bench-capacity prints the slopes that docs/CAPACITY.md works with. It takes
+# about ten minutes.
+.PHONY: bench-capacity
+bench-capacity:
+	go build -o $(BIN)/capacity ./testkit/bench/capacity
+	$(BIN)/capacity $(CAPACITY_FLAGS)
