--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 
 BIN := bin
 PACKAGES := ./... ./testkit/...
-# The packages with decision logic run under the race detector.
-TEST_FLAGS ?= -race -timeout 20m
+# Results are not cached: the process tests run binaries that the test cache does
+# not know of.
+TEST_FLAGS ?= -race -count=1 -timeout 20m
 
 .PHONY: all build test check fmt tidy-check bench demo up fuzz clean
 
@@ -44,6 +45,14 @@
 bench:
 	go run ./testkit/bench/pacing
 	go run ./testkit/bench/queueing
+	go run ./testkit/bench/policy
 
 clean:
 	rm -rf $(BIN)
+
+# bench-capacity prints the slopes that docs/CAPACITY.md works with. It takes
+# about ten minutes.
+.PHONY: bench-capacity
+bench-capacity:
+	go build -o $(BIN)/capacity ./testkit/bench/capacity
+	$(BIN)/capacity $(CAPACITY_FLAGS)
--- a/pkg/agent/sync.go
+++ b/pkg/agent/sync.go
@@ -25,6 +25,9 @@
 	syncWait = 20 * time.Second
 	// syncSlack is how much longer than syncWait an agent waits for the answer.
 	syncSlack = 3 * time.Second
+	// syncPause is the wait after an answer that holds placements beyond the
+	// revision up to which the entry knows all, and would hold them again.
+	syncPause = 200 * time.Millisecond
 	// coordinatorKey chooses the entry that coordinates loads, by rendezvous
 	// hashing.
 	coordinatorKey = "weight-store"
@@ -194,7 +197,7 @@
 	if len(update.Placements) > 0 && update.PlacementRevision <= revision {
 		// The entry knows single placements ahead of all others and would answer
 		// at once again.
-		backoff.Sleep(ctx, backoff.Duration(0))
+		backoff.Sleep(ctx, syncPause)
 	}
 	return true
 }
