--- a/testkit/bench/pacing/adapters.go
+++ b/testkit/bench/pacing/adapters.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/loading"
+	"teaselgauge.example/teaselgauge/testkit/bench/virtual"
 )
 
 const (
@@ -31,7 +32,7 @@
 
 // adapterTrial loads bursts of adapters at all runners.
 type adapterTrial struct {
-	clock   *clock
+	clock   *virtual.Clock
 	store   *store
 	runners []*adapterRunner
 	result  result
@@ -81,7 +82,7 @@
 func runAdapters(s site, agents, wanted int, seed uint64) *adapterTrial {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	c := &clock{now: start}
+	c := virtual.NewClock(start)
 	limits := loading.StoreLimits{StartsPerSecond: 1e6, AtOnce: loading.AdaptersInTransit}
 	t := &adapterTrial{clock: c, store: &store{clock: c, limits: limits, slow: 1, updated: start}}
 	for range s.runners {
@@ -92,24 +93,24 @@
 			r := t.runners[rng.IntN(s.runners)]
 			duration := adapterMin + time.Duration(rng.Float64()*float64(adapterMax-adapterMin))
 			at := start.Add(time.Duration(burst)*adapterEvery + time.Duration(rng.Float64()*float64(adapterSpan)))
-			c.at(at, func() {
+			c.At(at, func() {
 				r.waiting = append(r.waiting, adapterWant{at: at, duration: duration})
 				t.pump(r)
 			})
 		}
 	}
-	c.run(start.Add(adapterBursts * adapterEvery))
+	c.Run(start.Add(adapterBursts * adapterEvery))
 	return t
 }
 
 func (t *adapterTrial) pump(r *adapterRunner) {
-	for len(r.waiting) > 0 && r.window.Start(t.clock.now) {
+	for len(r.waiting) > 0 && r.window.Start(t.clock.Now()) {
 		want := r.waiting[0]
 		r.waiting = r.waiting[1:]
-		began := t.clock.now
+		began := t.clock.Now()
 		t.store.load(want.duration, func() {
-			r.window.Done(t.clock.now, t.clock.now.Sub(began))
-			t.result.cold = append(t.result.cold, t.clock.now.Sub(want.at))
+			r.window.Done(t.clock.Now(), t.clock.Now().Sub(began))
+			t.result.cold = append(t.result.cold, t.clock.Now().Sub(want.at))
 			t.pump(r)
 		})
 	}
--- a/testkit/bench/pacing/main.go
+++ b/testkit/bench/pacing/main.go
@@ -135,7 +135,7 @@
 }
 
 func keepFor(d time.Duration) func(*runner, *replica) time.Time {
-	return func(r *runner, _ *replica) time.Time { return r.trial.clock.now.Add(d) }
+	return func(r *runner, _ *replica) time.Time { return r.trial.clock.Now().Add(d) }
 }
 
 // keepBreakEven keeps a model until its idle time costs as much as a cold start.
@@ -143,11 +143,11 @@
 	policy := r.trial.policy
 	cold := policy.ColdStartWeight * rep.model.loadTime.Seconds()
 	idle := policy.IdleWeight * memoryShare(rep.model)
-	return r.trial.clock.now.Add(time.Duration(cold / idle * float64(time.Second)))
+	return r.trial.clock.Now().Add(time.Duration(cold / idle * float64(time.Second)))
 }
 
 func keepByHistory(r *runner, rep *replica) time.Time {
-	now := r.trial.clock.now
+	now := r.trial.clock.Now()
 	return r.keeper.KeepUntil(now, rep.target(), rep.model.loadTime, memoryShare(rep.model), r.trial.policy)
 }
 
--- a/testkit/bench/pacing/runner.go
+++ b/testkit/bench/pacing/runner.go
@@ -75,7 +75,7 @@
 
 func (r *runner) request(a arrival) {
 	rep := r.replica(r.trial.models[a.model])
-	r.keeper.Arrived(r.trial.clock.now, rep.target())
+	r.keeper.Arrived(r.trial.clock.Now(), rep.target())
 	r.trial.result.requests++
 	if rep.phase == phaseLoaded {
 		r.start(rep, a)
@@ -96,7 +96,7 @@
 		rep.phase = phaseWanted
 	}
 	if rep.phase == phaseWanted {
-		r.pacer.Want(r.trial.clock.now, loading.Want{
+		r.pacer.Want(r.trial.clock.Now(), loading.Want{
 			Target:   rep.target(),
 			Waiting:  len(rep.waiting),
 			Deadline: r.trial.earliestDeadline(rep.waiting),
@@ -120,7 +120,7 @@
 			Running:  other.running,
 		})
 	}
-	victims, ok := r.keeper.ChooseVictims(r.trial.clock.now, candidates, need, r.trial.policy)
+	victims, ok := r.keeper.ChooseVictims(r.trial.clock.Now(), candidates, need, r.trial.policy)
 	if !ok {
 		return false
 	}
@@ -152,7 +152,7 @@
 	if g, ok := r.pacer.(*loading.Guided); ok {
 		r.askCoordinator(g)
 	}
-	now := r.trial.clock.now
+	now := r.trial.clock.Now()
 	for {
 		target, ok := r.pacer.Next(now)
 		if !ok {
@@ -168,7 +168,7 @@
 		wake = now.Add(time.Millisecond)
 	}
 	r.wakeAt = wake
-	r.trial.clock.at(wake, r.pump)
+	r.trial.clock.At(wake, r.pump)
 }
 
 func (r *runner) find(target engine.Target) *replica {
@@ -182,13 +182,13 @@
 
 func (r *runner) askCoordinator(g *loading.Guided) {
 	for {
-		want, ok := g.Ask(r.trial.clock.now)
+		want, ok := g.Ask(r.trial.clock.Now())
 		if !ok {
 			return
 		}
 		left := maxDeadline
 		if !want.Deadline.IsZero() {
-			left = want.Deadline.Sub(r.trial.clock.now)
+			left = want.Deadline.Sub(r.trial.clock.Now())
 		}
 		ask := wire.LoadAsk{
 			Runner:         r.name,
@@ -206,8 +206,8 @@
 func (r *runner) answered(g *loading.Guided, target engine.Target, slot wire.LoadSlot, ok bool) {
 	switch {
 	case !ok:
-		g.Lost(r.trial.clock.now, target)
-	case !g.Slot(r.trial.clock.now, target, slot):
+		g.Lost(r.trial.clock.Now(), target)
+	case !g.Slot(r.trial.clock.Now(), target, slot):
 		r.report(target, 0)
 	}
 	r.pump()
@@ -228,12 +228,12 @@
 func (r *runner) load(rep *replica) {
 	rep.phase = phaseLoading
 	r.trial.result.loads++
-	began := r.trial.clock.now
+	began := r.trial.clock.Now()
 	r.trial.store.load(rep.model.loadTime, func() { r.loaded(rep, began) })
 }
 
 func (r *runner) loaded(rep *replica, began time.Time) {
-	now := r.trial.clock.now
+	now := r.trial.clock.Now()
 	took := now.Sub(began)
 	r.trial.must(r.ledger.Hold(rep.target()))
 	rep.phase = phaseLoaded
@@ -255,7 +255,7 @@
 		r.endIdle(rep)
 	}
 	rep.running++
-	r.trial.clock.after(a.duration, func() { r.finish(rep) })
+	r.trial.clock.After(a.duration, func() { r.finish(rep) })
 }
 
 func (r *runner) finish(rep *replica) {
@@ -263,13 +263,13 @@
 	if rep.running > 0 {
 		return
 	}
-	now := r.trial.clock.now
+	now := r.trial.clock.Now()
 	rep.idleSince = now
 	rep.idleVersion++
 	version := rep.idleVersion
 	r.keeper.Finished(now, rep.target())
 	until := r.trial.variant.keepAlive(r, rep)
-	r.trial.clock.at(until, func() {
+	r.trial.clock.At(until, func() {
 		if rep.idleVersion == version && rep.phase == phaseLoaded && rep.running == 0 {
 			r.unload(rep)
 			r.retryBlocked()
@@ -287,7 +287,7 @@
 	if rep.phase != phaseLoaded || rep.running > 0 || rep.idleSince.IsZero() {
 		return
 	}
-	idle := r.trial.clock.now.Sub(rep.idleSince).Seconds()
+	idle := r.trial.clock.Now().Sub(rep.idleSince).Seconds()
 	r.trial.result.idle += idle * memoryShare(rep.model)
 	rep.idleSince = time.Time{}
 	rep.idleVersion++
--- a/testkit/bench/pacing/store.go
+++ b/testkit/bench/pacing/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/loading"
+	"teaselgauge.example/teaselgauge/testkit/bench/virtual"
 )
 
 // transfer is a load in the weight store.
@@ -16,7 +17,7 @@
 // store models the weight store: starts above the rate wait in order, and loads
 // above the bound share the speed.
 type store struct {
-	clock  *clock
+	clock  *virtual.Clock
 	limits loading.StoreLimits
 	// slow is the factor of all load times.
 	slow      float64
@@ -27,12 +28,12 @@
 }
 
 func (s *store) load(d time.Duration, done func()) {
-	start := s.clock.now
+	start := s.clock.Now()
 	if s.nextStart.After(start) {
 		start = s.nextStart
 	}
 	s.nextStart = start.Add(time.Duration(float64(time.Second) / s.limits.StartsPerSecond))
-	s.clock.at(start, func() {
+	s.clock.At(start, func() {
 		s.advance()
 		s.active = append(s.active, &transfer{left: d.Seconds(), done: done})
 		s.schedule()
@@ -53,8 +54,8 @@
 }
 
 func (s *store) advance() {
-	passed := s.clock.now.Sub(s.updated).Seconds() * s.speed()
-	s.updated = s.clock.now
+	passed := s.clock.Now().Sub(s.updated).Seconds() * s.speed()
+	s.updated = s.clock.Now()
 	for _, t := range s.active {
 		t.left -= passed
 	}
@@ -72,7 +73,7 @@
 		least = min(least, t.left)
 	}
 	wait := time.Duration(max(least, 0) / s.speed() * float64(time.Second))
-	s.clock.after(wait+time.Microsecond, func() {
+	s.clock.After(wait+time.Microsecond, func() {
 		if s.version == version {
 			s.finish()
 		}
--- a/testkit/bench/pacing/trial.go
+++ b/testkit/bench/pacing/trial.go
@@ -11,6 +11,7 @@
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/loading"
 	"teaselgauge.example/teaselgauge/pkg/wire"
+	"teaselgauge.example/teaselgauge/testkit/bench/virtual"
 )
 
 // askTimeout is how long an agent waits for the coordinator's answer.
@@ -57,7 +58,7 @@
 	site        site
 	policy      lists.Policy
 	variant     variant
-	clock       *clock
+	clock       *virtual.Clock
 	start       time.Time
 	store       *store
 	models      []model
@@ -70,7 +71,7 @@
 func run(s site, policy lists.Policy, v variant, f faults, load workload, seed uint64) result {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	c := &clock{now: start}
+	c := virtual.NewClock(start)
 	t := &trial{
 		site:        s,
 		policy:      policy,
@@ -86,11 +87,11 @@
 	}
 	arrivals := load(s, t.models, rng)
 	for _, a := range arrivals {
-		c.at(start.Add(a.at), func() { t.route(a).request(a) })
+		c.At(start.Add(a.at), func() { t.route(a).request(a) })
 	}
 	t.plan(f)
 	last := start.Add(arrivals[len(arrivals)-1].at)
-	c.run(last.Add(burstEvery))
+	c.Run(last.Add(burstEvery))
 	t.closeIdle()
 	return t.result
 }
@@ -100,12 +101,12 @@
 	for burst := range bursts {
 		begin := t.start.Add(time.Duration(burst) * burstEvery)
 		if f.slow > 0 && burst%3 == 0 {
-			t.clock.at(begin, func() { t.store.setSlow(f.slow) })
-			t.clock.at(begin.Add(slowFor), func() { t.store.setSlow(1) })
+			t.clock.At(begin, func() { t.store.setSlow(f.slow) })
+			t.clock.At(begin.Add(slowFor), func() { t.store.setSlow(1) })
 		}
 		if f.lostFor > 0 && burst%2 == 0 {
-			t.clock.at(begin.Add(lostAt), func() { t.coordinator = nil })
-			t.clock.at(begin.Add(lostAt+f.lostFor), func() {
+			t.clock.At(begin.Add(lostAt), func() { t.coordinator = nil })
+			t.clock.At(begin.Add(lostAt+f.lostFor), func() {
 				t.coordinator = loading.NewCoordinator(t.site.limits, t.variant.order)
 			})
 		}
@@ -132,13 +133,13 @@
 // ask sends a message to the coordinator and calls back with its answer.
 func (t *trial) ask(m wire.LoadAsk, answer func(wire.LoadSlot, bool)) {
 	t.result.asks++
-	t.clock.after(t.site.delay, func() {
+	t.clock.After(t.site.delay, func() {
 		if t.coordinator == nil {
-			t.clock.after(askTimeout-t.site.delay, func() { answer(wire.LoadSlot{}, false) })
+			t.clock.After(askTimeout-t.site.delay, func() { answer(wire.LoadSlot{}, false) })
 			return
 		}
-		slot := t.coordinator.Ask(t.clock.now, m)
-		t.clock.after(t.site.delay, func() { answer(slot, true) })
+		slot := t.coordinator.Ask(t.clock.Now(), m)
+		t.clock.After(t.site.delay, func() { answer(slot, true) })
 	})
 }
 
@@ -148,7 +149,7 @@
 	var first time.Time
 	for _, a := range waiting {
 		deadline := t.start.Add(a.deadline)
-		if deadline.After(t.clock.now) && (first.IsZero() || deadline.Before(first)) {
+		if deadline.After(t.clock.Now()) && (first.IsZero() || deadline.Before(first)) {
 			first = deadline
 		}
 	}
@@ -157,7 +158,7 @@
 
 // coldStart records that a waiting request starts.
 func (t *trial) coldStart(a arrival) {
-	now := t.clock.now.Sub(t.start)
+	now := t.clock.Now().Sub(t.start)
 	t.result.cold = append(t.result.cold, now-a.at)
 	if now > a.deadline {
 		t.result.missed++
