Pass the clock to the agent's control state

Cause: commands that the agent's control state posts to its loop called time.Now, so a test in virtual time could not drive the model table. Change: the controller has a clock field; model table, adapters, pacing, orders and keyed calls take the time from it. The product sets time.Now. Ruled out: passing the time through every callback; the callbacks run later than the call that creates them. Conclusion: no change of behaviour.

--- a/pkg/agent/adapters.go
+++ b/pkg/agent/adapters.go
@@ -84,7 +84,7 @@
 		load := t.adapterLoads[0]
 		t.adapterLoads = t.adapterLoads[1:]
 		t.orders.loadAdapter(load.adapter.target, load.mib, func(err error) {
-			t.adapterLoaded(time.Now(), now, load.adapter, err)
+			t.adapterLoaded(t.controller.now(), now, load.adapter, err)
 		})
 	}
 }
@@ -178,7 +178,7 @@
 	}
 	a.state = wire.ModelUnloading
 	t.orders.unload(a.target, func(err error) {
-		a.orderEnded = time.Now()
+		a.orderEnded = t.controller.now()
 		if err != nil {
 			t.note(t.ledger.Uncertain(a.target))
 			a.uncertain = true
--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -23,8 +23,10 @@
 
 // controller holds the control state. Its methods run on the loop.
 type controller struct {
-	loop        *eventloop.Loop
-	ctx         context.Context
+	loop *eventloop.Loop
+	ctx  context.Context
+	// now is the clock of commands that are posted to the loop.
+	now         func() time.Time
 	logger      *slog.Logger
 	metrics     *metrics.Agent
 	runner      string
@@ -50,6 +52,7 @@
 	return &controller{
 		loop:        eventloop.New(),
 		ctx:         ctx,
+		now:         time.Now,
 		logger:      logger,
 		metrics:     metered,
 		runner:      config.Host.ID,
--- a/pkg/agent/keyed.go
+++ b/pkg/agent/keyed.go
@@ -173,7 +173,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	events := k.records.create(callCtx, batch)
-	k.controller.loop.Post(func() { k.stepAll(time.Now(), events) })
+	k.controller.loop.Post(func() { k.stepAll(k.controller.now(), events) })
 }
 
 // flush runs until ctx ends and hands over batches when they are due.
@@ -185,7 +185,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			k.controller.loop.Post(func() { k.flushDue(time.Now()) })
+			k.controller.loop.Post(func() { k.flushDue(k.controller.now()) })
 		}
 	}
 }
@@ -272,7 +272,7 @@
 		ctx, cancel := context.WithTimeout(k.controller.ctx, recordTimeout)
 		defer cancel()
 		event := k.records.read(ctx, key)
-		k.controller.loop.Post(func() { k.step(time.Now(), event) })
+		k.controller.loop.Post(func() { k.step(k.controller.now(), event) })
 	}()
 }
 
@@ -287,7 +287,7 @@
 	work := newTicket(k.controller.ctx, call.request, now)
 	work.deadline = call.deadline
 	work.finished = func(ended *ticket) {
-		k.step(time.Now(), runResult(action.Key, ended.answer))
+		k.step(k.controller.now(), runResult(action.Key, ended.answer))
 	}
 	k.controller.tickets[call.request.ID] = work
 	k.controller.enqueue(now, work)
--- a/pkg/agent/models.go
+++ b/pkg/agent/models.go
@@ -472,7 +472,7 @@
 	epoch := m.revokedEpoch
 	t.orders.unload(m.target(), func(err error) {
 		m.confirming = false
-		m.orderEnded = time.Now()
+		m.orderEnded = t.controller.now()
 		if err != nil {
 			t.controller.logger.Warn("unload not confirmed", "model", m.id.String(), "error", err)
 			return
@@ -513,7 +513,7 @@
 	if m.revoked {
 		m.unloadFor = m.revokedEpoch
 	}
-	t.orders.unload(m.target(), func(err error) { t.unloadEnded(time.Now(), m, err) })
+	t.orders.unload(m.target(), func(err error) { t.unloadEnded(t.controller.now(), m, err) })
 }
 
 func (t *modelTable) unloadEnded(now time.Time, m *model, err error) {
@@ -539,7 +539,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case placement.Unload:
-			t.revoke(time.Now(), a)
+			t.revoke(t.controller.now(), a)
 		case placement.RemovePermit:
 			t.orders.removePermit(a.Change)
 		case placement.ReadPlacement:
--- a/pkg/agent/orders.go
+++ b/pkg/agent/orders.go
@@ -56,10 +56,10 @@
 	defer cancel()
 	err, ordered := o.orderLoad(ctx, load)
 	if !ordered {
-		o.loop.Post(func() { o.table.loadNotOrdered(time.Now(), load.id, wire.ReasonNoPermit) })
+		o.loop.Post(func() { o.table.loadNotOrdered(o.table.controller.now(), load.id, wire.ReasonNoPermit) })
 		return
 	}
-	o.loop.Post(func() { o.table.loadEnded(time.Now(), load.id, err) })
+	o.loop.Post(func() { o.table.loadEnded(o.table.controller.now(), load.id, err) })
 }
 
 // orderLoad orders a load if the permit still stands.
--- a/pkg/agent/pacing.go
+++ b/pkg/agent/pacing.go
@@ -80,7 +80,7 @@
 	question.Waiting = want.Waiting
 	question.DeadlineMillis = millis(left)
 	p.ask(question, func(slot wire.LoadSlot, ok bool) {
-		answered := time.Now()
+		answered := p.table.controller.now()
 		if !ok {
 			p.guided.Lost(answered, want.Target)
 		} else if !p.guided.Slot(answered, want.Target, slot) {
