Tell the pacer how many requests wait by now

Cause: a load was wanted with the one request that started it; requests that came while it waited for its turn counted neither for its order nor its deadline. Change: each pump passes the current count and deadline of waiting loads on.

--- a/pkg/agent/pacing.go
+++ b/pkg/agent/pacing.go
@@ -41,6 +41,7 @@
 // pump asks for turns and starts the loads whose turn has come.
 func (p *loadPacer) pump(now time.Time) {
 	p.dropUnwanted(now)
+	p.refresh(now)
 	for {
 		want, ok := p.guided.Ask(now)
 		if !ok {
@@ -74,6 +75,18 @@
 	}
 }
 
+// refresh tells the pacer how many requests wait for each load by now, and the
+// most urgent deadline.
+func (p *loadPacer) refresh(now time.Time) {
+	for target, load := range p.waiting {
+		m := p.table.model(load.order.id)
+		if m.waiting == 0 {
+			continue
+		}
+		p.guided.Want(now, loading.Want{Target: target, Waiting: m.waiting, Deadline: m.deadline})
+	}
+}
+
 func (p *loadPacer) askFor(now time.Time, want loading.Want) {
 	left := want.Deadline.Sub(now)
 	question := p.question(want.Target)
