--- a/testkit/site/lists.go
+++ b/testkit/site/lists.go
@@ -46,35 +46,42 @@
 	if plansFile == "" || allowancesFile == "" {
 		plans, allowances := DefaultLists()
 		var err error
-		if plansFile, allowancesFile, err = s.writeLists(plans, allowances); err != nil {
+		if plansFile, allowancesFile, err = s.writeLists(s.Entries[0], plans, allowances); err != nil {
 			return err
 		}
 	}
-	return s.putFiles(ctx, plansFile, allowancesFile, "--if-empty")
+	return s.putFiles(ctx, s.Entries[0], plansFile, allowancesFile, "--if-empty")
 }
 
 // PutLists replaces the lists of a given revision through the first entry.
 func (s *Site) PutLists(ctx context.Context, revision int64, plans lists.Plans, allowances lists.Allowances) error {
-	plansFile, allowancesFile, err := s.writeLists(plans, allowances)
+	return s.PutListsAt(ctx, s.Entries[0], revision, plans, allowances)
+}
+
+// PutListsAt replaces the lists of a given revision through an entry. It is safe
+// for concurrent use with different entries.
+func (s *Site) PutListsAt(ctx context.Context, entry *Host, revision int64, plans lists.Plans, allowances lists.Allowances) error {
+	plansFile, allowancesFile, err := s.writeLists(entry, plans, allowances)
 	if err != nil {
 		return err
 	}
-	return s.putFiles(ctx, plansFile, allowancesFile, "--revision", strconv.FormatInt(revision, 10))
+	return s.putFiles(ctx, entry, plansFile, allowancesFile, "--revision", strconv.FormatInt(revision, 10))
 }
 
-func (s *Site) writeLists(plans lists.Plans, allowances lists.Allowances) (plansFile, allowancesFile string, err error) {
-	if err := s.writeJSON("plans.json", plans); err != nil {
+func (s *Site) writeLists(entry *Host, plans lists.Plans, allowances lists.Allowances) (plansFile, allowancesFile string, err error) {
+	plansFile, allowancesFile = entry.ID+"-plans.json", entry.ID+"-allowances.json"
+	if err := s.writeJSON(plansFile, plans); err != nil {
 		return "", "", err
 	}
-	if err := s.writeJSON("allowances.json", allowances); err != nil {
+	if err := s.writeJSON(allowancesFile, allowances); err != nil {
 		return "", "", err
 	}
-	return filepath.Join(s.dir, "plans.json"), filepath.Join(s.dir, "allowances.json"), nil
+	return filepath.Join(s.dir, plansFile), filepath.Join(s.dir, allowancesFile), nil
 }
 
-func (s *Site) putFiles(ctx context.Context, plansFile, allowancesFile string, condition ...string) error {
+func (s *Site) putFiles(ctx context.Context, entry *Host, plansFile, allowancesFile string, condition ...string) error {
 	args := []string{
-		"lists", "put", "--url", "http://" + s.Entries[0].Admin,
+		"lists", "put", "--url", "http://" + entry.Admin,
 		"--plans", plansFile, "--allowances", allowancesFile,
 	}
 	return s.command(ctx, append(args, condition...)...)
