--- a/pkg/routing/attempt_test.go
+++ b/pkg/routing/attempt_test.go
@@ -31,6 +31,8 @@
 	runs    int
 	inDoubt int
 	sends   int
+	// answered tells that the last event was a whole answer.
+	answered bool
 }
 
 // TestAttempt draws all events that agents, links and callers can cause, and
@@ -73,6 +75,9 @@
 		w.failed(action.Refusal)
 		return true
 	case Done:
+		if !w.answered {
+			w.Fatal("done without a whole answer")
+		}
 		return true
 	}
 	return false
@@ -150,6 +155,7 @@
 	case "cancelled":
 		return Cancelled{Stage: w.abandoned()}
 	default:
+		w.answered = true
 		return Answered{}
 	}
 }
