--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -151,7 +151,6 @@
 	c.start = func(t *ticket) { go run.run(t) }
 	c.keyed = newKeyedCalls(c, a.store)
 	a.wait.Go(func() { c.keyed.writeRecords(workCtx) })
-	a.wait.Go(func() { c.keyed.flush(workCtx) })
 }
 
 func (a *Agent) openEngine(ctx, workCtx context.Context) error {
@@ -250,16 +249,29 @@
 	})
 }
 
+// tick looks at deadlines and idle models, seldom while nothing waits.
 func (a *Agent) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			a.controller.loop.Post(func() { a.controller.tick(time.Now()) })
+	for ctx.Err() == nil {
+		quiet := false
+		a.controller.loop.Do(func() {
+			a.controller.tick(a.controller.now())
+			quiet = a.controller.isQuiet()
+		})
+		if quiet {
+			a.awaitArrival(ctx)
 		}
+		backoff.Sleep(ctx, tickInterval)
+	}
+}
+
+// awaitArrival waits for quietTickInterval or until a request arrives.
+func (a *Agent) awaitArrival(ctx context.Context) {
+	timer := time.NewTimer(quietTickInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-a.controller.woken:
 	}
 }
 
--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -19,6 +19,8 @@
 	answerRetention = 10 * time.Second
 	// tickInterval is the time between two looks at deadlines and idle models.
 	tickInterval = 50 * time.Millisecond
+	// quietTickInterval is the same while nothing waits.
+	quietTickInterval = 500 * time.Millisecond
 )
 
 // controller holds the control state. Its methods run on the loop.
@@ -45,6 +47,8 @@
 	keyed *keyedCalls
 	// start runs a request on a goroutine of its own.
 	start func(*ticket)
+	// woken holds a token after a request arrived.
+	woken chan struct{}
 }
 
 func newController(ctx context.Context, config settings.Agent, incarnation string, metered *metrics.Agent, logger *slog.Logger) *controller {
@@ -61,6 +65,7 @@
 		queue:       admission.New(limits),
 		limits:      limits,
 		tickets:     make(map[string]*ticket),
+		woken:       make(chan struct{}, 1),
 	}
 }
 
@@ -77,6 +82,7 @@
 		return t
 	}
 	c.tickets[request.ID] = t
+	c.wake()
 	if c.keyed != nil && request.IdempotencyKey != "" {
 		c.keyed.call(now, t)
 		return t
@@ -258,6 +264,20 @@
 	c.logger.Info("leaving", "cause", cause, "queued", c.queue.Len(), "running", c.queue.Running())
 }
 
+// isQuiet tells whether nothing waits for a time to pass. A request that arrives
+// ends the quiet time through woken.
+func (c *controller) isQuiet() bool {
+	return c.idle() && (c.models == nil || c.models.isQuiet())
+}
+
+// wake ends a quiet time.
+func (c *controller) wake() {
+	select {
+	case c.woken <- struct{}{}:
+	default:
+	}
+}
+
 // idle tells whether no request waits or runs.
 func (c *controller) idle() bool {
 	return c.queue.Len() == 0 && c.queue.Running() == 0 && (c.keyed == nil || c.keyed.idle())
--- a/pkg/agent/keyed.go
+++ b/pkg/agent/keyed.go
@@ -17,8 +17,6 @@
 	recordLeaseSpan = time.Hour
 	// recordTimeout bounds one call to the key-value service for records.
 	recordTimeout = 2 * time.Second
-	// batchTick is the time between two looks for due batches.
-	batchTick = time.Millisecond
 )
 
 // recordStore reads and creates records of idempotency keys.
@@ -135,6 +133,8 @@
 	machine    *once.Machine
 	batcher    *once.Batcher
 	records    *recordStore
+	// flushing tells that a flush is scheduled.
+	flushing bool
 	// batches feeds the goroutine that writes records.
 	batches chan once.Batch
 	// calls holds the tickets of the calls that wait for a reply.
@@ -176,24 +176,24 @@
 	k.controller.loop.Post(func() { k.stepAll(k.controller.now(), events) })
 }
 
-// flush runs until ctx ends and hands over batches when they are due.
-func (k *keyedCalls) flush(ctx context.Context) {
-	ticker := time.NewTicker(batchTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.controller.loop.Post(func() { k.flushDue(k.controller.now()) })
-		}
+// scheduleFlush hands the waiting records over when they are due.
+func (k *keyedCalls) scheduleFlush(now time.Time) {
+	due := k.batcher.NextDue()
+	if k.flushing || due.IsZero() {
+		return
 	}
+	k.flushing = true
+	time.AfterFunc(due.Sub(now), func() {
+		k.controller.loop.Post(func() { k.flushDue(k.controller.now()) })
+	})
 }
 
 func (k *keyedCalls) flushDue(now time.Time) {
+	k.flushing = false
 	if batch, ok := k.batcher.Due(now); ok {
 		k.send(now, batch)
 	}
+	k.scheduleFlush(now)
 }
 
 func (k *keyedCalls) send(now time.Time, batch once.Batch) {
@@ -258,6 +258,7 @@
 		if batch, full := k.batcher.Add(now, a); full {
 			k.send(now, batch)
 		}
+		k.scheduleFlush(now)
 	case once.ReadRecord:
 		k.readRecord(a.Key)
 	case once.Run:
--- a/pkg/agent/pacing.go
+++ b/pkg/agent/pacing.go
@@ -160,3 +160,8 @@
 	}
 	return *answer.LoadSlot, true
 }
+
+// isQuiet tells whether no load and no adapter waits for its turn.
+func (t *modelTable) isQuiet() bool {
+	return len(t.pacer.waiting) == 0 && len(t.adapterLoads) == 0
+}
--- a/pkg/agent/server.go
+++ b/pkg/agent/server.go
@@ -10,13 +10,9 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-const (
-	// resumeGrace is how long a request whose link is cut goes on, so that the
-	// entry can ask for the rest of the answer.
-	resumeGrace = 5 * time.Second
-	// firstFrameTimeout bounds the wait for the first frame of a stream.
-	firstFrameTimeout = 5 * time.Second
-)
+// resumeGrace is how long a request whose link is cut goes on, so that the entry
+// can ask for the rest of the answer.
+const resumeGrace = 5 * time.Second
 
 // server answers the streams that entries open.
 type server struct {
@@ -26,12 +22,10 @@
 // ServeStream implements wire.Handler.
 func (s *server) ServeStream(ctx context.Context, peer wire.Peer, stream *wire.Stream) {
 	defer stream.Close()
-	stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
-	frame, err := stream.Receive()
+	frame, err := stream.ReceiveFirst()
 	if err != nil {
 		return
 	}
-	stream.SetReadDeadline(time.Time{})
 	switch {
 	case frame.Request != nil:
 		s.serveRequest(ctx, stream, frame.Request)
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -36,8 +36,10 @@
 	register    *lists.Register
 	coordinator *loading.Coordinator
 	feed        *feed
-	// dirty tells that members have changed since the last publication.
+	// dirty tells that members have changed since the last publication, and
+	// scheduled that the next one is on its way.
 	dirty     bool
+	scheduled bool
 	published atomic.Pointer[view]
 	// listsChanged is called after new lists are in force.
 	listsChanged func()
@@ -95,7 +97,7 @@
 	if !c.members.StatusReceived(now, *status) {
 		return
 	}
-	c.dirty = true
+	c.publishSoon()
 	sameIncarnation := known && before.Status.Incarnation == status.Incarnation
 	if !sameIncarnation || before.Leaving() != status.Leaving {
 		c.publishMembers()
@@ -110,7 +112,22 @@
 
 func (c *control) callSucceeded(now time.Time, host string) {
 	c.members.CallSucceeded(now, host)
+	c.publishSoon()
+}
+
+// publishSoon makes changed members visible within publishInterval.
+func (c *control) publishSoon() {
 	c.dirty = true
+	if c.scheduled {
+		return
+	}
+	c.scheduled = true
+	time.AfterFunc(publishInterval, func() {
+		c.loop.Post(func() {
+			c.scheduled = false
+			c.publishMembers()
+		})
+	})
 }
 
 // placementsRead takes in placements that were read up to a revision.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -165,26 +165,11 @@
 		logger:   e.logger,
 	}
 	e.wait.Go(func() { hosts.run(ctx) })
-	e.wait.Go(func() { e.publish(ctx) })
 	e.wait.Go(func() { follow.run(ctx) })
 	e.wait.Go(func() { probes.run(ctx) })
 	e.wait.Go(func() { e.decider.run(ctx) })
 }
 
-// publish makes learnt statuses visible to routing.
-func (e *Entry) publish(ctx context.Context) {
-	ticker := time.NewTicker(publishInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.control.loop.Post(e.control.publishMembers)
-		}
-	}
-}
-
 // listen opens the addresses for callers and administrators.
 func (e *Entry) listen() error {
 	if err := e.listenHTTP(e.config.Listen.Callers, e.callers); err != nil {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -7,12 +7,8 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-const (
-	// firstFrameTimeout bounds the wait for the first frame of a stream.
-	firstFrameTimeout = 5 * time.Second
-	// maxSyncWait bounds how long a Sync is held back.
-	maxSyncWait = 30 * time.Second
-)
+// maxSyncWait bounds how long a Sync is held back.
+const maxSyncWait = 30 * time.Second
 
 // server answers the streams that agents and other entries open.
 type server struct {
@@ -22,8 +18,7 @@
 // ServeStream implements wire.Handler.
 func (s *server) ServeStream(ctx context.Context, peer wire.Peer, stream *wire.Stream) {
 	defer stream.Close()
-	stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
-	frame, err := stream.Receive()
+	frame, err := stream.ReceiveFirst()
 	if err != nil {
 		return
 	}
--- a/pkg/wire/stream.go
+++ b/pkg/wire/stream.go
@@ -8,6 +8,9 @@
 	"github.com/quic-go/quic-go"
 )
 
+// FirstFrameTimeout bounds the wait for the first frame of a call.
+const FirstFrameTimeout = 5 * time.Second
+
 const (
 	readBufferBytes = 4 << 10
 
@@ -50,6 +53,14 @@
 	return frame, nil
 }
 
+// ReceiveFirst reads the frame that opens a call from a peer, which must come
+// within FirstFrameTimeout.
+func (s *Stream) ReceiveFirst() (*Frame, error) {
+	s.SetReadDeadline(time.Now().Add(FirstFrameTimeout))
+	defer s.SetReadDeadline(time.Time{})
+	return s.Receive()
+}
+
 // SetReadDeadline bounds Receive. The zero time removes the bound.
 func (s *Stream) SetReadDeadline(t time.Time) {
 	_ = s.stream.SetReadDeadline(t)
