Take only own readings of the host list as proof that a host is gone

Cause: entries that don't watch get the list from others and take it in again at each interval. A list that is relayed by an entry cut off from the platform can be old, and a reading that failed repeated the last one. A host that was new, or missing from one reading, would have counted as gone after 30 s without a fresh look; while the regions can't reach each other it is silent too, and its permits would have been removed although it holds replicas. Change: View.HostsRelayed takes lists that may be old; a host absent from them becomes missing, not gone. Gone needs readings of the list by this process that lack the host over GoneAfter. An entry reads the list itself while a host is missing whose permits it decides on. Mutations: relayed absence counted, absence not reset, one reading enough; each red in TestGone. Conclusion: go test ./pkg/membership ./pkg/routing ./pkg/entry passes.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -83,13 +83,20 @@
 	c.published.Store(&next)
 }
 
-// hostsListed takes in a reading of the host list.
+// hostsListed takes in a reading of the host list by this entry.
 func (c *control) hostsListed(now time.Time, hosts []platform.Host) {
 	c.members.HostsListed(now, hosts)
 	c.dirty = true
 	c.publishMembers()
 }
 
+// hostsRelayed takes in a host list that may be old.
+func (c *control) hostsRelayed(now time.Time, hosts []platform.Host) {
+	c.members.HostsRelayed(now, hosts)
+	c.dirty = true
+	c.publishMembers()
+}
+
 // statusReceived takes in what an agent says of itself. A change of its
 // willingness is published at once, a change of its load within publishInterval.
 func (c *control) statusReceived(now time.Time, status *wire.Status) {
--- a/pkg/entry/hosts.go
+++ b/pkg/entry/hosts.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -33,26 +35,57 @@
 }
 
 func (p *hostPoller) poll(ctx context.Context) {
-	if p.source.cutOff.Load() || p.control.feed.hosts.Current() == nil {
-		p.read(ctx)
+	if p.mustRead() && p.read(ctx) {
+		p.measure()
+		return
 	}
 	listing := p.control.feed.hosts.Current()
 	if listing == nil {
 		return
 	}
 	// An unchanged list is taken in as well: how long a host is absent counts.
-	p.control.loop.Do(func() { p.control.hostsListed(time.Now(), listing.Hosts) })
+	p.control.loop.Do(func() { p.control.hostsRelayed(time.Now(), listing.Hosts) })
+	p.measure()
+}
+
+func (p *hostPoller) measure() {
 	p.metrics.Members(len(p.control.current().members.Agents()))
 	p.metrics.Connections(p.node.Connections())
 }
 
-func (p *hostPoller) read(ctx context.Context) {
+// mustRead tells whether this entry reads the list itself: nobody relays it, or
+// a host may be gone whose permits this entry decides on. A relayed list may be
+// too old to show that.
+func (p *hostPoller) mustRead() bool {
+	return p.source.cutOff.Load() || p.control.feed.hosts.Current() == nil || p.ownsMissing()
+}
+
+func (p *hostPoller) ownsMissing() bool {
+	members := p.control.current().members
+	for _, known := range p.control.feed.allPlacements() {
+		for _, permit := range known.Permits {
+			if !members.Missing(permit.Runner) {
+				continue
+			}
+			id := placement.Of(&known).String()
+			if membership.RendezvousOwner(id, entryIDs(members)) == p.source.self {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// read reads the list and tells whether that worked.
+func (p *hostPoller) read(ctx context.Context) bool {
 	listing, err := p.lister.Hosts(ctx)
 	if err != nil {
 		p.logger.Warn("host list unreadable", "error", err)
-		return
+		return false
 	}
 	if err := p.control.feed.setHosts(listing); err != nil {
 		p.logger.Error("host list can't be relayed", "error", err)
 	}
+	p.control.loop.Do(func() { p.control.hostsListed(time.Now(), listing.Hosts) })
+	return true
 }
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -28,6 +28,9 @@
 	listed := func(seconds float64, ids ...string) func(*View) {
 		return func(v *View) { v.HostsListed(after(seconds), agentHosts(platform.HostLive, ids...)) }
 	}
+	relayed := func(seconds float64, ids ...string) func(*View) {
+		return func(v *View) { v.HostsRelayed(after(seconds), agentHosts(platform.HostLive, ids...)) }
+	}
 	said := func(seconds float64, id string) func(*View) {
 		return func(v *View) { v.StatusReceived(after(seconds), wire.Status{Runner: id, Sequence: uint64(seconds)}) }
 	}
@@ -44,14 +47,18 @@
 		{"absent not long enough", []func(*View){listed(0, "a", "b"), listed(29, "b")}, false},
 		{"listed between", []func(*View){listed(0, "a", "b"), listed(20, "a", "b"), listed(40, "b")}, false},
 		{"heard between", []func(*View){listed(0, "a", "b"), said(20, "a"), listed(40, "b")}, false},
-		{"listed again", []func(*View){listed(0, "a", "b"), listed(40, "b"), listed(50, "a", "b")}, false},
-		{"heard again", []func(*View){listed(0, "a", "b"), listed(40, "b"), said(50, "a")}, false},
+		{"listed again", []func(*View){listed(0, "a", "b"), listed(10, "b"), listed(40, "b"), listed(50, "a", "b")}, false},
+		{"heard again", []func(*View){listed(0, "a", "b"), listed(10, "b"), listed(40, "b"), said(50, "a")}, false},
 		{"empty lists", []func(*View){listed(0, "a", "b"), listed(40), listed(90)}, false},
 		{"never listed", []func(*View){said(1, "a"), listed(50, "b"), listed(5000, "b")}, false},
 		{"only named by a permit", []func(*View){permits(0, "a"), listed(590, "b")}, false},
-		{"named and absent for long", []func(*View){permits(0, "a"), listed(600, "b")}, true},
-		{"gone while others are named", []func(*View){listed(0, "a"), listed(40, "b"), permits(41, "b")}, true},
-		{"forgotten", []func(*View){listed(0, "a"), listed(40, "b"), listed(604800, "b")}, false},
+		{"named and absent for long", []func(*View){permits(0, "a"), listed(600, "b"), listed(630, "b")}, true},
+		{"gone while others are named", []func(*View){listed(0, "a"), listed(10, "b"), listed(40, "b"), permits(41, "b")}, true},
+		{"forgotten", []func(*View){listed(0, "a"), listed(10, "b"), listed(40, "b"), listed(604800, "b")}, false},
+		{"one reading after a pause", []func(*View){listed(0, "a"), listed(90, "b")}, false},
+		{"absent from relayed lists", []func(*View){listed(0, "a"), relayed(10, "b"), relayed(90, "b")}, false},
+		{"relayed between", []func(*View){listed(0, "a"), listed(10, "b"), relayed(20, "a"), listed(45, "b")}, false},
+		{"relayed, then read", []func(*View){relayed(0, "a"), relayed(40, "b"), listed(50, "b"), listed(80, "b")}, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -59,13 +66,29 @@
 			for _, event := range test.events {
 				event(view)
 			}
-			if got := view.Snapshot().Gone("a"); got != test.want {
-				t.Errorf("gone: %t", got)
+			snapshot := view.Snapshot()
+			if snapshot.Gone("a") != test.want || (snapshot.Gone("a") && snapshot.Missing("a")) {
+				t.Errorf("gone %t, missing %t", snapshot.Gone("a"), snapshot.Missing("a"))
 			}
 		})
 	}
 }
 
+func TestMissing(t *testing.T) {
+	view := NewView()
+	view.HostsRelayed(start, agentHosts(platform.HostLive, "a", "b"))
+	for _, seconds := range []float64{29, 30} {
+		view.HostsRelayed(after(seconds), agentHosts(platform.HostLive, "b"))
+		if got := view.Snapshot().Missing("a"); got != (seconds == 30) {
+			t.Errorf("missing after %g s: %t", seconds, got)
+		}
+	}
+	view.HostsRelayed(after(31), agentHosts(platform.HostLive, "a", "b"))
+	if view.Snapshot().Missing("a") {
+		t.Error("missing although listed")
+	}
+}
+
 func TestStatusOrder(t *testing.T) {
 	view := NewView()
 	view.HostsListed(start, agentHosts(platform.HostLive, "a"))
--- a/pkg/membership/snapshot.go
+++ b/pkg/membership/snapshot.go
@@ -88,7 +88,7 @@
 	agents   *agentMap
 	entries  []*Entry
 	services map[string][]string
-	gone     map[string]bool
+	absent   map[string]presence
 }
 
 // Agent returns an agent that isn't gone.
@@ -115,10 +115,17 @@
 	return s.entries
 }
 
-// Gone tells whether a host was listed and has since been absent and silent for
-// GoneAfter. A host that was never listed isn't gone.
+// Gone tells whether a host was listed and has since been silent and, in this
+// process's own readings, absent for GoneAfter. A host that was never listed
+// isn't gone.
 func (s *Snapshot) Gone(hostID string) bool {
-	return s.gone[hostID]
+	return s.absent[hostID] == gone
+}
+
+// Missing tells whether a host has been silent and in no list for GoneAfter but
+// isn't known to be gone. Readings of the list show whether it is.
+func (s *Snapshot) Missing(hostID string) bool {
+	return s.absent[hostID] == missing
 }
 
 func sortedEntries(entries map[string]*Entry) []*Entry {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// GoneAfter is how long a host must be continuously absent from the
-	// platform's list, and silent, before it counts as gone.
+	// GoneAfter is how long a host must be continuously absent from this
+	// process's readings of the platform's list, and silent, before it counts as
+	// gone.
 	GoneAfter = 30 * time.Second
 	// UnlistedGoneAfter replaces GoneAfter for hosts that this process knows
 	// only from stored permits and has never seen in the list itself.
@@ -34,11 +35,11 @@
 	agents  *agentMap
 	entries map[string]*Entry
 	hosts   map[string]*hostRecord
-	// services, sortedEntries, gone and last belong to the last snapshot; nil
+	// services, sortedEntries, absent and last belong to the last snapshot; nil
 	// after a change.
 	services      map[string][]string
 	sortedEntries []*Entry
-	gone          map[string]bool
+	absent        map[string]presence
 	last          *Snapshot
 }
 
@@ -50,11 +51,24 @@
 	named bool
 	// silentSince is when the host was last listed or heard of.
 	silentSince time.Time
-	gone        bool
+	// absentSince is the first reading since then that lacks the host; zero means
+	// none.
+	absentSince time.Time
+	presence    presence
 	failures    int
 	retired     []string
 }
 
+// presence is what absence and silence prove.
+type presence uint8
+
+const (
+	present presence = iota
+	// missing hosts may be gone, which only readings of the list can show.
+	missing
+	gone
+)
+
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
@@ -64,10 +78,21 @@
 	}
 }
 
-// HostsListed takes one full reading of the platform's list. An empty list is
-// taken for a failure of the platform and ignored, as the reader's own host
-// stands in every valid one.
+// HostsListed takes one full reading of the platform's list by this process. An
+// empty list is taken for a failure of the platform and ignored, as the reader's
+// own host stands in every valid one.
 func (v *View) HostsListed(now time.Time, hosts []platform.Host) {
+	v.listTaken(now, hosts, v.hostAbsent)
+}
+
+// HostsRelayed takes a list that another process read, or an earlier reading once
+// more. It may be old, so that a host's absence from it proves nothing: the host
+// becomes missing, and is gone only after readings by this process.
+func (v *View) HostsRelayed(now time.Time, hosts []platform.Host) {
+	v.listTaken(now, hosts, v.hostUnlisted)
+}
+
+func (v *View) listTaken(now time.Time, hosts []platform.Host, unlisted func(time.Time, string, *hostRecord)) {
 	if len(hosts) == 0 {
 		return
 	}
@@ -78,7 +103,7 @@
 	}
 	for id, record := range v.hosts {
 		if !listed[id] {
-			v.hostAbsent(now, id, record)
+			unlisted(now, id, record)
 		}
 	}
 }
@@ -86,8 +111,7 @@
 func (v *View) hostListed(now time.Time, host platform.Host) {
 	record := v.record(now, host.ID)
 	record.seen = true
-	record.silentSince = now
-	v.setGone(record, false)
+	v.alive(now, record)
 	if host.Role == platform.RoleEntry {
 		v.entryListed(host)
 		return
@@ -124,30 +148,41 @@
 	v.setAgent(agent)
 }
 
-// hostAbsent handles a host that the newest list doesn't show.
+// hostAbsent handles a host that a reading of the list doesn't show.
 func (v *View) hostAbsent(now time.Time, id string, record *hostRecord) {
+	if record.absentSince.IsZero() {
+		record.absentSince = now
+	}
+	v.hostUnlisted(now, id, record)
+	if record.presence == missing && now.Sub(record.absentSince) >= GoneAfter {
+		v.setPresence(record, gone)
+	}
+}
+
+// hostUnlisted handles a host that the newest list doesn't show.
+func (v *View) hostUnlisted(now time.Time, id string, record *hostRecord) {
 	v.removeEntry(id)
 	if agent := v.agent(id); agent.Listed {
 		agent.Listed = false
 		v.setAgent(agent)
 	}
+	silence := now.Sub(record.silentSince)
 	limit := GoneAfter
 	if !record.seen {
 		limit = UnlistedGoneAfter
 	}
-	if now.Sub(record.silentSince) < limit {
+	if silence < limit {
 		return
 	}
 	v.removeAgent(id)
-	if !record.seen && !record.named {
+	known := record.seen || record.named
+	if !known || silence >= forgetAfter {
+		v.setPresence(record, present)
 		delete(v.hosts, id)
 		return
 	}
-	v.setGone(record, true)
-	if now.Sub(record.silentSince) >= forgetAfter {
-		delete(v.hosts, id)
-		v.gone = nil
-		v.last = nil
+	if record.presence == present {
+		v.setPresence(record, missing)
 	}
 }
 
@@ -246,14 +281,14 @@
 	if v.sortedEntries == nil {
 		v.sortedEntries = sortedEntries(v.entries)
 	}
-	if v.gone == nil {
-		v.gone = goneHosts(v.hosts)
+	if v.absent == nil {
+		v.absent = absentHosts(v.hosts)
 	}
 	v.last = &Snapshot{
 		agents:   v.agents.share(),
 		entries:  v.sortedEntries,
 		services: v.services,
-		gone:     v.gone,
+		absent:   v.absent,
 	}
 	return v.last
 }
@@ -271,14 +306,14 @@
 	return index
 }
 
-func goneHosts(hosts map[string]*hostRecord) map[string]bool {
-	gone := make(map[string]bool)
+func absentHosts(hosts map[string]*hostRecord) map[string]presence {
+	absent := make(map[string]presence)
 	for id, record := range hosts {
-		if record.gone {
-			gone[id] = true
+		if record.presence != present {
+			absent[id] = record.presence
 		}
 	}
-	return gone
+	return absent
 }
 
 func (v *View) setAgent(agent Agent) {
@@ -312,19 +347,20 @@
 	v.last = nil
 }
 
-func (v *View) setGone(record *hostRecord, gone bool) {
-	if record.gone == gone {
+func (v *View) setPresence(record *hostRecord, presence presence) {
+	if record.presence == presence {
 		return
 	}
-	record.gone = gone
-	v.gone = nil
+	record.presence = presence
+	v.absent = nil
 	v.last = nil
 }
 
 // alive notes a sign of life.
 func (v *View) alive(now time.Time, record *hostRecord) {
 	record.silentSince = now
-	v.setGone(record, false)
+	record.absentSince = time.Time{}
+	v.setPresence(record, present)
 }
 
 func (v *View) record(now time.Time, id string) *hostRecord {
