Test that a relayed sign of life starts a host's absence again

Change: the case waits 5 s more. With the reset removed it is red now ('gone true, missing false'). Conclusion: go test ./pkg/membership passes unmutated.

--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -57,7 +57,7 @@
 		{"forgotten", []func(*View){listed(0, "a"), listed(10, "b"), listed(40, "b"), listed(604800, "b")}, false},
 		{"one reading after a pause", []func(*View){listed(0, "a"), listed(90, "b")}, false},
 		{"absent from relayed lists", []func(*View){listed(0, "a"), relayed(10, "b"), relayed(90, "b")}, false},
-		{"relayed between", []func(*View){listed(0, "a"), listed(10, "b"), relayed(20, "a"), listed(45, "b")}, false},
+		{"relayed between", []func(*View){listed(0, "a"), listed(10, "b"), relayed(20, "a"), listed(50, "b")}, false},
 		{"relayed, then read", []func(*View){relayed(0, "a"), relayed(40, "b"), listed(50, "b"), listed(80, "b")}, true},
 	}
 	for _, test := range tests {
