Test that replicas stay in bounds while placement changes

Cause: permits move between runners when hosts leave and are replaced, entries die and answers of the key-value service are lost.

--- a/testkit/process/load_test.go
+++ b/testkit/process/load_test.go
@@ -86,6 +86,7 @@
 	}
 	for _, target := range targets {
 		loads(t, s, target)
+		checkHolders(t, s, target, 1)
 	}
 }
 
