Stop models that are wanted ahead of requests from evicting each other in turn

Cause: a model that was refused as too late is wanted for 30 s. Loaded, it counts as idle, and absent again it is still wanted. Two such models that don't fit together evicted each other without end. Change: a load ends the want. The test bounds the orders that follow from each other, so that it fails here in place of running on. Ruled out: counting a wanted model as not idle; it would refuse requests for others that have no other room.

--- a/pkg/agent/models.go
+++ b/pkg/agent/models.go
@@ -55,7 +55,9 @@
 	paced       bool
 	lastUsed    time.Time
 	failedUntil time.Time
-	// wantedUntil is how long the model is loaded although no request waits.
+	// wantedUntil is how long the model is to be loaded although no request
+	// waits. A load clears it, so that two such models that don't fit together
+	// don't evict each other in turn.
 	wantedUntil time.Time
 	// deadline is the earliest of the requests that wait for a load.
 	deadline time.Time
@@ -427,6 +429,7 @@
 	m.state = wire.ModelLoaded
 	m.cache = engine.CacheMemory
 	m.lastUsed = now
+	m.wantedUntil = time.Time{}
 	t.controller.logger.Info("model loaded", "model", id.String(), "took_ms", took.Milliseconds(), "waiting", m.waiting)
 	if m.revoked {
 		t.beginUnload(m, "revoked")
--- a/pkg/agent/world_actions_test.go
+++ b/pkg/agent/world_actions_test.go
@@ -12,6 +12,9 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
+// maxSettlingOrders bounds the orders that follow from each other.
+const maxSettlingOrders = 100
+
 // TestModelTableUnderGeneratedHistories lets requests arrive while loads and
 // unloads fail, lose their answers or come late, the engine restarts, and
 // permits are granted and revoked. After every step the engine holds no more
@@ -310,7 +313,10 @@
 // settle lets all orders and requests end and demands that none is left.
 func (w *world) settle() {
 	for range 200 {
-		for len(w.orders) > 0 {
+		for answered := 0; len(w.orders) > 0; answered++ {
+			if answered > maxSettlingOrders {
+				w.t.Fatalf("the agent gives orders without end: %v", w.orders)
+			}
 			o := w.orders[0]
 			w.orders = w.orders[1:]
 			if o.permitted != nil && !o.permitted() {
