Send a changed placement along with requests; keep test ports apart

TestBadEditLeavesLastGood: a request reached the runner before the runner had learnt of its new permit, and was refused. TestFrozenAgentDuringLoad: while the second agent claimed its engine, the kernel gave its UDP port to an outgoing socket of another process. Change: a placement that changed within the last 30 s goes along with requests; the runner takes it in like a relayed one. The site's free ports lie below those of outgoing connections. Ruled out: repeating the request at the runner, which would hold it for a poll.

--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -8,6 +8,7 @@
 	"teaselgauge.example/teaselgauge/pkg/admission"
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -76,6 +77,9 @@
 		return earlier
 	}
 	t := newTicket(c.ctx, request, now)
+	if c.models != nil && request.Placement != nil {
+		c.models.perform(c.models.holder.Step(placement.PlacementRelayed{Placement: *request.Placement}))
+	}
 	if refusal := c.refuseEarly(request); refusal != "" {
 		t.refuse(wire.OutcomeNotRun, refusal, retryWhenLeaving, "")
 		t.cancel()
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -139,7 +139,7 @@
 
 // placementsRead takes in placements that were read up to a revision.
 func (c *control) placementsRead(now time.Time, revision int64, placements []wire.Placement) {
-	news := c.feed.setPlacements(revision, placements)
+	news := c.feed.setPlacements(now, revision, placements)
 	if len(news) == 0 {
 		return
 	}
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -9,6 +9,7 @@
 	"teaselgauge.example/teaselgauge/pkg/callers"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/routing"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -49,6 +50,8 @@
 	request.IdleWeight = policy.IdleWeight
 	request.MemoryMiB = modelMemory(index, request)
 	request.AdapterMemoryMiB = adapterMemory(index, request)
+	id := placement.ModelVersion{Model: request.Model, Version: request.Version}
+	request.Placement = d.control.feed.recentPlacement(time.Now(), id)
 }
 
 func modelMemory(index *lists.Index, request *wire.Request) int64 {
--- a/pkg/entry/feed.go
+++ b/pkg/entry/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/hostrelay"
 	"teaselgauge.example/teaselgauge/pkg/lists"
@@ -11,6 +12,10 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
+// recentChange is how long a changed placement goes along with requests. A runner
+// has learnt of it by then.
+const recentChange = 30 * time.Second
+
 // feed is what this entry knows of lists and placements and relays to others.
 // Revisions only go up.
 type feed struct {
@@ -19,6 +24,7 @@
 
 	mu         sync.Mutex
 	placements map[placement.ModelVersion]wire.Placement
+	changedAt  map[placement.ModelVersion]time.Time
 	placeRev   int64
 	changed    chan struct{}
 }
@@ -28,6 +34,7 @@
 		relay:      lists.NewRelay(),
 		hosts:      hostrelay.New(),
 		placements: make(map[placement.ModelVersion]wire.Placement),
+		changedAt:  make(map[placement.ModelVersion]time.Time),
 		changed:    make(chan struct{}),
 	}
 }
@@ -75,7 +82,7 @@
 
 // setPlacements records placements that were read up to a revision and returns
 // those that are news.
-func (f *feed) setPlacements(revision int64, placements []wire.Placement) []wire.Placement {
+func (f *feed) setPlacements(now time.Time, revision int64, placements []wire.Placement) []wire.Placement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var news []wire.Placement
@@ -85,6 +92,7 @@
 			continue
 		}
 		f.placements[id] = read
+		f.changedAt[id] = now
 		news = append(news, read)
 	}
 	if revision > f.placeRev {
@@ -96,6 +104,20 @@
 	return news
 }
 
+// recentPlacement returns a model's placement if it has changed lately, else nil.
+func (f *feed) recentPlacement(now time.Time, id placement.ModelVersion) *wire.Placement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.changedAt[id]) > recentChange {
+		return nil
+	}
+	known, ok := f.placements[id]
+	if !ok {
+		return nil
+	}
+	return &known
+}
+
 // revisions returns the newest revisions of lists and placements.
 func (f *feed) revisions() (listsRevision, placementRevision int64) {
 	f.mu.Lock()
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -65,6 +65,9 @@
 	// a load and of an idle accelerator-second.
 	ColdStartWeight float64 `cbor:"24,keyasint,omitempty"`
 	IdleWeight      float64 `cbor:"25,keyasint,omitempty"`
+	// Placement is the model's placement if it has changed lately, so that the
+	// runner knows its permit no later than the sender.
+	Placement *Placement `cbor:"26,keyasint,omitempty"`
 }
 
 // Outcome tells what is known about the work of a request without an answer.
--- a/testkit/site/ports.go
+++ b/testkit/site/ports.go
@@ -3,11 +3,19 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 )
 
-// maxPortTries bounds the search for a port that is free for TCP and UDP.
-const maxPortTries = 100
+const (
+	// firstPort and portCount are the range in which free ports are searched. It
+	// lies below the ports that the kernel gives to outgoing connections, which
+	// would take the port of a process while it restarts.
+	firstPort = 10000
+	portCount = 22000
+	// maxPortTries bounds the search for a port that is free for TCP and UDP.
+	maxPortTries = 100
+)
 
 // ports hands out loopback addresses: consecutive ones from a base, or free
 // ones if the base is zero.
@@ -24,34 +32,30 @@
 		return address, nil
 	}
 	for range maxPortTries {
-		address, ok, err := p.hold()
-		if err != nil {
-			return "", fmt.Errorf("site: free port: %w", err)
-		}
-		if ok {
+		if address, ok := p.hold(); ok {
 			return address, nil
 		}
 	}
 	return "", errors.New("site: no free port")
 }
 
-// hold takes a port for TCP and UDP. It returns false if the port that the
-// kernel gave for TCP is taken for UDP.
-func (p *ports) hold() (string, bool, error) {
-	stream, err := net.Listen("tcp", "127.0.0.1:0")
+// hold tries to take a port for TCP and UDP, and returns false if it is taken.
+func (p *ports) hold() (string, bool) {
+	address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+	stream, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", false, err
+		return "", false
 	}
-	address := stream.Addr().String()
 	packets, err := net.ListenPacket("udp", address)
 	if err != nil {
-		return "", false, stream.Close()
+		_ = stream.Close()
+		return "", false
 	}
 	p.held = append(p.held, func() {
 		_ = stream.Close()
 		_ = packets.Close()
 	})
-	return address, true, nil
+	return address, true
 }
 
 // release frees the held ports for the processes.
