Let an unreadable record of one key spoil only that key's call

Cause: a record that can't be decoded failed the whole batch of up to 64 calls with the reason store. Change: it counts as a record without an owner, which the machine answers for that key alone. Measured: unit tests of agent, once and command pass.

--- a/pkg/agent/keyed.go
+++ b/pkg/agent/keyed.go
@@ -76,10 +76,12 @@
 	if result.Succeeded {
 		return nil, nil
 	}
-	return existingRecords(result.Current, keys)
+	return existingRecords(result.Current, keys), nil
 }
 
-func existingRecords(current []platform.KeyValue, keys map[string]once.Key) (map[once.Key]once.Record, error) {
+// existingRecords returns the records that stand in the way of a batch. One that
+// can't be read counts as a record without an owner.
+func existingRecords(current []platform.KeyValue, keys map[string]once.Key) map[once.Key]once.Record {
 	existing := make(map[once.Key]once.Record, len(current))
 	for _, value := range current {
 		if value.ModRevision == 0 {
@@ -87,11 +89,11 @@
 		}
 		record, err := once.DecodeRecord(value.Value)
 		if err != nil {
-			return nil, err
+			record = once.Record{}
 		}
 		existing[keys[value.Key]] = record
 	}
-	return existing, nil
+	return existing
 }
 
 // currentLease returns the lease for new records. A failed grant leaves no
