Notice dead connections sooner, retry forgotten work, and end a listed leaving

Change: the key of stateless resets is derived from the host's key, so that a new incarnation can refuse the old one's connections; a connection on which a call got no answer within a second takes no new streams; keep-alive 2 s and idle timeout 6 s instead of 4 s and 10 s. A resumption that the agent doesn't know is sent again if it is idempotent and nothing was passed on. What an entry says of the host list counts for 15 s. Ruled out: closing the connection, which would cut the streams of a slow agent.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -212,7 +212,12 @@
 	if err != nil {
 		return err
 	}
+	resetKey, err := keys.ResetKey(a.config.TLS)
+	if err != nil {
+		return err
+	}
 	a.node, err = wire.NewNode(wire.NodeConfig{
+		ResetKey:  resetKey,
 		Address:   a.config.Listen.Inner,
 		ServerTLS: serverTLS,
 		ClientTLS: clientTLS,
--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -16,6 +16,8 @@
 const (
 	// retryWhenLeaving is when a caller of a leaving backend server comes back.
 	retryWhenLeaving = time.Second
+	// listedLeavingTTL is how long what an entry says of the host list counts.
+	listedLeavingTTL = 15 * time.Second
 	// answerRetention is how long an ended answer can be resumed.
 	answerRetention = 10 * time.Second
 	// tickInterval is the time between two looks at deadlines and idle models.
@@ -36,11 +38,14 @@
 	incarnation string
 	services    []string
 
-	queue    *admission.Queue
-	limits   admission.Limits
-	tickets  map[string]*ticket
-	leaving  bool
-	sequence uint64
+	queue   *admission.Queue
+	limits  admission.Limits
+	tickets map[string]*ticket
+	leaving bool
+	// listedLeavingUntil bounds a leaving that only the host list demands; zero
+	// if the process itself leaves.
+	listedLeavingUntil time.Time
+	sequence           uint64
 
 	// models is nil beside a plain service.
 	models *modelTable
@@ -242,6 +247,7 @@
 
 // tick refuses what can no longer make its deadline and looks at idle models.
 func (c *controller) tick(now time.Time) {
+	c.endListedLeaving(now)
 	c.metrics.Requests(c.queue.Len(), c.queue.Running())
 	for _, item := range c.queue.Expire(now) {
 		if t := c.tickets[item.ID]; t != nil {
@@ -259,8 +265,23 @@
 	c.advance(now)
 }
 
-// leave makes the agent refuse new requests.
+// leave makes the agent refuse new requests for good.
 func (c *controller) leave(cause string) {
+	c.listedLeavingUntil = time.Time{}
+	c.startLeaving(cause)
+}
+
+// listedLeaving makes the agent refuse new requests while entries go on telling
+// it that the host list shows its host as leaving.
+func (c *controller) listedLeaving(now time.Time) {
+	if c.leaving && c.listedLeavingUntil.IsZero() {
+		return
+	}
+	c.listedLeavingUntil = now.Add(listedLeavingTTL)
+	c.startLeaving("host list")
+}
+
+func (c *controller) startLeaving(cause string) {
 	if c.leaving {
 		return
 	}
@@ -268,6 +289,17 @@
 	c.logger.Info("leaving", "cause", cause, "queued", c.queue.Len(), "running", c.queue.Running())
 }
 
+// endListedLeaving takes requests again when no entry says any more that the
+// host is leaving.
+func (c *controller) endListedLeaving(now time.Time) {
+	if !c.leaving || c.listedLeavingUntil.IsZero() || now.Before(c.listedLeavingUntil) {
+		return
+	}
+	c.leaving = false
+	c.listedLeavingUntil = time.Time{}
+	c.logger.Info("no longer leaving", "cause", "host list")
+}
+
 // isQuiet tells whether nothing waits for a time to pass. A request that arrives
 // ends the quiet time through woken.
 func (c *controller) isQuiet() bool {
--- a/pkg/agent/server.go
+++ b/pkg/agent/server.go
@@ -43,7 +43,7 @@
 	var status *wire.Status
 	s.controller.loop.Do(func() {
 		if probe.Leaving {
-			s.controller.leave("host list")
+			s.controller.listedLeaving(s.controller.now())
 		}
 		status = s.controller.status(time.Now())
 	})
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -111,7 +111,12 @@
 	if err != nil {
 		return err
 	}
+	resetKey, err := keys.ResetKey(e.config.TLS)
+	if err != nil {
+		return err
+	}
 	e.node, err = wire.NewNode(wire.NodeConfig{
+		ResetKey:  resetKey,
 		Address:   e.config.Listen.Inner,
 		ServerTLS: serverTLS,
 		ClientTLS: clientTLS,
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -130,6 +130,9 @@
 	case ctx.Err() != nil:
 		return routing.Cancelled{Stage: stage}
 	}
+	if x.awaitsFirst && stage == routing.Sent {
+		x.node.Retire(x.agent)
+	}
 	agent := x.agent
 	x.control.loop.Post(func() { x.control.callFailed(time.Now(), agent) })
 	return routing.Lost{Stage: stage, Received: x.received, PassedOn: x.passedOn}
--- a/pkg/entry/probe.go
+++ b/pkg/entry/probe.go
@@ -97,12 +97,13 @@
 }
 
 // mustAsk tells whether an agent is asked in each round: in a small fleet until
-// it has said something, and by one entry until it knows that it is leaving.
+// it has said something, and by one entry while the host list shows its host as
+// leaving, since the agent must be told again and again.
 func (p *prober) mustAsk(agent *membership.Agent, fleet int) bool {
 	if !agent.HasStatus && fleet <= smallFleet {
 		return true
 	}
-	if !agent.ListLeaving || agent.Status.Leaving {
+	if !agent.ListLeaving {
 		return false
 	}
 	return membership.RendezvousOwner(agent.ID, p.ownership.entries) == p.self
--- a/pkg/routing/attempt.go
+++ b/pkg/routing/attempt.go
@@ -130,6 +130,9 @@
 	outcome := a.believed(&refusal)
 	a.unknown = a.unknown || outcome == wire.OutcomeUnknown
 	a.ran = a.ran || outcome == wire.OutcomeRan
+	if a.resuming && refusal.Reason == wire.ReasonNotFound {
+		return a.onForgotten(now, table)
+	}
 	a.refused = append(a.refused, a.current.Agent)
 	switch {
 	case refusal.Reason == wire.ReasonBoundElse:
@@ -145,6 +148,15 @@
 	}
 }
 
+// onForgotten handles an agent that doesn't know the request to resume: its
+// incarnation has changed, and the earlier run is unknown.
+func (a *Attempt) onForgotten(now time.Time, table *Table) Action {
+	a.unknown = true
+	a.last = wire.Refusal{Reason: wire.ReasonUnavailable, Detail: "the agent restarted while the request ran"}
+	a.lost = append(a.lost, a.current.Agent)
+	return a.repeat(now, table)
+}
+
 // believed returns the outcome that a refusal proves. Only the incarnation that
 // took the work in, or that the key is bound to, can know that it didn't run.
 func (a *Attempt) believed(refusal *wire.Refusal) wire.Outcome {
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -124,3 +124,30 @@
 		t.Errorf("%d retries for 10,000 requests in 10 s", retries)
 	}
 }
+
+// TestForgottenRequestRunsAgain lets the only agent restart while it carries an
+// idempotent request, so that it can't resume it.
+func TestForgottenRequestRunsAgain(t *testing.T) {
+	table := NewTable(viewOf("a").Snapshot(), placementOf("a"))
+	for _, idempotent := range []bool{true, false} {
+		work := Work{Query: Query{Model: "m", Version: "1"}, Idempotent: idempotent, Deadline: start.Add(time.Minute)}
+		attempt := NewAttempt(work, NewRetryBudget(), 1)
+		attempt.Start(start, table)
+		attempt.Step(start, Accepted{Incarnation: "a-1"}, table)
+		if action, ok := attempt.Step(start, Lost{Stage: Sent}, table).(Resume); !ok {
+			t.Fatalf("after a lost link: %v, want a resumption", action)
+		}
+		forgotten := wire.Refusal{Outcome: wire.OutcomeUnknown, Reason: wire.ReasonNotFound}
+		action := attempt.Step(start, Refused{Refusal: forgotten}, table)
+		switch a := action.(type) {
+		case Send:
+			if !idempotent || a.Target.Agent != "a" {
+				t.Errorf("idempotent %v: sent again to %q", idempotent, a.Target.Agent)
+			}
+		case Fail:
+			if idempotent || a.Refusal.Outcome != wire.OutcomeUnknown {
+				t.Errorf("idempotent %v: %+v", idempotent, a.Refusal)
+			}
+		}
+	}
+}
--- a/pkg/wire/node.go
+++ b/pkg/wire/node.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +19,8 @@
 	ALPN = "teaselgauge/1"
 
 	dialTimeout      = 2 * time.Second
-	idleTimeout      = 10 * time.Second
-	keepAlivePeriod  = 4 * time.Second
+	idleTimeout      = 6 * time.Second
+	keepAlivePeriod  = 2 * time.Second
 	unusedConnExpiry = 30 * time.Second
 	unusedConnSweep  = 5 * time.Second
 	maxPeerStreams   = 4096
@@ -57,7 +58,11 @@
 	ClientTLS *tls.Config
 	Identify  Identify
 	Handler   Handler
-	Logger    *slog.Logger
+	// ResetKey is the same for all incarnations of the host's process and secret,
+	// so that a new one can tell peers at once that the old one's connections are
+	// dead. Nil means none.
+	ResetKey *[32]byte
+	Logger   *slog.Logger
 }
 
 // Node is one process's end of the inner protocol: it accepts streams and opens
@@ -73,6 +78,8 @@
 
 	mu    sync.Mutex
 	conns map[string]*outbound
+	// retired holds connections that take no new streams.
+	retired []*outbound
 }
 
 // outbound is the connection to one host, or the dialling of it.
@@ -96,6 +103,10 @@
 		return nil, fmt.Errorf("listen on inner address: %w", err)
 	}
 	transport := &quic.Transport{Conn: socket}
+	if config.ResetKey != nil {
+		key := quic.StatelessResetKey(*config.ResetKey)
+		transport.StatelessResetKey = &key
+	}
 	listener, err := transport.Listen(config.ServerTLS, quicConfig())
 	if err != nil {
 		_ = socket.Close()
@@ -147,9 +158,10 @@
 	_ = n.listener.Close()
 	n.mu.Lock()
 	for _, out := range n.conns {
-		if out.conn != nil {
-			_ = out.conn.CloseWithError(connClosed, "closing")
-		}
+		out.close("closing")
+	}
+	for _, out := range n.retired {
+		out.close("closing")
 	}
 	n.mu.Unlock()
 	n.wait.Wait()
@@ -241,6 +253,27 @@
 	return o.err != nil || o.conn.Context().Err() != nil
 }
 
+// close ends the connection if there is one.
+func (o *outbound) close(reason string) {
+	if o.conn != nil {
+		_ = o.conn.CloseWithError(connClosed, reason)
+	}
+}
+
+// Retire gives the connection to a host no new streams, because a call on it got
+// no answer; those under way go on. The next call dials anew, which tells whether
+// the host's process lives.
+func (n *Node) Retire(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.conns[host]
+	if out == nil || out.conn == nil {
+		return
+	}
+	delete(n.conns, host)
+	n.retired = append(n.retired, out)
+}
+
 func (n *Node) dial(host string, out *outbound) {
 	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
 	defer cancel()
@@ -316,8 +349,15 @@
 		}
 		unused := out.streams == 0 && now.Sub(out.lastUsed) >= unusedConnExpiry
 		if unused && out.conn != nil {
-			_ = out.conn.CloseWithError(connClosed, "unused")
+			out.close("unused")
 			delete(n.conns, host)
 		}
 	}
+	n.retired = slices.DeleteFunc(n.retired, func(out *outbound) bool {
+		if out.streams > 0 && !out.broken() {
+			return false
+		}
+		out.close("retired")
+		return true
+	})
 }
