Meter cold starts, idle accelerator time and memory at agents

Change: a request that finds its model not loaded counts as a cold start when it runs; idle time counts by the share of memory that a model holds.

--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -128,6 +128,7 @@
 func (c *controller) enqueue(now time.Time, t *ticket) {
 	var estimate admission.Estimate
 	if c.models != nil {
+		t.cold = !c.isReady(t.target())
 		readyIn, reason := c.models.prepare(now, t.request)
 		if reason != "" {
 			c.end(now, t, wire.OutcomeNotRun, reason, retryWhenLeaving, "")
@@ -176,6 +177,9 @@
 		if c.models != nil {
 			c.models.started(t.target())
 		}
+		if t.cold {
+			c.metrics.ColdStart(now.Sub(t.arrived))
+		}
 		c.start(t)
 	}
 }
--- a/pkg/agent/eviction.go
+++ b/pkg/agent/eviction.go
@@ -91,6 +91,26 @@
 		}
 	}
 	t.pumpAdapters(now)
+	t.meter(now)
+}
+
+// meter counts idle accelerator time, each model by its share of the memory, and
+// shows the memory.
+func (t *modelTable) meter(now time.Time) {
+	since := now.Sub(t.meteredAt)
+	if t.meteredAt.IsZero() {
+		since = 0
+	}
+	t.meteredAt = now
+	for _, m := range t.models {
+		if m.isIdle() {
+			t.idle += time.Duration(t.share(m) * float64(since))
+		}
+	}
+	whole := t.idle.Truncate(time.Millisecond)
+	t.idle -= whole
+	t.controller.metrics.IdleAccelerator(whole)
+	t.controller.metrics.Memory(t.ledger.Capacity(), t.ledger.Used())
 }
 
 // share is the model's part of the engine's memory.
--- a/pkg/agent/models.go
+++ b/pkg/agent/models.go
@@ -87,6 +87,9 @@
 	window     *loading.AdapterWindow
 	// adapterLoads holds the adapters that wait for a place in window.
 	adapterLoads []adapterLoad
+	// meteredAt is when idle time was counted last, idle what isn't reported yet.
+	meteredAt time.Time
+	idle      time.Duration
 }
 
 // orderer carries out what the table decides. Each order runs on its own
--- a/pkg/agent/ticket.go
+++ b/pkg/agent/ticket.go
@@ -21,6 +21,8 @@
 	cancel context.CancelFunc
 	// waiting tells that the ticket is in the queue.
 	waiting bool
+	// cold tells that the model wasn't loaded when the request arrived.
+	cold bool
 	// finished is called on the loop when the answer has ended; nil for none.
 	finished func(*ticket)
 
--- a/pkg/metrics/agent.go
+++ b/pkg/metrics/agent.go
@@ -60,13 +60,14 @@
 }
 
 // ColdStart records the time from the arrival of a request that found its model
-// not loaded to its answer's start.
+// not loaded to the start of its run.
 func (a *Agent) ColdStart(took time.Duration) { a.coldStarts.Record(took) }
 
 // Unload counts an unload by its cause.
 func (a *Agent) Unload(reason string) { a.unloads.with(labels{reason}).Inc(1) }
 
-// IdleAccelerator adds time in which a loaded model had no work.
+// IdleAccelerator adds time in which a loaded model had no work, times the share
+// of the accelerator memory that it holds.
 func (a *Agent) IdleAccelerator(idle time.Duration) { a.idleMillis.Inc(idle.Milliseconds()) }
 
 // LoadPacingWait records how long a load waited for its start at the weight
