--- a/pkg/agent/dump.go
+++ b/pkg/agent/dump.go
@@ -11,14 +11,14 @@
 type controllerDump struct {
 	Status *wire.Status `json:"status"`
 	// PermitsRead tells whether this incarnation has read its permits.
-	PermitsRead      bool         `json:"permits_read"`
-	PermitsRevision  int64        `json:"permits_revision,omitempty"`
-	Ledger           []ledgerDump `json:"ledger,omitempty"`
-	LoadsWaiting     int          `json:"loads_waiting,omitempty"`
-	AdaptersWaiting  int          `json:"adapters_waiting,omitempty"`
-	IdempotencyKeys  int          `json:"idempotency_keys,omitempty"`
-	IdempotencyOpen  int          `json:"idempotency_keys_open,omitempty"`
-	RememberedTicket int          `json:"remembered_requests"`
+	PermitsRead        bool         `json:"permits_read"`
+	PermitsRevision    int64        `json:"permits_revision,omitempty"`
+	Ledger             []ledgerDump `json:"ledger,omitempty"`
+	LoadsWaiting       int          `json:"loads_waiting,omitempty"`
+	AdaptersWaiting    int          `json:"adapters_waiting,omitempty"`
+	IdempotencyKeys    int          `json:"idempotency_keys,omitempty"`
+	IdempotencyOpen    int          `json:"idempotency_keys_open,omitempty"`
+	RememberedRequests int          `json:"remembered_requests"`
 }
 
 // ledgerDump is one account of the memory ledger.
@@ -29,7 +29,7 @@
 }
 
 func (c *controller) dump(now time.Time) controllerDump {
-	dump := controllerDump{Status: c.status(now), RememberedTicket: len(c.tickets)}
+	dump := controllerDump{Status: c.status(now), RememberedRequests: len(c.tickets)}
 	if c.models != nil {
 		c.models.dump(&dump)
 	}
