Weigh a further replica by the reported load and the site's weights

Answers up to 32 MiB were held at agents and entries although callers get 8 MiB at most. Change: agents report the expected load of permitted models, routing uses it, and a further replica must save more than its idle time costs by the site's weights. One bound for answers, 8 MiB.

--- a/pkg/agent/answer.go
+++ b/pkg/agent/answer.go
@@ -9,9 +9,6 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// maxAnswerBytes bounds one answer.
-const maxAnswerBytes = 32 << 20
-
 // answer collects what the backend server says to one request. It outlives the
 // stream that asked for it, so that a cut link can be resumed.
 type answer struct {
@@ -50,7 +47,7 @@
 func (a *answer) append(data []byte) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ended || len(a.data)+len(data) > maxAnswerBytes {
+	if a.ended || len(a.data)+len(data) > wire.MaxAnswerBytes {
 		return false
 	}
 	a.data = append(a.data, data...)
--- a/pkg/agent/models.go
+++ b/pkg/agent/models.go
@@ -171,6 +171,11 @@
 	}
 }
 
+func (t *modelTable) mayLoad(m *model) bool {
+	_, ok := t.holder.MayLoad(m.id.Model, m.id.Version)
+	return ok
+}
+
 func (t *modelTable) mayServe(m *model) wire.Reason {
 	if !t.holder.MayServe(m.id.Model, m.id.Version) {
 		return wire.ReasonNoPermit
@@ -244,7 +249,7 @@
 	wait := t.controller.expectedWait(now)
 	for _, m := range t.models {
 		tier := wireTier(m.cache)
-		if m.state == wire.ModelAbsent && tier == wire.CacheRemote {
+		if m.state == wire.ModelAbsent && tier == wire.CacheRemote && !t.mayLoad(m) {
 			continue
 		}
 		status.Models = append(status.Models, wire.ModelStatus{
--- a/pkg/callers/limits.go
+++ b/pkg/callers/limits.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
 const (
@@ -12,7 +14,7 @@
 	// requests, in bytes.
 	minBufferBytes = 48 << 20
 	// maxAnswerBytes bounds one whole answer, in bytes.
-	maxAnswerBytes = 8 << 20
+	maxAnswerBytes = wire.MaxAnswerBytes
 )
 
 var (
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -27,7 +27,9 @@
 	d.complete(request)
 	x := &exchange{node: d.node, control: d.control, request: request, sink: sink}
 	defer x.close()
-	attempt := routing.NewAttempt(workOf(ctx, request), d.budget, rand.Uint64())
+	work := workOf(ctx, request)
+	work.Query.SpillMargin = d.spillMargin()
+	attempt := routing.NewAttempt(work, d.budget, rand.Uint64())
 	action := attempt.Start(time.Now(), d.control.current().table)
 	for {
 		event, refusal, done := d.perform(ctx, x, action)
@@ -39,6 +41,14 @@
 	}
 }
 
+func (d *dispatcher) spillMargin() time.Duration {
+	index := d.control.current().index
+	if index == nil {
+		return 0
+	}
+	return routing.SpillMargin(index.Policy())
+}
+
 // complete adds what the agent needs of the lists.
 func (d *dispatcher) complete(request *wire.Request) {
 	index := d.control.current().index
--- a/pkg/routing/replica.go
+++ b/pkg/routing/replica.go
@@ -13,7 +13,7 @@
 //   - the first, in the order of permits, that has the model loaded and a wait
 //     up to SpillWait;
 //   - else the one that has it loaded or loading and the shortest wait, unless
-//     loading a further replica is expected to be faster;
+//     loading a further replica is expected to be faster by SpillMargin;
 //   - else the first in the order of permits.
 func (t *Table) chooseReplica(now time.Time, query Query, tried []string) *membership.Agent {
 	id := placement.ModelVersion{Model: query.Model, Version: query.Version}
@@ -49,7 +49,7 @@
 	switch {
 	case warm == nil && cold == nil:
 		return suspected
-	case warm == nil || (cold != nil && coldWait < warmWait):
+	case warm == nil || (cold != nil && coldWait+query.SpillMargin < warmWait):
 		return cold
 	default:
 		return warm
@@ -58,16 +58,19 @@
 
 // expectedWait returns a model's state at an agent and the time a new request
 // would wait there, by the agent's last status. A queue that was reported some
-// time ago has drained for as long.
+// time ago has drained for as long; a load that hasn't begun takes as long as was
+// reported, or a fixed time where nothing was.
 func expectedWait(now time.Time, agent *membership.Agent, id placement.ModelVersion) (wire.ModelState, time.Duration) {
 	status, _ := agent.Model(id.Model, id.Version)
 	switch status.State {
 	case wire.ModelLoaded, wire.ModelLoading:
 		reported := time.Duration(status.WaitMillis) * time.Millisecond
 		return status.State, max(0, reported-now.Sub(agent.StatusAt))
-	default:
-		return status.State, coldLoad(status.Cache)
 	}
+	if status.WaitMillis > 0 {
+		return status.State, time.Duration(status.WaitMillis) * time.Millisecond
+	}
+	return status.State, coldLoad(status.Cache)
 }
 
 func coldLoad(tier wire.CacheTier) time.Duration {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -61,6 +62,22 @@
 	// AffinityKey keeps equal keys at the same agent; empty means none. It
 	// serves plain services.
 	AffinityKey string
+	// SpillMargin is how much shorter the wait at a further replica must be than
+	// at a loaded one, to be worth its load; see SpillMargin.
+	SpillMargin time.Duration
+}
+
+// spillIdleTime is how long a further replica is expected to idle before it is
+// unloaded.
+const spillIdleTime = 5 * time.Minute
+
+// SpillMargin converts the cost of a further replica's idle time into a wait, by
+// the site's weights of its two measures.
+func SpillMargin(policy lists.Policy) time.Duration {
+	if policy.ColdStartWeight <= 0 {
+		return spillIdleTime
+	}
+	return time.Duration(policy.IdleWeight / policy.ColdStartWeight * float64(spillIdleTime))
 }
 
 // Agent returns the target with the given id if requests may be sent there.
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -11,6 +11,8 @@
 const (
 	// MaxFrameBytes bounds the encoded size of one frame.
 	MaxFrameBytes = 72 << 20
+	// MaxAnswerBytes bounds one answer.
+	MaxAnswerBytes = 8 << 20
 	// MaxChunkBytes bounds the data of one Chunk.
 	MaxChunkBytes = 64 << 10
 
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -218,7 +218,7 @@
 )
 
 // ModelStatus is the state of one model at a runner. Models that are neither
-// cached nor loaded are left out.
+// cached nor loaded nor permitted are left out.
 type ModelStatus struct {
 	Model   string     `cbor:"1,keyasint"`
 	Version string     `cbor:"2,keyasint"`
--- a/testkit/bench/policy/runner.go
+++ b/testkit/bench/policy/runner.go
@@ -248,9 +248,6 @@
 	}
 	wait := time.Duration(float64(r.queue.QueuedTokens()) / slots / tokensPerSecond * float64(time.Second))
 	for _, rep := range r.replicas {
-		if rep.state == wire.ModelAbsent && !rep.cached {
-			continue
-		}
 		held := wire.ModelStatus{Model: rep.model.Name, Version: rep.model.Version, State: rep.state}
 		held.WaitMillis = uint32((wait + r.readyIn(rep)).Milliseconds())
 		if rep.cached {
--- a/testkit/bench/policy/trial.go
+++ b/testkit/bench/policy/trial.go
@@ -219,7 +219,7 @@
 	m := &e.trial.models[q.model]
 	a.machine = routing.NewAttempt(routing.Work{
 		RequestID: q.id, Idempotent: true, Deadline: q.deadline,
-		Query: routing.Query{Model: m.Name, Version: m.Version},
+		Query: routing.Query{Model: m.Name, Version: m.Version, SpillMargin: routing.SpillMargin(e.trial.site.policy)},
 	}, e.budget, xxhash.Sum64String(q.id))
 	a.perform(a.machine.Start(e.trial.clock.Now(), e.table))
 }
