--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,16 @@
 	go build -o $(BIN)/demo ./testkit/cmd/demo
 	$(BIN)/demo up
 
+# fuzz runs each fuzz target for FUZZTIME.
+FUZZTIME ?= 10s
+fuzz:
+	@set -e; for target in $$(grep -rlE '^func Fuzz' --include=*_test.go pkg); do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' $$target); do \
+			echo "$$name in $$(dirname $$target)"; \
+			go test -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZTIME) ./$$(dirname $$target); \
+		done; \
+	done
+
 # bench compares the policies with their baselines in virtual time.
 bench:
 	go run ./testkit/bench/pacing
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"teaselgauge.example/teaselgauge/pkg/adminapi"
 	"teaselgauge.example/teaselgauge/pkg/callers"
 	"teaselgauge.example/teaselgauge/pkg/keys"
@@ -188,6 +190,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	listener = netutil.LimitListener(listener, e.config.Limits.MaxConnections)
 	if e.config.CallersTLS != nil {
 		callersTLS, err := keys.CallersConfig(*e.config.CallersTLS)
 		if err != nil {
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -16,6 +16,7 @@
 
 	DefaultMaxBodyBytes = 4 << 20
 	DefaultMaxRequests  = 8192
+	DefaultMaxConnections = 16384
 	DefaultDeadline     = time.Minute
 	DefaultMaxDeadline  = time.Hour
 	DefaultDrain        = 10 * time.Minute
@@ -120,6 +121,7 @@
 func (l *EntryLimits) fillDefaults() {
 	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&l.MaxRequests, DefaultMaxRequests)
+	setDefault(&l.MaxConnections, DefaultMaxConnections)
 	setDefault(&l.DefaultDeadlineMillis, millis(DefaultDeadline))
 	setDefault(&l.MaxDeadlineMillis, millis(DefaultMaxDeadline))
 	setDefault(&l.DrainMillis, millis(DefaultDrain))
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -84,6 +84,9 @@
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty" validate:"min=0,max=67108864"`
 	// MaxRequests bounds the requests in flight. Default 8192.
 	MaxRequests int `json:"max_requests,omitempty" validate:"min=0,max=1000000"`
+	// MaxConnections bounds the open connections at each of the addresses for
+	// callers and administrators. Default 16384.
+	MaxConnections int `json:"max_connections,omitempty" validate:"min=0,max=1000000"`
 	// DefaultDeadlineMillis is the deadline of a request that names none, in
 	// milliseconds. Default 60000.
 	DefaultDeadlineMillis int `json:"default_deadline_ms,omitempty" validate:"min=0,max=3600000"`
