--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -14,12 +14,12 @@
 	DefaultHostListPoll    = time.Second
 	DefaultLogLevel        = "info"
 
-	DefaultMaxBodyBytes = 4 << 20
-	DefaultMaxRequests  = 8192
+	DefaultMaxBodyBytes   = 4 << 20
+	DefaultMaxRequests    = 8192
 	DefaultMaxConnections = 16384
-	DefaultDeadline     = time.Minute
-	DefaultMaxDeadline  = time.Hour
-	DefaultDrain        = 10 * time.Minute
+	DefaultDeadline       = time.Minute
+	DefaultMaxDeadline    = time.Hour
+	DefaultDrain          = 10 * time.Minute
 
 	DefaultLoadsPerSecond = 4.0
 	DefaultLoadsAtOnce    = 4
--- a/pkg/settings/load_test.go
+++ b/pkg/settings/load_test.go
@@ -45,7 +45,7 @@
 		t.Fatal(err)
 	}
 	wantLimits := EntryLimits{
-		MaxBodyBytes: 4 << 20, MaxRequests: 8192, DefaultDeadlineMillis: 60_000,
+		MaxBodyBytes: 4 << 20, MaxRequests: 8192, MaxConnections: 16384, DefaultDeadlineMillis: 60_000,
 		MaxDeadlineMillis: 3_600_000, DrainMillis: 600_000,
 	}
 	if entry.Limits != wantLimits {
