--- a/pkg/agent/controller.go
+++ b/pkg/agent/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/admission"
@@ -109,21 +110,12 @@
 	if isService != (c.models == nil) {
 		return wire.ReasonNotFound
 	}
-	if isService && !contains(c.services, request.Service) {
+	if isService && !slices.Contains(c.services, request.Service) {
 		return wire.ReasonNotFound
 	}
 	return ""
 }
 
-func contains(names []string, name string) bool {
-	for _, candidate := range names {
-		if candidate == name {
-			return true
-		}
-	}
-	return false
-}
-
 // enqueue queues a ticket or ends it with a refusal.
 func (c *controller) enqueue(now time.Time, t *ticket) {
 	var estimate admission.Estimate
