--- a/pkg/lists/bench_test.go
+++ b/pkg/lists/bench_test.go
@@ -32,15 +32,12 @@
 	})
 }
 
-// BenchmarkDecodeSnapshot is the cost of taking lists from another process.
-func BenchmarkDecodeSnapshot(b *testing.B) {
+// BenchmarkTakeWhole is the cost of taking lists from another process.
+func BenchmarkTakeWhole(b *testing.B) {
 	benchmarkSizes(b, func(b *testing.B, snapshot Snapshot) {
-		data, err := EncodeSnapshot(snapshot)
-		if err != nil {
-			b.Fatal(err)
-		}
+		data := wholeUpdate(b, snapshot)
 		for b.Loop() {
-			if _, err := DecodeSnapshot(data); err != nil {
+			if _, err := NewRelay().Take(data); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/pkg/lists/chunks.go
+++ b/pkg/lists/chunks.go
@@ -190,26 +190,3 @@
 	}
 	return out, nil
 }
-
-// EncodeSnapshot returns the JSON form of a snapshot, compressed with deflate,
-// in which processes pass it on to each other.
-func EncodeSnapshot(snapshot Snapshot) ([]byte, error) {
-	data, err := json.Marshal(snapshot)
-	if err != nil {
-		return nil, fmt.Errorf("lists: encode snapshot: %w", err)
-	}
-	return deflate(data)
-}
-
-// DecodeSnapshot reads what EncodeSnapshot wrote.
-func DecodeSnapshot(data []byte) (Snapshot, error) {
-	raw, err := inflate(data, 2*MaxDocumentBytes)
-	if err != nil {
-		return Snapshot{}, fmt.Errorf("lists: decode snapshot: %w", err)
-	}
-	var snapshot Snapshot
-	if err := schema.Decode(raw, &snapshot); err != nil {
-		return Snapshot{}, fmt.Errorf("lists: decode snapshot: %w", err)
-	}
-	return snapshot, nil
-}
--- a/pkg/lists/store_test.go
+++ b/pkg/lists/store_test.go
@@ -345,11 +345,8 @@
 func TestSnapshotTransfer(t *testing.T) {
 	plans, allowances := sample()
 	want := Snapshot{Revision: 5, Plans: plans, Allowances: allowances}
-	data, err := EncodeSnapshot(want)
-	if err != nil {
-		t.Fatal(err)
-	}
-	got, err := DecodeSnapshot(data)
+	data := wholeUpdate(t, want)
+	got, err := NewRelay().Take(data)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -358,7 +355,21 @@
 	if string(gotJSON) != string(wantJSON) {
 		t.Errorf("got %s\nwant %s", gotJSON, wantJSON)
 	}
-	if _, err := DecodeSnapshot(data[:len(data)/2]); err == nil {
+	if _, err := NewRelay().Take(data[:len(data)/2]); err == nil {
 		t.Error("cut snapshot was read")
 	}
 }
+
+// wholeUpdate returns what a process without lists gets.
+func wholeUpdate(tb testing.TB, snapshot Snapshot) []byte {
+	tb.Helper()
+	relay := NewRelay()
+	if _, err := relay.Publish(snapshot); err != nil {
+		tb.Fatal(err)
+	}
+	data, err := relay.Update(0)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return data
+}
