Ask the ownership of models in the host poller, too

Cause: the poller hashed over all entries again for each missing runner's permit, beside the ownership that the decider and the prober keep. Change: it keeps one of its own, as each goroutine does. Behaviour stays. Ruled out: one for all goroutines, which would need a lock. Measured: vet and staticcheck of pkg/entry clean, its tests pass with the race detector, TestReclaimedHost and TestWholePath pass (41.7 s).

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -170,6 +170,8 @@
 		node:     e.node,
 		metrics:  e.metrics,
 		logger:   e.logger,
+
+		ownership: newOwnership(self),
 	}
 	e.wait.Go(func() { hosts.run(ctx) })
 	e.wait.Go(func() { follow.run(ctx) })
--- a/pkg/entry/hosts.go
+++ b/pkg/entry/hosts.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
-	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/placement"
 	"teaselgauge.example/teaselgauge/pkg/platform"
@@ -24,6 +23,8 @@
 	node     *wire.Node
 	metrics  *metrics.Entry
 	logger   *slog.Logger
+	// ownership is this goroutine's own.
+	ownership *ownership
 }
 
 // run polls until ctx ends.
@@ -62,13 +63,13 @@
 
 func (p *hostPoller) ownsMissing() bool {
 	members := p.control.current().members
+	p.ownership.update(members)
 	for _, known := range p.control.feed.allPlacements() {
 		for _, permit := range known.Permits {
 			if !members.Missing(permit.Runner) {
 				continue
 			}
-			id := placement.Of(&known).String()
-			if membership.RendezvousOwner(id, entryIDs(members)) == p.source.self {
+			if p.ownership.owns(placement.Of(&known)) {
 				return true
 			}
 		}
