--- a/pkg/adminapi/handler_test.go
+++ b/pkg/adminapi/handler_test.go
@@ -15,9 +15,9 @@
 	"testing"
 
 	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
 	"teaselgauge.example/teaselgauge/pkg/lists"
-	"teaselgauge.example/teaselgauge/pkg/platform"
-	"teaselgauge.example/teaselgauge/pkg/platform/platformtest"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
@@ -30,7 +30,7 @@
 
 type fixture struct {
 	server *httptest.Server
-	kv     *platformtest.Store
+	kv     *keyvaluetest.Store
 	log    *bytes.Buffer
 }
 
@@ -40,7 +40,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{kv: platformtest.NewStore(1), log: &bytes.Buffer{}}
+	f := &fixture{kv: keyvaluetest.NewStore(1), log: &bytes.Buffer{}}
 	f.server = httptest.NewServer(New(Config{
 		Credentials: []settings.AdminCredential{
 			{Name: "ann", TokenHash: keys.HashAPIKey(editorToken), Role: settings.AdminEditor},
@@ -150,7 +150,7 @@
 
 // TestFailures checks what a client makes of the failures of the lists.
 func TestFailures(t *testing.T) {
-	cause := &platform.StoreError{Op: "txn", Err: platformtest.ErrDown}
+	cause := &keyvalue.StoreError{Op: "txn", Err: keyvaluetest.ErrDown}
 	cases := []struct {
 		name   string
 		err    error
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -15,10 +15,11 @@
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/loading"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -43,8 +44,8 @@
 	version     string
 	logger      *slog.Logger
 	incarnation string
-	store       platform.KeyValueStore
-	lister      platform.HostLister
+	store       keyvalue.Store
+	lister      hostlist.Lister
 	controller  *controller
 	node        *wire.Node
 	directory   *entryDirectory
@@ -80,13 +81,13 @@
 		return err
 	}
 	a.guard = guard
-	store, err := platform.NewEtcd(a.config.KeyValue)
+	store, err := keyvalue.NewEtcd(a.config.KeyValue)
 	if err != nil {
 		return err
 	}
 	a.metrics = metrics.NewAgent(a.registry.Scope())
-	a.store = platform.WithPrefix(platform.WithObserver(store, a.metrics.ObserveKeyValue), a.config.KeyValue.Prefix)
-	a.lister = platform.NewHostList(a.config.HostList)
+	a.store = keyvalue.WithPrefix(keyvalue.WithObserver(store, a.metrics.ObserveKeyValue), a.config.KeyValue.Prefix)
+	a.lister = hostlist.New(a.config.HostList)
 	a.directory = &entryDirectory{
 		host:   a.config.Host,
 		lister: a.lister,
--- a/pkg/agent/keyed.go
+++ b/pkg/agent/keyed.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/once"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -21,7 +21,7 @@
 
 // recordStore reads and creates records of idempotency keys.
 type recordStore struct {
-	store platform.KeyValueStore
+	store keyvalue.Store
 	// lease and leaseUntil are used by one goroutine at a time, see create.
 	lease      int64
 	leaseUntil time.Time
@@ -34,7 +34,7 @@
 	for len(batch.Writes) > 0 {
 		existing, err := s.createAll(ctx, batch)
 		if err != nil {
-			return append(events, batch.Failed(platform.IsUncertain(err))...)
+			return append(events, batch.Failed(keyvalue.IsUncertain(err))...)
 		}
 		if existing == nil {
 			return append(events, batch.Created()...)
@@ -56,8 +56,8 @@
 	if err != nil {
 		return nil, err
 	}
-	conditions := make([]platform.Compare, 0, len(batch.Writes))
-	changes := make([]platform.Op, 0, len(batch.Writes))
+	conditions := make([]keyvalue.Compare, 0, len(batch.Writes))
+	changes := make([]keyvalue.Op, 0, len(batch.Writes))
 	keys := make(map[string]once.Key, len(batch.Writes))
 	for _, write := range batch.Writes {
 		value, err := write.Record.Encode()
@@ -66,8 +66,8 @@
 		}
 		storeKey := write.Key.StoreKey()
 		keys[storeKey] = write.Key
-		conditions = append(conditions, platform.Compare{Key: storeKey})
-		changes = append(changes, platform.Op{Key: storeKey, Value: value, Lease: lease})
+		conditions = append(conditions, keyvalue.Compare{Key: storeKey})
+		changes = append(changes, keyvalue.Op{Key: storeKey, Value: value, Lease: lease})
 	}
 	result, err := s.store.Txn(ctx, conditions, changes)
 	if err != nil {
@@ -81,7 +81,7 @@
 
 // existingRecords returns the records that stand in the way of a batch. One that
 // can't be read counts as a record without an owner.
-func existingRecords(current []platform.KeyValue, keys map[string]once.Key) map[once.Key]once.Record {
+func existingRecords(current []keyvalue.KeyValue, keys map[string]once.Key) map[once.Key]once.Record {
 	existing := make(map[once.Key]once.Record, len(current))
 	for _, value := range current {
 		if value.ModRevision == 0 {
@@ -148,7 +148,7 @@
 // recordBatchQueue is how many batches may wait for the key-value service.
 const recordBatchQueue = 256
 
-func newKeyedCalls(c *controller, store platform.KeyValueStore) *keyedCalls {
+func newKeyedCalls(c *controller, store keyvalue.Store) *keyedCalls {
 	return &keyedCalls{
 		controller: c,
 		machine:    once.NewMachine(once.Config{Agent: c.runner, Incarnation: c.incarnation}),
--- a/pkg/agent/orders.go
+++ b/pkg/agent/orders.go
@@ -9,8 +9,8 @@
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/engine"
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/placement"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -31,7 +31,7 @@
 	ctx         context.Context
 	loop        *eventloop.Loop
 	engine      engine.Engine
-	store       platform.KeyValueStore
+	store       keyvalue.Store
 	table       *modelTable
 	incarnation string
 	fence       int64
@@ -111,7 +111,7 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
 	defer cancel()
-	result, err := o.store.Txn(ctx, []platform.Compare{condition}, []platform.Op{op})
+	result, err := o.store.Txn(ctx, []keyvalue.Compare{condition}, []keyvalue.Op{op})
 	if err != nil || !result.Succeeded {
 		return failed
 	}
--- a/pkg/agent/sync.go
+++ b/pkg/agent/sync.go
@@ -8,9 +8,10 @@
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/placement"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -38,7 +39,7 @@
 // entryDirectory knows the entries that this agent talks to.
 type entryDirectory struct {
 	host   settings.Host
-	lister platform.HostLister
+	lister hostlist.Lister
 	logger *slog.Logger
 	seed   uint64
 	// runnersChanged is told how many model runners are listed.
@@ -150,7 +151,7 @@
 type permitReader struct {
 	loop      *eventloop.Loop
 	table     *modelTable
-	store     platform.KeyValueStore
+	store     keyvalue.Store
 	node      *wire.Node
 	directory *entryDirectory
 	logger    *slog.Logger
--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -14,8 +14,8 @@
 
 	"teaselgauge.example/teaselgauge/pkg/adminapi"
 	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
 	"teaselgauge.example/teaselgauge/pkg/lists"
-	"teaselgauge.example/teaselgauge/pkg/platform/platformtest"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
@@ -68,7 +68,7 @@
 	return path
 }
 
-func startAPI(t *testing.T, kv *platformtest.Store) {
+func startAPI(t *testing.T, kv *keyvaluetest.Store) {
 	t.Helper()
 	server := httptest.NewServer(adminapi.New(adminapi.Config{
 		Credentials: []settings.AdminCredential{{Name: "ann", TokenHash: keys.HashAPIKey(adminToken), Role: settings.AdminEditor}},
@@ -83,7 +83,7 @@
 }
 
 func TestListsCommands(t *testing.T) {
-	kv := platformtest.NewStore(1)
+	kv := keyvaluetest.NewStore(1)
 	startAPI(t, kv)
 	plans := write(t, "plans.json", fmt.Sprintf(`{"plans":[{"name":"gold","customer":"c","api_key_hashes":["%064x"],"weight":1}]}`, 1))
 	allowances := write(t, "allowances.json", `{"allowances":[{"plan":"gold"}]}`)
@@ -108,7 +108,7 @@
 	expect(t, ExitOK, "revision 3", "lists", "get", "--plans", copied)
 	expect(t, ExitOK, "1 plans", "lists", "check", "--plans", copied, "--allowances", allowances)
 
-	kv.SetFaults(platformtest.Faults{Down: true})
+	kv.SetFaults(keyvaluetest.Faults{Down: true})
 	expect(t, ExitFailure, "unavailable", "lists", "get")
 	t.Setenv(envAdminToken, "tg_wrong")
 	expect(t, ExitFailure, "unauthorized", "lists", "get")
@@ -116,7 +116,7 @@
 }
 
 func TestStatusAndDump(t *testing.T) {
-	startAPI(t, platformtest.NewStore(1))
+	startAPI(t, keyvaluetest.NewStore(1))
 	output := expect(t, ExitOK, "stored revision 5 is not in force", "status")
 	for _, want := range []string{"host entry-1, lists revision 4", "r1      a               live", "leaving", "unreachable", "gold"} {
 		if !strings.Contains(output, want) {
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/loading"
 	"teaselgauge.example/teaselgauge/pkg/membership"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/routing"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -84,14 +84,14 @@
 }
 
 // hostsListed takes in a reading of the host list by this entry.
-func (c *control) hostsListed(now time.Time, hosts []platform.Host) {
+func (c *control) hostsListed(now time.Time, hosts []hostlist.Host) {
 	c.members.HostsListed(now, hosts)
 	c.dirty = true
 	c.publishMembers()
 }
 
 // hostsRelayed takes in a host list that may be old.
-func (c *control) hostsRelayed(now time.Time, hosts []platform.Host) {
+func (c *control) hostsRelayed(now time.Time, hosts []hostlist.Host) {
 	c.members.HostsRelayed(now, hosts)
 	c.dirty = true
 	c.publishMembers()
--- a/pkg/entry/decide.go
+++ b/pkg/entry/decide.go
@@ -5,10 +5,10 @@
 	"log/slog"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/placement"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -28,7 +28,7 @@
 type deciderLoop struct {
 	ownership *ownership
 	control   *control
-	store     platform.KeyValueStore
+	store     keyvalue.Store
 	decider   placement.Decider
 	metrics   *metrics.Entry
 	logger    *slog.Logger
@@ -36,7 +36,7 @@
 	wake chan struct{}
 }
 
-func newDeciderLoop(self string, c *control, store platform.KeyValueStore, metered *metrics.Entry, logger *slog.Logger) *deciderLoop {
+func newDeciderLoop(self string, c *control, store keyvalue.Store, metered *metrics.Entry, logger *slog.Logger) *deciderLoop {
 	return &deciderLoop{
 		ownership: newOwnership(self),
 		control:   c,
@@ -177,9 +177,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	result, err := d.store.Txn(callCtx, []platform.Compare{condition}, []platform.Op{op})
+	result, err := d.store.Txn(callCtx, []keyvalue.Compare{condition}, []keyvalue.Op{op})
 	if err != nil {
-		d.logger.Warn("placement not written", "model", id.String(), "uncertain", platform.IsUncertain(err), "error", err)
+		d.logger.Warn("placement not written", "model", id.String(), "uncertain", keyvalue.IsUncertain(err), "error", err)
 		return
 	}
 	if !result.Succeeded {
@@ -206,7 +206,7 @@
 	}
 }
 
-func (d *deciderLoop) takeCurrent(result platform.TxnResult) {
+func (d *deciderLoop) takeCurrent(result keyvalue.TxnResult) {
 	for _, value := range result.Current {
 		if value.ModRevision == 0 {
 			continue
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -15,11 +15,12 @@
 
 	"teaselgauge.example/teaselgauge/pkg/adminapi"
 	"teaselgauge.example/teaselgauge/pkg/callers"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/loading"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/routing"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/state"
@@ -43,8 +44,8 @@
 	config   settings.Entry
 	version  string
 	logger   *slog.Logger
-	store    platform.KeyValueStore
-	lister   platform.HostLister
+	store    keyvalue.Store
+	lister   hostlist.Lister
 	control  *control
 	lists    *lists.Store
 	decider  *deciderLoop
@@ -84,13 +85,13 @@
 
 // provision opens the clients and the inner socket.
 func (e *Entry) provision() error {
-	store, err := platform.NewEtcd(e.config.KeyValue)
+	store, err := keyvalue.NewEtcd(e.config.KeyValue)
 	if err != nil {
 		return err
 	}
 	e.metrics = metrics.NewEntry(e.registry.Scope())
-	e.store = platform.WithPrefix(platform.WithObserver(store, e.metrics.ObserveKeyValue), e.config.KeyValue.Prefix)
-	e.lister = platform.NewHostList(e.config.HostList)
+	e.store = keyvalue.WithPrefix(keyvalue.WithObserver(store, e.metrics.ObserveKeyValue), e.config.KeyValue.Prefix)
+	e.lister = hostlist.New(e.config.HostList)
 	e.lists = lists.NewStore(e.store, "")
 	e.control = newControl(loading.StoreLimits{
 		StartsPerSecond: e.config.WeightStore.LoadsPerSecond,
--- a/pkg/entry/feed.go
+++ b/pkg/entry/feed.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/hostrelay"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/placement"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -58,7 +58,7 @@
 }
 
 // setHosts records a reading of the host list.
-func (f *feed) setHosts(listing *platform.Listing) error {
+func (f *feed) setHosts(listing *hostlist.Listing) error {
 	isNews, err := f.hosts.Publish(listing)
 	if !isNews || err != nil {
 		return err
--- a/pkg/entry/hosts.go
+++ b/pkg/entry/hosts.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/placement"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -16,7 +16,7 @@
 // entries that watch the key-value service read the list; the others get it from
 // them, and read it themselves while they reach none.
 type hostPoller struct {
-	lister   platform.HostLister
+	lister   hostlist.Lister
 	interval time.Duration
 	control  *control
 	source   *source
--- a/pkg/entry/source.go
+++ b/pkg/entry/source.go
@@ -11,11 +11,11 @@
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/hostrelay"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/placement"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -44,7 +44,7 @@
 type source struct {
 	self    string
 	control *control
-	store   platform.KeyValueStore
+	store   keyvalue.Store
 	lists   *lists.Store
 	node    *wire.Node
 	metrics *metrics.Entry
@@ -157,7 +157,7 @@
 	return result.Revision, nil
 }
 
-func (s *source) decode(values []platform.KeyValue) []wire.Placement {
+func (s *source) decode(values []keyvalue.KeyValue) []wire.Placement {
 	placements := make([]wire.Placement, 0, len(values))
 	for _, value := range values {
 		decoded, err := placement.Decode(value)
@@ -186,8 +186,8 @@
 }
 
 func (s *source) watchPlacements(ctx context.Context, after int64) error {
-	return s.store.Watch(ctx, placement.KeyPrefix, after, func(revision int64, events []platform.WatchEvent) {
-		var values []platform.KeyValue
+	return s.store.Watch(ctx, placement.KeyPrefix, after, func(revision int64, events []keyvalue.WatchEvent) {
+		var values []keyvalue.KeyValue
 		for _, event := range events {
 			if !event.Deleted {
 				values = append(values, event.Value)
@@ -202,7 +202,7 @@
 	var readErr error
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	err := s.store.Watch(watchCtx, s.lists.ManifestKey(), after, func(int64, []platform.WatchEvent) {
+	err := s.store.Watch(watchCtx, s.lists.ManifestKey(), after, func(int64, []keyvalue.WatchEvent) {
 		callCtx, cancelCall := context.WithTimeout(ctx, storeTimeout)
 		defer cancelCall()
 		if readErr = s.readLists(callCtx); readErr != nil {
--- a/pkg/platform/hostlist.go
+++ b/pkg/hostlist/hostlist.go
@@ -1,4 +1,4 @@
-package platform
+package hostlist
 
 import (
 	"context"
@@ -8,28 +8,34 @@
 	"sync"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/httpjson"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
-const hostListTimeout = 5 * time.Second
+const (
+	readTimeout = 5 * time.Second
+	maxConns    = 2
+	// maxListBytes bounds one reading of the list.
+	maxListBytes = 64 << 20
+)
 
-// HostListError is a failure of the platform's list of hosts.
-type HostListError struct {
+// Error is a failure of the platform's list of hosts.
+type Error struct {
 	Err error
 }
 
 // Error implements error.
-func (e *HostListError) Error() string {
+func (e *Error) Error() string {
 	return "host list: " + e.Err.Error()
 }
 
 // Unwrap returns the cause.
-func (e *HostListError) Unwrap() error { return e.Err }
+func (e *Error) Unwrap() error { return e.Err }
 
-// HostList reads the platform's list of hosts over HTTP. Where the platform
+// List reads the platform's list of hosts over HTTP. Where the platform
 // gives entity tags, an unchanged list isn't sent again. It is safe for
 // concurrent use.
-type HostList struct {
+type List struct {
 	url    string
 	client *http.Client
 
@@ -39,59 +45,59 @@
 	last *Listing
 }
 
-var _ HostLister = (*HostList)(nil)
+var _ Lister = (*List)(nil)
 
-// NewHostList returns a reader of the list in the settings. It opens no
+// New returns a reader of the list in the settings. It opens no
 // connection.
-func NewHostList(config settings.HostList) *HostList {
-	return &HostList{
+func New(config settings.HostList) *List {
+	return &List{
 		url: config.URL,
 		client: &http.Client{
-			Transport:     newTransport(),
-			CheckRedirect: refuseRedirect,
-			Timeout:       hostListTimeout,
+			Transport:     httpjson.NewTransport(maxConns),
+			CheckRedirect: httpjson.RefuseRedirect,
+			Timeout:       readTimeout,
 		},
 	}
 }
 
 // Close closes the idle connections.
-func (l *HostList) Close() {
+func (l *List) Close() {
 	l.client.CloseIdleConnections()
 }
 
-// Hosts reads the list. Errors are *HostListError.
-func (l *HostList) Hosts(ctx context.Context) (*Listing, error) {
+// Hosts reads the list. Errors are *Error.
+func (l *List) Hosts(ctx context.Context) (*Listing, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
 	if err != nil {
-		return nil, &HostListError{Err: err}
+		return nil, &Error{Err: err}
 	}
 	if l.tag != "" {
 		request.Header.Set("If-None-Match", l.tag)
 	}
 	answer, err := l.client.Do(request)
 	if err != nil {
-		return nil, &HostListError{Err: err}
+		return nil, &Error{Err: err}
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode == http.StatusNotModified && l.last != nil {
 		return l.last, nil
 	}
 	if answer.StatusCode != http.StatusOK {
-		return nil, &HostListError{Err: statusError(answer)}
+		return nil, &Error{Err: httpjson.StatusError(answer)}
 	}
 	return l.take(answer)
 }
 
 // take reads a list that has changed, or may have.
-func (l *HostList) take(answer *http.Response) (*Listing, error) {
+func (l *List) take(answer *http.Response) (*Listing, error) {
 	var hosts []Host
-	if err := decodeBounded(answer.Body, &hosts); err != nil {
-		return nil, &HostListError{Err: err}
+	if err := httpjson.Decode(answer.Body, maxListBytes, &hosts); err != nil {
+		return nil, &Error{Err: err}
 	}
 	if err := checkHosts(hosts); err != nil {
-		return nil, &HostListError{Err: err}
+		return nil, &Error{Err: err}
 	}
 	l.tag = answer.Header.Get("ETag")
 	l.last = &Listing{Hosts: hosts}
--- a/pkg/platform/main_test.go
+++ b/pkg/hostlist/main_test.go
@@ -1,4 +1,4 @@
-package platform
+package hostlist
 
 import (
 	"testing"
--- a/pkg/hostrelay/hostrelay.go
+++ b/pkg/hostrelay/hostrelay.go
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -27,7 +27,7 @@
 // version is one list, sorted by id.
 type version struct {
 	sum     uint64
-	listing *platform.Listing
+	listing *hostlist.Listing
 }
 
 // Relay holds the newest host list and some before it. It is safe for concurrent
@@ -35,7 +35,7 @@
 type Relay struct {
 	mu sync.Mutex
 	// source is the listing that was published last, before sorting.
-	source   *platform.Listing
+	source   *hostlist.Listing
 	versions []version
 }
 
@@ -44,20 +44,20 @@
 
 // Publish makes a listing the newest one and tells whether it differs from the
 // one before.
-func (r *Relay) Publish(listing *platform.Listing) (bool, error) {
+func (r *Relay) Publish(listing *hostlist.Listing) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if listing == r.source {
 		return false, nil
 	}
 	sorted := slices.Clone(listing.Hosts)
-	slices.SortFunc(sorted, func(a, b platform.Host) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(sorted, func(a, b hostlist.Host) int { return cmp.Compare(a.ID, b.ID) })
 	sum, err := digest(sorted)
 	if err != nil {
 		return false, err
 	}
 	r.source = listing
-	return r.add(version{sum: sum, listing: &platform.Listing{Hosts: sorted}}), nil
+	return r.add(version{sum: sum, listing: &hostlist.Listing{Hosts: sorted}}), nil
 }
 
 // add appends a version unless it is the newest already.
@@ -73,7 +73,7 @@
 }
 
 // digest names a sorted list. Zero is kept for no list.
-func digest(hosts []platform.Host) (uint64, error) {
+func digest(hosts []hostlist.Host) (uint64, error) {
 	hash := xxhash.New()
 	encoder := json.NewEncoder(hash)
 	for i := range hosts {
@@ -92,7 +92,7 @@
 }
 
 // Current returns the newest list, or nil.
-func (r *Relay) Current() *platform.Listing {
+func (r *Relay) Current() *hostlist.Listing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.newest().listing
@@ -124,7 +124,7 @@
 	return update
 }
 
-func (r *Relay) find(sum uint64) *platform.Listing {
+func (r *Relay) find(sum uint64) *hostlist.Listing {
 	for _, known := range r.versions {
 		if known.sum == sum {
 			return known.listing
@@ -134,7 +134,7 @@
 }
 
 // difference compares two sorted lists.
-func difference(from, to []platform.Host) *wire.HostUpdate {
+func difference(from, to []hostlist.Host) *wire.HostUpdate {
 	before := byID(from)
 	update := &wire.HostUpdate{}
 	for _, host := range to {
@@ -151,15 +151,15 @@
 	return update
 }
 
-func byID(hosts []platform.Host) map[string]platform.Host {
-	index := make(map[string]platform.Host, len(hosts))
+func byID(hosts []hostlist.Host) map[string]hostlist.Host {
+	index := make(map[string]hostlist.Host, len(hosts))
 	for _, host := range hosts {
 		index[host.ID] = host
 	}
 	return index
 }
 
-func equal(a, b platform.Host) bool {
+func equal(a, b hostlist.Host) bool {
 	return a.ID == b.ID && a.Role == b.Role && a.State == b.State &&
 		a.FailureDomain == b.FailureDomain && a.Region == b.Region &&
 		a.Address == b.Address && slices.Equal(a.Services, b.Services)
@@ -186,11 +186,11 @@
 		return fmt.Errorf("host list %x instead of %x: %w", sum, update.Sum, ErrOtherBase)
 	}
 	r.source = nil
-	r.add(version{sum: sum, listing: &platform.Listing{Hosts: hosts}})
+	r.add(version{sum: sum, listing: &hostlist.Listing{Hosts: hosts}})
 	return nil
 }
 
-func apply(base []platform.Host, update *wire.HostUpdate) []platform.Host {
+func apply(base []hostlist.Host, update *wire.HostUpdate) []hostlist.Host {
 	index := byID(base)
 	for _, id := range update.Removed {
 		delete(index, id)
@@ -198,10 +198,10 @@
 	for _, host := range update.Hosts {
 		index[host.ID] = host
 	}
-	hosts := make([]platform.Host, 0, len(index))
+	hosts := make([]hostlist.Host, 0, len(index))
 	for _, host := range index {
 		hosts = append(hosts, host)
 	}
-	slices.SortFunc(hosts, func(a, b platform.Host) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(hosts, func(a, b hostlist.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return hosts
 }
--- a/pkg/hostrelay/hostrelay_test.go
+++ b/pkg/hostrelay/hostrelay_test.go
@@ -7,15 +7,15 @@
 
 	"pgregory.net/rapid"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 )
 
-func genListing(t *rapid.T) *platform.Listing {
-	listing := &platform.Listing{}
+func genListing(t *rapid.T) *hostlist.Listing {
+	listing := &hostlist.Listing{}
 	for i := range rapid.IntRange(1, 6).Draw(t, "hosts") {
-		state := rapid.SampledFrom([]platform.HostState{platform.HostLive, platform.HostLeaving}).Draw(t, "state")
+		state := rapid.SampledFrom([]hostlist.State{hostlist.Live, hostlist.Leaving}).Draw(t, "state")
 		if rapid.Bool().Draw(t, "listed") {
-			listing.Hosts = append(listing.Hosts, platform.Host{ID: fmt.Sprint(6 - i), Role: platform.RoleAgent, State: state})
+			listing.Hosts = append(listing.Hosts, hostlist.Host{ID: fmt.Sprint(6 - i), Role: hostlist.RoleAgent, State: state})
 		}
 	}
 	return listing
@@ -49,12 +49,12 @@
 
 func TestRelaySendsDifferences(t *testing.T) {
 	source, receiver := New(), New()
-	publish := func(hosts ...platform.Host) {
-		if _, err := source.Publish(&platform.Listing{Hosts: hosts}); err != nil {
+	publish := func(hosts ...hostlist.Host) {
+		if _, err := source.Publish(&hostlist.Listing{Hosts: hosts}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	a, b, c := platform.Host{ID: "a"}, platform.Host{ID: "b"}, platform.Host{ID: "c"}
+	a, b, c := hostlist.Host{ID: "a"}, hostlist.Host{ID: "b"}, hostlist.Host{ID: "c"}
 	publish(a, b)
 	first := source.Sum()
 	publish(c, b)
--- a/pkg/platform/etcd.go
+++ b/pkg/keyvalue/etcd.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"bytes"
@@ -6,14 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/httpjson"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
@@ -43,7 +42,7 @@
 	preferred atomic.Int64
 }
 
-var _ KeyValueStore = (*Etcd)(nil)
+var _ Store = (*Etcd)(nil)
 
 // NewEtcd returns a client of the endpoints in the settings. It opens no
 // connection.
@@ -62,7 +61,7 @@
 	return &Etcd{
 		endpoints: endpoints,
 		timeout:   timeout,
-		client:    &http.Client{Transport: newTransport(), CheckRedirect: refuseRedirect},
+		client:    &http.Client{Transport: httpjson.NewTransport(maxConnsPerEndpoint), CheckRedirect: httpjson.RefuseRedirect},
 	}, nil
 }
 
@@ -198,9 +197,9 @@
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
-		return callOutcome{err: statusError(answer), delivered: true, refused: isRefusal(answer.StatusCode)}
+		return callOutcome{err: httpjson.StatusError(answer), delivered: true, refused: isRefusal(answer.StatusCode)}
 	}
-	return callOutcome{err: decodeBounded(answer.Body, response), delivered: true}
+	return callOutcome{err: httpjson.Decode(answer.Body, maxResponseBytes, response), delivered: true}
 }
 
 // isRefusal tells whether a status says that the request changed nothing. Other
@@ -224,45 +223,3 @@
 	request.Header.Set("Content-Type", "application/json")
 	return request, nil
 }
-
-func statusError(answer *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxErrorBytes))
-	return fmt.Errorf("status %d: %s", answer.StatusCode, bytes.TrimSpace(text))
-}
-
-func decodeBounded(body io.Reader, into any) error {
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err != nil {
-		return fmt.Errorf("read response: %w", err)
-	}
-	if len(data) > maxResponseBytes {
-		return errResponseTooLarge
-	}
-	if err := json.Unmarshal(data, into); err != nil {
-		return fmt.Errorf("decode response: %w", err)
-	}
-	return nil
-}
-
-func refuseRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-	}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     maxConnsPerEndpoint,
-		MaxIdleConnsPerHost: maxConnsPerEndpoint,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
-}
--- a/pkg/platform/etcd_messages.go
+++ b/pkg/keyvalue/etcd_messages.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 // The messages of etcd's v3 JSON gateway: bytes are base64 strings and 64-bit
 // integers are decimal strings. Fields at their zero value are left out.
--- a/pkg/platform/etcd_watch.go
+++ b/pkg/keyvalue/etcd_watch.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/httpjson"
 )
 
 // errWatchEnded tells that the service closed the stream of a watch.
@@ -72,7 +74,7 @@
 	}
 	if answer.StatusCode != http.StatusOK {
 		defer answer.Body.Close()
-		return nil, statusError(answer)
+		return nil, httpjson.StatusError(answer)
 	}
 	e.preferred.Store(int64(index))
 	return answer.Body, nil
@@ -85,7 +87,7 @@
 		var message watchMessage
 		if err := decoder.Decode(&message); err != nil {
 			if bounded.N <= 0 {
-				return errResponseTooLarge
+				return httpjson.ErrTooLarge
 			}
 			return fmt.Errorf("%w: %w", errWatchEnded, err)
 		}
--- a/pkg/platform/platformtest/store.go
+++ b/pkg/keyvalue/keyvaluetest/store.go
@@ -1,6 +1,6 @@
-// Package platformtest has an in-memory key-value service for tests. It keeps
+// Package keyvaluetest has an in-memory key-value service for tests. It keeps
 // revisions, compare-and-swap, leases and watches, and it fails on demand.
-package platformtest
+package keyvaluetest
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 )
 
 // ErrDown is the cause of failures while the store is down.
@@ -35,14 +35,14 @@
 	MaxDelay time.Duration
 }
 
-// Store implements platform.KeyValueStore in memory.
+// Store implements keyvalue.Store in memory.
 type Store struct {
 	mu       sync.Mutex
 	random   *rand.Rand
 	faults   Faults
 	revision int64
 	first    int64
-	values   map[string]platform.KeyValue
+	values   map[string]keyvalue.KeyValue
 	leases   map[string]int64
 	nextID   int64
 	log      []change
@@ -53,14 +53,14 @@
 // change is one entry of the history that watches read.
 type change struct {
 	revision int64
-	events   []platform.WatchEvent
+	events   []keyvalue.WatchEvent
 }
 
 // NewStore returns an empty, healthy store. The seed drives its faults.
 func NewStore(seed uint64) *Store {
 	return &Store{
 		random:  rand.New(rand.NewPCG(seed, seed)),
-		values:  make(map[string]platform.KeyValue),
+		values:  make(map[string]keyvalue.KeyValue),
 		leases:  make(map[string]int64),
 		changed: make(chan struct{}),
 	}
@@ -90,19 +90,19 @@
 	s.wake()
 }
 
-// Range implements platform.KeyValueStore.
-func (s *Store) Range(ctx context.Context, key string, prefix bool) (platform.RangeResult, error) {
+// Range implements keyvalue.Store.
+func (s *Store) Range(ctx context.Context, key string, prefix bool) (keyvalue.RangeResult, error) {
 	if err := s.begin(ctx, "range"); err != nil {
-		return platform.RangeResult{}, err
+		return keyvalue.RangeResult{}, err
 	}
 	result := s.read(key, prefix)
 	return result, s.delay(ctx, "range")
 }
 
-func (s *Store) read(key string, prefix bool) platform.RangeResult {
+func (s *Store) read(key string, prefix bool) keyvalue.RangeResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := platform.RangeResult{Revision: s.revision}
+	result := keyvalue.RangeResult{Revision: s.revision}
 	for _, name := range slices.Sorted(maps.Keys(s.values)) {
 		if name == key || prefix && strings.HasPrefix(name, key) {
 			result.Values = append(result.Values, clone(s.values[name]))
@@ -111,34 +111,34 @@
 	return result
 }
 
-// Txn implements platform.KeyValueStore.
-func (s *Store) Txn(ctx context.Context, conditions []platform.Compare, changes []platform.Op) (platform.TxnResult, error) {
+// Txn implements keyvalue.Store.
+func (s *Store) Txn(ctx context.Context, conditions []keyvalue.Compare, changes []keyvalue.Op) (keyvalue.TxnResult, error) {
 	if err := s.begin(ctx, "txn"); err != nil {
-		return platform.TxnResult{}, err
+		return keyvalue.TxnResult{}, err
 	}
 	result, lost := s.commit(conditions, changes)
 	if lost {
-		return platform.TxnResult{}, &platform.StoreError{Op: "txn", Uncertain: true, Err: ErrAnswerLost}
+		return keyvalue.TxnResult{}, &keyvalue.StoreError{Op: "txn", Uncertain: true, Err: ErrAnswerLost}
 	}
 	return result, s.delay(ctx, "txn")
 }
 
 // commit applies a transaction and tells whether its answer is lost.
-func (s *Store) commit(conditions []platform.Compare, changes []platform.Op) (platform.TxnResult, bool) {
+func (s *Store) commit(conditions []keyvalue.Compare, changes []keyvalue.Op) (keyvalue.TxnResult, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.random.Float64() < s.faults.LoseRequests {
-		return platform.TxnResult{}, true
+		return keyvalue.TxnResult{}, true
 	}
 	lost := s.random.Float64() < s.faults.LoseAnswers
 	if !s.hold(conditions) {
-		return platform.TxnResult{Revision: s.revision, Current: s.compared(conditions)}, lost
+		return keyvalue.TxnResult{Revision: s.revision, Current: s.compared(conditions)}, lost
 	}
 	s.apply(changes)
-	return platform.TxnResult{Succeeded: true, Revision: s.revision}, lost
+	return keyvalue.TxnResult{Succeeded: true, Revision: s.revision}, lost
 }
 
-func (s *Store) hold(conditions []platform.Compare) bool {
+func (s *Store) hold(conditions []keyvalue.Compare) bool {
 	for _, condition := range conditions {
 		if s.values[condition.Key].ModRevision != condition.ModRevision {
 			return false
@@ -147,8 +147,8 @@
 	return true
 }
 
-func (s *Store) compared(conditions []platform.Compare) []platform.KeyValue {
-	var current []platform.KeyValue
+func (s *Store) compared(conditions []keyvalue.Compare) []keyvalue.KeyValue {
+	var current []keyvalue.KeyValue
 	for _, condition := range conditions {
 		if value, ok := s.values[condition.Key]; ok {
 			current = append(current, clone(value))
@@ -157,7 +157,7 @@
 	return current
 }
 
-func (s *Store) apply(changes []platform.Op) {
+func (s *Store) apply(changes []keyvalue.Op) {
 	if len(changes) == 0 {
 		return
 	}
@@ -172,15 +172,15 @@
 	s.wake()
 }
 
-func (s *Store) applyOp(op platform.Op) (platform.WatchEvent, bool) {
+func (s *Store) applyOp(op keyvalue.Op) (keyvalue.WatchEvent, bool) {
 	old, existed := s.values[op.Key]
 	if op.Delete {
 		delete(s.values, op.Key)
 		delete(s.leases, op.Key)
-		value := platform.KeyValue{Key: op.Key, ModRevision: s.revision}
-		return platform.WatchEvent{Deleted: true, Value: value}, existed
+		value := keyvalue.KeyValue{Key: op.Key, ModRevision: s.revision}
+		return keyvalue.WatchEvent{Deleted: true, Value: value}, existed
 	}
-	value := platform.KeyValue{
+	value := keyvalue.KeyValue{
 		Key:            op.Key,
 		Value:          slices.Clone(op.Value),
 		CreateRevision: s.revision,
@@ -191,10 +191,10 @@
 	}
 	s.values[op.Key] = value
 	s.leases[op.Key] = op.Lease
-	return platform.WatchEvent{Value: clone(value)}, true
+	return keyvalue.WatchEvent{Value: clone(value)}, true
 }
 
-// Grant implements platform.KeyValueStore. Leases end only by Expire.
+// Grant implements keyvalue.Store. Leases end only by Expire.
 func (s *Store) Grant(ctx context.Context, _ time.Duration) (int64, error) {
 	if err := s.begin(ctx, "grant"); err != nil {
 		return 0, err
@@ -209,17 +209,17 @@
 func (s *Store) Expire(lease int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var changes []platform.Op
+	var changes []keyvalue.Op
 	for _, key := range slices.Sorted(maps.Keys(s.leases)) {
 		if lease != 0 && s.leases[key] == lease {
-			changes = append(changes, platform.Op{Key: key, Delete: true})
+			changes = append(changes, keyvalue.Op{Key: key, Delete: true})
 		}
 	}
 	s.apply(changes)
 }
 
-// Watch implements platform.KeyValueStore.
-func (s *Store) Watch(ctx context.Context, prefix string, after int64, fn func(int64, []platform.WatchEvent)) error {
+// Watch implements keyvalue.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64, fn func(int64, []keyvalue.WatchEvent)) error {
 	if err := s.begin(ctx, "watch"); err != nil {
 		return err
 	}
@@ -248,10 +248,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return nil, nil, &platform.StoreError{Op: "watch", Err: ErrDown}
+		return nil, nil, &keyvalue.StoreError{Op: "watch", Err: ErrDown}
 	}
 	if after < s.first {
-		return nil, nil, &platform.StoreError{Op: "watch", Err: platform.ErrCompacted}
+		return nil, nil, &keyvalue.StoreError{Op: "watch", Err: keyvalue.ErrCompacted}
 	}
 	start := len(s.log)
 	for start > 0 && s.log[start-1].revision > after {
@@ -260,8 +260,8 @@
 	return slices.Clone(s.log[start:]), s.changed, nil
 }
 
-func matching(events []platform.WatchEvent, prefix string) []platform.WatchEvent {
-	var found []platform.WatchEvent
+func matching(events []keyvalue.WatchEvent, prefix string) []keyvalue.WatchEvent {
+	var found []keyvalue.WatchEvent
 	for _, event := range events {
 		if strings.HasPrefix(event.Value.Key, prefix) {
 			found = append(found, event)
@@ -276,10 +276,10 @@
 	down := s.faults.Down
 	s.mu.Unlock()
 	if down {
-		return &platform.StoreError{Op: op, Err: ErrDown}
+		return &keyvalue.StoreError{Op: op, Err: ErrDown}
 	}
 	if err := s.sleep(ctx); err != nil {
-		return &platform.StoreError{Op: op, Err: err}
+		return &keyvalue.StoreError{Op: op, Err: err}
 	}
 	return nil
 }
@@ -288,7 +288,7 @@
 // taken effect.
 func (s *Store) delay(ctx context.Context, op string) error {
 	if err := s.sleep(ctx); err != nil {
-		return &platform.StoreError{Op: op, Uncertain: op == "txn", Err: err}
+		return &keyvalue.StoreError{Op: op, Uncertain: op == "txn", Err: err}
 	}
 	return nil
 }
@@ -320,7 +320,7 @@
 	s.changed = make(chan struct{})
 }
 
-func clone(value platform.KeyValue) platform.KeyValue {
+func clone(value keyvalue.KeyValue) keyvalue.KeyValue {
 	value.Value = slices.Clone(value.Value)
 	return value
 }
--- a/pkg/platform/platformtest/store_test.go
+++ b/pkg/keyvalue/keyvaluetest/store_test.go
@@ -1,4 +1,4 @@
-package platformtest
+package keyvaluetest
 
 import (
 	"context"
@@ -8,12 +8,12 @@
 	"testing"
 	"testing/synctest"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 )
 
-func put(t *testing.T, store *Store, key, value string, lease int64, conditions ...platform.Compare) platform.TxnResult {
+func put(t *testing.T, store *Store, key, value string, lease int64, conditions ...keyvalue.Compare) keyvalue.TxnResult {
 	t.Helper()
-	result, err := store.Txn(t.Context(), conditions, []platform.Op{{Key: key, Value: []byte(value), Lease: lease}})
+	result, err := store.Txn(t.Context(), conditions, []keyvalue.Op{{Key: key, Value: []byte(value), Lease: lease}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,15 +22,15 @@
 
 func TestCompareAndSwap(t *testing.T) {
 	store := NewStore(1)
-	first := put(t, store, "a", "1", 0, platform.Compare{Key: "a"})
+	first := put(t, store, "a", "1", 0, keyvalue.Compare{Key: "a"})
 	if !first.Succeeded || first.Revision != 1 {
 		t.Errorf("create: %+v", first)
 	}
-	again := put(t, store, "a", "2", 0, platform.Compare{Key: "a"})
+	again := put(t, store, "a", "2", 0, keyvalue.Compare{Key: "a"})
 	if again.Succeeded || len(again.Current) != 1 || again.Current[0].ModRevision != 1 {
 		t.Errorf("second create: %+v", again)
 	}
-	second := put(t, store, "a", "2", 0, platform.Compare{Key: "a", ModRevision: 1})
+	second := put(t, store, "a", "2", 0, keyvalue.Compare{Key: "a", ModRevision: 1})
 	result, err := store.Range(t.Context(), "a", false)
 	if err != nil || !second.Succeeded || len(result.Values) != 1 {
 		t.Fatalf("swap: %+v, read %+v, %v", second, result, err)
@@ -42,7 +42,7 @@
 
 // watch collects the changes below a prefix until the watch ends.
 func watch(ctx context.Context, store *Store, after int64, seen *[]string) error {
-	return store.Watch(ctx, "a/", after, func(revision int64, events []platform.WatchEvent) {
+	return store.Watch(ctx, "a/", after, func(revision int64, events []keyvalue.WatchEvent) {
 		for _, event := range events {
 			*seen = append(*seen, fmt.Sprintf("%d %s=%s deleted=%v", revision, event.Value.Key, event.Value.Value, event.Deleted))
 		}
@@ -75,7 +75,7 @@
 		}
 		store.SetFaults(Faults{})
 		store.Compact()
-		if err := watch(t.Context(), store, 1, &seen); !errors.Is(err, platform.ErrCompacted) {
+		if err := watch(t.Context(), store, 1, &seen); !errors.Is(err, keyvalue.ErrCompacted) {
 			t.Errorf("watch of compacted revisions: %v", err)
 		}
 	})
@@ -95,9 +95,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			store := NewStore(1)
 			store.SetFaults(c.faults)
-			_, err := store.Txn(t.Context(), nil, []platform.Op{{Key: "a"}})
-			if err == nil || platform.IsUncertain(err) != c.uncertain {
-				t.Errorf("error %v, uncertain %v", err, platform.IsUncertain(err))
+			_, err := store.Txn(t.Context(), nil, []keyvalue.Op{{Key: "a"}})
+			if err == nil || keyvalue.IsUncertain(err) != c.uncertain {
+				t.Errorf("error %v, uncertain %v", err, keyvalue.IsUncertain(err))
 			}
 			store.SetFaults(Faults{})
 			result, err := store.Range(t.Context(), "a", false)
--- /dev/null
+++ b/pkg/keyvalue/main_test.go
@@ -0,0 +1,11 @@
+package keyvalue
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- a/pkg/platform/observer.go
+++ b/pkg/keyvalue/observer.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
@@ -21,12 +21,12 @@
 
 // observed tells an observer of each call.
 type observed struct {
-	store   KeyValueStore
+	store   Store
 	observe Observer
 }
 
 // WithObserver returns a view of a store that tells an observer of each call.
-func WithObserver(store KeyValueStore, observe Observer) KeyValueStore {
+func WithObserver(store Store, observe Observer) Store {
 	return &observed{store: store, observe: observe}
 }
 
--- a/pkg/platform/prefix.go
+++ b/pkg/keyvalue/prefix.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
@@ -8,12 +8,12 @@
 
 // prefixed keeps the keys of one site below a prefix.
 type prefixed struct {
-	store  KeyValueStore
+	store  Store
 	prefix string
 }
 
 // WithPrefix returns a view of a store in which all keys stand below a prefix.
-func WithPrefix(store KeyValueStore, prefix string) KeyValueStore {
+func WithPrefix(store Store, prefix string) Store {
 	return &prefixed{store: store, prefix: strings.TrimSuffix(prefix, "/") + "/"}
 }
 
--- a/pkg/platform/platform.go
+++ b/pkg/keyvalue/store.go
@@ -1,7 +1,6 @@
-// Package platform holds the interfaces and clients of what the platform gives:
-// the key-value service, met through etcd's v3 JSON/HTTP gateway, and the list
-// of hosts.
-package platform
+// Package keyvalue holds the interface of the key-value service that the platform
+// gives, views of it, and its client for etcd's v3 JSON/HTTP gateway.
+package keyvalue
 
 import (
 	"context"
@@ -54,8 +53,8 @@
 	Value   KeyValue
 }
 
-// KeyValueStore is the platform's key-value service. Errors are *StoreError.
-type KeyValueStore interface {
+// Store is the platform's key-value service. Errors are *StoreError.
+type Store interface {
 	// Range reads a key, or all keys with a prefix.
 	Range(ctx context.Context, key string, prefix bool) (RangeResult, error)
 	// Txn makes all changes if all conditions hold.
@@ -67,45 +66,3 @@
 	// Grant makes a lease.
 	Grant(ctx context.Context, ttl time.Duration) (int64, error)
 }
-
-// HostState is the state of a host in the platform's list.
-type HostState string
-
-// The host states. A host that was listed and no longer is, is gone.
-const (
-	HostLive    HostState = "live"
-	HostLeaving HostState = "leaving"
-)
-
-// HostRole tells which of our processes a host runs.
-type HostRole string
-
-// The host roles.
-const (
-	RoleEntry HostRole = "entry"
-	RoleAgent HostRole = "agent"
-)
-
-// Host is one row of the platform's list.
-type Host struct {
-	ID            string    `json:"id"`
-	Role          HostRole  `json:"role"`
-	State         HostState `json:"state"`
-	FailureDomain string    `json:"failure_domain"`
-	Region        string    `json:"region"`
-	// Address is the UDP address of our process, IP and port.
-	Address string `json:"address"`
-	// Services names the plain services behind an agent; empty for a runner.
-	Services []string `json:"services,omitempty"`
-}
-
-// Listing is one reading of the platform's list of hosts. It is immutable.
-type Listing struct {
-	Hosts []Host
-}
-
-// HostLister reads the platform's list of hosts, which may lag.
-type HostLister interface {
-	// Hosts returns the same Listing as before while the list is unchanged.
-	Hosts(ctx context.Context) (*Listing, error)
-}
--- a/pkg/lists/bench_test.go
+++ b/pkg/lists/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"teaselgauge.example/teaselgauge/pkg/platform/platformtest"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
 )
 
 // sizes are numbers of adapters: today's larger site and the target.
@@ -49,7 +49,7 @@
 // at a process that has the one before.
 func BenchmarkGetAfterPut(b *testing.B) {
 	benchmarkSizes(b, func(b *testing.B, snapshot Snapshot) {
-		kv := platformtest.NewStore(1)
+		kv := keyvaluetest.NewStore(1)
 		store := NewStore(kv, "/site")
 		revision := int64(0)
 		calls := kv.Calls()
--- a/pkg/lists/history_test.go
+++ b/pkg/lists/history_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"teaselgauge.example/teaselgauge/pkg/platform/platformtest"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
 )
 
 // The outcomes of operations in a history.
@@ -131,7 +131,7 @@
 		operators  = 4
 		operations = 15
 	)
-	kv := platformtest.NewStore(seed)
+	kv := keyvaluetest.NewStore(seed)
 	history := &recorder{}
 	var clients sync.WaitGroup
 	for client := range operators {
@@ -152,7 +152,7 @@
 		close(done)
 	}()
 	injectFaults(kv, rand.New(rand.NewPCG(seed, operators)), done)
-	kv.SetFaults(platformtest.Faults{})
+	kv.SetFaults(keyvaluetest.Faults{})
 	last := &operator{t: t, client: operators, store: NewStore(kv, "/site"), history: history}
 	if out := last.read(); out.outcome == failed {
 		t.Error("the last read failed")
@@ -161,9 +161,9 @@
 }
 
 // injectFaults changes the faults at random until done is closed.
-func injectFaults(kv *platformtest.Store, random *rand.Rand, done <-chan struct{}) {
+func injectFaults(kv *keyvaluetest.Store, random *rand.Rand, done <-chan struct{}) {
 	for {
-		kv.SetFaults(platformtest.Faults{
+		kv.SetFaults(keyvaluetest.Faults{
 			Down:         random.IntN(4) == 0,
 			LoseAnswers:  random.Float64() * 0.6,
 			LoseRequests: random.Float64() * 0.3,
--- a/pkg/lists/store.go
+++ b/pkg/lists/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 )
 
 const (
@@ -26,7 +26,7 @@
 // modification revision is the revision of the lists. A Store is safe for
 // concurrent use.
 type Store struct {
-	kv          platform.KeyValueStore
+	kv          keyvalue.Store
 	manifestKey string
 	chunkPrefix string
 
@@ -39,7 +39,7 @@
 }
 
 // NewStore returns a store whose keys stand below prefix, which may be empty.
-func NewStore(kv platform.KeyValueStore, prefix string) *Store {
+func NewStore(kv keyvalue.Store, prefix string) *Store {
 	if prefix != "" {
 		prefix += "/"
 	}
@@ -88,7 +88,7 @@
 }
 
 func isStoreError(err error) bool {
-	var storeErr *platform.StoreError
+	var storeErr *keyvalue.StoreError
 	return errors.As(err, &storeErr)
 }
 
@@ -203,7 +203,7 @@
 // the kept manifests is written even if it may be there, because only kept
 // chunks are safe from deletion.
 func (s *Store) writeChunks(ctx context.Context, chunks []chunk, stored map[string]bool) error {
-	var batch []platform.Op
+	var batch []keyvalue.Op
 	size := 0
 	for _, part := range chunks {
 		if stored[part.sum] {
@@ -219,14 +219,14 @@
 			}
 			batch, size = nil, 0
 		}
-		batch = append(batch, platform.Op{Key: s.chunkPrefix + part.sum, Value: value})
+		batch = append(batch, keyvalue.Op{Key: s.chunkPrefix + part.sum, Value: value})
 		size += len(value)
 		s.markOrphan(part.sum)
 	}
 	return s.writeBatch(ctx, batch)
 }
 
-func (s *Store) writeBatch(ctx context.Context, batch []platform.Op) error {
+func (s *Store) writeBatch(ctx context.Context, batch []keyvalue.Op) error {
 	if len(batch) == 0 {
 		return nil
 	}
--- a/pkg/lists/store_test.go
+++ b/pkg/lists/store_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"testing/synctest"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
-	"teaselgauge.example/teaselgauge/pkg/platform/platformtest"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
 )
 
 // maxValueBytes is the key-value service's bound on a value.
@@ -49,7 +49,7 @@
 	return snapshot
 }
 
-func stored(t *testing.T, kv *platformtest.Store) map[string][]byte {
+func stored(t *testing.T, kv *keyvaluetest.Store) map[string][]byte {
 	t.Helper()
 	result, err := kv.Range(t.Context(), "/site/", true)
 	if err != nil {
@@ -63,7 +63,7 @@
 }
 
 func TestPutAndGet(t *testing.T) {
-	kv := platformtest.NewStore(1)
+	kv := keyvaluetest.NewStore(1)
 	store := NewStore(kv, "/site")
 	if snapshot := mustGet(t, store); snapshot.Revision != 0 {
 		t.Errorf("empty store has revision %d", snapshot.Revision)
@@ -93,7 +93,7 @@
 // little.
 func TestTargetSize(t *testing.T) {
 	const adapters = 12_000
-	kv := platformtest.NewStore(1)
+	kv := keyvaluetest.NewStore(1)
 	store := NewStore(kv, "/site")
 	plans, allowances := large(adapters, "1")
 	for i := range allowances.Adapters {
@@ -148,7 +148,7 @@
 // TestGarbage checks that exactly the chunks of the kept manifests are stored,
 // also when dropped contents come back.
 func TestGarbage(t *testing.T) {
-	kv := platformtest.NewStore(1)
+	kv := keyvaluetest.NewStore(1)
 	store := NewStore(kv, "/site")
 	var revision int64
 	random := rand.New(rand.NewPCG(1, 1))
@@ -194,11 +194,11 @@
 // racingStore runs a function once, before or after the first switch of a
 // manifest. After a switch it loses the answer.
 type racingStore struct {
-	*platformtest.Store
+	*keyvaluetest.Store
 	before, after func()
 }
 
-func (s *racingStore) Txn(ctx context.Context, conditions []platform.Compare, changes []platform.Op) (platform.TxnResult, error) {
+func (s *racingStore) Txn(ctx context.Context, conditions []keyvalue.Compare, changes []keyvalue.Op) (keyvalue.TxnResult, error) {
 	if len(conditions) > 0 && s.before != nil {
 		before := s.before
 		s.before = nil
@@ -209,7 +209,7 @@
 		after := s.after
 		s.after = nil
 		after()
-		err = &platform.StoreError{Op: "txn", Uncertain: true, Err: platformtest.ErrAnswerLost}
+		err = &keyvalue.StoreError{Op: "txn", Uncertain: true, Err: keyvaluetest.ErrAnswerLost}
 	}
 	return result, err
 }
@@ -224,7 +224,7 @@
 	}{{0, true}, {1, true}, {keptManifests - 1, true}, {keptManifests, false}}
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("others=%d", c.others), func(t *testing.T) {
-			kv := platformtest.NewStore(1)
+			kv := keyvaluetest.NewStore(1)
 			other := NewStore(kv, "/site")
 			plans, allowances := sample()
 			var made int64
@@ -245,11 +245,11 @@
 
 // slowReader runs a function before the first read of a chunk.
 type slowReader struct {
-	*platformtest.Store
+	*keyvaluetest.Store
 	before func()
 }
 
-func (s *slowReader) Range(ctx context.Context, key string, prefix bool) (platform.RangeResult, error) {
+func (s *slowReader) Range(ctx context.Context, key string, prefix bool) (keyvalue.RangeResult, error) {
 	if strings.Contains(key, "/chunks/") && s.before != nil {
 		before := s.before
 		s.before = nil
@@ -261,7 +261,7 @@
 // TestChunksDeletedWhileReading replaces the lists so often during a read that
 // the chunks of the manifest that was read are deleted.
 func TestChunksDeletedWhileReading(t *testing.T) {
-	kv := platformtest.NewStore(1)
+	kv := keyvaluetest.NewStore(1)
 	writer := NewStore(kv, "/site")
 	var revision int64
 	putNext := func() {
@@ -290,15 +290,15 @@
 }
 
 func loseAnswers(t *testing.T, seed uint64) {
-	kv := platformtest.NewStore(seed)
+	kv := keyvaluetest.NewStore(seed)
 	store := NewStore(kv, "/site")
 	plans, allowances := sample()
 	var revision int64
 	for i := range 5 {
 		plans.Plans[0].Customer = fmt.Sprint(i)
-		kv.SetFaults(platformtest.Faults{LoseAnswers: 0.4, LoseRequests: 0.3})
+		kv.SetFaults(keyvaluetest.Faults{LoseAnswers: 0.4, LoseRequests: 0.3})
 		got, err := store.Put(t.Context(), revision, plans, allowances, "test")
-		kv.SetFaults(platformtest.Faults{})
+		kv.SetFaults(keyvaluetest.Faults{})
 		snapshot := mustGet(t, store)
 		made := snapshot.Revision != revision
 		var uncertain *UncertainError
@@ -322,9 +322,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			kv := platformtest.NewStore(1)
+			kv := keyvaluetest.NewStore(1)
 			store := NewStore(kv, "/site")
-			_, err := kv.Txn(t.Context(), nil, []platform.Op{
+			_, err := kv.Txn(t.Context(), nil, []keyvalue.Op{
 				{Key: store.ManifestKey(), Value: []byte(c.manifest)},
 				{Key: store.chunkPrefix + "00", Value: other},
 			})
--- a/pkg/lists/switch.go
+++ b/pkg/lists/switch.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 )
 
 const (
@@ -34,11 +34,11 @@
 	if err != nil {
 		return 0, fmt.Errorf("lists: encode manifest: %w", err)
 	}
-	var result platform.TxnResult
+	var result keyvalue.TxnResult
 	err = retry(ctx, func() error {
 		var txnErr error
 		result, txnErr = w.attempt(ctx, value, deleted)
-		w.uncertain = w.uncertain || platform.IsUncertain(txnErr)
+		w.uncertain = w.uncertain || keyvalue.IsUncertain(txnErr)
 		return txnErr
 	})
 	switch {
@@ -67,19 +67,19 @@
 	return garbage[:count]
 }
 
-func (w *manifestSwitch) attempt(ctx context.Context, value []byte, deleted []string) (platform.TxnResult, error) {
-	changes := []platform.Op{{Key: w.store.manifestKey, Value: value}}
+func (w *manifestSwitch) attempt(ctx context.Context, value []byte, deleted []string) (keyvalue.TxnResult, error) {
+	changes := []keyvalue.Op{{Key: w.store.manifestKey, Value: value}}
 	for _, sum := range deleted {
-		changes = append(changes, platform.Op{Key: w.store.chunkPrefix + sum, Delete: true})
+		changes = append(changes, keyvalue.Op{Key: w.store.chunkPrefix + sum, Delete: true})
 	}
-	condition := platform.Compare{Key: w.store.manifestKey, ModRevision: w.expected}
-	return w.store.kv.Txn(ctx, []platform.Compare{condition}, changes)
+	condition := keyvalue.Compare{Key: w.store.manifestKey, ModRevision: w.expected}
+	return w.store.kv.Txn(ctx, []keyvalue.Compare{condition}, changes)
 }
 
 // settle decides a refused compare-and-swap by reading back the own change ID:
 // an earlier attempt, whose answer was lost, may have been the one that changed
 // the manifest.
-func (w *manifestSwitch) settle(result platform.TxnResult) (int64, error) {
+func (w *manifestSwitch) settle(result keyvalue.TxnResult) (int64, error) {
 	if len(result.Current) == 0 || result.Current[0].ModRevision == 0 {
 		return 0, &ConflictError{Expected: w.expected}
 	}
--- a/pkg/membership/bench_test.go
+++ b/pkg/membership/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -14,7 +14,7 @@
 		for i := range agents {
 			ids = append(ids, fmt.Sprint("runner-", i))
 		}
-		hosts := agentHosts(platform.HostLive, ids...)
+		hosts := agentHosts(hostlist.Live, ids...)
 		view := NewView()
 		b.Run(fmt.Sprint("list/agents=", agents), func(b *testing.B) {
 			b.ReportAllocs()
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -16,20 +16,20 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func agentHosts(state platform.HostState, ids ...string) []platform.Host {
-	var hosts []platform.Host
+func agentHosts(state hostlist.State, ids ...string) []hostlist.Host {
+	var hosts []hostlist.Host
 	for _, id := range ids {
-		hosts = append(hosts, platform.Host{ID: id, Role: platform.RoleAgent, State: state, Address: "192.0.2.1:1"})
+		hosts = append(hosts, hostlist.Host{ID: id, Role: hostlist.RoleAgent, State: state, Address: "192.0.2.1:1"})
 	}
 	return hosts
 }
 
 func TestGone(t *testing.T) {
 	listed := func(seconds float64, ids ...string) func(*View) {
-		return func(v *View) { v.HostsListed(after(seconds), agentHosts(platform.HostLive, ids...)) }
+		return func(v *View) { v.HostsListed(after(seconds), agentHosts(hostlist.Live, ids...)) }
 	}
 	relayed := func(seconds float64, ids ...string) func(*View) {
-		return func(v *View) { v.HostsRelayed(after(seconds), agentHosts(platform.HostLive, ids...)) }
+		return func(v *View) { v.HostsRelayed(after(seconds), agentHosts(hostlist.Live, ids...)) }
 	}
 	said := func(seconds float64, id string) func(*View) {
 		return func(v *View) { v.StatusReceived(after(seconds), wire.Status{Runner: id, Sequence: uint64(seconds)}) }
@@ -76,14 +76,14 @@
 
 func TestMissing(t *testing.T) {
 	view := NewView()
-	view.HostsRelayed(start, agentHosts(platform.HostLive, "a", "b"))
+	view.HostsRelayed(start, agentHosts(hostlist.Live, "a", "b"))
 	for _, seconds := range []float64{29, 30} {
-		view.HostsRelayed(after(seconds), agentHosts(platform.HostLive, "b"))
+		view.HostsRelayed(after(seconds), agentHosts(hostlist.Live, "b"))
 		if got := view.Snapshot().Missing("a"); got != (seconds == 30) {
 			t.Errorf("missing after %g s: %t", seconds, got)
 		}
 	}
-	view.HostsRelayed(after(31), agentHosts(platform.HostLive, "a", "b"))
+	view.HostsRelayed(after(31), agentHosts(hostlist.Live, "a", "b"))
 	if view.Snapshot().Missing("a") {
 		t.Error("missing although listed")
 	}
@@ -91,7 +91,7 @@
 
 func TestStatusOrder(t *testing.T) {
 	view := NewView()
-	view.HostsListed(start, agentHosts(platform.HostLive, "a"))
+	view.HostsListed(start, agentHosts(hostlist.Live, "a"))
 	steps := []struct {
 		status wire.Status
 		news   bool
@@ -108,7 +108,7 @@
 		}
 	}
 	before := view.Snapshot()
-	view.HostsListed(start, agentHosts(platform.HostLeaving, "a"))
+	view.HostsListed(start, agentHosts(hostlist.Leaving, "a"))
 	agent, _ := view.Snapshot().Agent("a")
 	earlier, _ := before.Agent("a")
 	if !agent.Leaving() || earlier.Leaving() || agent.Status.Incarnation != "2" {
@@ -118,7 +118,7 @@
 
 func TestSuspicion(t *testing.T) {
 	view := NewView()
-	view.HostsListed(start, agentHosts(platform.HostLive, "a"))
+	view.HostsListed(start, agentHosts(hostlist.Live, "a"))
 	now := start
 	for _, want := range []float64{0.5, 1, 2, 4, 8, 16, 30, 30} {
 		view.CallFailed(now, "a")
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -81,18 +81,18 @@
 // HostsListed takes one full reading of the platform's list by this process. An
 // empty list is taken for a failure of the platform and ignored, as the reader's
 // own host stands in every valid one.
-func (v *View) HostsListed(now time.Time, hosts []platform.Host) {
+func (v *View) HostsListed(now time.Time, hosts []hostlist.Host) {
 	v.listTaken(now, hosts, v.hostAbsent)
 }
 
 // HostsRelayed takes a list that another process read, or an earlier reading once
 // more. It may be old, so that a host's absence from it proves nothing: the host
 // becomes missing, and is gone only after readings by this process.
-func (v *View) HostsRelayed(now time.Time, hosts []platform.Host) {
+func (v *View) HostsRelayed(now time.Time, hosts []hostlist.Host) {
 	v.listTaken(now, hosts, v.hostUnlisted)
 }
 
-func (v *View) listTaken(now time.Time, hosts []platform.Host, unlisted func(time.Time, string, *hostRecord)) {
+func (v *View) listTaken(now time.Time, hosts []hostlist.Host, unlisted func(time.Time, string, *hostRecord)) {
 	if len(hosts) == 0 {
 		return
 	}
@@ -108,30 +108,30 @@
 	}
 }
 
-func (v *View) hostListed(now time.Time, host platform.Host) {
+func (v *View) hostListed(now time.Time, host hostlist.Host) {
 	record := v.record(now, host.ID)
 	record.seen = true
 	v.alive(now, record)
-	if host.Role == platform.RoleEntry {
+	if host.Role == hostlist.RoleEntry {
 		v.entryListed(host)
 		return
 	}
 	v.agentListed(host)
 }
 
-func (v *View) entryListed(host platform.Host) {
+func (v *View) entryListed(host hostlist.Host) {
 	entry := v.entry(host.ID)
 	before := entry
 	entry.FailureDomain = host.FailureDomain
 	entry.Region = host.Region
 	entry.Address = host.Address
-	entry.Leaving = host.State == platform.HostLeaving
+	entry.Leaving = host.State == hostlist.Leaving
 	if entry != before || v.entries[host.ID] == nil {
 		v.setEntry(entry)
 	}
 }
 
-func (v *View) agentListed(host platform.Host) {
+func (v *View) agentListed(host hostlist.Host) {
 	agent := v.agent(host.ID)
 	before := agent.listing
 	agent.listing = listing{
@@ -139,7 +139,7 @@
 		Region:        host.Region,
 		Address:       host.Address,
 		Listed:        true,
-		ListLeaving:   host.State == platform.HostLeaving,
+		ListLeaving:   host.State == hostlist.Leaving,
 	}
 	if agent.listing == before && slices.Equal(agent.listServices, host.Services) {
 		return
--- a/pkg/metrics/common.go
+++ b/pkg/metrics/common.go
@@ -5,7 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 )
 
 // Kind tells requests for models from calls of plain services.
@@ -58,11 +58,11 @@
 	c.keyValueTimes.with(labels{operation}).Record(took)
 }
 
-// ObserveKeyValue is a platform.Observer that counts calls.
-func (c *control) ObserveKeyValue(op platform.Operation, took time.Duration, err error) {
+// ObserveKeyValue is a keyvalue.Observer that counts calls.
+func (c *control) ObserveKeyValue(op keyvalue.Operation, took time.Duration, err error) {
 	result := ResultOK
 	switch {
-	case platform.IsUncertain(err):
+	case keyvalue.IsUncertain(err):
 		result = ResultUncertain
 	case err != nil:
 		result = ResultError
--- a/pkg/placement/decider_test.go
+++ b/pkg/placement/decider_test.go
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/lists"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -225,11 +225,11 @@
 	if err != nil || condition.Key != op.Key {
 		t.Fatal(condition, op, err)
 	}
-	placement, err := Decode(platform.KeyValue{Key: op.Key, Value: op.Value, ModRevision: 7})
+	placement, err := Decode(keyvalue.KeyValue{Key: op.Key, Value: op.Value, ModRevision: 7})
 	if err != nil || Of(&placement) != Of(&change.Placement) || placement.Revision != 7 {
 		t.Errorf("decoded %+v, %v", placement, err)
 	}
-	if _, err := Decode(platform.KeyValue{Key: Key(testModel), Value: op.Value}); err == nil {
+	if _, err := Decode(keyvalue.KeyValue{Key: Key(testModel), Value: op.Value}); err == nil {
 		t.Error("a value under another model's key was taken")
 	}
 }
--- a/pkg/placement/store.go
+++ b/pkg/placement/store.go
@@ -8,7 +8,7 @@
 	"net/url"
 	"strings"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -50,7 +50,7 @@
 
 // Decode reads a stored placement and sets its revision. It returns an error
 // that wraps ErrMalformed if key and value don't belong together.
-func Decode(stored platform.KeyValue) (wire.Placement, error) {
+func Decode(stored keyvalue.KeyValue) (wire.Placement, error) {
 	var placement wire.Placement
 	if !strings.HasPrefix(stored.Key, KeyPrefix) {
 		return placement, fmt.Errorf("key %q: %w", stored.Key, ErrMalformed)
@@ -79,14 +79,14 @@
 }
 
 // Transaction returns the condition and the operation that make the change.
-func (c *Change) Transaction() (platform.Compare, platform.Op, error) {
+func (c *Change) Transaction() (keyvalue.Compare, keyvalue.Op, error) {
 	key := Key(Of(&c.Placement))
 	value, err := Encode(&c.Placement)
 	if err != nil {
-		return platform.Compare{}, platform.Op{}, err
+		return keyvalue.Compare{}, keyvalue.Op{}, err
 	}
-	condition := platform.Compare{Key: key, ModRevision: c.ExpectRevision}
-	return condition, platform.Op{Key: key, Value: value}, nil
+	condition := keyvalue.Compare{Key: key, ModRevision: c.ExpectRevision}
+	return condition, keyvalue.Op{Key: key, Value: value}, nil
 }
 
 // permitOf returns the index of a runner's permit, or -1.
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/membership"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -13,10 +13,10 @@
 
 func viewOf(agents ...string) *membership.View {
 	view := membership.NewView()
-	var hosts []platform.Host
+	var hosts []hostlist.Host
 	for _, id := range agents {
-		hosts = append(hosts, platform.Host{
-			ID: id, Role: platform.RoleAgent, State: platform.HostLive,
+		hosts = append(hosts, hostlist.Host{
+			ID: id, Role: hostlist.RoleAgent, State: hostlist.Live,
 			FailureDomain: "d", Address: "192.0.2.1:1", Services: []string{"orders"},
 		})
 	}
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 )
 
 // Frame is the unit on a stream. Exactly one field is set.
@@ -265,7 +265,7 @@
 	// the whole list.
 	Base uint64 `cbor:"2,keyasint,omitempty"`
 	// Hosts holds the new and changed rows.
-	Hosts []platform.Host `cbor:"3,keyasint,omitempty"`
+	Hosts []hostlist.Host `cbor:"3,keyasint,omitempty"`
 	// Removed holds the ids of rows that are gone.
 	Removed []string `cbor:"4,keyasint,omitempty"`
 }
--- a/testkit/bench/capacity/fleet.go
+++ b/testkit/bench/capacity/fleet.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/testkit/site"
 )
 
@@ -94,13 +94,13 @@
 // listFleet puts the first agents into the host list.
 func listFleet(ctx context.Context, running *site.Site, agents *agentProcess, count int) error {
 	entry := running.Entries[0]
-	hosts := []platform.Host{{
-		ID: entry.ID, Role: platform.RoleEntry, State: platform.HostLive, FailureDomain: entry.FailureDomain,
+	hosts := []hostlist.Host{{
+		ID: entry.ID, Role: hostlist.RoleEntry, State: hostlist.Live, FailureDomain: entry.FailureDomain,
 		Region: "region-0", Address: entry.Inner,
 	}}
 	for i := range count {
-		hosts = append(hosts, platform.Host{
-			ID: runnerID(i), Role: platform.RoleAgent, State: platform.HostLive, FailureDomain: domainOf(i),
+		hosts = append(hosts, hostlist.Host{
+			ID: runnerID(i), Role: hostlist.RoleAgent, State: hostlist.Live, FailureDomain: domainOf(i),
 			Region: regionOf(i), Address: agents.addresses[i],
 		})
 	}
--- a/testkit/bench/capacity/site.go
+++ b/testkit/bench/capacity/site.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/placement"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -78,21 +78,21 @@
 }
 
 // makeHosts returns a host list with the target's ratio of entries to agents.
-func makeHosts(count int) []platform.Host {
-	hosts := make([]platform.Host, 0, count)
+func makeHosts(count int) []hostlist.Host {
+	hosts := make([]hostlist.Host, 0, count)
 	entries := count * targetEntries / (targetEntries + targetRunners)
 	for i := range count {
-		host := platform.Host{
+		host := hostlist.Host{
 			ID:            runnerID(i),
-			Role:          platform.RoleAgent,
+			Role:          hostlist.RoleAgent,
 			FailureDomain: domainOf(i),
 			Region:        regionOf(i),
 			Address:       fmt.Sprintf("10.%d.%d.%d:7443", i/65536, i/256%256, i%256),
-			State:         platform.HostLive,
+			State:         hostlist.Live,
 		}
 		if i < entries {
 			host.ID = fmt.Sprintf("entry-%04d", i)
-			host.Role = platform.RoleEntry
+			host.Role = hostlist.RoleEntry
 		}
 		hosts = append(hosts, host)
 	}
--- a/testkit/bench/capacity/state.go
+++ b/testkit/bench/capacity/state.go
@@ -10,10 +10,11 @@
 	"strconv"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
 	"teaselgauge.example/teaselgauge/pkg/lists"
 	"teaselgauge.example/teaselgauge/pkg/membership"
-	"teaselgauge.example/teaselgauge/pkg/platform"
-	"teaselgauge.example/teaselgauge/pkg/platform/platformtest"
 	"teaselgauge.example/teaselgauge/pkg/routing"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -114,11 +115,11 @@
 
 // countingStore counts the bytes of all changes.
 type countingStore struct {
-	*platformtest.Store
+	*keyvaluetest.Store
 	written int
 }
 
-func (s *countingStore) Txn(ctx context.Context, conditions []platform.Compare, changes []platform.Op) (platform.TxnResult, error) {
+func (s *countingStore) Txn(ctx context.Context, conditions []keyvalue.Compare, changes []keyvalue.Op) (keyvalue.TxnResult, error) {
 	for _, change := range changes {
 		s.written += len(change.Key) + len(change.Value)
 	}
@@ -127,7 +128,7 @@
 
 func changeOneAdapter(ctx context.Context, snapshot lists.Snapshot) (written, calls float64, err error) {
 	const seed = 1
-	store := &countingStore{Store: platformtest.NewStore(seed)}
+	store := &countingStore{Store: keyvaluetest.NewStore(seed)}
 	kept := lists.NewStore(store, "")
 	revision, err := kept.Put(ctx, 0, snapshot.Plans, snapshot.Allowances, "bench")
 	if err != nil {
@@ -175,11 +176,11 @@
 	return nil
 }
 
-func fullView(now time.Time, hosts []platform.Host) *membership.View {
+func fullView(now time.Time, hosts []hostlist.Host) *membership.View {
 	view := membership.NewView()
 	view.HostsListed(now, hosts)
 	for i, host := range hosts {
-		if host.Role == platform.RoleAgent {
+		if host.Role == hostlist.RoleAgent {
 			view.StatusReceived(now, makeStatus(i, 1))
 		}
 	}
@@ -201,7 +202,7 @@
 			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 			_, _ = w.Write(body)
 		}))
-		client := platform.NewHostList(settings.HostList{URL: server.URL})
+		client := hostlist.New(settings.HostList{URL: server.URL})
 		_, err = client.Hosts(ctx)
 		read.add(count, measureCost(func() { _, _ = client.Hosts(ctx) }).micros)
 		client.Close()
--- a/testkit/bench/policy/site.go
+++ b/testkit/bench/policy/site.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/lists"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 )
 
 const (
@@ -66,22 +66,22 @@
 	return models
 }
 
-func hostsOf(s deployment) []platform.Host {
-	var hosts []platform.Host
+func hostsOf(s deployment) []hostlist.Host {
+	var hosts []hostlist.Host
 	for i := range entries {
-		hosts = append(hosts, newHost(fmt.Sprintf("entry-%d", i), platform.RoleEntry, i))
+		hosts = append(hosts, newHost(fmt.Sprintf("entry-%d", i), hostlist.RoleEntry, i))
 	}
 	for i := range s.runners {
-		hosts = append(hosts, newHost(runnerID(i), platform.RoleAgent, i))
+		hosts = append(hosts, newHost(runnerID(i), hostlist.RoleAgent, i))
 	}
 	return hosts
 }
 
 func runnerID(i int) string { return fmt.Sprintf("runner-%02d", i) }
 
-func newHost(id string, role platform.HostRole, i int) platform.Host {
-	return platform.Host{
-		ID: id, Role: role, State: platform.HostLive, Region: "region",
+func newHost(id string, role hostlist.Role, i int) hostlist.Host {
+	return hostlist.Host{
+		ID: id, Role: role, State: hostlist.Live, Region: "region",
 		FailureDomain: fmt.Sprintf("domain-%d", i%domains), Address: id,
 	}
 }
--- a/testkit/process/faults_test.go
+++ b/testkit/process/faults_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/engine"
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/testkit/site"
 	"teaselgauge.example/teaselgauge/testkit/standin/keyvalue"
 	"teaselgauge.example/teaselgauge/testkit/standin/modelengine"
@@ -291,7 +291,7 @@
 	s := start(t, nil)
 	mustChat(t, s, s.Entries[0], "before", false)
 	runner := holder(t, s, colourMatch)
-	must(t, s.List(within(t), runner, platform.HostLeaving))
+	must(t, s.List(within(t), runner, hostlist.Leaving))
 	must(t, site.Eventually(within(t), func() error { return servedElsewhere(t, s, runner) }))
 	before, err := s.Journal(within(t), runner)
 	must(t, err)
--- a/testkit/process/leaving_test.go
+++ b/testkit/process/leaving_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/testkit/site"
 	"teaselgauge.example/teaselgauge/testkit/standin/modelengine"
 )
@@ -49,7 +49,7 @@
 	s := start(t, nil)
 	mustChat(t, s, s.Entries[0], "warm up", false)
 	leaving := holderOf(t, s)
-	if err := s.List(within(t), leaving, platform.HostLeaving); err != nil {
+	if err := s.List(within(t), leaving, hostlist.Leaving); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(leavingBound)
--- a/testkit/process/links_test.go
+++ b/testkit/process/links_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/testkit/site"
 )
 
@@ -22,7 +22,7 @@
 		must(t, err)
 		t.Cleanup(relay.Close)
 		host.Inner = relay.Address()
-		must(t, s.List(within(t), host, platform.HostLive))
+		must(t, s.List(within(t), host, hostlist.Live))
 		relays = append(relays, relay)
 	}
 	// The entries read the list each second.
--- a/testkit/process/replicas_test.go
+++ b/testkit/process/replicas_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/engine"
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/testkit/site"
 	"teaselgauge.example/teaselgauge/testkit/standin/keyvalue"
 	"teaselgauge.example/teaselgauge/testkit/standin/modelengine"
@@ -61,10 +61,10 @@
 	}
 	for range 4 {
 		runner := s.Runners[random.IntN(len(s.Runners))]
-		must(t, s.List(within(t), runner, platform.HostLeaving))
+		must(t, s.List(within(t), runner, hostlist.Leaving))
 		time.Sleep(time.Duration(2000+random.IntN(2000)) * time.Millisecond)
 		must(t, s.Entries[random.IntN(len(s.Entries))].Restart())
-		must(t, s.List(within(t), runner, platform.HostLive))
+		must(t, s.List(within(t), runner, hostlist.Live))
 		// An agent that was told to leave takes no more work, so that a new
 		// process stands for the host's replacement.
 		must(t, runner.Restart())
--- a/testkit/process/storm_test.go
+++ b/testkit/process/storm_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/engine"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/lists"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/testkit/site"
 	"teaselgauge.example/teaselgauge/testkit/standin/keyvalue"
 	"teaselgauge.example/teaselgauge/testkit/standin/modelengine"
@@ -186,10 +186,10 @@
 		must(t, s.SetWeightStoreFaults(ctx, weightstore.Faults{SlowFactor: 4}))
 		return func() error { return s.SetWeightStoreFaults(within(t), weightstore.Faults{}) }
 	case 7:
-		must(t, s.List(ctx, runner, platform.HostLeaving))
+		must(t, s.List(ctx, runner, hostlist.Leaving))
 		return func() error {
 			// A leaving agent takes no more work until it is replaced.
-			if err := s.List(within(t), runner, platform.HostLive); err != nil {
+			if err := s.List(within(t), runner, hostlist.Live); err != nil {
 				return err
 			}
 			return runner.Restart()
--- a/testkit/site/hosts.go
+++ b/testkit/site/hosts.go
@@ -7,8 +7,8 @@
 	"os"
 	"path/filepath"
 
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/keys"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
@@ -47,12 +47,12 @@
 func (s *Standin) URL() string { return "http://" + s.Address }
 
 // row returns the host's row in the platform's list.
-func (h *Host) row(region string, state platform.HostState) platform.Host {
-	role := platform.RoleEntry
+func (h *Host) row(region string, state hostlist.State) hostlist.Host {
+	role := hostlist.RoleEntry
 	if h.Backend != nil {
-		role = platform.RoleAgent
+		role = hostlist.RoleAgent
 	}
-	return platform.Host{
+	return hostlist.Host{
 		ID: h.ID, Role: role, State: state, FailureDomain: h.FailureDomain, Region: region,
 		Address: h.Inner, Services: h.Services,
 	}
--- a/testkit/site/overwrite.go
+++ b/testkit/site/overwrite.go
@@ -4,19 +4,19 @@
 	"context"
 	"fmt"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 )
 
 // Overwrite replaces a value of the key-value service without regard to its
 // revision, as an operator does who goes around the administration API. The key
 // is relative to the site's prefix.
 func (s *Site) Overwrite(ctx context.Context, key string, value []byte) error {
-	client, err := platform.NewEtcd(s.keyValueSettings())
+	client, err := keyvalue.NewEtcd(s.keyValueSettings())
 	if err != nil {
 		return fmt.Errorf("site: %w", err)
 	}
-	store := platform.WithPrefix(client, s.keyValueSettings().Prefix)
-	if _, err := store.Txn(ctx, nil, []platform.Op{{Key: key, Value: value}}); err != nil {
+	store := keyvalue.WithPrefix(client, s.keyValueSettings().Prefix)
+	if _, err := store.Txn(ctx, nil, []keyvalue.Op{{Key: key, Value: value}}); err != nil {
 		return fmt.Errorf("site: overwrite %s: %w", key, err)
 	}
 	return nil
--- a/testkit/site/site.go
+++ b/testkit/site/site.go
@@ -14,8 +14,8 @@
 	"strings"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/pkg/keys"
-	"teaselgauge.example/teaselgauge/pkg/platform"
 )
 
 // StartTimeout bounds the start of a site.
@@ -37,7 +37,7 @@
 	adminToken string
 	processes  []*Process
 	// listed holds the states of the hosts in the platform's list.
-	listed map[string]platform.HostState
+	listed map[string]hostlist.State
 }
 
 // Start starts all processes of a site, puts its lists and waits until all are
@@ -52,7 +52,7 @@
 		binaries:   binaries,
 		dir:        dir,
 		adminToken: keys.NewAPIKey(),
-		listed:     map[string]platform.HostState{},
+		listed:     map[string]hostlist.State{},
 	}
 	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
 	defer cancel()
@@ -198,7 +198,7 @@
 func (s *Site) addHost(hosts *[]*Host, host *Host, binary string) {
 	host.Process = s.process(host.ID, binary, []string{"run", "--settings", filepath.Join(s.dir, host.ID+".json")})
 	*hosts = append(*hosts, host)
-	s.listed[host.ID] = platform.HostLive
+	s.listed[host.ID] = hostlist.Live
 }
 
 func (s *Site) process(name, binary string, args []string) *Process {
@@ -220,7 +220,7 @@
 		return err
 	}
 	for _, host := range s.Hosts() {
-		role := string(host.row("", platform.HostLive).Role)
+		role := string(host.row("", hostlist.Live).Role)
 		if err := s.command(ctx, "keys", "host", "--dir", s.dir, "--id", host.ID, "--role", role); err != nil {
 			return err
 		}
--- a/testkit/site/standins.go
+++ b/testkit/site/standins.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/testkit/standin/keyvalue"
 	"teaselgauge.example/teaselgauge/testkit/standin/modelengine"
 	"teaselgauge.example/teaselgauge/testkit/standin/plainservice"
@@ -121,13 +121,13 @@
 
 // List changes a host's state in the platform's list. The empty state takes the
 // host off the list.
-func (s *Site) List(ctx context.Context, host *Host, state platform.HostState) error {
+func (s *Site) List(ctx context.Context, host *Host, state hostlist.State) error {
 	s.listed[host.ID] = state
 	return s.listHosts(ctx)
 }
 
 func (s *Site) listHosts(ctx context.Context) error {
-	rows := []platform.Host{}
+	rows := []hostlist.Host{}
 	for _, host := range s.Hosts() {
 		if state := s.listed[host.ID]; state != "" {
 			rows = append(rows, host.row(s.options.Region, state))
--- a/testkit/standin/hostlist/hostlist.go
+++ b/testkit/standin/hostlist/hostlist.go
@@ -11,14 +11,14 @@
 	"sync"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/hostlist"
 	"teaselgauge.example/teaselgauge/testkit/standin/httpapi"
 )
 
 // version is the list from a moment on.
 type version struct {
 	from  time.Time
-	hosts []platform.Host
+	hosts []hostlist.Host
 }
 
 // Server is the stand-in. It is safe for concurrent use.
@@ -39,7 +39,7 @@
 
 // New returns an empty list that shows changes after the lag.
 func New(lag time.Duration) *Server {
-	s := &Server{lag: lag, mux: http.NewServeMux(), versions: []version{{hosts: []platform.Host{}}}}
+	s := &Server{lag: lag, mux: http.NewServeMux(), versions: []version{{hosts: []hostlist.Host{}}}}
 	s.mux.HandleFunc("GET /hosts", s.handleGet)
 	s.mux.HandleFunc("PUT /hosts", s.handlePut)
 	s.mux.HandleFunc("GET /counters", s.handleCounters)
@@ -52,7 +52,7 @@
 }
 
 // Set replaces the list after the lag. The first list is in force at once.
-func (s *Server) Set(hosts []platform.Host) {
+func (s *Server) Set(hosts []hostlist.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	from := time.Now().Add(s.lag)
@@ -63,7 +63,7 @@
 }
 
 // Hosts returns the list in force.
-func (s *Server) Hosts() []platform.Host {
+func (s *Server) Hosts() []hostlist.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -88,14 +88,14 @@
 }
 
 // entityTag tells versions of the list apart.
-func entityTag(hosts []platform.Host) string {
+func entityTag(hosts []hostlist.Host) string {
 	digest := fnv.New64a()
 	_ = json.NewEncoder(digest).Encode(hosts)
 	return fmt.Sprintf("%q", strconv.FormatUint(digest.Sum64(), 16))
 }
 
 func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
-	hosts := []platform.Host{}
+	hosts := []hostlist.Host{}
 	if !httpapi.Read(w, r, &hosts) {
 		return
 	}
--- a/testkit/standin/keyvalue/client_test.go
+++ b/testkit/standin/keyvalue/client_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
-	"teaselgauge.example/teaselgauge/pkg/platform"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
@@ -31,12 +31,12 @@
 }
 
 // start returns a client of a new stand-in.
-func start(t cleaner) (*Server, *platform.Etcd) {
+func start(t cleaner) (*Server, *keyvalue.Etcd) {
 	server := New()
 	listener := httptest.NewServer(server)
 	t.Cleanup(server.Close)
 	t.Cleanup(listener.Close)
-	client, err := platform.NewEtcd(settings.KeyValue{Endpoints: []string{listener.URL + "/"}, Prefix: "/"})
+	client, err := keyvalue.NewEtcd(settings.KeyValue{Endpoints: []string{listener.URL + "/"}, Prefix: "/"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,9 +44,9 @@
 	return server, client
 }
 
-func put(t *testing.T, client *platform.Etcd, key, value string) int64 {
+func put(t *testing.T, client *keyvalue.Etcd, key, value string) int64 {
 	t.Helper()
-	result, err := client.Txn(t.Context(), nil, []platform.Op{{Key: key, Value: []byte(value)}})
+	result, err := client.Txn(t.Context(), nil, []keyvalue.Op{{Key: key, Value: []byte(value)}})
 	if err != nil || !result.Succeeded {
 		t.Fatalf("put: %+v, %v", result, err)
 	}
@@ -56,21 +56,21 @@
 // model is what the store should hold.
 type model struct {
 	revision int64
-	keys     map[string]platform.KeyValue
+	keys     map[string]keyvalue.KeyValue
 }
 
-func (m *model) txn(conditions []platform.Compare, changes []platform.Op) platform.TxnResult {
+func (m *model) txn(conditions []keyvalue.Compare, changes []keyvalue.Op) keyvalue.TxnResult {
 	for _, condition := range conditions {
 		if m.keys[condition.Key].ModRevision != condition.ModRevision {
-			return platform.TxnResult{Revision: m.revision, Current: m.read(conditions)}
+			return keyvalue.TxnResult{Revision: m.revision, Current: m.read(conditions)}
 		}
 	}
 	m.apply(changes)
-	return platform.TxnResult{Succeeded: true, Revision: m.revision}
+	return keyvalue.TxnResult{Succeeded: true, Revision: m.revision}
 }
 
-func (m *model) read(conditions []platform.Compare) []platform.KeyValue {
-	var current []platform.KeyValue
+func (m *model) read(conditions []keyvalue.Compare) []keyvalue.KeyValue {
+	var current []keyvalue.KeyValue
 	for _, condition := range conditions {
 		if kv, ok := m.keys[condition.Key]; ok {
 			current = append(current, kv)
@@ -79,7 +79,7 @@
 	return current
 }
 
-func (m *model) apply(changes []platform.Op) {
+func (m *model) apply(changes []keyvalue.Op) {
 	next, changed := m.revision+1, false
 	for _, change := range changes {
 		kv, existed := m.keys[change.Key]
@@ -100,8 +100,8 @@
 	}
 }
 
-func (m *model) prefix(prefix string) []platform.KeyValue {
-	values := []platform.KeyValue{}
+func (m *model) prefix(prefix string) []keyvalue.KeyValue {
+	values := []keyvalue.KeyValue{}
 	for key, kv := range m.keys {
 		if strings.HasPrefix(key, prefix) {
 			values = append(values, kv)
@@ -117,7 +117,7 @@
 	key := rapid.SampledFrom([]string{"/a", "/a/1", "/a/2", "/b\xff", "/b\xff1"})
 	rapid.Check(t, func(t *rapid.T) {
 		_, client := start(t)
-		want := &model{revision: 1, keys: map[string]platform.KeyValue{}}
+		want := &model{revision: 1, keys: map[string]keyvalue.KeyValue{}}
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
 			conditions, changes := drawTxn(t, key, want)
 			result, err := client.Txn(context.Background(), conditions, changes)
@@ -126,7 +126,7 @@
 			}
 			prefix := key.Draw(t, "prefix")
 			read, err := client.Range(context.Background(), prefix, true)
-			expected := platform.RangeResult{Revision: want.revision, Values: want.prefix(prefix)}
+			expected := keyvalue.RangeResult{Revision: want.revision, Values: want.prefix(prefix)}
 			if err != nil || !reflect.DeepEqual(read, expected) {
 				t.Fatalf("range(%q) = %+v, %v, want %+v", prefix, read, err, expected)
 			}
@@ -134,18 +134,18 @@
 	})
 }
 
-func drawTxn(t *rapid.T, key *rapid.Generator[string], want *model) ([]platform.Compare, []platform.Op) {
-	var conditions []platform.Compare
+func drawTxn(t *rapid.T, key *rapid.Generator[string], want *model) ([]keyvalue.Compare, []keyvalue.Op) {
+	var conditions []keyvalue.Compare
 	for _, name := range rapid.SliceOfNDistinct(key, 0, 3, rapid.ID).Draw(t, "compared") {
 		revision := want.keys[name].ModRevision
 		if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
 			revision++
 		}
-		conditions = append(conditions, platform.Compare{Key: name, ModRevision: revision})
+		conditions = append(conditions, keyvalue.Compare{Key: name, ModRevision: revision})
 	}
-	var changes []platform.Op
+	var changes []keyvalue.Op
 	for _, name := range rapid.SliceOfNDistinct(key, 0, 3, rapid.ID).Draw(t, "changed") {
-		change := platform.Op{Key: name, Delete: rapid.Bool().Draw(t, "delete")}
+		change := keyvalue.Op{Key: name, Delete: rapid.Bool().Draw(t, "delete")}
 		if !change.Delete {
 			change.Value = rapid.SliceOfN(rapid.Byte(), 1, 8).Draw(t, "value")
 		}
@@ -157,8 +157,8 @@
 func TestLostAnswerIsUncertainAndTookEffect(t *testing.T) {
 	server, client := start(t)
 	server.SetFaults(Faults{LoseAnswerOfNextWrites: 1})
-	_, err := client.Txn(t.Context(), []platform.Compare{{Key: "/a"}}, []platform.Op{{Key: "/a", Value: []byte("1")}})
-	if !platform.IsUncertain(err) {
+	_, err := client.Txn(t.Context(), []keyvalue.Compare{{Key: "/a"}}, []keyvalue.Op{{Key: "/a", Value: []byte("1")}})
+	if !keyvalue.IsUncertain(err) {
 		t.Fatalf("error %v, want an uncertain one", err)
 	}
 	read, err := client.Range(t.Context(), "/a", false)
@@ -171,11 +171,11 @@
 }
 
 // watch sends the events of a watch to a channel until it breaks.
-func watch(ctx context.Context, client *platform.Etcd, after int64) (<-chan string, <-chan error) {
+func watch(ctx context.Context, client *keyvalue.Etcd, after int64) (<-chan string, <-chan error) {
 	events := make(chan string, 100)
 	failed := make(chan error, 1)
 	go func() {
-		failed <- client.Watch(ctx, "/", after, func(_ int64, batch []platform.WatchEvent) {
+		failed <- client.Watch(ctx, "/", after, func(_ int64, batch []keyvalue.WatchEvent) {
 			for _, event := range batch {
 				events <- fmt.Sprintf("%s=%s deleted=%v", event.Value.Key, event.Value.Value, event.Deleted)
 			}
@@ -216,12 +216,12 @@
 	expect(t, events, "/a=1 deleted=false")
 
 	server.SetFaults(Faults{Down: true})
-	var broken *platform.StoreError
-	if err := receive(t, failed); !errors.As(err, &broken) || platform.IsCompacted(err) {
+	var broken *keyvalue.StoreError
+	if err := receive(t, failed); !errors.As(err, &broken) || keyvalue.IsCompacted(err) {
 		t.Errorf("watch ended with %v", err)
 	}
-	_, err := client.Txn(ctx, nil, []platform.Op{{Key: "/lost", Value: []byte("x")}})
-	if !platform.IsUncertain(err) {
+	_, err := client.Txn(ctx, nil, []keyvalue.Op{{Key: "/lost", Value: []byte("x")}})
+	if !keyvalue.IsUncertain(err) {
 		t.Errorf("write in the outage: %v, want an uncertain failure", err)
 	}
 	if _, err := client.Range(ctx, "/a", false); err == nil {
@@ -229,7 +229,7 @@
 	}
 	server.SetFaults(Faults{})
 	put(t, client, "/a", "2")
-	if _, err := client.Txn(ctx, nil, []platform.Op{{Key: "/a", Delete: true}}); err != nil {
+	if _, err := client.Txn(ctx, nil, []keyvalue.Op{{Key: "/a", Delete: true}}); err != nil {
 		t.Fatal(err)
 	}
 	events, failed = watch(ctx, client, first)
@@ -252,7 +252,7 @@
 	server.store.compactBefore(last)
 	server.store.mu.Unlock()
 	_, failed := watch(t.Context(), client, 1)
-	if err := receive(t, failed); !platform.IsCompacted(err) {
+	if err := receive(t, failed); !keyvalue.IsCompacted(err) {
 		t.Errorf("watch ended with %v, want a compaction", err)
 	}
 	events, _ := watch(t.Context(), client, last-1)
@@ -266,25 +266,25 @@
 		t.Fatal(err)
 	}
 	events, _ := watch(t.Context(), client, 1)
-	leased := platform.Op{Key: "/leased", Value: []byte("x"), Lease: id}
-	if _, err := client.Txn(t.Context(), nil, []platform.Op{leased}); err != nil {
+	leased := keyvalue.Op{Key: "/leased", Value: []byte("x"), Lease: id}
+	if _, err := client.Txn(t.Context(), nil, []keyvalue.Op{leased}); err != nil {
 		t.Fatal(err)
 	}
 	expect(t, events, "/leased=x deleted=false")
 	expect(t, events, "/leased= deleted=true")
-	if _, err := client.Txn(t.Context(), nil, []platform.Op{leased}); err == nil || platform.IsUncertain(err) {
+	if _, err := client.Txn(t.Context(), nil, []keyvalue.Op{leased}); err == nil || keyvalue.IsUncertain(err) {
 		t.Errorf("put with a lapsed lease: %v, want a certain failure", err)
 	}
 }
 
 func TestValueLimit(t *testing.T) {
 	_, client := start(t)
-	large := platform.Op{Key: "/a", Value: make([]byte, maxValueBytes+1)}
-	if _, err := client.Txn(t.Context(), nil, []platform.Op{large}); err == nil || platform.IsUncertain(err) {
+	large := keyvalue.Op{Key: "/a", Value: make([]byte, maxValueBytes+1)}
+	if _, err := client.Txn(t.Context(), nil, []keyvalue.Op{large}); err == nil || keyvalue.IsUncertain(err) {
 		t.Errorf("too large a value: %v, want a certain failure", err)
 	}
 	large.Value = large.Value[:maxValueBytes]
-	if _, err := client.Txn(t.Context(), nil, []platform.Op{large}); err != nil {
+	if _, err := client.Txn(t.Context(), nil, []keyvalue.Op{large}); err != nil {
 		t.Errorf("a value of the limit: %v", err)
 	}
 }
