--- a/cmd/teaselgauge-agent/main.go
+++ b/cmd/teaselgauge-agent/main.go
@@ -18,12 +18,17 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	logs := func(config settings.Agent) settings.Log { return config.Log }
-	serve := command.ServeCommand("serve the backend server until SIGTERM", settings.LoadAgent, logs, agent.Run)
+	site := command.Serve[settings.Agent]{
+		Name:    "run",
+		Usage:   "serve the backend server until SIGTERM",
+		Load:    settings.LoadAgent,
+		Log:     func(config settings.Agent) settings.Log { return config.Log },
+		Process: agent.Run,
+	}
 	root := &cli.Command{
 		Name:     "teaselgauge-agent",
 		Usage:    "process beside one backend server of a teaselgauge site",
-		Commands: append(command.AgentCommands(), serve),
+		Commands: append(command.AgentCommands(), site.Command()),
 	}
 	os.Exit(command.Run(ctx, root, os.Args))
 }
--- a/cmd/teaselgauge-entry/main.go
+++ b/cmd/teaselgauge-entry/main.go
@@ -1,9 +1,11 @@
-// Command teaselgauge-entry runs on an entry host: it answers callers and
-// administrators and takes the site's decisions.
+// Command teaselgauge-entry runs on an entry host. As "run" it answers callers
+// and administrators of a site of teaselgauge's own; as "gateway" it stands
+// before the backend servers of an operator's platform.
 package main
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,18 +14,50 @@
 
 	"teaselgauge.example/teaselgauge/pkg/command"
 	"teaselgauge.example/teaselgauge/pkg/entry"
+	"teaselgauge.example/teaselgauge/pkg/gateway"
 	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	logs := func(config settings.Entry) settings.Log { return config.Log }
-	serve := command.ServeCommand("serve callers and administrators until SIGTERM", settings.LoadEntry, logs, entry.Run)
+	site := command.Serve[settings.Entry]{
+		Name:    "run",
+		Usage:   "serve callers and administrators until SIGTERM",
+		Load:    settings.LoadEntry,
+		Log:     func(config settings.Entry) settings.Log { return config.Log },
+		Process: entry.Run,
+	}
+	before := command.Serve[settings.Gateway]{
+		Name:              "gateway",
+		Usage:             "serve an operator's platform until SIGTERM",
+		SettingsVariables: []string{platform.SettingsVariable},
+		Load:              settings.LoadGateway,
+		Log:               func(config settings.Gateway) settings.Log { return config.Log },
+		Process:           runGateway,
+	}
 	root := &cli.Command{
 		Name:     "teaselgauge-entry",
-		Usage:    "entry host of a teaselgauge site",
-		Commands: append(command.EntryCommands(), serve),
+		Usage:    "entry host of teaselgauge",
+		Commands: append(command.EntryCommands(), site.Command(), before.Command()),
 	}
 	os.Exit(command.Run(ctx, root, os.Args))
 }
+
+// runGateway connects the gateway to the platform's adapter.
+func runGateway(ctx context.Context, config settings.Gateway, _ string, logger *slog.Logger) error {
+	store := platform.NewStore(config.Store.Address)
+	defer store.Close()
+	return gateway.Run(ctx, config, gateway.Dependencies{
+		Store: store,
+		Codec: gateway.Codec{
+			ConfigurationKey:    platform.ConfigurationKey,
+			RegistrationPrefix:  platform.RegistrationPrefix,
+			DecodeConfiguration: platform.DecodeConfiguration,
+			DecodeRegistration:  platform.DecodeRegistration,
+		},
+		Dialect:       platform.Callers{},
+		ReadinessPath: platform.ReadinessPath,
+	}, logger)
+}
--- /dev/null
+++ b/pkg/backends/tracker.go
@@ -0,0 +1,216 @@
+package backends
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// latencyGain is the weight of a new answer in the mean latency.
+	latencyGain = 0.2
+	// failureGain is the weight of a new outcome in the failure share.
+	failureGain = 0.15
+	// failureLimit is the failure share from which a server is avoided, once
+	// minOutcomes were seen.
+	failureLimit = 0.25
+	minOutcomes  = 4
+	// silenceFactor and minSilence tell when a server that answers nothing is
+	// taken for dead: after a multiple of its mean latency.
+	silenceFactor = 4
+	minSilence    = 150 * time.Millisecond
+	// avoidFor and maxAvoidFor bound how long a failing server is avoided; the
+	// time doubles with each relapse.
+	avoidFor    = time.Second
+	maxAvoidFor = 8 * time.Second
+	// relapseMemory is how long after an avoidance a new one counts as relapse.
+	relapseMemory = 10 * time.Second
+)
+
+// Health is what requests showed of one server. The zero value is that of an
+// unknown one.
+type Health struct {
+	InFlight int
+	// Latency is the mean time to the first byte of an answer; zero if unknown.
+	Latency time.Duration
+	// Avoid tells that the server fails or is silent.
+	Avoid bool
+	// Silent tells that it is avoided because it answers nothing.
+	Silent bool
+}
+
+// record is the state of one server.
+type record struct {
+	inFlight int
+	latency  time.Duration
+	failures float64
+	outcomes int
+	// quietSince is when the server was last heard while requests are open.
+	quietSince time.Time
+	// silent is set from a silence on until the server is heard again, and
+	// trialAt is when it may get a request to show whether it is back.
+	silent  bool
+	trialAt time.Time
+	// failingUntil is until when the server is avoided for its failures.
+	failingUntil time.Time
+	avoidance    time.Duration
+}
+
+// Tracker holds the load and the health of backend servers by ID. It is safe
+// for concurrent use. Use NewTracker.
+type Tracker struct {
+	mu      sync.Mutex
+	records map[string]*record
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker {
+	return &Tracker{records: make(map[string]*record)}
+}
+
+func (t *Tracker) record(id string) *record {
+	r := t.records[id]
+	if r == nil {
+		r = &record{}
+		t.records[id] = r
+	}
+	return r
+}
+
+// Began notes a request that is sent to a server.
+func (t *Tracker) Began(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(id)
+	if r.inFlight == 0 {
+		r.quietSince = now
+	}
+	r.inFlight++
+}
+
+// Heard notes bytes from a server.
+func (t *Tracker) Heard(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(id)
+	r.quietSince = now
+	r.silent = false
+}
+
+// Ended notes the end of a request that Began.
+func (t *Tracker) Ended(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(id)
+	r.inFlight = max(r.inFlight-1, 0)
+}
+
+// Answered notes the first byte of an answer after a time. failed tells that the
+// server failed at the request.
+func (t *Tracker) Answered(now time.Time, id string, took time.Duration, failed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(id)
+	r.quietSince = now
+	r.silent = false
+	if r.latency == 0 {
+		r.latency = took
+	}
+	r.latency += time.Duration(latencyGain * float64(took-r.latency))
+	r.outcome(now, failed)
+}
+
+// Failed notes a request that got no usable answer.
+func (t *Tracker) Failed(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(id).outcome(now, true)
+}
+
+// Unreachable notes that no connection to a server could be made.
+func (t *Tracker) Unreachable(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(id).fellSilent(now)
+}
+
+func (r *record) fellSilent(now time.Time) {
+	r.silent = true
+	r.trialAt = now.Add(avoidFor)
+}
+
+func (r *record) outcome(now time.Time, failed bool) {
+	r.outcomes++
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	r.failures += failureGain * (sample - r.failures)
+	if failed && r.outcomes >= minOutcomes && r.failures >= failureLimit {
+		r.avoid(now)
+	}
+}
+
+func (r *record) avoid(now time.Time) {
+	if now.Before(r.failingUntil) {
+		return
+	}
+	if now.Sub(r.failingUntil) > relapseMemory {
+		r.avoidance = 0
+	}
+	r.avoidance = min(max(2*r.avoidance, avoidFor), maxAvoidFor)
+	r.failingUntil = now.Add(r.avoidance)
+	// The share starts anew below the limit, so that some further failures are
+	// needed for a relapse.
+	r.failures = failureLimit / 2
+}
+
+// Health returns what is known of a server.
+func (t *Tracker) Health(now time.Time, id string) Health {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	if r == nil {
+		return Health{}
+	}
+	r.noteSilence(now)
+	return Health{
+		InFlight: r.inFlight,
+		Latency:  r.latency,
+		Avoid:    r.silent || now.Before(r.failingUntil),
+		Silent:   r.silent,
+	}
+}
+
+func (r *record) noteSilence(now time.Time) {
+	if r.inFlight == 0 || r.silent {
+		return
+	}
+	patience := max(silenceFactor*r.latency, minSilence)
+	if now.Sub(r.quietSince) >= patience {
+		r.fellSilent(now)
+	}
+}
+
+// ClaimTrial tells whether a silent server may get one call to show whether it
+// is back, and puts the next one off.
+func (t *Tracker) ClaimTrial(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	if r == nil || !r.silent || now.Before(r.trialAt) {
+		return false
+	}
+	r.trialAt = now.Add(avoidFor)
+	return true
+}
+
+// Forget drops the servers that are not in use any more.
+func (t *Tracker) Forget(known func(id string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, r := range t.records {
+		if r.inFlight == 0 && !known(id) {
+			delete(t.records, id)
+		}
+	}
+}
--- a/pkg/command/serve.go
+++ b/pkg/command/serve.go
@@ -16,24 +16,37 @@
 // its logger.
 type Process[T any] func(ctx context.Context, config T, version string, logger *slog.Logger) error
 
-// ServeCommand returns the subcommand that loads the settings and runs the
-// process until SIGTERM. logs picks the settings of the logger.
-func ServeCommand[T any](usage string, load func(path string) (T, error), logs func(T) settings.Log, process Process[T]) *cli.Command {
+// Serve describes a subcommand that runs a process.
+type Serve[T any] struct {
+	Name  string
+	Usage string
+	// SettingsVariables name environment variables with the path of the settings
+	// file, beside the product's own.
+	SettingsVariables []string
+	Load              func(path string) (T, error)
+	// Log picks the settings of the logger.
+	Log     func(T) settings.Log
+	Process Process[T]
+}
+
+// Command returns the subcommand, which loads the settings and runs the process
+// until SIGTERM.
+func (s Serve[T]) Command() *cli.Command {
 	return &cli.Command{
-		Name:  "run",
-		Usage: usage,
-		Flags: []cli.Flag{SettingsFlag()},
+		Name:  s.Name,
+		Usage: s.Usage,
+		Flags: []cli.Flag{SettingsFlag(s.SettingsVariables...)},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			config, err := load(cmd.String("settings"))
+			config, err := s.Load(cmd.String("settings"))
 			if err != nil {
 				return &RefusedError{Err: err}
 			}
-			logger, err := logging.New(os.Stderr, logs(config))
+			logger, err := logging.New(os.Stderr, s.Log(config))
 			if err != nil {
 				return fmt.Errorf("log settings: %w", err)
 			}
 			slog.SetDefault(logger)
-			return process(ctx, config, Version(), logger)
+			return s.Process(ctx, config, Version(), logger)
 		},
 	}
 }
--- a/pkg/command/settings.go
+++ b/pkg/command/settings.go
@@ -11,12 +11,13 @@
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
-// SettingsFlag returns the flag that names the settings file.
-func SettingsFlag() cli.Flag {
+// SettingsFlag returns the flag that names the settings file. Environment
+// variables may name it, too.
+func SettingsFlag(variables ...string) cli.Flag {
 	return &cli.StringFlag{
 		Name:     "settings",
 		Required: true,
-		Sources:  cli.EnvVars("TEASELGAUGE_SETTINGS"),
+		Sources:  cli.EnvVars(append([]string{"TEASELGAUGE_SETTINGS"}, variables...)...),
 		Usage:    "JSON file of the process's settings",
 	}
 }
--- /dev/null
+++ b/pkg/fleet/table.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table finds routes and services of one configuration.
+type Table struct {
+	configuration *Configuration
+	// hosts holds each host's routes, the longest prefix first.
+	hosts    map[string][]*Route
+	services map[string]*Service
+}
+
+// NewTable indexes a configuration.
+func NewTable(configuration *Configuration) *Table {
+	t := &Table{
+		configuration: configuration,
+		hosts:         make(map[string][]*Route),
+		services:      make(map[string]*Service, len(configuration.Services)),
+	}
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		host := strings.ToLower(route.Host)
+		t.hosts[host] = append(t.hosts[host], route)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	for i := range configuration.Services {
+		t.services[configuration.Services[i].Name] = &configuration.Services[i]
+	}
+	return t
+}
+
+// Configuration returns the indexed configuration.
+func (t *Table) Configuration() *Configuration { return t.configuration }
+
+// Match returns the route with the longest prefix of the path among those of
+// the host, or nil. The host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	for _, route := range t.hosts[normalHost(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service returns a listed service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Engines returns the services with model runners in their listed order.
+func (t *Table) Engines() []*Service {
+	var engines []*Service
+	for i := range t.configuration.Services {
+		if service := &t.configuration.Services[i]; service.Engine != nil {
+			engines = append(engines, service)
+		}
+	}
+	return engines
+}
+
+// Model returns a model that a route's destinations offer, or nil.
+func (t *Table) Model(route *Route, name string) *Model {
+	for _, destination := range route.Destinations {
+		service := t.services[destination.Service]
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		if model := service.Engine.Model(name); model != nil {
+			return model
+		}
+	}
+	return nil
+}
+
+func normalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
--- /dev/null
+++ b/pkg/forward/request.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Request is one request for a backend server.
+type Request struct {
+	// ID is the request's ID, by which its answer is recognised.
+	ID     string
+	Method string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// encode returns the request as it goes over the wire.
+func (r *Request) encode() []byte {
+	size := len(r.Method) + len(r.Target) + len(r.Host) + len(r.Body) + 64
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + 4
+		}
+	}
+	out := make([]byte, 0, size)
+	out = append(out, r.Method...)
+	out = append(out, ' ')
+	out = append(out, r.Target...)
+	out = append(out, " HTTP/1.1\r\n"...)
+	out = appendHeader(out, "Host", r.Host)
+	for name, values := range r.Header {
+		if name == "Host" || name == "Content-Length" {
+			continue
+		}
+		for _, value := range values {
+			out = appendHeader(out, name, value)
+		}
+	}
+	if len(r.Body) > 0 || mayHaveBody(r.Method) {
+		out = appendHeader(out, "Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	out = append(out, "\r\n"...)
+	return append(out, r.Body...)
+}
+
+func appendHeader(out []byte, name, value string) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	out = append(out, value...)
+	return append(out, "\r\n"...)
+}
+
+// mayHaveBody tells whether a request without a body names its length all the
+// same.
+func mayHaveBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+func splitList(value string) []string {
+	var names []string
+	for _, name := range strings.Split(value, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/attempt"
+	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	// drainNotice is how long a stopping entry goes on taking new connections
+	// after its readiness has turned false, so that the balancer turns away first.
+	drainNotice = 2500 * time.Millisecond
+	drainPoll   = 20 * time.Millisecond
+	// drainMargin is kept free before the platform kills the process.
+	drainMargin = 300 * time.Millisecond
+)
+
+// Dependencies are the clients of the platform that a gateway works with.
+type Dependencies struct {
+	Store   keyvalue.LeaseStore
+	Codec   Codec
+	Dialect forward.Dialect
+	// ReadinessPath is where the balancer asks whether the entry is ready.
+	ReadinessPath string
+}
+
+// Gateway is the process.
+type Gateway struct {
+	config  settings.Gateway
+	logger  *slog.Logger
+	control *control
+	sources *sources
+	handler *handler
+	pool    *forward.Pool
+	stopped atomic.Bool
+	callers *http.Server
+	ready   *http.Server
+	wait    sync.WaitGroup
+}
+
+// Run serves callers until ctx ends, then drains.
+func Run(ctx context.Context, config settings.Gateway, dependencies Dependencies, logger *slog.Logger) error {
+	g := &Gateway{config: config, logger: logger}
+	g.provision(dependencies)
+	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer func() {
+		stopWork()
+		g.wait.Wait()
+	}()
+	g.work(workCtx)
+	if err := g.listen(dependencies.ReadinessPath); err != nil {
+		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
+	}
+	logger.Info("serving", "host", config.Host.ID, "callers", config.Listen.Callers)
+	<-ctx.Done()
+	g.drain()
+	return nil
+}
+
+func (g *Gateway) provision(d Dependencies) {
+	g.control = newControl(g.logger)
+	g.sources = &sources{store: d.Store, codec: d.Codec, control: g.control, logger: g.logger}
+	g.pool = forward.NewPool(d.Dialect, func(string, time.Duration, error) {})
+	limits := attempt.BudgetLimits{
+		Ratio:  g.config.Retries.Ratio,
+		Slack:  g.config.Retries.Slack,
+		Window: time.Duration(g.config.Retries.WindowSeconds * float64(time.Second)),
+	}
+	g.handler = &handler{
+		control: g.control,
+		dialect: d.Dialect,
+		pool:    g.pool,
+		tracker: backends.NewTracker(),
+		budget:  attempt.NewBudget(time.Now(), limits, assumedEntries),
+		domain:  g.config.Host.FailureDomain,
+		logger:  g.logger,
+	}
+}
+
+// assumedEntries is the number of entries that share the retry budget before it
+// is known.
+const assumedEntries = 8
+
+func (g *Gateway) work(ctx context.Context) {
+	g.wait.Go(func() { g.control.loop.Run(ctx) })
+	g.wait.Go(func() { g.sources.followConfiguration(ctx) })
+	g.wait.Go(func() { g.sources.followRegistrations(ctx) })
+	g.wait.Go(func() { g.sources.expireLapsed(ctx) })
+	g.wait.Go(func() { g.pool.Run(ctx) })
+}
+
+func (g *Gateway) listen(readinessPath string) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+readinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	g.ready = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	if err := g.serve(g.ready, g.config.Listen.Readiness); err != nil {
+		return err
+	}
+	g.callers = &http.Server{
+		Handler:           g.handler,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+	}
+	return g.serve(g.callers, g.config.Listen.Callers)
+}
+
+func (g *Gateway) serve(server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	g.wait.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			g.logger.Error("HTTP server ended", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+// isReady tells the balancer whether to send new connections here.
+func (g *Gateway) isReady() bool {
+	current := g.control.current()
+	return !g.stopped.Load() && current.table != nil && len(current.backends) > 0
+}
+
+// drain lets the balancer turn away, then takes no new connections and waits for
+// the requests in flight.
+func (g *Gateway) drain() {
+	started := time.Now()
+	end := started.Add(time.Duration(g.config.DrainMillis)*time.Millisecond - drainMargin)
+	g.logger.Info("draining", "in_flight", g.handler.inFlight.Load())
+	g.stopped.Store(true)
+	g.handler.closing.Store(true)
+	time.Sleep(drainNotice)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := g.callers.Shutdown(ctx); err != nil {
+		_ = g.callers.Close()
+	}
+	_ = g.ready.Close()
+	g.logger.Info("stopped", "host", g.config.Host.ID, "in_flight", g.handler.inFlight.Load())
+}
--- /dev/null
+++ b/pkg/gateway/handler.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/attempt"
+	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/forward"
+)
+
+const (
+	// defaultBudget is the time for an answer when neither the caller nor the
+	// route names one.
+	defaultBudget = 30 * time.Second
+	// defaultMaxBody bounds a body when the configuration names no bound.
+	defaultMaxBody = 4 << 20
+	// unconfiguredRetry is when to come back to an entry without configuration.
+	unconfiguredRetry = 500 * time.Millisecond
+)
+
+// handler serves callers.
+type handler struct {
+	control *control
+	dialect forward.Dialect
+	pool    *forward.Pool
+	tracker *backends.Tracker
+	budget  *attempt.Budget
+	domain  string
+	logger  *slog.Logger
+	// inFlight counts requests until their last byte.
+	inFlight atomic.Int64
+	// closing tells that kept connections should end after their answer.
+	closing atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	if h.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	arrived := time.Now()
+	current := h.control.current()
+	if current.table == nil {
+		refuse(w, refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: unconfiguredRetry})
+		return
+	}
+	route := current.table.Match(r.Host, rawPath(r))
+	if route == nil {
+		refuse(w, refusal{status: http.StatusNotFound, reason: "no route"})
+		return
+	}
+	caller, err := h.dialect.ReadCaller(r.Header)
+	if err != nil {
+		refuse(w, refusal{status: http.StatusBadRequest, reason: err.Error()})
+		return
+	}
+	body, failure := readBody(w, r, current.table.Configuration().Limits)
+	if failure != nil {
+		refuse(w, *failure)
+		return
+	}
+	x := h.newExchange(w, r, route, caller, body, arrived)
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.run(ctx)
+}
+
+// rawPath is the path as the caller sent it, without the query.
+func rawPath(r *http.Request) string {
+	path, _, _ := strings.Cut(target(r), "?")
+	return path
+}
+
+// target is the request target in origin form.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limits fleet.Limits) ([]byte, *refusal) {
+	bound := limits.MaxBodyBytes
+	if bound <= 0 {
+		bound = defaultMaxBody
+	}
+	if r.ContentLength > bound {
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, body); err != nil {
+			return nil, bodyFailure(err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
+	if err != nil {
+		return nil, bodyFailure(err)
+	}
+	return body, nil
+}
+
+func bodyFailure(err error) *refusal {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	return &refusal{status: http.StatusRequestTimeout, reason: "body incomplete"}
+}
--- /dev/null
+++ b/pkg/gateway/sources.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+)
+
+const (
+	// storeRetry is the pause after a failed call of the store.
+	storeRetry = 300 * time.Millisecond
+	// registrationPace is the least time between two calls for registrations.
+	// Heartbeats would answer each call at once.
+	registrationPace = 700 * time.Millisecond
+	// expireInterval is the time between two looks at lapsed servers.
+	expireInterval = 250 * time.Millisecond
+)
+
+// Codec reads what the platform keeps in its store.
+type Codec struct {
+	// ConfigurationKey is the key of the configuration.
+	ConfigurationKey string
+	// RegistrationPrefix is the prefix of the keys of backend servers.
+	RegistrationPrefix  string
+	DecodeConfiguration func(value []byte) (*fleet.Configuration, error)
+	DecodeRegistration  func(key string, value []byte) (fleet.Backend, error)
+}
+
+// sources follows the platform's store.
+type sources struct {
+	store   keyvalue.Store
+	codec   Codec
+	control *control
+	logger  *slog.Logger
+}
+
+// followConfiguration keeps the newest configuration in force until ctx ends.
+func (s *sources) followConfiguration(ctx context.Context) {
+	s.follow(ctx, s.codec.ConfigurationKey, false, s.takeConfiguration)
+}
+
+// followRegistrations keeps the registered servers up to date until ctx ends.
+func (s *sources) followRegistrations(ctx context.Context) {
+	s.follow(ctx, s.codec.RegistrationPrefix, true, func(ctx context.Context, read reading) {
+		s.takeRegistrations(read)
+		if !read.complete {
+			backoff.Sleep(ctx, registrationPace)
+		}
+	})
+}
+
+// reading is what a read or a watch brought.
+type reading struct {
+	// complete tells that all present keys are there; else only changes are.
+	complete bool
+	events   []keyvalue.WatchEvent
+}
+
+// follow reads a key or prefix and then watches it, and starts anew after a
+// failure.
+func (s *sources) follow(ctx context.Context, key string, prefix bool, take func(context.Context, reading)) {
+	for ctx.Err() == nil {
+		err := s.followOnce(ctx, key, prefix, take)
+		if ctx.Err() != nil {
+			return
+		}
+		s.logger.Warn("store lost", "key", key, "error", err)
+		if !errors.Is(err, keyvalue.ErrCompacted) {
+			s.control.loop.Post(func() { s.control.storeUnstable(time.Now()) })
+			backoff.Sleep(ctx, storeRetry)
+		}
+	}
+}
+
+func (s *sources) followOnce(ctx context.Context, key string, prefix bool, take func(context.Context, reading)) error {
+	result, err := s.store.Range(ctx, key, prefix)
+	if err != nil {
+		return err
+	}
+	read := reading{complete: true}
+	for _, value := range result.Values {
+		read.events = append(read.events, keyvalue.WatchEvent{Value: value})
+	}
+	take(ctx, read)
+	s.logger.Info("store read", "key", key, "revision", result.Revision, "values", len(result.Values))
+	return s.store.Watch(ctx, key, result.Revision, func(_ int64, events []keyvalue.WatchEvent) {
+		if len(events) > 0 {
+			take(ctx, reading{events: events})
+		}
+	})
+}
+
+func (s *sources) takeConfiguration(_ context.Context, read reading) {
+	for _, event := range read.events {
+		if event.Deleted || event.Value.Key != s.codec.ConfigurationKey {
+			continue
+		}
+		configuration, err := s.codec.DecodeConfiguration(event.Value.Value)
+		if err != nil {
+			s.logger.Error("configuration unreadable, the last one stays in force", "revision", event.Value.ModRevision, "error", err)
+			continue
+		}
+		s.control.loop.Do(func() { s.control.configured(configuration) })
+	}
+}
+
+// registrationChange is one event of a backend server's registration.
+type registrationChange struct {
+	id      string
+	backend fleet.Backend
+	removed bool
+	// unreadable marks an entry that names no server to use.
+	unreadable bool
+}
+
+func (s *sources) takeRegistrations(read reading) {
+	now := time.Now()
+	changes := make([]registrationChange, 0, len(read.events))
+	for _, event := range read.events {
+		changes = append(changes, s.decodeRegistration(event))
+	}
+	s.control.loop.Do(func() {
+		s.control.registrations(func(registry *backends.Registry) bool {
+			return applyRegistrations(now, registry, read.complete, changes)
+		})
+	})
+}
+
+func (s *sources) decodeRegistration(event keyvalue.WatchEvent) registrationChange {
+	change := registrationChange{id: strings.TrimPrefix(event.Value.Key, s.codec.RegistrationPrefix), removed: event.Deleted}
+	if event.Deleted {
+		return change
+	}
+	backend, err := s.codec.DecodeRegistration(event.Value.Key, event.Value.Value)
+	if err != nil {
+		s.logger.Debug("registration ignored", "revision", event.Value.ModRevision, "error", err)
+		change.unreadable = true
+		return change
+	}
+	change.backend = backend
+	return change
+}
+
+// applyRegistrations takes changes in, in their order, and tells whether a
+// server is usable that wasn't, or the other way round.
+func applyRegistrations(now time.Time, registry *backends.Registry, complete bool, changes []registrationChange) bool {
+	changed := false
+	var listed []fleet.Backend
+	for _, change := range changes {
+		switch {
+		case change.removed:
+			changed = registry.Remove(now, change.id) || changed
+		case change.unreadable:
+			changed = registry.Unreadable(now, change.id) || changed
+		default:
+			changed = registry.Put(change.backend) || changed
+			listed = append(listed, change.backend)
+		}
+	}
+	if complete {
+		changed = registry.Replace(now, listed) || changed
+	}
+	return changed
+}
+
+// expireLapsed drops lapsed servers until ctx ends.
+func (s *sources) expireLapsed(ctx context.Context) {
+	for ctx.Err() == nil {
+		backoff.Sleep(ctx, expireInterval)
+		s.control.loop.Do(func() { s.control.expire(time.Now()) })
+	}
+}
--- a/pkg/keyvalue/errors.go
+++ b/pkg/keyvalue/errors.go
@@ -5,6 +5,9 @@
 // ErrCompacted tells that a watch asked for a revision that is no longer kept.
 var ErrCompacted = errors.New("revision compacted")
 
+// ErrLeaseEnded tells that a lease has run out or was ended.
+var ErrLeaseEnded = errors.New("lease has ended")
+
 // StoreError is a failure of the key-value service.
 type StoreError struct {
 	Op string
--- a/pkg/keyvalue/store.go
+++ b/pkg/keyvalue/store.go
@@ -66,3 +66,12 @@
 	// Grant makes a lease.
 	Grant(ctx context.Context, ttl time.Duration) (int64, error)
 }
+
+// LeaseStore is a Store whose leases can be renewed and ended.
+type LeaseStore interface {
+	Store
+	// KeepAlive renews a lease. Its error is ErrLeaseEnded if there is none.
+	KeepAlive(ctx context.Context, lease int64) error
+	// Revoke ends a lease and deletes its keys.
+	Revoke(ctx context.Context, lease int64) error
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -72,6 +72,35 @@
 	return problems
 }
 
+// gatewayProblems finds addresses that stand twice.
+func gatewayProblems(gateway *Gateway) []schema.Problem {
+	listen := gateway.Listen
+	return duplicateAddresses([]namedAddress{
+		{"listen.callers", listen.Callers},
+		{"listen.readiness", listen.Readiness},
+		{"listen.metrics", listen.Metrics},
+	})
+}
+
+// namedAddress is a TCP address and its place in the settings.
+type namedAddress struct{ path, address string }
+
+func duplicateAddresses(addresses []namedAddress) []schema.Problem {
+	var problems []schema.Problem
+	first := make(map[string]string)
+	for _, named := range addresses {
+		if other, ok := first[named.address]; ok && named.address != "" {
+			problems = append(problems, schema.Problem{
+				Path:    named.path,
+				Message: fmt.Sprintf("%q is also %s, must be another address", named.address, other),
+			})
+			continue
+		}
+		first[named.address] = named.path
+	}
+	return problems
+}
+
 // appendLoopback adds a problem if the address is valid and not on loopback.
 func appendLoopback(problems []schema.Problem, path, address string) []schema.Problem {
 	parsed, err := netip.ParseAddrPort(address)
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -26,60 +26,63 @@
 
 	DefaultServiceSlots   = 8
 	DefaultAgentMaxQueued = 1024
+
+	DefaultGatewayDrain = 8 * time.Second
+	DefaultRetryRatio   = 0.2
+	DefaultRetrySlack   = 20.0
+	DefaultRetryWindow  = 10 * time.Second
 )
 
 // LoadEntry reads and checks the settings of teaselgauge-entry and fills in the
 // defaults. The error lists all problems.
-func LoadEntry(path string) (Entry, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Entry{}, fmt.Errorf("settings: %w", err)
-	}
-	entry, err := ParseEntry(data)
-	if err != nil {
-		return Entry{}, fmt.Errorf("settings %s:\n%w", path, err)
-	}
-	return entry, nil
-}
+func LoadEntry(path string) (Entry, error) { return load(path, ParseEntry) }
 
 // LoadAgent reads and checks the settings of teaselgauge-agent and fills in the
 // defaults. The error lists all problems.
-func LoadAgent(path string) (Agent, error) {
+func LoadAgent(path string) (Agent, error) { return load(path, ParseAgent) }
+
+// LoadGateway is LoadEntry for an entry before an operator's own platform.
+func LoadGateway(path string) (Gateway, error) { return load(path, ParseGateway) }
+
+func load[T any](path string, parse func([]byte) (T, error)) (T, error) {
+	var none T
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Agent{}, fmt.Errorf("settings: %w", err)
+		return none, fmt.Errorf("settings: %w", err)
 	}
-	agent, err := ParseAgent(data)
+	loaded, err := parse(data)
 	if err != nil {
-		return Agent{}, fmt.Errorf("settings %s:\n%w", path, err)
+		return none, fmt.Errorf("settings %s:\n%w", path, err)
 	}
-	return agent, nil
+	return loaded, nil
 }
 
 // ParseEntry is LoadEntry on the file's content. Its error is a *schema.Error.
 func ParseEntry(data []byte) (Entry, error) {
-	var entry Entry
-	if err := schema.Decode(data, &entry); err != nil {
-		return Entry{}, err
-	}
-	entry.fillDefaults()
-	if err := check(&entry, entryProblems(&entry)); err != nil {
-		return Entry{}, err
-	}
-	return entry, nil
+	return parse(data, (*Entry).fillDefaults, entryProblems)
 }
 
 // ParseAgent is LoadAgent on the file's content. Its error is a *schema.Error.
 func ParseAgent(data []byte) (Agent, error) {
-	var agent Agent
-	if err := schema.Decode(data, &agent); err != nil {
-		return Agent{}, err
+	return parse(data, (*Agent).fillDefaults, agentProblems)
+}
+
+// ParseGateway is LoadGateway on the file's content. Its error is a
+// *schema.Error.
+func ParseGateway(data []byte) (Gateway, error) {
+	return parse(data, (*Gateway).fillDefaults, gatewayProblems)
+}
+
+func parse[T any](data []byte, fillDefaults func(*T), problems func(*T) []schema.Problem) (T, error) {
+	var none, parsed T
+	if err := schema.Decode(data, &parsed); err != nil {
+		return none, err
 	}
-	agent.fillDefaults()
-	if err := check(&agent, agentProblems(&agent)); err != nil {
-		return Agent{}, err
+	fillDefaults(&parsed)
+	if err := check(&parsed, problems(&parsed)); err != nil {
+		return none, err
 	}
-	return agent, nil
+	return parsed, nil
 }
 
 func (e *Entry) fillDefaults() {
@@ -101,6 +104,14 @@
 	}
 }
 
+func (g *Gateway) fillDefaults() {
+	setDefault(&g.DrainMillis, millis(DefaultGatewayDrain))
+	setDefault(&g.Retries.Ratio, DefaultRetryRatio)
+	setDefault(&g.Retries.Slack, DefaultRetrySlack)
+	setDefault(&g.Retries.WindowSeconds, DefaultRetryWindow.Seconds())
+	g.Log.fillDefaults()
+}
+
 func (k *KeyValue) fillDefaults() {
 	setDefault(&k.TimeoutMillis, millis(DefaultKeyValueTimeout))
 }
