--- a/cmd/teaselgauge-agent/main.go
+++ b/cmd/teaselgauge-agent/main.go
@@ -1,9 +1,11 @@
 // Command teaselgauge-agent runs beside one backend server and is the only
-// process that gives it orders.
+// process that gives it orders. As "run" it serves a site of teaselgauge's own;
+// as "runner" it stands beside a model runner of an operator's platform.
 package main
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,7 +14,9 @@
 
 	"teaselgauge.example/teaselgauge/pkg/agent"
 	"teaselgauge.example/teaselgauge/pkg/command"
+	"teaselgauge.example/teaselgauge/pkg/runneragent"
 	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/platform"
 )
 
 func main() {
@@ -25,10 +29,27 @@
 		Log:     func(config settings.Agent) settings.Log { return config.Log },
 		Process: agent.Run,
 	}
+	beside := command.Serve[settings.Runner]{
+		Name:              "runner",
+		Usage:             "serve a model runner of an operator's platform until SIGTERM",
+		SettingsVariables: []string{platform.SettingsVariable},
+		Load:              settings.LoadRunner,
+		Log:               func(config settings.Runner) settings.Log { return config.Log },
+		Process:           runRunner,
+	}
 	root := &cli.Command{
 		Name:     "teaselgauge-agent",
 		Usage:    "process beside one backend server of a teaselgauge site",
-		Commands: append(command.AgentCommands(), site.Command()),
+		Commands: append(command.AgentCommands(), site.Command(), beside.Command()),
 	}
 	os.Exit(command.Run(ctx, root, os.Args))
 }
+
+// runRunner connects the agent to the platform's adapter.
+func runRunner(ctx context.Context, config settings.Runner, _ string, logger *slog.Logger) error {
+	store := platform.NewStore(config.Store.Address)
+	defer store.Close()
+	runner := platform.NewRunner(config.Runner)
+	defer runner.Close()
+	return runneragent.Run(ctx, config, runneragent.Dependencies{Store: store, Runner: runner}, logger)
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -100,7 +100,7 @@
 // refuseLate refuses an item that can't make its deadline.
 func (q *Queue) refuseLate(now time.Time, f *flow, item Item, estimate Estimate) *Refusal {
 	if item.Deadline.IsZero() {
-		return nil
+		return q.refuseLateStart(now, f, item, estimate)
 	}
 	budget := item.Deadline.Sub(now) - replyMargin
 	need := q.rate.service(float64(item.cost()))
@@ -110,11 +110,23 @@
 	}
 	wait := q.expectedStart(now, f, item, estimate)
 	if wait+need <= budget && budget > 0 {
-		return nil
+		return q.refuseLateStart(now, f, item, estimate)
 	}
 	return &Refusal{Reason: wire.ReasonDeadline, RetryAfter: clampRetry(wait + need - budget)}
 }
 
+// refuseLateStart refuses an item that is expected to start too late.
+func (q *Queue) refuseLateStart(now time.Time, f *flow, item Item, estimate Estimate) *Refusal {
+	if item.StartBy.IsZero() {
+		return nil
+	}
+	wait := q.expectedStart(now, f, item, estimate)
+	if late := wait - item.StartBy.Sub(now); late > 0 {
+		return &Refusal{Reason: wire.ReasonDeadline, RetryAfter: clampRetry(late)}
+	}
+	return nil
+}
+
 func (q *Queue) push(f *flow, item Item) {
 	q.seq++
 	e := &entry{item: item, seq: q.seq, expiryIndex: -1}
@@ -127,14 +139,25 @@
 	f.queued++
 	q.tokens += item.cost()
 	q.entries[item.ID] = e
-	if !item.Deadline.IsZero() {
-		need := q.rate.service(float64(item.cost()))
-		reserve := replyMargin + time.Duration(expiryServiceShare*float64(need))
-		e.latestStart = item.Deadline.Add(-reserve)
+	if e.latestStart = q.latestStart(item); !e.latestStart.IsZero() {
 		heap.Push(&q.expiry, e)
 	}
 }
 
+// latestStart is when an item expires, or the zero time.
+func (q *Queue) latestStart(item Item) time.Time {
+	if item.Deadline.IsZero() {
+		return item.StartBy
+	}
+	need := q.rate.service(float64(item.cost()))
+	reserve := replyMargin + time.Duration(expiryServiceShare*float64(need))
+	latest := item.Deadline.Add(-reserve)
+	if !item.StartBy.IsZero() && item.StartBy.Before(latest) {
+		return item.StartBy
+	}
+	return latest
+}
+
 // take removes a waiting entry from all structures.
 func (q *Queue) take(e *entry) {
 	l := e.lane
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -41,6 +41,10 @@
 	Priority int
 	// Deadline is when the whole answer is due; the zero time means none.
 	Deadline time.Time
+	// StartBy is when the item must have started, for example because its caller
+	// leaves without a first byte by then; the zero time means no bound but the
+	// deadline.
+	StartBy time.Time
 	// Tokens is the estimated work. Less than 1 counts as 1.
 	Tokens int64
 	Target Target
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -32,7 +32,7 @@
 
 // deliver passes an answer on. It returns nil when the caller has all of it, or
 // what went wrong.
-func (x *exchange) deliver(ctx context.Context, backend *fleet.Backend, response *forward.Response) *attempt.Event {
+func (x *exchange) deliver(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
 	defer x.handler.tracker.Ended(backend.ID)
 	if x.route.Kind == fleet.Streaming && response.Status == http.StatusOK {
 		return x.deliverStream(ctx, backend, response)
@@ -47,7 +47,7 @@
 }
 
 // deliverWhole reads an answer before it passes it on.
-func (x *exchange) deliverWhole(backend *fleet.Backend, response *forward.Response) *attempt.Event {
+func (x *exchange) deliverWhole(backend *server, response *forward.Response) *attempt.Event {
 	event := attempt.Lost
 	if response.ContentLength > maxBufferedBytes {
 		return x.deliverLong(response)
@@ -124,7 +124,7 @@
 
 // deliverStream passes events on as they come. Of a resumable stream only whole
 // events are passed on, so that it can go on at another server.
-func (x *exchange) deliverStream(ctx context.Context, backend *fleet.Backend, response *forward.Response) *attempt.Event {
+func (x *exchange) deliverStream(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
 	x.writeHead(response, -1)
 	flusher := http.NewResponseController(x.writer)
 	buffer := make([]byte, 0, streamBufferSize)
--- /dev/null
+++ b/pkg/gateway/choose.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// busyShare is the part of its slots from which a runner counts as busy, so that
+// a runner that would have to load the model first may go before it.
+const busyShare = 0.8
+
+// candidate is a runner that may serve a model.
+type candidate struct {
+	*server
+	// place orders by what must happen before the model can be used.
+	place readiness
+	// load is the share of the runner's slots that is taken, waiting uses
+	// included.
+	load   float64
+	health backends.Health
+	near   bool
+	// permit is the place of the runner's permit, or noPermit.
+	permit int
+}
+
+// noPermit is the place of a runner without a permit.
+const noPermit = 1 << 20
+
+// readiness tells what must happen before a model can be used.
+type readiness uint8
+
+// The kinds of readiness, the best first.
+const (
+	readyNow readiness = iota
+	readySoon
+	readyBusy
+	readyAfterLoad
+	readyNever
+)
+
+// chooseRunner returns the best runner for a model among those that were not
+// tried, or nil.
+func chooseRunner(now time.Time, v *view, tracker *backends.Tracker, service, model, domain string, tried []string) *server {
+	var candidates []candidate
+	for _, s := range v.servers[service] {
+		if s.State != fleet.BackendReady || slices.Contains(tried, s.ID) {
+			continue
+		}
+		c := newCandidate(now, v, s, modelKey{service, model})
+		if c.place == readyNever {
+			continue
+		}
+		c.health = tracker.Health(now, s.ID)
+		c.near = s.FailureDomain == domain
+		candidates = append(candidates, c)
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(candidates, compareCandidates)
+	return best.server
+}
+
+func newCandidate(now time.Time, v *view, s *server, key modelKey) candidate {
+	c := candidate{server: s, permit: noPermit}
+	for i, permit := range v.permits[key] {
+		if permit.Host == s.agent {
+			c.permit = i
+		}
+	}
+	if !s.hears(now) {
+		c.place = readinessUnheard(s, key.model)
+		return c
+	}
+	status := s.state.status
+	if status.Down || status.Leaving {
+		c.place = readyNever
+		return c
+	}
+	if status.Slots > 0 {
+		c.load = float64(status.Running+status.Waiting) / float64(status.Slots)
+	}
+	c.place = readinessOf(s.model(key.model), c.load, c.permit != noPermit)
+	return c
+}
+
+// readinessUnheard judges a runner whose agent is silent by what is known of
+// before: only what it holds can be used, as nobody can order a load.
+func readinessUnheard(s *server, model string) readiness {
+	if known := s.model(model); known != nil && known.State == wire.ModelLoaded {
+		return readySoon
+	}
+	held := slices.ContainsFunc(s.Models, func(m fleet.LoadedModel) bool { return m.Name == model })
+	if held {
+		return readySoon
+	}
+	return readyNever
+}
+
+func readinessOf(known *wire.RunnerModel, load float64, permitted bool) readiness {
+	switch {
+	case known != nil && known.State == wire.ModelLoaded && load < busyShare:
+		return readyNow
+	case known != nil && known.State == wire.ModelLoaded:
+		return readyBusy
+	case known != nil && known.State == wire.ModelLoading:
+		return readySoon
+	case permitted:
+		return readyAfterLoad
+	default:
+		return readyNever
+	}
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(trouble(a.health), trouble(b.health)),
+		cmp.Compare(a.place, b.place),
+		cmp.Compare(a.rank(), b.rank()),
+		cmp.Compare(a.permit, b.permit),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func trouble(health backends.Health) int {
+	switch {
+	case health.Silent:
+		return 2
+	case health.Avoid:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// farLoad is how much more of its slots a nearby runner may have taken than a far
+// one and still be preferred.
+const farLoad = 0.1
+
+// rank compares runners that are equally ready: by load, where loads count, with
+// a preference for the own failure domain.
+func (c candidate) rank() float64 {
+	if c.place == readyAfterLoad {
+		return 0
+	}
+	load := c.load
+	if slots := c.Slots; slots > 0 {
+		load = max(load, float64(c.health.InFlight)/float64(slots))
+	}
+	if !c.near {
+		load += farLoad
+	}
+	return load
+}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -2,25 +2,58 @@
 
 import (
 	"log/slog"
+	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/packing"
+	"teaselgauge.example/teaselgauge/pkg/roster"
+	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// control owns the control state. Its methods run on the loop, but for current.
+// agentState is what an agent last said of its runner.
+type agentState struct {
+	status *wire.RunnerStatus
+	heard  time.Time
+	// connected tells that the agent's stream of statuses is open.
+	connected bool
+}
+
+// control owns the control state. Its methods run on the loop, but for current
+// and changes.
 type control struct {
-	loop     *eventloop.Loop
-	logger   *slog.Logger
-	registry *backends.Registry
-	table    *fleet.Table
-	view     atomic.Pointer[view]
+	loop      *eventloop.Loop
+	logger    *slog.Logger
+	registry  *backends.Registry
+	table     *fleet.Table
+	hosts     map[string]roster.Host
+	agents    map[string]*agentState
+	placement *packing.Placement
+	// permits indexes placement.
+	permits map[modelKey][]packing.Permit
+	leader  string
+	// asOf is the store's revision up to which hosts and placement are known.
+	asOf int64
+
+	view atomic.Pointer[view]
+	// changed is closed and replaced when anything but statuses has changed.
+	mu      sync.Mutex
+	changed chan struct{}
 }
 
 func newControl(logger *slog.Logger) *control {
-	c := &control{loop: eventloop.New(), logger: logger, registry: backends.NewRegistry()}
+	c := &control{
+		loop:     eventloop.New(),
+		logger:   logger,
+		registry: backends.NewRegistry(),
+		hosts:    make(map[string]roster.Host),
+		agents:   make(map[string]*agentState),
+		changed:  make(chan struct{}),
+	}
 	c.publish()
 	return c
 }
@@ -28,8 +61,24 @@
 // current returns the newest view. Any goroutine may call it.
 func (c *control) current() *view { return c.view.Load() }
 
+// changes returns a channel that is closed when anything but statuses changes in
+// the view. Any goroutine may call it.
+func (c *control) changes() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// publishStatuses makes changed statuses visible.
+func (c *control) publishStatuses() { c.view.Store(newView(c)) }
+
+// publish makes all changes visible.
 func (c *control) publish() {
-	c.view.Store(newView(c.table, c.registry.Backends()))
+	c.publishStatuses()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.changed)
+	c.changed = make(chan struct{})
 }
 
 // configured puts a configuration in force unless a newer one is.
@@ -58,3 +107,62 @@
 func (c *control) expire(now time.Time) {
 	c.registrations(func(registry *backends.Registry) bool { return registry.Expire(now) })
 }
+
+// siteChange is what the store holds of the site's own processes and decisions.
+type siteChange struct {
+	// complete tells that hosts, placement and leader are all there is.
+	complete  bool
+	asOf      int64
+	hosts     []roster.Host
+	gone      []string
+	placement *packing.Placement
+	// leader is the host ID of the leader; empty with leaderGone if there is none.
+	leader     string
+	leaderGone bool
+}
+
+// siteChanged takes in a change of the site's own processes and decisions.
+func (c *control) siteChanged(change siteChange) {
+	c.asOf = max(c.asOf, change.asOf)
+	if change.complete {
+		c.hosts = make(map[string]roster.Host)
+		c.leader = ""
+	} else if len(change.hosts)+len(change.gone) > 0 {
+		// Views share the map, so it is replaced.
+		c.hosts = maps.Clone(c.hosts)
+	}
+	for _, host := range change.hosts {
+		c.hosts[host.ID] = host
+	}
+	for _, id := range change.gone {
+		delete(c.hosts, id)
+	}
+	if change.placement != nil && (c.placement == nil || change.placement.Revision >= c.placement.Revision) {
+		c.placement = change.placement
+		c.permits = permitsOf(change.placement)
+	}
+	if change.leader != "" || change.leaderGone {
+		c.leader = change.leader
+	}
+	c.publish()
+}
+
+// agentSaid takes in an agent's status.
+func (c *control) agentSaid(now time.Time, host string, status *wire.RunnerStatus) {
+	c.agents = maps.Clone(c.agents)
+	c.agents[host] = &agentState{status: status, heard: now, connected: true}
+	c.publishStatuses()
+}
+
+// agentLost notes that the stream of an agent's statuses broke.
+func (c *control) agentLost(host string) {
+	state := c.agents[host]
+	if state == nil || !state.connected {
+		return
+	}
+	lost := *state
+	lost.connected = false
+	c.agents = maps.Clone(c.agents)
+	c.agents[host] = &lost
+	c.publishStatuses()
+}
--- /dev/null
+++ b/pkg/gateway/decider.go
@@ -0,0 +1,275 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/packing"
+)
+
+const (
+	// settleTime is how long a new leader waits for the statuses of all agents
+	// before it decides.
+	settleTime = 1500 * time.Millisecond
+	// downTolerance is how long a runner that is down keeps its permits.
+	downTolerance = time.Second
+	// demandFloor is the rate of interactive requests a second from which a model
+	// is in demand.
+	demandFloor = 0.3
+	// startTTL is how long a leave to load counts before the agent's status shows
+	// the load.
+	startTTL = time.Second
+)
+
+// decider decides the placement and the starts of loads while its entry leads. It
+// is used by one goroutine.
+type decider struct {
+	store   keyvalue.Store
+	control *control
+	links   *links
+	logger  *slog.Logger
+	// loadsAtOnce is how many loads from the weight store run at full speed.
+	loadsAtOnce int
+
+	leaderRevision int64
+	since          time.Time
+	// decidedFor names the state that the last decision was made for.
+	decidedFor string
+	// downSince is when each runner was first seen down.
+	downSince map[string]time.Time
+	// started holds the leaves that no status shows yet.
+	started map[startKey]time.Time
+}
+
+// startKey names a load from the weight store.
+type startKey struct{ host, model string }
+
+// begin starts the term of a leader, whose key has a revision.
+func (d *decider) begin(leaderRevision int64) {
+	d.leaderRevision = leaderRevision
+	d.since = time.Now()
+	d.decidedFor = ""
+	d.downSince = make(map[string]time.Time)
+	d.started = make(map[startKey]time.Time)
+}
+
+// decide looks at the placement and at waiting loads.
+func (d *decider) decide(ctx context.Context, now time.Time) {
+	current := d.control.current()
+	if current.table == nil {
+		return
+	}
+	d.noteDown(now, current)
+	if !d.isSettled(now, current) {
+		return
+	}
+	state := d.stateOf(now, current)
+	if state != d.decidedFor && d.place(ctx, now, current) {
+		d.decidedFor = state
+	}
+	d.startLoads(now, current)
+}
+
+// isSettled tells whether all agents were heard or had the time to be.
+func (d *decider) isSettled(now time.Time, current *view) bool {
+	if now.Sub(d.since) >= settleTime {
+		return true
+	}
+	known := 0
+	for _, service := range current.table.Engines() {
+		for _, s := range current.servers[service.Name] {
+			if !s.hears(now) {
+				return false
+			}
+			known++
+		}
+	}
+	return known > 0
+}
+
+func (d *decider) noteDown(now time.Time, current *view) {
+	for host, state := range current.agents {
+		isDown := state.status.Down || !state.connected
+		if !isDown {
+			delete(d.downSince, host)
+		} else if d.downSince[host].IsZero() {
+			d.downSince[host] = now
+		}
+	}
+}
+
+// usable tells whether a runner may be given permits.
+func (d *decider) usable(now time.Time, s *server) bool {
+	if s.agent == "" || s.state == nil || s.State != fleet.BackendReady || s.state.status.Leaving {
+		return false
+	}
+	down := d.downSince[s.agent]
+	return down.IsZero() || now.Sub(down) < downTolerance
+}
+
+// stateOf names what the placement depends on.
+func (d *decider) stateOf(now time.Time, current *view) string {
+	var parts []string
+	for _, service := range current.table.Engines() {
+		parts = append(parts, service.Name)
+		for i := range service.Engine.Models {
+			parts = append(parts, service.Engine.Models[i].Name)
+		}
+		for _, s := range current.servers[service.Name] {
+			if d.usable(now, s) {
+				parts = append(parts, s.agent)
+			}
+		}
+		for model, demand := range demandOf(current, service.Name) {
+			if demand.Interactive >= demandFloor {
+				parts = append(parts, "+"+model)
+			}
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+// demandOf sums what the agents say of the demand for each model.
+func demandOf(current *view, service string) map[string]packing.Demand {
+	demand := make(map[string]packing.Demand)
+	for _, s := range current.servers[service] {
+		if s.state == nil {
+			continue
+		}
+		for _, model := range s.state.status.Models {
+			sum := demand[model.Name]
+			sum.Interactive += model.Interactive
+			sum.Patient += model.Patient
+			demand[model.Name] = sum
+		}
+	}
+	return demand
+}
+
+// place decides the placement and writes it if it differs. It returns false if
+// the decision has to be made again.
+func (d *decider) place(ctx context.Context, now time.Time, current *view) bool {
+	next := &packing.Placement{}
+	for _, service := range current.table.Engines() {
+		next.Models = append(next.Models, packing.Pack(d.problem(now, current, service))...)
+	}
+	if current.placement != nil && current.placement.Equal(next) {
+		return true
+	}
+	value, err := next.Encode()
+	if err != nil {
+		d.logger.Error("placement can't be written", "error", err)
+		return true
+	}
+	var before int64
+	if current.placement != nil {
+		before = current.placement.Revision
+	}
+	result, err := d.store.Txn(ctx, []keyvalue.Compare{
+		{Key: placementKey, ModRevision: before},
+		{Key: leaderKey, ModRevision: d.leaderRevision},
+	}, []keyvalue.Op{{Key: placementKey, Value: value}})
+	if err != nil {
+		d.logger.Warn("placement not written", "uncertain", keyvalue.IsUncertain(err), "error", err)
+		return false
+	}
+	if !result.Succeeded {
+		d.logger.Info("placement not written, it has changed")
+		return false
+	}
+	next.Revision = result.Revision
+	d.control.loop.Do(func() { d.control.siteChanged(siteChange{placement: next}) })
+	d.logger.Info("placement written", "revision", result.Revision, "models", len(next.Models))
+	return true
+}
+
+func (d *decider) problem(now time.Time, current *view, service *fleet.Service) *packing.Problem {
+	problem := &packing.Problem{
+		Service: service.Name,
+		Engine:  service.Engine,
+		Demand:  demandOf(current, service.Name),
+		Current: current.placement,
+	}
+	for _, s := range current.servers[service.Name] {
+		if !d.usable(now, s) {
+			continue
+		}
+		runner := packing.Runner{Host: s.agent, FailureDomain: s.FailureDomain, Near: make(map[string]packing.Nearness)}
+		for i := range s.state.status.Models {
+			model := &s.state.status.Models[i]
+			runner.Near[model.Name] = packing.NearnessOf(model)
+		}
+		problem.Runners = append(problem.Runners, runner)
+	}
+	slices.SortFunc(problem.Runners, func(a, b packing.Runner) int { return cmp.Compare(a.Host, b.Host) })
+	return problem
+}
+
+// startLoads gives leave to load from the weight store, to as many runners as it
+// serves at full speed.
+func (d *decider) startLoads(now time.Time, current *view) {
+	running := 0
+	var waiting []waitingLoad
+	for host, state := range current.agents {
+		if !state.connected {
+			continue
+		}
+		for _, model := range state.status.Models {
+			key := startKey{host, model.Name}
+			if model.FromStore {
+				running++
+				delete(d.started, key)
+			} else if model.WantsStart && d.started[key].IsZero() {
+				waiting = append(waiting, waitingLoad{key: key, waiting: model.Waiting, rate: model.Interactive + model.Patient})
+			}
+		}
+	}
+	for key, at := range d.started {
+		if now.Sub(at) > startTTL {
+			delete(d.started, key)
+		}
+	}
+	slices.SortFunc(waiting, compareLoads)
+	for _, load := range waiting {
+		if running+len(d.started) >= d.loadsAtOnce {
+			return
+		}
+		if d.isStarted(load.key.model) {
+			continue
+		}
+		if d.links.startLoad(load.key.host, load.key.model) {
+			d.started[load.key] = now
+			d.logger.Info("load from the weight store granted", "agent", load.key.host, "model", load.key.model,
+				"waiting", load.waiting, "running", running)
+		}
+	}
+}
+
+func (d *decider) isStarted(model string) bool {
+	for key := range d.started {
+		if key.model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// waitingLoad is a load from the weight store that an agent wants to start.
+type waitingLoad struct {
+	key     startKey
+	waiting int
+	rate    float64
+}
+
+// compareLoads puts the loads first that most requests wait for.
+func compareLoads(a, b waitingLoad) int {
+	return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(b.rate, a.rate),
+		cmp.Compare(a.key.model, b.key.model), cmp.Compare(a.key.host, b.key.host))
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
 // noBackendRetry is when to come back after a refusal for want of a server.
@@ -31,8 +32,13 @@
 	service  string
 	machine  *attempt.Machine
 	logger   *slog.Logger
-	// tried holds the IDs of the servers that the request was sent to.
+	// tried holds the IDs of the servers that are not to be tried again.
 	tried []string
+	// refused holds the IDs of the servers that refused the request, which may
+	// have lost its model just before. They get it once more.
+	refused []string
+	// retryAfter is the last advice of an agent when to come back.
+	retryAfter time.Duration
 	// answer is what was passed on to the caller so far.
 	answer answer
 }
@@ -87,69 +93,151 @@
 // run sends the request until it has its final answer.
 func (x *exchange) run(ctx context.Context) {
 	for {
-		backend := x.choose(time.Now())
-		if backend == nil {
-			x.noBackend()
+		target, held, ok := x.next(ctx)
+		if !ok {
+			x.noBackend(ctx)
 			return
 		}
-		event, response := x.send(ctx, backend)
+		event, response := x.send(ctx, target)
 		if response != nil && event == nil {
-			event = x.deliver(ctx, backend, response)
-			if event == nil {
-				return
-			}
+			event = x.deliver(ctx, target, response)
 			response = nil
 		}
-		if x.conclude(ctx, *event, response) {
+		held.release()
+		if event == nil || x.conclude(ctx, target, *event, response) {
 			return
 		}
 	}
 }
 
-// choose picks a server that was not tried yet, or nil.
-func (x *exchange) choose(now time.Time) *fleet.Backend {
-	current := x.handler.control.current()
+// next returns the server to send the request to, with the lease of its model if
+// it needs one. It returns false if there is none.
+func (x *exchange) next(ctx context.Context) (*server, *lease, bool) {
+	if x.caller.Model == "" {
+		s := x.choose(time.Now())
+		return s, nil, s != nil
+	}
+	for ctx.Err() == nil {
+		now := time.Now()
+		s := chooseRunner(now, x.handler.control.current(), x.handler.tracker, x.service, x.caller.Model, x.handler.domain, x.tried)
+		if s == nil {
+			return nil, nil, false
+		}
+		if s.agent == "" || !s.hears(now) || x.handler.node.Load() == nil {
+			return s, nil, true
+		}
+		if held, ok := x.lease(ctx, s); ok {
+			return s, held, true
+		}
+		x.tried = append(x.tried, s.ID)
+	}
+	return nil, nil, false
+}
+
+// lease acquires the use of the request's model. It returns false if the agent
+// refused. Where the agent is silent, a runner that holds the model is used
+// without it.
+func (x *exchange) lease(ctx context.Context, s *server) (*lease, bool) {
+	held, refusal, err := acquire(ctx, x.handler.node.Load(), s, x.acquireFrame(time.Now()))
+	switch {
+	case err != nil:
+		x.logger.Info("agent silent", "agent", s.agent, "error", err)
+		known := s.model(x.caller.Model)
+		return nil, ctx.Err() == nil && known != nil && known.State == wire.ModelLoaded
+	case refusal != nil:
+		x.retryAfter = time.Duration(refusal.RetryAfterMillis) * time.Millisecond
+		x.logger.Info("lease refused", "agent", s.agent, "reason", refusal.Reason, "retry_after_ms", refusal.RetryAfterMillis)
+		return nil, false
+	default:
+		return held, true
+	}
+}
+
+const (
+	// minPatience, latencyPatience and gapPatience tell how long a caller waits
+	// for the first event of a stream: the longest of a fixed time and multiples
+	// of the route's target latency and longest pause.
+	minPatience     = 2 * time.Second
+	latencyPatience = 4
+	gapPatience     = 8
+	// startMargin is kept free of it for the first event to be made and to travel.
+	startMargin = 200 * time.Millisecond
+)
+
+// startBy is when the request must have started at its runner.
+func (x *exchange) startBy() time.Time {
+	patience := max(minPatience, latencyPatience*x.route.TargetLatency, gapPatience*x.route.MaxEventGap)
+	by := x.arrived.Add(patience)
+	if x.deadline.Before(by) {
+		by = x.deadline
+	}
+	return by.Add(-startMargin)
+}
+
+func (x *exchange) acquireFrame(now time.Time) *wire.Acquire {
+	return &wire.Acquire{
+		RequestID:      x.caller.RequestID,
+		Model:          x.caller.Model,
+		Adapter:        x.caller.Adapter,
+		Route:          x.route.Name,
+		Priority:       x.route.Priority,
+		DeadlineMillis: remaining(now, x.deadline),
+		StartMillis:    remaining(now, x.startBy()),
+		TargetMillis:   uint32(x.route.TargetLatency.Milliseconds()),
+		Tokens:         int64(x.caller.PromptTokens) + answerTokenCost*int64(x.caller.MaxAnswerTokens),
+	}
+}
+
+// answerTokenCost is the work of a generated token in tokens of the prompt.
+const answerTokenCost = 10
+
+func remaining(now, until time.Time) uint32 {
+	return uint32(max(until.Sub(now).Milliseconds(), 0))
+}
+
+// choose picks a server of a plain service that was not tried yet, or nil.
+func (x *exchange) choose(now time.Time) *server {
 	var choices []backends.Choice
-	for _, backend := range current.backends[x.service] {
-		if backend.State != fleet.BackendReady || slices.Contains(x.tried, backend.ID) || !x.fits(backend) {
+	var servers []*server
+	for _, s := range x.handler.control.current().servers[x.service] {
+		if s.State != fleet.BackendReady || slices.Contains(x.tried, s.ID) {
 			continue
 		}
+		servers = append(servers, s)
 		choices = append(choices, backends.Choice{
-			Backend: backend,
-			Health:  x.handler.tracker.Health(now, backend.ID),
-			Near:    backend.FailureDomain == x.handler.domain,
+			Backend: s.Backend,
+			Health:  x.handler.tracker.Health(now, s.ID),
+			Near:    s.FailureDomain == x.handler.domain,
 		})
 	}
 	best := backends.Pick(choices)
 	if best < 0 {
 		return nil
 	}
-	return choices[best].Backend
+	return servers[best]
 }
 
-// fits tells whether a server can serve the request's model.
-func (x *exchange) fits(backend *fleet.Backend) bool {
-	if x.caller.Model == "" {
-		return true
+// noBackend ends a request for which there is no server.
+func (x *exchange) noBackend(ctx context.Context) {
+	if x.callerLeft() {
+		return
 	}
-	return slices.ContainsFunc(backend.Models, func(m fleet.LoadedModel) bool { return m.Name == x.caller.Model })
-}
-
-func (x *exchange) noBackend() {
-	x.logger.Info("refused", "cause", "no backend server", "model", x.caller.Model)
 	if x.machine.MayHaveRun() {
-		x.fail(refusal{status: http.StatusBadGateway, reason: "outcome unknown"})
+		x.fail(x.unknownRefusal(ctx))
 		return
 	}
-	x.fail(refusal{status: http.StatusServiceUnavailable, reason: "no backend server", retryAfter: noBackendRetry})
+	retryAfter := noBackendRetry
+	if x.retryAfter > 0 {
+		retryAfter = x.retryAfter
+	}
+	x.fail(refusal{status: http.StatusServiceUnavailable, reason: "no backend server", retryAfter: retryAfter})
 }
 
 // send sends the request to a server. It returns what went wrong, or the answer;
 // both if the server answered with a failure.
-func (x *exchange) send(ctx context.Context, backend *fleet.Backend) (*attempt.Event, *forward.Response) {
+func (x *exchange) send(ctx context.Context, backend *server) (*attempt.Event, *forward.Response) {
 	tracker := x.handler.tracker
 	now := time.Now()
-	x.tried = append(x.tried, backend.ID)
 	x.machine.Sent(now)
 	tracker.Began(now, backend.ID)
 	response, err := x.handler.pool.Send(ctx, backend.Address, x.outgoing(now, backend), false)
@@ -166,7 +254,7 @@
 	return nil, response
 }
 
-func (x *exchange) sendFailed(ctx context.Context, backend *fleet.Backend, err error) *attempt.Event {
+func (x *exchange) sendFailed(ctx context.Context, backend *server, err error) *attempt.Event {
 	event := attempt.Lost
 	if forward.IsNotSent(err) {
 		event = attempt.NotSent
@@ -182,7 +270,7 @@
 	return &event
 }
 
-func (x *exchange) outgoing(now time.Time, backend *fleet.Backend) *forward.Request {
+func (x *exchange) outgoing(now time.Time, backend *server) *forward.Request {
 	header := x.handler.dialect.Compose(x.request.Header, forward.Directives{
 		Budget:      x.deadline.Sub(now),
 		Instance:    backend.ID,
@@ -216,13 +304,17 @@
 
 // conclude acts on a failure and tells whether the request has ended. response
 // is the server's own failure, if it gave one.
-func (x *exchange) conclude(ctx context.Context, event attempt.Event, response *forward.Response) bool {
+func (x *exchange) conclude(ctx context.Context, backend *server, event attempt.Event, response *forward.Response) bool {
 	if x.callerLeft() {
 		if response != nil {
 			response.Close()
 		}
 		return true
 	}
+	if event != attempt.NotRun || x.caller.Model == "" || slices.Contains(x.refused, backend.ID) {
+		x.tried = append(x.tried, backend.ID)
+	}
+	x.refused = append(x.refused, backend.ID)
 	verdict := x.machine.Step(time.Now(), event)
 	x.logger.Info("attempt failed", "event", event.String(), "verdict", verdict.String(), "sends", x.machine.Sends())
 	if verdict == attempt.PassOn && response != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -14,8 +14,11 @@
 	"teaselgauge.example/teaselgauge/pkg/attempt"
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
 const (
@@ -60,7 +63,7 @@
 		stopWork()
 		g.wait.Wait()
 	}()
-	g.work(workCtx)
+	g.work(workCtx, dependencies)
 	if err := g.listen(dependencies.ReadinessPath); err != nil {
 		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
 	}
@@ -94,12 +97,70 @@
 // is known.
 const assumedEntries = 8
 
-func (g *Gateway) work(ctx context.Context) {
+func (g *Gateway) work(ctx context.Context, d Dependencies) {
 	g.wait.Go(func() { g.control.loop.Run(ctx) })
 	g.wait.Go(func() { g.sources.followConfiguration(ctx) })
 	g.wait.Go(func() { g.sources.followRegistrations(ctx) })
+	g.wait.Go(func() { g.sources.followSite(ctx) })
 	g.wait.Go(func() { g.sources.expireLapsed(ctx) })
 	g.wait.Go(func() { g.pool.Run(ctx) })
+	g.wait.Go(func() { g.join(ctx, d) })
+}
+
+// join derives the process's keys from the site's secret, registers the host and
+// takes up the work with the agents.
+func (g *Gateway) join(ctx context.Context, d Dependencies) {
+	failed := func(err error) { g.logger.Warn("store lost", "error", err) }
+	secret, err := roster.Secret(ctx, d.Store, failed)
+	if err != nil {
+		return
+	}
+	node, err := g.openNode(secret)
+	if err != nil {
+		g.logger.Error("inner protocol not available", "error", err)
+		return
+	}
+	defer node.Close()
+	self := g.config.Host.ID
+	linked := &links{self: self, node: node, control: g.control, logger: g.logger, open: make(map[string]*link)}
+	leads := &leadership{self: self, store: d.Store, control: g.control, logger: g.logger, decider: &decider{
+		store: d.Store, control: g.control, links: linked, logger: g.logger, loadsAtOnce: g.config.WeightStore.LoadsAtOnce,
+	}}
+	g.handler.node.Store(node)
+	var wait sync.WaitGroup
+	wait.Go(func() { linked.run(ctx) })
+	wait.Go(func() { leads.run(ctx) })
+	_, err = roster.Register(ctx, d.Store, roster.Host{
+		ID: self, Role: keys.RoleEntry, Inner: g.config.Listen.Inner, FailureDomain: g.config.Host.FailureDomain,
+	}, failed)
+	if err == nil {
+		g.logger.Info("registered", "host", self)
+	}
+	wait.Wait()
+}
+
+func (g *Gateway) openNode(secret []byte) (*wire.Node, error) {
+	ephemeral, err := keys.NewEphemeral(secret, g.config.Host.ID, keys.RoleEntry, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewNode(wire.NodeConfig{
+		Address:   g.config.Listen.Inner,
+		ServerTLS: ephemeral.ServerConfig(keys.RoleAgent, keys.RoleEntry),
+		ClientTLS: ephemeral.ClientConfig(keys.RoleAgent, keys.RoleEntry),
+		Identify:  keys.Identify,
+		Handler:   refuseStreams{},
+		ResetKey:  ephemeral.ResetKey(),
+		Logger:    g.logger,
+	})
+}
+
+// refuseStreams ends the streams that others open: a gateway only opens its own.
+type refuseStreams struct{}
+
+// ServeStream implements wire.Handler.
+func (refuseStreams) ServeStream(_ context.Context, _ wire.Peer, stream *wire.Stream) {
+	stream.Cancel()
 }
 
 func (g *Gateway) listen(readinessPath string) error {
@@ -137,7 +198,7 @@
 // isReady tells the balancer whether to send new connections here.
 func (g *Gateway) isReady() bool {
 	current := g.control.current()
-	return !g.stopped.Load() && current.table != nil && len(current.backends) > 0
+	return !g.stopped.Load() && current.table != nil && len(current.servers) > 0
 }
 
 // drain lets the balancer turn away, then takes no new connections and waits for
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -14,6 +14,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
 const (
@@ -32,9 +33,11 @@
 	dialect forward.Dialect
 	pool    *forward.Pool
 	tracker *backends.Tracker
-	budget  *attempt.Budget
-	domain  string
-	logger  *slog.Logger
+	// node is nil until the site's secret is known.
+	node   atomic.Pointer[wire.Node]
+	budget *attempt.Budget
+	domain string
+	logger *slog.Logger
 	// inFlight counts requests until their last byte.
 	inFlight atomic.Int64
 	// closing tells that kept connections should end after their answer.
--- /dev/null
+++ b/pkg/gateway/site.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/packing"
+	"teaselgauge.example/teaselgauge/pkg/roster"
+)
+
+const (
+	leaderKey    = roster.Prefix + "leader"
+	placementKey = roster.Prefix + "placement"
+)
+
+// followSite keeps the site's own processes and decisions up to date until ctx
+// ends.
+func (s *sources) followSite(ctx context.Context) {
+	s.follow(ctx, roster.Prefix, true, func(_ context.Context, read reading) {
+		change := s.decodeSite(read)
+		s.control.loop.Do(func() { s.control.siteChanged(change) })
+	})
+}
+
+func (s *sources) decodeSite(read reading) siteChange {
+	change := siteChange{complete: read.complete, asOf: read.revision}
+	for _, event := range read.events {
+		key := event.Value.Key
+		switch {
+		case key == leaderKey:
+			change.leader = string(event.Value.Value)
+			change.leaderGone = event.Deleted
+		case key == placementKey:
+			s.decodePlacement(&change, event)
+		case strings.HasPrefix(key, roster.HostPrefix):
+			s.decodeHost(&change, event)
+		}
+	}
+	return change
+}
+
+func (s *sources) decodePlacement(change *siteChange, event keyvalue.WatchEvent) {
+	if event.Deleted {
+		return
+	}
+	placement, err := packing.Decode(event.Value)
+	if err != nil {
+		s.logger.Error("placement unreadable, the last one stays in force", "revision", event.Value.ModRevision, "error", err)
+		return
+	}
+	change.placement = placement
+}
+
+func (s *sources) decodeHost(change *siteChange, event keyvalue.WatchEvent) {
+	if event.Deleted {
+		change.gone = append(change.gone, strings.TrimPrefix(event.Value.Key, roster.HostPrefix))
+		return
+	}
+	host, err := roster.Decode(event.Value)
+	if err != nil {
+		s.logger.Error("host unreadable", "key", event.Value.Key, "error", err)
+		return
+	}
+	change.hosts = append(change.hosts, host)
+}
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -60,6 +60,8 @@
 type reading struct {
 	// complete tells that all present keys are there; else only changes are.
 	complete bool
+	// revision is the store's revision up to which all changes are known.
+	revision int64
 	events   []keyvalue.WatchEvent
 }
 
@@ -84,16 +86,14 @@
 	if err != nil {
 		return err
 	}
-	read := reading{complete: true}
+	read := reading{complete: true, revision: result.Revision}
 	for _, value := range result.Values {
 		read.events = append(read.events, keyvalue.WatchEvent{Value: value})
 	}
 	take(ctx, read)
 	s.logger.Info("store read", "key", key, "revision", result.Revision, "values", len(result.Values))
-	return s.store.Watch(ctx, key, result.Revision, func(_ int64, events []keyvalue.WatchEvent) {
-		if len(events) > 0 {
-			take(ctx, reading{events: events})
-		}
+	return s.store.Watch(ctx, key, result.Revision, func(revision int64, events []keyvalue.WatchEvent) {
+		take(ctx, reading{revision: revision, events: events})
 	})
 }
 
--- a/pkg/keys/authority.go
+++ b/pkg/keys/authority.go
@@ -66,13 +66,10 @@
 	if err != nil {
 		return Pair{}, err
 	}
-	template, err := newTemplate(hostID, now, validity)
+	template, err := hostTemplate(hostID, role, now, validity)
 	if err != nil {
 		return Pair{}, err
 	}
-	template.Subject.OrganizationalUnit = []string{role}
-	template.KeyUsage = x509.KeyUsageDigitalSignature
-	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return Pair{}, fmt.Errorf("keys: generate: %w", err)
@@ -80,6 +77,17 @@
 	return sign(template, parent, public, private, signer)
 }
 
+func hostTemplate(hostID, role string, now time.Time, validity time.Duration) (*x509.Certificate, error) {
+	template, err := newTemplate(hostID, now, validity)
+	if err != nil {
+		return nil, err
+	}
+	template.Subject.OrganizationalUnit = []string{role}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	return template, nil
+}
+
 func isRole(role string) bool {
 	return role == RoleEntry || role == RoleAgent
 }
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := serverConfig(source, []string{RoleEntry})
+	server := serverConfig(source.current, []string{RoleEntry})
 	connects := func(issuer Pair, trusted ...Pair) bool {
 		source.checked = time.Time{}
 		client, err := ClientConfig(writeHost(t, issuer, "entry-1", RoleEntry, trusted...), RoleAgent)
--- /dev/null
+++ b/pkg/keys/secret.go
@@ -0,0 +1,151 @@
+package keys
+
+import (
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"fmt"
+	"math/big"
+	"time"
+)
+
+const (
+	// SecretBytes is the length of a site's secret.
+	SecretBytes = 32
+
+	authorityLabel = "teaselgauge authority"
+	// ephemeralValidity is how long the certificate of one process is valid.
+	ephemeralValidity = 10 * 365 * 24 * time.Hour
+	// ephemeralSkew is how far the clocks of two hosts may differ.
+	ephemeralSkew = 48 * time.Hour
+)
+
+// The validity of an authority that is derived from a secret. All processes must
+// derive the same one.
+var (
+	derivedFrom  = time.Date(2020, time.January, 1, 0, 0, 0, 0, time.UTC)
+	derivedUntil = time.Date(2120, time.January, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// ErrSecret tells that a secret is too short.
+var ErrSecret = errors.New("secret is too short")
+
+// NewSecret returns a random secret for a site.
+func NewSecret() ([]byte, error) {
+	secret := make([]byte, SecretBytes)
+	if _, err := rand.Read(secret); err != nil {
+		return nil, fmt.Errorf("keys: secret: %w", err)
+	}
+	return secret, nil
+}
+
+// Ephemeral holds the keys of one process on a host that keeps no files. All
+// processes that know the site's secret derive the same authority from it, and
+// each issues a certificate to itself.
+type Ephemeral struct {
+	material material
+	resetKey [32]byte
+}
+
+// NewEphemeral issues a certificate for a host and a role under the authority of
+// a secret.
+func NewEphemeral(secret []byte, hostID, role string, now time.Time) (*Ephemeral, error) {
+	if len(secret) < SecretBytes {
+		return nil, fmt.Errorf("keys: %w: %d bytes", ErrSecret, len(secret))
+	}
+	if !isRole(role) {
+		return nil, fmt.Errorf("keys: role %q: %w", role, ErrRole)
+	}
+	authority, signer, err := deriveAuthority(secret)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := issueTo(authority, signer, hostID, role, now)
+	if err != nil {
+		return nil, err
+	}
+	reset, err := hkdf.Key(sha256.New, secret, nil, resetLabel+" "+hostID, sha256.Size)
+	if err != nil {
+		return nil, fmt.Errorf("keys: reset key: %w", err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(authority)
+	return &Ephemeral{
+		material: material{certificate: certificate, roots: roots},
+		resetKey: [32]byte(reset),
+	}, nil
+}
+
+func deriveAuthority(secret []byte) (*x509.Certificate, ed25519.PrivateKey, error) {
+	seed, err := hkdf.Key(sha256.New, secret, nil, authorityLabel, ed25519.SeedSize)
+	if err != nil {
+		return nil, nil, fmt.Errorf("keys: derive authority: %w", err)
+	}
+	private := ed25519.NewKeyFromSeed(seed)
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: authorityLabel},
+		NotBefore:             derivedFrom,
+		NotAfter:              derivedUntil,
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		MaxPathLenZero:        true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
+	if err != nil {
+		return nil, nil, fmt.Errorf("keys: derive authority: %w", err)
+	}
+	authority, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, nil, fmt.Errorf("keys: derive authority: %w", err)
+	}
+	return authority, private, nil
+}
+
+func issueTo(authority *x509.Certificate, signer ed25519.PrivateKey, hostID, role string, now time.Time) (tls.Certificate, error) {
+	template, err := hostTemplate(hostID, role, now, ephemeralValidity)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	template.NotBefore = now.Add(-ephemeralSkew)
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, fmt.Errorf("keys: generate: %w", err)
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, authority, public, signer)
+	if err != nil {
+		return tls.Certificate{}, fmt.Errorf("keys: sign certificate: %w", err)
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, nil
+}
+
+// ServerConfig returns the TLS settings of a listener that takes only peers with
+// one of the allowed roles.
+func (e *Ephemeral) ServerConfig(allowedRoles ...string) *tls.Config {
+	return withFastExchange(serverConfig(e.current, allowedRoles))
+}
+
+// ClientConfig returns the TLS settings of a dialer that talks only to peers with
+// one of the allowed roles.
+func (e *Ephemeral) ClientConfig(allowedRoles ...string) *tls.Config {
+	return withFastExchange(clientConfig(e.current, allowedRoles))
+}
+
+// ResetKey returns the key of stateless resets, which is the same for all
+// incarnations of the host's process.
+func (e *Ephemeral) ResetKey() *[32]byte { return &e.resetKey }
+
+func (e *Ephemeral) current() *material { return &e.material }
+
+// withFastExchange leaves out the key exchanges that cost hosts with a fraction
+// of a core milliseconds for each connection.
+func withFastExchange(config *tls.Config) *tls.Config {
+	config.CurvePreferences = []tls.CurveID{tls.X25519}
+	return config
+}
--- a/pkg/keys/tls.go
+++ b/pkg/keys/tls.go
@@ -35,17 +35,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return serverConfig(source, allowedRoles), nil
+	return serverConfig(source.current, allowedRoles), nil
 }
 
-func serverConfig(source *source, allowedRoles []string) *tls.Config {
+func serverConfig(current func() *material, allowedRoles []string) *tls.Config {
 	config := baseConfig()
 	config.ClientAuth = tls.RequireAnyClientCert
 	config.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-		return &source.current().certificate, nil
+		return &current().certificate, nil
 	}
 	config.VerifyConnection = func(state tls.ConnectionState) error {
-		return verifyPeer(state, source.current().roots, x509.ExtKeyUsageClientAuth, allowedRoles)
+		return verifyPeer(state, current().roots, x509.ExtKeyUsageClientAuth, allowedRoles)
 	}
 	return config
 }
@@ -58,19 +58,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return clientConfig(source, allowedRoles), nil
+	return clientConfig(source.current, allowedRoles), nil
 }
 
-func clientConfig(source *source, allowedRoles []string) *tls.Config {
+func clientConfig(current func() *material, allowedRoles []string) *tls.Config {
 	config := baseConfig()
 	// VerifyConnection verifies the chain in place of the default check, which
 	// would demand the peer's address in its certificate.
 	config.InsecureSkipVerify = true
 	config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-		return &source.current().certificate, nil
+		return &current().certificate, nil
 	}
 	config.VerifyConnection = func(state tls.ConnectionState) error {
-		return verifyPeer(state, source.current().roots, x509.ExtKeyUsageServerAuth, allowedRoles)
+		return verifyPeer(state, current().roots, x509.ExtKeyUsageServerAuth, allowedRoles)
 	}
 	return config
 }
--- a/pkg/loading/evict.go
+++ b/pkg/loading/evict.go
@@ -26,23 +26,29 @@
 	Pinned bool
 }
 
-// victim is a candidate with its expected cost.
-type victim struct {
-	Candidate
-	cost float64
+// Victim is an idle model with the expected cost of its unload.
+type Victim struct {
+	Target engine.Target
+	MiB    int64
+	Cost   float64
 }
 
 // ChooseVictims picks idle models whose memory together is at least needMiB, at
 // a low expected cost of cold starts. It returns false if there aren't enough;
 // then nothing should be unloaded.
 func (k *Keeper) ChooseVictims(now time.Time, candidates []Candidate, needMiB int64, policy lists.Policy) ([]engine.Target, bool) {
+	return Cheapest(k.idleVictims(now, candidates, policy), needMiB)
+}
+
+// Cheapest picks the victims with the least cost together whose memory is at
+// least needMiB. It returns false if there aren't enough.
+func Cheapest(idle []Victim, needMiB int64) ([]engine.Target, bool) {
 	if needMiB <= 0 {
 		return nil, true
 	}
-	idle := k.idleVictims(now, candidates, policy)
 	if single, ok := cheapestSingle(idle, needMiB); ok {
 		several, enough := cheapestSeveral(idle, needMiB)
-		if !enough || single.cost <= totalCost(several) {
+		if !enough || single.Cost <= totalCost(several) {
 			return []engine.Target{single.Target}, true
 		}
 		return targets(several), true
@@ -54,24 +60,24 @@
 	return targets(several), true
 }
 
-func (k *Keeper) idleVictims(now time.Time, candidates []Candidate, policy lists.Policy) []victim {
-	var idle []victim
+func (k *Keeper) idleVictims(now time.Time, candidates []Candidate, policy lists.Policy) []Victim {
+	var idle []Victim
 	for _, c := range candidates {
 		if c.Running > 0 || c.Waiting > 0 || c.Pinned || c.MiB <= 0 {
 			continue
 		}
 		p := k.ArrivalProbability(now, c.Target, evictionHorizon)
 		cost := p * coldStartWeight(policy) * c.LoadTime.Seconds()
-		idle = append(idle, victim{Candidate: c, cost: cost})
+		idle = append(idle, Victim{Target: c.Target, MiB: c.MiB, Cost: cost})
 	}
 	return idle
 }
 
-func cheapestSingle(idle []victim, needMiB int64) (victim, bool) {
-	var best victim
+func cheapestSingle(idle []Victim, needMiB int64) (Victim, bool) {
+	var best Victim
 	found := false
 	for _, v := range idle {
-		if v.MiB >= needMiB && (!found || v.cost < best.cost) {
+		if v.MiB >= needMiB && (!found || v.Cost < best.Cost) {
 			best = v
 			found = true
 		}
@@ -81,12 +87,12 @@
 
 // cheapestSeveral takes models by cost per MiB until they are enough, and then
 // spares the dearest ones that aren't needed.
-func cheapestSeveral(idle []victim, needMiB int64) ([]victim, bool) {
+func cheapestSeveral(idle []Victim, needMiB int64) ([]Victim, bool) {
 	byCost := slices.Clone(idle)
-	slices.SortStableFunc(byCost, func(a, b victim) int {
-		return cmp.Compare(a.cost/float64(a.MiB), b.cost/float64(b.MiB))
+	slices.SortStableFunc(byCost, func(a, b Victim) int {
+		return cmp.Compare(a.Cost/float64(a.MiB), b.Cost/float64(b.MiB))
 	})
-	var chosen []victim
+	var chosen []Victim
 	var freed int64
 	for _, v := range byCost {
 		if freed >= needMiB {
@@ -101,9 +107,9 @@
 	return spare(chosen, freed-needMiB), true
 }
 
-func spare(chosen []victim, excess int64) []victim {
-	slices.SortStableFunc(chosen, func(a, b victim) int { return cmp.Compare(b.cost, a.cost) })
-	return slices.DeleteFunc(chosen, func(v victim) bool {
+func spare(chosen []Victim, excess int64) []Victim {
+	slices.SortStableFunc(chosen, func(a, b Victim) int { return cmp.Compare(b.Cost, a.Cost) })
+	return slices.DeleteFunc(chosen, func(v Victim) bool {
 		if v.MiB > excess {
 			return false
 		}
@@ -112,15 +118,15 @@
 	})
 }
 
-func totalCost(victims []victim) float64 {
+func totalCost(victims []Victim) float64 {
 	var sum float64
 	for _, v := range victims {
-		sum += v.cost
+		sum += v.Cost
 	}
 	return sum
 }
 
-func targets(victims []victim) []engine.Target {
+func targets(victims []Victim) []engine.Target {
 	list := make([]engine.Target, 0, len(victims))
 	for _, v := range victims {
 		list = append(list, v.Target)
--- /dev/null
+++ b/pkg/packing/placement.go
@@ -0,0 +1,77 @@
+package packing
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+)
+
+// Permit allows one runner to hold a replica of a model.
+type Permit struct {
+	// Host is the ID of the host whose agent orders the runner.
+	Host string `json:"host"`
+	// Keep tells the runner to hold the replica loaded without requests.
+	Keep bool `json:"keep,omitempty"`
+}
+
+// Placed is a model with its permits, the preferred ones first.
+type Placed struct {
+	Service string   `json:"service"`
+	Model   string   `json:"model"`
+	Permits []Permit `json:"permits"`
+	// Interactive tells that the model is asked for by requests that can't wait
+	// for a load.
+	Interactive bool `json:"interactive,omitempty"`
+}
+
+// Placement is the decided placement of all models.
+type Placement struct {
+	// Revision is the key-value service's; it is not part of the value.
+	Revision int64    `json:"-"`
+	Models   []Placed `json:"models"`
+}
+
+// ErrMalformed tells that a stored placement can't be read.
+var ErrMalformed = errors.New("malformed placement")
+
+// Encode returns the stored value.
+func (p *Placement) Encode() ([]byte, error) {
+	value, err := json.Marshal(p)
+	if err != nil {
+		return nil, fmt.Errorf("packing: encode placement: %w", err)
+	}
+	return value, nil
+}
+
+// Decode reads a stored placement.
+func Decode(stored keyvalue.KeyValue) (*Placement, error) {
+	placement := &Placement{Revision: stored.ModRevision}
+	if err := json.Unmarshal(stored.Value, placement); err != nil {
+		return nil, fmt.Errorf("packing: %w: %w", ErrMalformed, err)
+	}
+	return placement, nil
+}
+
+// Equal tells whether two placements decide the same.
+func (p *Placement) Equal(other *Placement) bool {
+	return slices.EqualFunc(p.Models, other.Models, func(a, b Placed) bool {
+		return a.Service == b.Service && a.Model == b.Model && a.Interactive == b.Interactive &&
+			slices.Equal(a.Permits, b.Permits)
+	})
+}
+
+// find returns a model's entry, or nil.
+func (p *Placement) find(service, model string) *Placed {
+	if p == nil {
+		return nil
+	}
+	for i := range p.Models {
+		if p.Models[i].Service == service && p.Models[i].Model == model {
+			return &p.Models[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/packing/problem.go
@@ -0,0 +1,59 @@
+package packing
+
+import (
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// Nearness tells how fast a runner can have a model loaded.
+type Nearness uint8
+
+// The kinds of nearness, the nearest last.
+const (
+	Remote Nearness = iota
+	OnDisk
+	InMemory
+	Held
+)
+
+// Runner is a model runner as the deciding entry sees it.
+type Runner struct {
+	// Host is the ID of the host whose agent orders the runner.
+	Host          string
+	FailureDomain string
+	// Near holds the models that the runner has nearer than in the weight store.
+	Near map[string]Nearness
+}
+
+// Demand is the present rate of requests for a model.
+type Demand struct {
+	// Interactive and Patient are requests a second that can't and can wait for
+	// a load.
+	Interactive float64
+	Patient     float64
+}
+
+// Problem is what Pack decides on: one service's engine and its runners.
+type Problem struct {
+	Service string
+	Engine  *fleet.Engine
+	// Runners are those that take new work, ordered by host.
+	Runners []Runner
+	Demand  map[string]Demand
+	// Current is the placement in force, or nil.
+	Current *Placement
+}
+
+// NearnessOf reads a model's nearness from an agent's status.
+func NearnessOf(model *wire.RunnerModel) Nearness {
+	switch {
+	case model.State == wire.ModelLoaded || model.State == wire.ModelLoading:
+		return Held
+	case model.Tier == wire.CacheMemory:
+		return InMemory
+	case model.Tier == wire.CacheDisk:
+		return OnDisk
+	default:
+		return Remote
+	}
+}
--- /dev/null
+++ b/pkg/residency/status.go
@@ -0,0 +1,79 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// adapterPoll, changePoll, waitPoll and idlePoll are the times between two
+	// reports while an adapter comes, an order for a model is carried out, uses
+	// wait, and otherwise.
+	adapterPoll = 4 * time.Millisecond
+	changePoll  = 25 * time.Millisecond
+	waitPoll    = 50 * time.Millisecond
+	idlePoll    = 250 * time.Millisecond
+)
+
+// PollInterval is the time after which the next report is due.
+func (m *Manager) PollInterval() time.Duration {
+	for _, a := range m.adapters {
+		if a.coming && a.waiting > 0 {
+			return adapterPoll
+		}
+	}
+	if m.changing != nil || len(m.doubtful) > 0 || (m.report != nil && m.report.Busy) {
+		return changePoll
+	}
+	if m.queue.Len() > 0 {
+		return waitPoll
+	}
+	return idlePoll
+}
+
+// Status describes the runner. Models that are neither held nor near nor wanted
+// are left out.
+func (m *Manager) Status(now time.Time) *wire.RunnerStatus {
+	status := &wire.RunnerStatus{
+		Instance: m.instance,
+		Leaving:  m.isLeaving(),
+		Down:     m.isDown(now),
+		Running:  m.queue.Running(),
+		Waiting:  m.queue.Len(),
+	}
+	if m.report != nil {
+		status.BornMillis = m.report.BornMillis
+	}
+	if m.plan != nil {
+		status.PlanRevision = m.plan.Revision
+		status.Slots = m.plan.Slots
+	}
+	for _, known := range m.models {
+		described := m.describe(now, known)
+		if described.State == wire.ModelAbsent && described.Tier == wire.CacheRemote && !described.WantsStart {
+			continue
+		}
+		status.Models = append(status.Models, described)
+	}
+	slices.SortFunc(status.Models, func(a, b wire.RunnerModel) int { return cmp.Compare(a.Name, b.Name) })
+	return status
+}
+
+func (m *Manager) describe(now time.Time, known *model) wire.RunnerModel {
+	state := m.state(known)
+	wanted := known.Permitted && (known.isWanted(now) || known.Keep)
+	return wire.RunnerModel{
+		Name:        known.Name,
+		State:       state,
+		Tier:        known.tier,
+		Waiting:     known.waiting,
+		Running:     known.running,
+		Interactive: known.interactive.current(now),
+		Patient:     known.patient.current(now),
+		WantsStart:  wanted && state == wire.ModelAbsent && known.tier == wire.CacheRemote && !known.startGranted,
+		FromStore:   state == wire.ModelLoading && m.changing.tier == wire.CacheRemote,
+	}
+}
--- /dev/null
+++ b/pkg/residency/types.go
@@ -0,0 +1,48 @@
+package residency
+
+import (
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/modelrunner"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// Use is a request that wants to use a model, and an adapter if it names one.
+type Use struct {
+	// ID is the request's ID.
+	ID      string
+	Model   string
+	Adapter string
+	// Route is the route's name. Routes get slots by fair queueing.
+	Route string
+	// Priority ranks routes; 0 is the most urgent.
+	Priority int
+	// Deadline is when the whole answer is due, StartBy when the request must
+	// have started.
+	Deadline time.Time
+	StartBy  time.Time
+	// TargetLatency is the time to the first event that is on time.
+	TargetLatency time.Duration
+	// Tokens is the estimated work.
+	Tokens int64
+}
+
+// Action is what a Manager wants done.
+type Action interface{ action() }
+
+// Grant tells that a use may start now.
+type Grant struct{ ID string }
+
+// Refuse tells that a use is not granted; it is forgotten.
+type Refuse struct {
+	ID         string
+	Reason     wire.Reason
+	RetryAfter time.Duration
+}
+
+// GiveOrder demands an order. Answered must follow.
+type GiveOrder struct{ Order modelrunner.Order }
+
+func (Grant) action()     {}
+func (Refuse) action()    {}
+func (GiveOrder) action() {}
--- /dev/null
+++ b/pkg/roster/roster.go
@@ -0,0 +1,127 @@
+// Package roster keeps the list of teaselgauge's own processes in the platform's
+// key-value service, where hosts that keep nothing find each other, and the
+// secret that their keys derive from.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+)
+
+const (
+	// Prefix is the prefix of all of teaselgauge's keys.
+	Prefix = "teaselgauge/"
+	// HostPrefix is the prefix of the keys of the hosts.
+	HostPrefix = Prefix + "hosts/"
+
+	secretKey = Prefix + "secret"
+	// retryPause is the pause after a failed call of the store.
+	retryPause = 200 * time.Millisecond
+)
+
+// Host is one of teaselgauge's processes.
+type Host struct {
+	// ID is the host's ID; it is not part of the stored value but of the key.
+	ID   string `json:"-"`
+	Role string `json:"role"`
+	// Inner is the UDP address of the inner protocol.
+	Inner         string `json:"inner"`
+	FailureDomain string `json:"failure_domain"`
+	// Runner is the address of the model runner beside an agent.
+	Runner string `json:"runner,omitempty"`
+	// Revision is that of the registration; it is not part of the value.
+	Revision int64 `json:"-"`
+}
+
+// ErrMalformed tells that a stored host can't be read.
+var ErrMalformed = errors.New("roster: malformed host")
+
+// Decode reads a stored host.
+func Decode(stored keyvalue.KeyValue) (Host, error) {
+	var host Host
+	id, ok := strings.CutPrefix(stored.Key, HostPrefix)
+	if !ok || id == "" {
+		return Host{}, fmt.Errorf("%w: key %q", ErrMalformed, stored.Key)
+	}
+	if err := json.Unmarshal(stored.Value, &host); err != nil {
+		return Host{}, fmt.Errorf("%w: key %q: %w", ErrMalformed, stored.Key, err)
+	}
+	host.ID = id
+	host.Revision = stored.ModRevision
+	return host, nil
+}
+
+// Register writes a host until it has succeeded or ctx ends. The returned
+// revision is higher than that of all earlier registrations, so it serves as a
+// fencing token.
+func Register(ctx context.Context, store keyvalue.Store, host Host, failed func(error)) (int64, error) {
+	value, err := json.Marshal(host)
+	if err != nil {
+		return 0, fmt.Errorf("roster: encode host: %w", err)
+	}
+	op := keyvalue.Op{Key: HostPrefix + host.ID, Value: value}
+	for {
+		result, err := store.Txn(ctx, nil, []keyvalue.Op{op})
+		if err == nil {
+			return result.Revision, nil
+		}
+		failed(err)
+		backoff.Sleep(ctx, retryPause)
+		if ctx.Err() != nil {
+			return 0, fmt.Errorf("roster: register: %w", ctx.Err())
+		}
+	}
+}
+
+// Secret returns the site's secret and makes it if there is none. It tries until
+// it has succeeded or ctx ends.
+func Secret(ctx context.Context, store keyvalue.Store, failed func(error)) ([]byte, error) {
+	for {
+		secret, err := readOrMakeSecret(ctx, store)
+		if err == nil {
+			return secret, nil
+		}
+		failed(err)
+		backoff.Sleep(ctx, retryPause)
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("roster: secret: %w", ctx.Err())
+		}
+	}
+}
+
+func readOrMakeSecret(ctx context.Context, store keyvalue.Store) ([]byte, error) {
+	result, err := store.Range(ctx, secretKey, false)
+	if err != nil {
+		return nil, err
+	}
+	if len(result.Values) > 0 {
+		return result.Values[0].Value, nil
+	}
+	secret, err := keys.NewSecret()
+	if err != nil {
+		return nil, err
+	}
+	const absent = 0
+	made, err := store.Txn(ctx, []keyvalue.Compare{{Key: secretKey, ModRevision: absent}},
+		[]keyvalue.Op{{Key: secretKey, Value: secret}})
+	if err != nil {
+		return nil, err
+	}
+	if made.Succeeded {
+		return secret, nil
+	}
+	for _, current := range made.Current {
+		if current.Key == secretKey && len(current.Value) > 0 {
+			return current.Value, nil
+		}
+	}
+	return nil, errors.New("roster: another process made the secret, which can't be read yet")
+}
--- /dev/null
+++ b/pkg/runneragent/agent.go
@@ -0,0 +1,119 @@
+package runneragent
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/modelrunner"
+	"teaselgauge.example/teaselgauge/pkg/residency"
+	"teaselgauge.example/teaselgauge/pkg/roster"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// tickInterval is the time between two looks at uses that wait too long.
+const tickInterval = 50 * time.Millisecond
+
+// Dependencies are the clients of the platform that an agent works with.
+type Dependencies struct {
+	Store  keyvalue.Store
+	Runner modelrunner.Runner
+}
+
+// agent is one incarnation of the process.
+type agent struct {
+	config       settings.Runner
+	dependencies Dependencies
+	logger       *slog.Logger
+	controller   *controller
+	wait         sync.WaitGroup
+}
+
+// Run serves until ctx ends. A stopping agent has nothing to drain: the requests
+// run at the runner and go on.
+func Run(ctx context.Context, config settings.Runner, dependencies Dependencies, logger *slog.Logger) error {
+	a := &agent{config: config, dependencies: dependencies, logger: logger}
+	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer func() {
+		stopWork()
+		a.wait.Wait()
+	}()
+	a.start(workCtx)
+	node, err := a.join(ctx)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return fmt.Errorf("agent %s: %w", config.Host.ID, err)
+	}
+	defer node.Close()
+	logger.Info("serving", "host", config.Host.ID, "inner", node.Address(), "runner", config.Runner)
+	<-ctx.Done()
+	logger.Info("stopped", "host", config.Host.ID)
+	return nil
+}
+
+// start begins to follow the runner.
+func (a *agent) start(ctx context.Context) {
+	const notRegistered = 0
+	manager := residency.NewManager(a.config.Host.ID, notRegistered)
+	a.controller = newController(manager, a.logger)
+	a.controller.worker = newWorker(a.dependencies.Runner, a.controller, a.logger)
+	a.wait.Go(func() { a.controller.loop.Run(ctx) })
+	a.wait.Go(func() { a.controller.worker.run(ctx) })
+	a.wait.Go(func() { a.tick(ctx) })
+}
+
+// join derives the process's keys from the site's secret, listens, and registers
+// the host, which gives the fencing token of this incarnation.
+func (a *agent) join(ctx context.Context) (*wire.Node, error) {
+	failed := func(err error) { a.logger.Warn("store lost", "error", err) }
+	secret, err := roster.Secret(ctx, a.dependencies.Store, failed)
+	if err != nil {
+		return nil, err
+	}
+	ephemeral, err := keys.NewEphemeral(secret, a.config.Host.ID, keys.RoleAgent, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	node, err := wire.NewNode(wire.NodeConfig{
+		Address:   a.config.Listen.Inner,
+		ServerTLS: ephemeral.ServerConfig(keys.RoleEntry),
+		ClientTLS: ephemeral.ClientConfig(keys.RoleEntry),
+		Identify:  keys.Identify,
+		Handler:   &server{controller: a.controller},
+		ResetKey:  ephemeral.ResetKey(),
+		Logger:    a.logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	fence, err := roster.Register(ctx, a.dependencies.Store, roster.Host{
+		ID:            a.config.Host.ID,
+		Role:          keys.RoleAgent,
+		Inner:         a.config.Listen.Inner,
+		FailureDomain: a.config.Host.FailureDomain,
+		Runner:        a.config.Runner,
+	}, failed)
+	if err != nil {
+		node.Close()
+		return nil, err
+	}
+	a.controller.loop.Do(func() { a.controller.registered(time.Now(), fence) })
+	a.logger.Info("registered", "host", a.config.Host.ID, "fence", fence)
+	return node, nil
+}
+
+// tick looks at waiting uses until ctx ends.
+func (a *agent) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		backoff.Sleep(ctx, tickInterval)
+		a.controller.loop.Do(func() { a.controller.perform(a.controller.manager.Tick(time.Now())) })
+	}
+}
--- /dev/null
+++ b/pkg/runneragent/server.go
@@ -0,0 +1,176 @@
+package runneragent
+
+import (
+	"context"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/residency"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// statusInterval is the longest time between two statuses to a gateway.
+	statusInterval = time.Second
+	// statusPause is the least time between two, so that changes are sent
+	// together.
+	statusPause = 20 * time.Millisecond
+)
+
+// server answers the streams that gateways open.
+type server struct {
+	controller *controller
+}
+
+// ServeStream implements wire.Handler.
+func (s *server) ServeStream(ctx context.Context, peer wire.Peer, stream *wire.Stream) {
+	defer stream.Close()
+	frame, err := stream.ReceiveFirst()
+	if err != nil {
+		return
+	}
+	switch {
+	case frame.Acquire != nil:
+		s.serveAcquire(ctx, stream, frame.Acquire)
+	case frame.Subscribe != nil:
+		s.serveSubscribe(ctx, stream, frame.Subscribe)
+	default:
+		s.controller.logger.Warn("unexpected frame", "peer", peer.Host)
+		stream.Cancel()
+	}
+}
+
+// serveSubscribe sends statuses and takes in placements until the stream ends.
+func (s *server) serveSubscribe(ctx context.Context, stream *wire.Stream, subscribe *wire.Subscribe) {
+	s.controller.logger.Info("gateway subscribed", "entry", subscribe.Entry)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.takePlans(stream)
+	}()
+	wake, end := s.controller.subscribers.subscribe()
+	defer end()
+	for {
+		if status := s.controller.subscribers.status(); status != nil {
+			if err := stream.Send(&wire.Frame{RunnerStatus: status}); err != nil {
+				break
+			}
+		}
+		if !awaitChange(ctx, wake, ended) {
+			break
+		}
+	}
+	stream.Abort()
+	<-ended
+	s.controller.logger.Info("gateway left", "entry", subscribe.Entry)
+}
+
+// awaitChange waits until the next status is due and returns false if the
+// subscription has ended.
+func awaitChange(ctx context.Context, wake, ended <-chan struct{}) bool {
+	timer := time.NewTimer(statusInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ended:
+		return false
+	case <-timer.C:
+	case <-wake:
+		time.Sleep(statusPause)
+	}
+	return true
+}
+
+// takePlans takes in what a gateway sends on a subscription.
+func (s *server) takePlans(stream *wire.Stream) {
+	for {
+		frame, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		switch {
+		case frame.RunnerPlan != nil:
+			plan := frame.RunnerPlan
+			s.controller.loop.Do(func() { s.controller.planned(time.Now(), plan) })
+		case frame.StartLoad != nil:
+			model := frame.StartLoad.Model
+			s.controller.loop.Do(func() { s.controller.startGranted(time.Now(), model) })
+		}
+	}
+}
+
+// serveAcquire grants or refuses a use, which lasts until the stream ends.
+func (s *server) serveAcquire(ctx context.Context, stream *wire.Stream, acquire *wire.Acquire) {
+	arrived := time.Now()
+	var result <-chan outcome
+	if !s.controller.loop.Do(func() { result = s.controller.acquire(arrived, useOf(arrived, acquire)) }) {
+		return
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// The gateway sends nothing more; the stream's end is the end of the use.
+		_, _ = stream.Receive()
+	}()
+	granted := s.await(ctx, stream, acquire, arrived, result, ended)
+	if granted {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		}
+	}
+	s.controller.loop.Do(func() { s.controller.release(time.Now(), acquire.RequestID) })
+	stream.Abort()
+	<-ended
+}
+
+// await answers an Acquire and tells whether it was granted.
+func (s *server) await(ctx context.Context, stream *wire.Stream, acquire *wire.Acquire, arrived time.Time, result <-chan outcome, ended <-chan struct{}) bool {
+	select {
+	case first := <-result:
+		return s.answer(stream, arrived, first)
+	default:
+	}
+	// The use waits. The gateway learns at once that the agent lives.
+	if err := stream.Send(&wire.Frame{Accepted: &wire.Accepted{RequestID: acquire.RequestID}}); err != nil {
+		return false
+	}
+	select {
+	case first := <-result:
+		return s.answer(stream, arrived, first)
+	case <-ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *server) answer(stream *wire.Stream, arrived time.Time, result outcome) bool {
+	if result.refused != nil {
+		_ = stream.Send(&wire.Frame{Refusal: &wire.Refusal{
+			RequestID:        result.refused.ID,
+			Outcome:          wire.OutcomeNotRun,
+			Reason:           result.refused.Reason,
+			RetryAfterMillis: uint32(result.refused.RetryAfter.Milliseconds()),
+		}})
+		stream.CloseSend()
+		return false
+	}
+	waited := uint32(time.Since(arrived).Milliseconds())
+	return stream.Send(&wire.Frame{Granted: &wire.Granted{WaitedMillis: waited}}) == nil
+}
+
+func useOf(now time.Time, acquire *wire.Acquire) residency.Use {
+	after := func(ms uint32) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	return residency.Use{
+		ID:            acquire.RequestID,
+		Model:         acquire.Model,
+		Adapter:       acquire.Adapter,
+		Route:         acquire.Route,
+		Priority:      acquire.Priority,
+		Deadline:      after(acquire.DeadlineMillis),
+		StartBy:       after(acquire.StartMillis),
+		TargetLatency: time.Duration(acquire.TargetMillis) * time.Millisecond,
+		Tokens:        acquire.Tokens,
+	}
+}
--- /dev/null
+++ b/pkg/runneragent/subscribers.go
@@ -0,0 +1,74 @@
+package runneragent
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/residency"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// subscribers hold the runner's newest status for the gateways that follow it.
+// They are safe for concurrent use.
+type subscribers struct {
+	mu     sync.Mutex
+	latest *wire.RunnerStatus
+	// wakes hold a token for each subscriber that has not seen a change.
+	wakes map[chan struct{}]struct{}
+}
+
+// publish takes in the present status and wakes the subscribers if it differs in
+// more than counts.
+func (s *subscribers) publish(now time.Time, manager *residency.Manager) {
+	status := manager.Status(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.latest == nil || differs(status, s.latest)
+	s.latest = status
+	if !changed {
+		return
+	}
+	for wake := range s.wakes {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// differs tells whether two statuses differ in more than counts and rates.
+func differs(a, b *wire.RunnerStatus) bool {
+	return a.Instance != b.Instance || a.BornMillis != b.BornMillis || a.PlanRevision != b.PlanRevision ||
+		a.Leaving != b.Leaving || a.Down != b.Down || a.Slots != b.Slots ||
+		!slices.EqualFunc(a.Models, b.Models, sameModel)
+}
+
+func sameModel(a, b wire.RunnerModel) bool {
+	return a.Name == b.Name && a.State == b.State && a.Tier == b.Tier &&
+		a.WantsStart == b.WantsStart && a.FromStore == b.FromStore
+}
+
+// subscribe returns a channel that holds a token after each change, and the end
+// of the subscription.
+func (s *subscribers) subscribe() (wake chan struct{}, end func()) {
+	wake = make(chan struct{}, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wakes == nil {
+		s.wakes = make(map[chan struct{}]struct{})
+	}
+	s.wakes[wake] = struct{}{}
+	return wake, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.wakes, wake)
+	}
+}
+
+// status returns the newest status, or nil before the first.
+func (s *subscribers) status() *wire.RunnerStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latest
+}
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -32,6 +32,9 @@
 	Listen  GatewayListen `json:"listen"`
 	Store   MetadataStore `json:"store"`
 	Retries Retries       `json:"retries"`
+	// WeightStore states the limits of the weight store. The rate of starts comes
+	// with the operator's configuration.
+	WeightStore WeightStore `json:"weight_store"`
 	// DrainMillis is the time between SIGTERM and SIGKILL, in milliseconds.
 	// Default 8000.
 	DrainMillis int `json:"drain_ms,omitempty" validate:"min=0,max=600000"`
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -44,6 +44,10 @@
 // LoadGateway is LoadEntry for an entry before an operator's own platform.
 func LoadGateway(path string) (Gateway, error) { return load(path, ParseGateway) }
 
+// LoadRunner is LoadAgent for an agent beside a model runner of an operator's own
+// platform.
+func LoadRunner(path string) (Runner, error) { return load(path, ParseRunner) }
+
 func load[T any](path string, parse func([]byte) (T, error)) (T, error) {
 	var none T
 	data, err := os.ReadFile(path)
@@ -73,6 +77,11 @@
 	return parse(data, (*Gateway).fillDefaults, gatewayProblems)
 }
 
+// ParseRunner is LoadRunner on the file's content. Its error is a *schema.Error.
+func ParseRunner(data []byte) (Runner, error) {
+	return parse(data, (*Runner).fillDefaults, func(*Runner) []schema.Problem { return nil })
+}
+
 func parse[T any](data []byte, fillDefaults func(*T), problems func(*T) []schema.Problem) (T, error) {
 	var none, parsed T
 	if err := schema.Decode(data, &parsed); err != nil {
@@ -106,12 +115,15 @@
 
 func (g *Gateway) fillDefaults() {
 	setDefault(&g.DrainMillis, millis(DefaultGatewayDrain))
+	g.WeightStore.fillDefaults()
 	setDefault(&g.Retries.Ratio, DefaultRetryRatio)
 	setDefault(&g.Retries.Slack, DefaultRetrySlack)
 	setDefault(&g.Retries.WindowSeconds, DefaultRetryWindow.Seconds())
 	g.Log.fillDefaults()
 }
 
+func (r *Runner) fillDefaults() { r.Log.fillDefaults() }
+
 func (k *KeyValue) fillDefaults() {
 	setDefault(&k.TimeoutMillis, millis(DefaultKeyValueTimeout))
 }
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -120,7 +120,8 @@
 		f.Request != nil, f.Accepted != nil, f.Refusal != nil, f.Head != nil,
 		f.Chunk != nil, f.End != nil, f.Probe != nil, f.Status != nil,
 		f.Sync != nil, f.Update != nil, f.LoadAsk != nil, f.LoadSlot != nil,
-		f.Resume != nil,
+		f.Resume != nil, f.Subscribe != nil, f.RunnerPlan != nil, f.StartLoad != nil,
+		f.RunnerStatus != nil, f.Acquire != nil, f.Granted != nil,
 	} {
 		if set {
 			count++
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -21,6 +21,14 @@
 	LoadAsk  *LoadAsk  `cbor:"11,keyasint,omitempty"`
 	LoadSlot *LoadSlot `cbor:"12,keyasint,omitempty"`
 	Resume   *Resume   `cbor:"13,keyasint,omitempty"`
+
+	// The messages between a gateway and the agent beside a model runner.
+	Subscribe    *Subscribe    `cbor:"14,keyasint,omitempty"`
+	RunnerPlan   *RunnerPlan   `cbor:"15,keyasint,omitempty"`
+	StartLoad    *StartLoad    `cbor:"16,keyasint,omitempty"`
+	RunnerStatus *RunnerStatus `cbor:"17,keyasint,omitempty"`
+	Acquire      *Acquire      `cbor:"18,keyasint,omitempty"`
+	Granted      *Granted      `cbor:"19,keyasint,omitempty"`
 }
 
 // Request carries one caller's request from an entry to an agent.
--- /dev/null
+++ b/pkg/wire/runner.go
@@ -0,0 +1,114 @@
+package wire
+
+// Subscribe opens a stream on which an agent tells a gateway of its runner, and
+// the gateway tells the agent of the placement.
+type Subscribe struct {
+	// Entry is the host ID of the gateway.
+	Entry string `cbor:"1,keyasint"`
+}
+
+// PlannedModel is one of an engine's models as a placement sees it for one
+// runner.
+type PlannedModel struct {
+	Name       string `cbor:"1,keyasint"`
+	MiB        int64  `cbor:"2,keyasint"`
+	AdapterMiB int64  `cbor:"3,keyasint,omitempty"`
+	// The durations of a load from the weight store, the disk and the memory, in
+	// milliseconds.
+	RemoteLoadMillis uint32 `cbor:"4,keyasint"`
+	DiskLoadMillis   uint32 `cbor:"5,keyasint"`
+	MemoryLoadMillis uint32 `cbor:"6,keyasint"`
+	// Permitted tells that the runner may hold the model.
+	Permitted bool `cbor:"7,keyasint,omitempty"`
+	// Keep tells that the runner holds the model without requests.
+	Keep bool `cbor:"8,keyasint,omitempty"`
+	// Interactive tells that the model is asked for by requests that can't wait
+	// for a load.
+	Interactive bool `cbor:"9,keyasint,omitempty"`
+}
+
+// RunnerPlan is the part of a placement that concerns one runner.
+type RunnerPlan struct {
+	// Revision is the key-value service's modification revision of the placement.
+	Revision int64 `cbor:"1,keyasint"`
+	// AsOf is the revision up to which the sender knows that no newer placement
+	// was written.
+	AsOf int64 `cbor:"2,keyasint"`
+	// Instance and BornMillis are the runner's ID and incarnation as it
+	// registered itself.
+	Instance   string `cbor:"3,keyasint,omitempty"`
+	BornMillis int64  `cbor:"4,keyasint,omitempty"`
+	// Slots is how many requests run at once.
+	Slots        int   `cbor:"5,keyasint"`
+	MiB          int64 `cbor:"6,keyasint"`
+	AdapterSlots int   `cbor:"7,keyasint,omitempty"`
+	// Models are all models of the engine, also those that the runner may not
+	// hold.
+	Models []PlannedModel `cbor:"8,keyasint,omitempty"`
+}
+
+// StartLoad is the coordinator's leave to load a model from the weight store.
+type StartLoad struct {
+	Model string `cbor:"1,keyasint"`
+}
+
+// RunnerModel is the state of a model at a runner.
+type RunnerModel struct {
+	Name  string     `cbor:"1,keyasint"`
+	State ModelState `cbor:"2,keyasint,omitempty"`
+	Tier  CacheTier  `cbor:"3,keyasint,omitempty"`
+	// Waiting and Running count requests.
+	Waiting int `cbor:"4,keyasint,omitempty"`
+	Running int `cbor:"5,keyasint,omitempty"`
+	// Interactive and Patient are requests a second that can't and can wait for
+	// a load.
+	Interactive float64 `cbor:"6,keyasint,omitempty"`
+	Patient     float64 `cbor:"7,keyasint,omitempty"`
+	// WantsStart tells that a load from the weight store waits for the
+	// coordinator's leave.
+	WantsStart bool `cbor:"8,keyasint,omitempty"`
+	// FromStore tells that a load from the weight store is under way.
+	FromStore bool `cbor:"9,keyasint,omitempty"`
+}
+
+// RunnerStatus is what an agent says of its runner. Models that are neither held
+// nor near nor wanted are left out.
+type RunnerStatus struct {
+	Instance     string `cbor:"1,keyasint,omitempty"`
+	BornMillis   int64  `cbor:"2,keyasint,omitempty"`
+	PlanRevision int64  `cbor:"3,keyasint,omitempty"`
+	// Leaving runners take no new work; the agent of one that is Down can't reach
+	// it.
+	Leaving bool          `cbor:"4,keyasint,omitempty"`
+	Down    bool          `cbor:"5,keyasint,omitempty"`
+	Slots   int           `cbor:"6,keyasint,omitempty"`
+	Running int           `cbor:"7,keyasint,omitempty"`
+	Waiting int           `cbor:"8,keyasint,omitempty"`
+	Models  []RunnerModel `cbor:"9,keyasint,omitempty"`
+}
+
+// Acquire asks for the use of a model, and of an adapter if it names one, for one
+// request. Granted or Refusal answers it, possibly after a wait. The use lasts
+// until the stream ends.
+type Acquire struct {
+	RequestID string `cbor:"1,keyasint"`
+	Model     string `cbor:"2,keyasint"`
+	Adapter   string `cbor:"3,keyasint,omitempty"`
+	Route     string `cbor:"4,keyasint"`
+	// Priority ranks routes; 0 is the most urgent.
+	Priority int `cbor:"5,keyasint,omitempty"`
+	// DeadlineMillis is the time left for the whole answer, StartMillis the time
+	// in which the request must start, TargetMillis that in which its first event
+	// is on time.
+	DeadlineMillis uint32 `cbor:"6,keyasint"`
+	StartMillis    uint32 `cbor:"7,keyasint"`
+	TargetMillis   uint32 `cbor:"8,keyasint"`
+	// Tokens is the estimated work.
+	Tokens int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// Granted tells that the request may be sent to the runner now.
+type Granted struct {
+	// WaitedMillis is how long the request waited for it.
+	WaitedMillis uint32 `cbor:"1,keyasint,omitempty"`
+}
