Reset abandoned connections, answer waiting requests before a stop, survive SIGHUP

Changes: connections that are given up are reset, so that the network drops what has not arrived; a silent agent makes its runner suspect; a stopping entry refuses what still waits 1.2 s before its end; SIGHUP and changed files have the settings read again. Logs go to standard output without blocking.

--- a/cmd/teaselgauge-agent/main.go
+++ b/cmd/teaselgauge-agent/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -27,7 +26,7 @@
 		Usage:   "serve the backend server until SIGTERM",
 		Load:    settings.LoadAgent,
 		Log:     func(config settings.Agent) settings.Log { return config.Log },
-		Process: agent.Run,
+		Process: runSite,
 	}
 	beside := command.Serve[settings.Runner]{
 		Name:              "runner",
@@ -46,10 +45,16 @@
 }
 
 // runRunner connects the agent to the platform's adapter.
-func runRunner(ctx context.Context, config settings.Runner, _ string, logger *slog.Logger) error {
+func runRunner(ctx context.Context, config settings.Runner, environment command.Environment[settings.Runner]) error {
 	store := platform.NewStore(config.Store.Address)
 	defer store.Close()
 	runner := platform.NewRunner(config.Runner)
 	defer runner.Close()
-	return runneragent.Run(ctx, config, runneragent.Dependencies{Store: store, Runner: runner}, logger)
+	return runneragent.Run(ctx, config, runneragent.Dependencies{Store: store, Runner: runner}, environment.Logger)
+}
+
+// runSite serves a site of teaselgauge's own, whose settings take effect at the
+// start only.
+func runSite(ctx context.Context, config settings.Agent, environment command.Environment[settings.Agent]) error {
+	return agent.Run(ctx, config, environment.Version, environment.Logger)
 }
--- a/cmd/teaselgauge-entry/main.go
+++ b/cmd/teaselgauge-entry/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -27,7 +26,7 @@
 		Usage:   "serve callers and administrators until SIGTERM",
 		Load:    settings.LoadEntry,
 		Log:     func(config settings.Entry) settings.Log { return config.Log },
-		Process: entry.Run,
+		Process: runSite,
 	}
 	before := command.Serve[settings.Gateway]{
 		Name:              "gateway",
@@ -46,7 +45,7 @@
 }
 
 // runGateway connects the gateway to the platform's adapter.
-func runGateway(ctx context.Context, config settings.Gateway, _ string, logger *slog.Logger) error {
+func runGateway(ctx context.Context, config settings.Gateway, environment command.Environment[settings.Gateway]) error {
 	store := platform.NewStore(config.Store.Address)
 	defer store.Close()
 	return gateway.Run(ctx, config, gateway.Dependencies{
@@ -59,5 +58,12 @@
 		},
 		Dialect:       platform.Callers{},
 		ReadinessPath: platform.ReadinessPath,
-	}, logger)
+		Updates:       environment.Updates,
+	}, environment.Logger)
+}
+
+// runSite serves a site of teaselgauge's own, whose settings take effect at the
+// start only.
+func runSite(ctx context.Context, config settings.Entry, environment command.Environment[settings.Entry]) error {
+	return entry.Run(ctx, config, environment.Version, environment.Logger)
 }
--- a/pkg/attempt/budget.go
+++ b/pkg/attempt/budget.go
@@ -27,12 +27,12 @@
 // share of what all entries are allowed. It is safe for concurrent use. Use
 // NewBudget.
 type Budget struct {
-	limits BudgetLimits
 	// start is the time from which steps count. Only differences of times are
 	// used, as the time of day may jump.
 	start time.Time
 
 	mu       sync.Mutex
+	limits   BudgetLimits
 	entries  int
 	services map[string]*window
 }
@@ -50,6 +50,13 @@
 	return &Budget{limits: limits, start: now, entries: max(entries, 1), services: make(map[string]*window)}
 }
 
+// SetLimits changes the limits.
+func (b *Budget) SetLimits(limits BudgetLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
+}
+
 // SetEntries changes the number of entries that share the bound.
 func (b *Budget) SetEntries(entries int) {
 	b.mu.Lock()
--- a/pkg/backends/tracker.go
+++ b/pkg/backends/tracker.go
@@ -18,6 +18,9 @@
 	// taken for dead: after a multiple of its mean latency.
 	silenceFactor = 4
 	minSilence    = 150 * time.Millisecond
+	// recentlyHeard is the time since a server's last byte in which it surely
+	// lives.
+	recentlyHeard = 100 * time.Millisecond
 	// avoidFor and maxAvoidFor bound how long a failing server is avoided; the
 	// time doubles with each relapse.
 	avoidFor    = time.Second
@@ -46,6 +49,8 @@
 	outcomes int
 	// quietSince is when the server was last heard while requests are open.
 	quietSince time.Time
+	// heard is when the last byte came from the server.
+	heard time.Time
 	// silent is set from a silence on until the server is heard again, and
 	// trialAt is when it may get a request to show whether it is back.
 	silent  bool
@@ -92,7 +97,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(id)
+	r.hear(now)
+}
+
+func (r *record) hear(now time.Time) {
 	r.quietSince = now
+	r.heard = now
 	r.silent = false
 }
 
@@ -110,8 +120,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(id)
-	r.quietSince = now
-	r.silent = false
+	r.hear(now)
 	if r.latency == 0 {
 		r.latency = took
 	}
@@ -126,6 +135,20 @@
 	t.record(id).outcome(now, true)
 }
 
+// AgentSilent notes that the agent beside a server doesn't answer, which for both
+// on one host is a sign that the server doesn't, either. It tells whether the
+// server was heard so lately that it is known to live.
+func (t *Tracker) AgentSilent(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(id)
+	if now.Sub(r.heard) < recentlyHeard {
+		return true
+	}
+	r.fellSilent(now)
+	return false
+}
+
 // Unreachable notes that no connection to a server could be made.
 func (t *Tracker) Unreachable(now time.Time, id string) {
 	t.mu.Lock()
--- a/pkg/command/serve.go
+++ b/pkg/command/serve.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -12,9 +14,16 @@
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
-// Process is what a binary runs until its context ends, with its version and
-// its logger.
-type Process[T any] func(ctx context.Context, config T, version string, logger *slog.Logger) error
+// Environment is what a process gets beside its settings.
+type Environment[T any] struct {
+	Version string
+	Logger  *slog.Logger
+	// Updates brings changed settings. The log's level is applied already.
+	Updates <-chan T
+}
+
+// Process is what a binary runs until its context ends.
+type Process[T any] func(ctx context.Context, config T, environment Environment[T]) error
 
 // Serve describes a subcommand that runs a process.
 type Serve[T any] struct {
@@ -30,23 +39,62 @@
 }
 
 // Command returns the subcommand, which loads the settings and runs the process
-// until SIGTERM.
+// until SIGTERM. SIGHUP, or a change of the file, has the settings read again.
 func (s Serve[T]) Command() *cli.Command {
 	return &cli.Command{
-		Name:  s.Name,
-		Usage: s.Usage,
-		Flags: []cli.Flag{SettingsFlag(s.SettingsVariables...)},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			config, err := s.Load(cmd.String("settings"))
-			if err != nil {
-				return &RefusedError{Err: err}
-			}
-			logger, err := logging.New(os.Stderr, s.Log(config))
-			if err != nil {
-				return fmt.Errorf("log settings: %w", err)
-			}
-			slog.SetDefault(logger)
-			return s.Process(ctx, config, Version(), logger)
+		Name:   s.Name,
+		Usage:  s.Usage,
+		Flags:  []cli.Flag{SettingsFlag(s.SettingsVariables...)},
+		Action: s.run,
+	}
+}
+
+func (s Serve[T]) run(ctx context.Context, cmd *cli.Command) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	path := cmd.String("settings")
+	config, err := s.Load(path)
+	if err != nil {
+		return &RefusedError{Err: err}
+	}
+	output := logging.NewAsync(os.Stdout)
+	defer output.Close()
+	logger, level, err := logging.New(output, s.Log(config))
+	if err != nil {
+		return fmt.Errorf("log settings: %w", err)
+	}
+	slog.SetDefault(logger)
+	updates := make(chan T, 1)
+	follower := &settings.Follower[T]{
+		Path:    path,
+		Load:    s.Load,
+		Signals: hangups,
+		Changed: func(changed T) { s.reload(changed, level, logger, updates) },
+		Unchanged: func() {
+			logger.Info("settings read again, nothing has changed", "file", path)
+		},
+		Failed: func(err error) {
+			logger.Error("settings unusable, the last ones stay in force", "file", path, "error", err)
 		},
 	}
+	followCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go follower.Run(followCtx)
+	logger.Info("starting", "program", cmd.Root().Name, "version", Version(), "settings", path)
+	return s.Process(ctx, config, Environment[T]{Version: Version(), Logger: logger, Updates: updates})
+}
+
+// reload applies the log's level and hands the settings over. A process that has
+// not taken the last ones gets the newest only.
+func (s Serve[T]) reload(changed T, level *slog.LevelVar, logger *slog.Logger, updates chan T) {
+	if err := logging.SetLevel(level, s.Log(changed)); err != nil {
+		logger.Error("log level unusable", "error", err)
+	}
+	logger.Info("settings changed")
+	select {
+	case <-updates:
+	default:
+	}
+	updates <- changed
 }
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -32,6 +32,15 @@
 	return &conn{address: address, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
+// reset closes the connection without waiting for what was written to arrive.
+func (c *conn) reset() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		// A failure leaves an orderly close, which is all that can be done.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.raw.Close()
+}
+
 // isQuiet tells whether a kept connection is still open and holds no bytes that
 // nobody asked for.
 func (c *conn) isQuiet() bool {
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -93,7 +93,7 @@
 func (x *exchange) write(encoded []byte) error {
 	x.wroteAny.Store(true)
 	if _, err := x.conn.raw.Write(encoded); err != nil {
-		_ = x.conn.raw.Close()
+		x.conn.reset()
 		return err
 	}
 	x.written.Store(true)
@@ -113,10 +113,11 @@
 	return nil
 }
 
-// abort closes the connection, which makes the server drop the request.
+// abort resets the connection, which makes the server drop the request, and the
+// network the bytes of it that are still on their way.
 func (x *exchange) abort() {
 	x.stop()
-	_ = x.conn.raw.Close()
+	x.conn.reset()
 }
 
 // classify tells network failures from answers that can't be read.
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/fleet"
@@ -35,7 +36,7 @@
 	links   *links
 	logger  *slog.Logger
 	// loadsAtOnce is how many loads from the weight store run at full speed.
-	loadsAtOnce int
+	loadsAtOnce atomic.Int64
 
 	leaderRevision int64
 	since          time.Time
@@ -50,6 +51,10 @@
 // startKey names a load from the weight store.
 type startKey struct{ host, model string }
 
+// setLoadsAtOnce changes the bound of loads from the weight store. Any goroutine
+// may call it.
+func (d *decider) setLoadsAtOnce(loads int) { d.loadsAtOnce.Store(int64(loads)) }
+
 // begin starts the term of a leader, whose key has a revision.
 func (d *decider) begin(leaderRevision int64) {
 	d.leaderRevision = leaderRevision
@@ -238,7 +243,7 @@
 	}
 	slices.SortFunc(waiting, compareLoads)
 	for _, load := range waiting {
-		if running+len(d.started) >= d.loadsAtOnce {
+		if int64(running+len(d.started)) >= d.loadsAtOnce.Load() {
 			return
 		}
 		if d.isStarted(load.key.model) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -7,8 +7,11 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"teaselgauge.example/teaselgauge/pkg/attempt"
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
@@ -117,7 +120,7 @@
 		s := x.choose(time.Now())
 		return s, nil, s != nil
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && x.handler.unsent.Err() == nil {
 		now := time.Now()
 		s := chooseRunner(now, x.handler.control.current(), x.handler.tracker, x.service, x.caller.Model, x.handler.domain, x.tried)
 		if s == nil {
@@ -138,12 +141,20 @@
 // refused. Where the agent is silent, a runner that holds the model is used
 // without it.
 func (x *exchange) lease(ctx context.Context, s *server) (*lease, bool) {
-	held, refusal, err := acquire(ctx, x.handler.node.Load(), s, x.acquireFrame(time.Now()))
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(x.handler.unsent, cancel)
+	defer stop()
+	held, refusal, err := acquire(waitCtx, x.handler.node.Load(), s, x.acquireFrame(time.Now()))
 	switch {
 	case err != nil:
-		x.logger.Info("agent silent", "agent", s.agent, "error", err)
+		if waitCtx.Err() != nil {
+			return nil, false
+		}
+		lives := isReset(err) || x.handler.tracker.AgentSilent(time.Now(), s.ID)
+		x.logger.Info("agent silent", "agent", s.agent, "runner_lives", lives, "error", err)
 		known := s.model(x.caller.Model)
-		return nil, ctx.Err() == nil && known != nil && known.State == wire.ModelLoaded
+		return nil, lives && known != nil && known.State == wire.ModelLoaded
 	case refusal != nil:
 		x.retryAfter = time.Duration(refusal.RetryAfterMillis) * time.Millisecond
 		x.logger.Info("lease refused", "agent", s.agent, "reason", refusal.Reason, "retry_after_ms", refusal.RetryAfterMillis)
@@ -153,6 +164,13 @@
 	}
 }
 
+// isReset tells whether the host of an agent answered that its process is gone,
+// so that only the agent is away.
+func isReset(err error) bool {
+	var reset *quic.StatelessResetError
+	return errors.As(err, &reset) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
 const (
 	// minPatience, latencyPatience and gapPatience tell how long a caller waits
 	// for the first event of a stream: the longest of a fixed time and multiples
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -26,9 +26,11 @@
 	// drainNotice is how long a stopping entry goes on taking new connections
 	// after its readiness has turned false, so that the balancer turns away first.
 	drainNotice = 2500 * time.Millisecond
-	drainPoll   = 20 * time.Millisecond
 	// drainMargin is kept free before the platform kills the process.
 	drainMargin = 300 * time.Millisecond
+	// unsentMargin is how long before its end a stopping entry refuses the
+	// requests that still wait for a runner.
+	unsentMargin = 1200 * time.Millisecond
 )
 
 // Dependencies are the clients of the platform that a gateway works with.
@@ -38,6 +40,8 @@
 	Dialect forward.Dialect
 	// ReadinessPath is where the balancer asks whether the entry is ready.
 	ReadinessPath string
+	// Updates brings changed settings.
+	Updates <-chan settings.Gateway
 }
 
 // Gateway is the process.
@@ -48,6 +52,7 @@
 	sources *sources
 	handler *handler
 	pool    *forward.Pool
+	decider *decider
 	stopped atomic.Bool
 	callers *http.Server
 	ready   *http.Server
@@ -68,29 +73,52 @@
 		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
 	}
 	logger.Info("serving", "host", config.Host.ID, "callers", config.Listen.Callers)
-	<-ctx.Done()
+	g.takeUpdates(ctx, dependencies.Updates)
 	g.drain()
 	return nil
 }
 
+// takeUpdates applies changed settings until ctx ends. Addresses and the host's
+// identity take effect at the next start.
+func (g *Gateway) takeUpdates(ctx context.Context, updates <-chan settings.Gateway) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case config := <-updates:
+			restart := config.Host != g.config.Host || config.Listen != g.config.Listen || config.Store != g.config.Store
+			g.config.DrainMillis = config.DrainMillis
+			g.handler.budget.SetLimits(budgetLimits(config.Retries))
+			g.decider.setLoadsAtOnce(config.WeightStore.LoadsAtOnce)
+			g.logger.Info("settings applied", "needs_restart", restart)
+		}
+	}
+}
+
 func (g *Gateway) provision(d Dependencies) {
 	g.control = newControl(g.logger)
 	g.sources = &sources{store: d.Store, codec: d.Codec, control: g.control, logger: g.logger}
+	g.decider = &decider{store: d.Store, control: g.control, logger: g.logger}
+	g.decider.setLoadsAtOnce(g.config.WeightStore.LoadsAtOnce)
 	g.pool = forward.NewPool(d.Dialect, func(string, time.Duration, error) {})
-	limits := attempt.BudgetLimits{
-		Ratio:  g.config.Retries.Ratio,
-		Slack:  g.config.Retries.Slack,
-		Window: time.Duration(g.config.Retries.WindowSeconds * float64(time.Second)),
-	}
 	g.handler = &handler{
 		control: g.control,
 		dialect: d.Dialect,
 		pool:    g.pool,
 		tracker: backends.NewTracker(),
-		budget:  attempt.NewBudget(time.Now(), limits, assumedEntries),
+		budget:  attempt.NewBudget(time.Now(), budgetLimits(g.config.Retries), assumedEntries),
 		domain:  g.config.Host.FailureDomain,
 		logger:  g.logger,
 	}
+	g.handler.unsent, g.handler.giveUpUnsent = context.WithCancel(context.Background())
+}
+
+func budgetLimits(config settings.Retries) attempt.BudgetLimits {
+	return attempt.BudgetLimits{
+		Ratio:  config.Ratio,
+		Slack:  config.Slack,
+		Window: time.Duration(config.WindowSeconds * float64(time.Second)),
+	}
 }
 
 // assumedEntries is the number of entries that share the retry budget before it
@@ -123,9 +151,8 @@
 	defer node.Close()
 	self := g.config.Host.ID
 	linked := &links{self: self, node: node, control: g.control, logger: g.logger, open: make(map[string]*link)}
-	leads := &leadership{self: self, store: d.Store, control: g.control, logger: g.logger, decider: &decider{
-		store: d.Store, control: g.control, links: linked, logger: g.logger, loadsAtOnce: g.config.WeightStore.LoadsAtOnce,
-	}}
+	g.decider.links = linked
+	leads := &leadership{self: self, store: d.Store, control: g.control, logger: g.logger, decider: g.decider}
 	g.handler.node.Store(node)
 	var wait sync.WaitGroup
 	wait.Go(func() { linked.run(ctx) })
@@ -209,6 +236,8 @@
 	g.logger.Info("draining", "in_flight", g.handler.inFlight.Load())
 	g.stopped.Store(true)
 	g.handler.closing.Store(true)
+	giveUp := time.AfterFunc(time.Until(end)-unsentMargin, g.handler.giveUpUnsent)
+	defer giveUp.Stop()
 	time.Sleep(drainNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -42,6 +42,10 @@
 	inFlight atomic.Int64
 	// closing tells that kept connections should end after their answer.
 	closing atomic.Bool
+	// unsent ends when a stopping entry gives up the requests that still wait for
+	// a runner.
+	unsent       context.Context
+	giveUpUnsent context.CancelFunc
 }
 
 // ServeHTTP implements http.Handler.
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -1,5 +1,5 @@
 // Package logging makes the processes' loggers: one line of key=value pairs for
-// each event, on the standard error stream, without secrets.
+// each event, without secrets.
 package logging
 
 import (
@@ -21,19 +21,30 @@
 // secretSuffixes end the names of attributes whose values are not logged.
 var secretSuffixes = []string{"token", "key_hash", "cookie"}
 
-// New returns a logger that writes to w.
-func New(w io.Writer, config settings.Log) (*slog.Logger, error) {
-	level := slog.LevelInfo
-	if config.Level != "" {
-		if err := level.UnmarshalText([]byte(config.Level)); err != nil {
-			return nil, fmt.Errorf("logging: level %q: %w", config.Level, err)
-		}
+// New returns a logger that writes to w, and its level, which may be changed by
+// SetLevel.
+func New(w io.Writer, config settings.Log) (*slog.Logger, *slog.LevelVar, error) {
+	level := new(slog.LevelVar)
+	if err := SetLevel(level, config); err != nil {
+		return nil, nil, err
 	}
 	handler := slog.NewTextHandler(w, &slog.HandlerOptions{
 		Level:       level,
 		ReplaceAttr: redact,
 	})
-	return slog.New(handler), nil
+	return slog.New(handler), level, nil
+}
+
+// SetLevel sets a logger's level from the settings.
+func SetLevel(level *slog.LevelVar, config settings.Log) error {
+	if config.Level == "" {
+		level.Set(slog.LevelInfo)
+		return nil
+	}
+	if err := level.UnmarshalText([]byte(config.Level)); err != nil {
+		return fmt.Errorf("logging: level %q: %w", config.Level, err)
+	}
+	return nil
 }
 
 // redact keeps the values of attributes that carry secrets out of the log.
--- a/pkg/logging/logging_test.go
+++ b/pkg/logging/logging_test.go
@@ -11,7 +11,7 @@
 
 func TestSecretsStayOut(t *testing.T) {
 	var out bytes.Buffer
-	logger, err := New(&out, settings.Log{})
+	logger, _, err := New(&out, settings.Log{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -24,7 +24,7 @@
 	} else if !strings.Contains(line, "idempotency_key=kept") || !strings.Contains(line, "tokens=12") {
 		t.Errorf("harmless attributes are gone: %q", line)
 	}
-	if _, err := New(&out, settings.Log{Level: "loud"}); err == nil {
+	if _, _, err := New(&out, settings.Log{Level: "loud"}); err == nil {
 		t.Error("took an unknown level")
 	}
 }
--- a/testkit/site/process.go
+++ b/testkit/site/process.go
@@ -37,6 +37,7 @@
 	defer log.Close()
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Stdout = log
+	cmd.Stdout = log
 	cmd.Stderr = log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
