Decide the placement once all runners have registered, and keep it steady

Change: the leader waits up to 5 s for the runners of all agents; what is kept stays; only runners with the weights near are permitted; hot models may displace patient ones; no adapter is ordered while a model changes.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -95,7 +95,9 @@
 }
 
 func (x *exchange) delivered(status int) {
-	x.logger.Info("answered", "status", status, "sends", x.machine.Sends(), "took_ms", time.Since(x.arrived).Milliseconds())
+	x.logger.Info("answered", "status", status, "backend", x.server, "model", x.caller.Model, "adapter", x.caller.Adapter,
+		"sends", x.machine.Sends(), "leased_ms", x.leased.Milliseconds(), "first_ms", x.first.Milliseconds(),
+		"took_ms", time.Since(x.arrived).Milliseconds())
 }
 
 // writeHead writes the head of the first server that answered. A length below
@@ -105,6 +107,7 @@
 		return
 	}
 	x.answer.started = true
+	x.first = time.Since(x.arrived)
 	header := x.writer.Header()
 	for name, values := range forward.EndToEnd(response.Header) {
 		if name == "Content-Length" {
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -10,19 +10,22 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 )
 
 const (
 	// settleTime is how long a new leader waits for the statuses of all agents
-	// before it decides.
-	settleTime = 1500 * time.Millisecond
+	// before it decides, firstSettleTime the same before the first placement.
+	settleTime      = 1500 * time.Millisecond
+	firstSettleTime = 5 * time.Second
 	// downTolerance is how long a runner that is down keeps its permits.
 	downTolerance = time.Second
-	// demandFloor is the rate of interactive requests a second from which a model
-	// is in demand.
-	demandFloor = 0.3
+	// hotRate is the rate of interactive requests a second from which a model
+	// counts as hot, coolRate the one below which it no longer does.
+	hotRate  = 0.3
+	coolRate = 0.03
 	// startTTL is how long a leave to load counts before the agent's status shows
 	// the load.
 	startTTL = time.Second
@@ -42,6 +45,8 @@
 	since          time.Time
 	// decidedFor names the state that the last decision was made for.
 	decidedFor string
+	// hot are the models that were hot at the last look.
+	hot map[string]bool
 	// downSince is when each runner was first seen down.
 	downSince map[string]time.Time
 	// started holds the leaves that no status shows yet.
@@ -60,6 +65,7 @@
 	d.leaderRevision = leaderRevision
 	d.since = time.Now()
 	d.decidedFor = ""
+	d.hot = make(map[string]bool)
 	d.downSince = make(map[string]time.Time)
 	d.started = make(map[startKey]time.Time)
 }
@@ -81,21 +87,31 @@
 	d.startLoads(now, current)
 }
 
-// isSettled tells whether all agents were heard or had the time to be.
+// isSettled tells whether all agents were heard and all their runners have
+// registered themselves, or had the time to.
 func (d *decider) isSettled(now time.Time, current *view) bool {
-	if now.Sub(d.since) >= settleTime {
+	patience := settleTime
+	if current.placement == nil {
+		patience = firstSettleTime
+	}
+	if now.Sub(d.since) >= patience {
 		return true
 	}
-	known := 0
+	registered := make(map[string]bool)
 	for _, service := range current.table.Engines() {
 		for _, s := range current.servers[service.Name] {
 			if !s.hears(now) {
 				return false
 			}
-			known++
+			registered[s.agent] = true
+		}
+	}
+	for id, host := range current.hosts {
+		if host.Role == keys.RoleAgent && !registered[id] {
+			return false
 		}
 	}
-	return known > 0
+	return len(registered) > 0
 }
 
 func (d *decider) noteDown(now time.Time, current *view) {
@@ -131,31 +147,34 @@
 				parts = append(parts, s.agent)
 			}
 		}
-		for model, demand := range demandOf(current, service.Name) {
-			if demand.Interactive >= demandFloor {
-				parts = append(parts, "+"+model)
-			}
+		for model := range d.hotModels(current, service.Name) {
+			parts = append(parts, "+"+model)
 		}
 	}
 	slices.Sort(parts)
 	return strings.Join(parts, " ")
 }
 
-// demandOf sums what the agents say of the demand for each model.
-func demandOf(current *view, service string) map[string]packing.Demand {
-	demand := make(map[string]packing.Demand)
+// hotModels are the models that interactive requests ask for now. A model stays
+// hot until its demand has fallen well below what made it so.
+func (d *decider) hotModels(current *view, service string) map[string]bool {
+	rates := make(map[string]float64)
 	for _, s := range current.servers[service] {
 		if s.state == nil {
 			continue
 		}
 		for _, model := range s.state.status.Models {
-			sum := demand[model.Name]
-			sum.Interactive += model.Interactive
-			sum.Patient += model.Patient
-			demand[model.Name] = sum
+			rates[model.Name] += model.Interactive
+		}
+	}
+	hot := make(map[string]bool)
+	for model, rate := range rates {
+		if rate >= hotRate || (d.hot[model] && rate >= coolRate) {
+			hot[model] = true
 		}
 	}
-	return demand
+	d.hot = hot
+	return hot
 }
 
 // place decides the placement and writes it if it differs. It returns false if
@@ -199,7 +218,7 @@
 	problem := &packing.Problem{
 		Service: service.Name,
 		Engine:  service.Engine,
-		Demand:  demandOf(current, service.Name),
+		Hot:     d.hotModels(current, service.Name),
 		Current: current.placement,
 	}
 	for _, s := range current.servers[service.Name] {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -40,6 +40,12 @@
 	// refused holds the IDs of the servers that refused the request, which may
 	// have lost its model just before. They get it once more.
 	refused []string
+	// leased is how long the request waited for the use of its model, first how
+	// long until the head of its answer.
+	leased time.Duration
+	first  time.Duration
+	// server is the one that it was sent to last.
+	server string
 	// retryAfter is the last advice of an agent when to come back.
 	retryAfter time.Duration
 	// answer is what was passed on to the caller so far.
@@ -160,6 +166,7 @@
 		x.logger.Info("lease refused", "agent", s.agent, "reason", refusal.Reason, "retry_after_ms", refusal.RetryAfterMillis)
 		return nil, false
 	default:
+		x.leased = time.Since(x.arrived)
 		return held, true
 	}
 }
@@ -257,6 +264,7 @@
 	tracker := x.handler.tracker
 	now := time.Now()
 	x.machine.Sent(now)
+	x.server = backend.ID
 	tracker.Began(now, backend.ID)
 	response, err := x.handler.pool.Send(ctx, backend.Address, x.outgoing(now, backend), false)
 	if err != nil {
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -10,35 +10,75 @@
 const (
 	// MaxPermits bounds the permits of a model.
 	MaxPermits = 4
-	// interactiveReplicas is the number of replicas kept of a model that
-	// interactive requests ask for now, so that the loss of one runner doesn't
-	// hold them up.
-	interactiveReplicas = 2
-	// demandFloor is the rate, in requests a second, from which a model counts as
-	// asked for.
-	demandFloor = 0.3
+	// hotReplicas is the number of replicas kept of a model that interactive
+	// requests ask for now, so that the loss of one runner doesn't hold them up.
+	hotReplicas = 2
+	// firstMoves and laterMoves bound the models that move in turn to make room
+	// for one: in the first placement, and in one that is in force already.
+	firstMoves = 3
+	laterMoves = 1
 )
 
+// Pack returns the placement of the problem's service. What the placement in
+// force keeps stays where it is, unless a model that is asked for more needs the
+// room.
+func Pack(problem *Problem) []Placed {
+	p := newPacker(problem)
+	for _, it := range p.items {
+		p.retain(it)
+	}
+	for _, it := range p.items {
+		for len(it.keep) < it.replicas && p.provide(it) {
+			continue
+		}
+	}
+	placed := make([]Placed, 0, len(p.items))
+	for _, it := range p.items {
+		placed = append(placed, p.place(it))
+	}
+	slices.SortFunc(placed, func(a, b Placed) int { return cmp.Compare(a.Model, b.Model) })
+	return placed
+}
+
 // bin is a runner while it is packed.
 type bin struct {
 	*Runner
 	free int64
-	// interactive counts the kept models that interactive requests ask for.
-	interactive int
-	kept        int
+	// urgent counts the kept models that interactive requests ask for.
+	urgent int
+	// adapters tells that a kept model is in demand and has adapters. A load of
+	// another model would hold their loads up.
+	adapters bool
+	// spares counts the models that have a permit here without being kept.
+	spares int
 }
 
 // item is a model while it is placed.
 type item struct {
-	model       *fleet.Model
-	demand      Demand
-	interactive bool
+	model *fleet.Model
+	rank  class
+	rate  float64
 	// replicas is how many are to be kept.
 	replicas int
 	keep     []*bin
 	before   *Placed
+	// moving guards against moving a model in a circle.
+	moving bool
 }
 
+// class orders models by what their absence costs.
+type class uint8
+
+// The classes, the dearest first.
+const (
+	// hot models are asked for by interactive requests now.
+	hot class = iota
+	// urgent models have been asked for by interactive requests.
+	urgent
+	// patient models can wait for a load.
+	patient
+)
+
 // packer is the state of one Pack.
 type packer struct {
 	problem *Problem
@@ -46,27 +86,6 @@
 	items   []*item
 }
 
-// Pack returns the placement of the problem's service.
-func Pack(problem *Problem) []Placed {
-	p := newPacker(problem)
-	for _, it := range p.items {
-		for len(it.keep) < it.replicas && p.keepOne(it) {
-			continue
-		}
-	}
-	for _, it := range p.items {
-		if len(it.keep) == 0 {
-			p.moveFor(it)
-		}
-	}
-	placed := make([]Placed, 0, len(p.items))
-	for _, it := range p.items {
-		placed = append(placed, p.place(it))
-	}
-	slices.SortFunc(placed, func(a, b Placed) int { return cmp.Compare(a.Model, b.Model) })
-	return placed
-}
-
 func newPacker(problem *Problem) *packer {
 	p := &packer{problem: problem}
 	capacity := problem.Engine.MiB - adapterRoom(problem.Engine)
@@ -77,7 +96,7 @@
 		p.items = append(p.items, p.newItem(&problem.Engine.Models[i]))
 	}
 	slices.SortStableFunc(p.items, func(a, b *item) int {
-		return cmp.Or(cmp.Compare(a.class(), b.class()), cmp.Compare(b.replicas, a.replicas),
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.rate, a.rate),
 			cmp.Compare(b.model.MiB, a.model.MiB), cmp.Compare(a.model.Name, b.model.Name))
 	})
 	return p
@@ -95,19 +114,22 @@
 func (p *packer) newItem(model *fleet.Model) *item {
 	it := &item{
 		model:    model,
-		demand:   p.problem.Demand[model.Name],
+		rank:     patient,
 		before:   p.problem.Current.find(p.problem.Service, model.Name),
 		replicas: 1,
 	}
-	it.interactive = it.demand.Interactive >= demandFloor || (it.before != nil && it.before.Interactive)
-	busy := it.demand.Interactive >= demandFloor
+	isHot := p.problem.Hot[model.Name]
 	if p.problem.Current == nil {
 		// Before any demand is known, a model that the platform has placed on
 		// several runners is expected to be asked for most.
-		busy = p.heldBy(model.Name) > 1
+		isHot = p.heldBy(model.Name) > 1
 	}
-	if busy {
-		it.replicas = min(interactiveReplicas, len(p.bins))
+	switch {
+	case isHot:
+		it.rank = hot
+		it.replicas = min(hotReplicas, len(p.bins))
+	case it.before != nil && it.before.Interactive:
+		it.rank = urgent
 	}
 	return it
 }
@@ -122,19 +144,40 @@
 	return count
 }
 
-// class orders items: those asked for by interactive requests first.
-func (it *item) class() int {
-	switch {
-	case it.replicas > 1:
-		return 0
-	case it.interactive:
-		return 1
-	default:
-		return 2
+// retain keeps what the placement in force keeps, up to the wanted replicas.
+func (p *packer) retain(it *item) {
+	for _, b := range p.bins {
+		if len(it.keep) < it.replicas && it.wasKept(b.Host) && b.free >= it.model.MiB {
+			p.keep(it, b)
+		}
 	}
 }
 
-// keepOne keeps one more replica on the best runner that has room.
+// wasKept tells whether the placement in force keeps the model on a host.
+func (it *item) wasKept(host string) bool {
+	return it.before != nil && slices.ContainsFunc(it.before.Permits, func(permit Permit) bool {
+		return permit.Host == host && permit.Keep
+	})
+}
+
+// provide keeps one more replica of a model, and moves or drops others for it if
+// it must.
+func (p *packer) provide(it *item) bool {
+	if p.keepOne(it) {
+		return true
+	}
+	moves := firstMoves
+	if p.problem.Current != nil {
+		moves = laterMoves
+	}
+	if p.keepByMoving(it, moves) {
+		return true
+	}
+	return it.rank < patient && p.keepByDropping(it)
+}
+
+// keepOne keeps a replica on the best runner that has room, and has the weights
+// near if any runner has.
 func (p *packer) keepOne(it *item) bool {
 	best := p.best(it, func(b *bin) bool { return b.free >= it.model.MiB })
 	if best == nil {
@@ -144,13 +187,13 @@
 	return true
 }
 
-func (p *packer) keep(it *item, b *bin) {
-	it.keep = append(it.keep, b)
-	b.free -= it.model.MiB
-	b.kept++
-	if it.interactive || it.replicas > 1 {
-		b.interactive++
+// mayHold tells whether a runner is a choice for a model: it has the weights
+// near, or no runner has.
+func (p *packer) mayHold(it *item, b *bin) bool {
+	if b.Near[it.model.Name] != Remote {
+		return true
 	}
+	return !slices.ContainsFunc(p.bins, func(other *bin) bool { return other.Near[it.model.Name] != Remote })
 }
 
 // best returns the most suitable runner without a replica of the model, or nil.
@@ -158,10 +201,10 @@
 	var best *bin
 	var bestRank binRank
 	for _, b := range p.bins {
-		if slices.Contains(it.keep, b) || !fits(b) {
+		if slices.Contains(it.keep, b) || !fits(b) || !p.mayHold(it, b) {
 			continue
 		}
-		rank := p.rank(it, b)
+		rank := rankOf(it, b)
 		if best == nil || rank.compare(bestRank) < 0 {
 			best = b
 			bestRank = rank
@@ -170,17 +213,119 @@
 	return best
 }
 
+func (p *packer) keep(it *item, b *bin) {
+	it.keep = append(it.keep, b)
+	b.free -= it.model.MiB
+	if it.rank < patient {
+		b.urgent++
+	}
+	b.adapters = b.adapters || (it.rank == hot && it.model.Adapters > 0)
+}
+
+func (p *packer) unkeep(it *item, b *bin) {
+	it.keep = slices.DeleteFunc(it.keep, func(kept *bin) bool { return kept == b })
+	b.free += it.model.MiB
+	if it.rank < patient {
+		b.urgent--
+	}
+	b.adapters = slices.ContainsFunc(p.items, func(other *item) bool {
+		return other.rank == hot && other.model.Adapters > 0 && slices.Contains(other.keep, b)
+	})
+}
+
+// keepByMoving makes room for a model by moving another one that is worth no
+// more, which may move a further one in turn.
+func (p *packer) keepByMoving(it *item, moves int) bool {
+	if moves == 0 {
+		return false
+	}
+	it.moving = true
+	defer func() { it.moving = false }()
+	for _, b := range p.bins {
+		if slices.Contains(it.keep, b) || !p.mayHold(it, b) {
+			continue
+		}
+		for _, other := range p.items {
+			if other.moving || other.rank < it.rank || !slices.Contains(other.keep, b) || b.free+other.model.MiB < it.model.MiB {
+				continue
+			}
+			p.unkeep(other, b)
+			p.keep(it, b)
+			if p.keepElsewhere(other, b, moves-1) {
+				return true
+			}
+			p.unkeep(it, b)
+			p.keep(other, b)
+		}
+	}
+	return false
+}
+
+// keepElsewhere keeps a replica on another runner than the one that it left.
+func (p *packer) keepElsewhere(it *item, left *bin, moves int) bool {
+	best := p.best(it, func(b *bin) bool { return b != left && b.free >= it.model.MiB })
+	if best != nil {
+		p.keep(it, best)
+		return true
+	}
+	return p.keepByMoving(it, moves)
+}
+
+// keepByDropping keeps a replica in the place of patient models, where fewest of
+// them have to go.
+func (p *packer) keepByDropping(it *item) bool {
+	var best *bin
+	var bestRank binRank
+	var bestDropped []*item
+	for _, b := range p.bins {
+		if slices.Contains(it.keep, b) || !p.mayHold(it, b) {
+			continue
+		}
+		dropped, ok := p.dropsFor(it, b)
+		if !ok {
+			continue
+		}
+		rank := rankOf(it, b)
+		if best == nil || len(dropped) < len(bestDropped) ||
+			(len(dropped) == len(bestDropped) && rank.compare(bestRank) < 0) {
+			best = b
+			bestRank = rank
+			bestDropped = dropped
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, other := range bestDropped {
+		p.unkeep(other, best)
+	}
+	p.keep(it, best)
+	return true
+}
+
+// dropsFor returns the patient models that must leave a runner for another one.
+func (p *packer) dropsFor(it *item, b *bin) ([]*item, bool) {
+	var dropped []*item
+	free := b.free
+	for _, other := range slices.Backward(p.items) {
+		if free >= it.model.MiB {
+			break
+		}
+		if other.rank == patient && slices.Contains(other.keep, b) {
+			dropped = append(dropped, other)
+			free += other.model.MiB
+		}
+	}
+	return dropped, free >= it.model.MiB
+}
+
 // binRank is a runner's order of preference for a model; lower is better in each
 // field, and the first that differs decides.
 type binRank struct {
-	// remote: the weights would have to come from the weight store.
-	remote int
 	// sharedDomain counts the model's replicas in the runner's failure domain.
 	sharedDomain int
-	// moved: the runner doesn't keep the model by the placement in force, or
-	// doesn't hold it now.
-	unkept int
-	moved  int
+	// moved: the runner doesn't hold the model now.
+	moved int
 	// crowded counts the runner's models for interactive requests, if this is
 	// one.
 	crowded  int
@@ -190,20 +335,14 @@
 	host string
 }
 
-func (p *packer) rank(it *item, b *bin) binRank {
+func rankOf(it *item, b *bin) binRank {
 	near := b.Near[it.model.Name]
 	rank := binRank{distance: int(Held - near), left: b.free - it.model.MiB, host: b.Host}
-	if near == Remote {
-		rank.remote = 1
-	}
 	if near != Held {
 		rank.moved = 1
 	}
-	if !it.wasKept(b.Host) {
-		rank.unkept = 1
-	}
-	if it.interactive || it.replicas > 1 {
-		rank.crowded = b.interactive
+	if it.rank < patient {
+		rank.crowded = b.urgent
 	}
 	for _, other := range it.keep {
 		if other.FailureDomain == b.FailureDomain {
@@ -213,18 +352,9 @@
 	return rank
 }
 
-// wasKept tells whether the placement in force keeps the model on a host.
-func (it *item) wasKept(host string) bool {
-	return it.before != nil && slices.ContainsFunc(it.before.Permits, func(permit Permit) bool {
-		return permit.Host == host && permit.Keep
-	})
-}
-
 func (a binRank) compare(b binRank) int {
 	return cmp.Or(
-		cmp.Compare(a.remote, b.remote),
 		cmp.Compare(a.sharedDomain, b.sharedDomain),
-		cmp.Compare(a.unkept, b.unkept),
 		cmp.Compare(a.moved, b.moved),
 		cmp.Compare(a.crowded, b.crowded),
 		cmp.Compare(a.distance, b.distance),
@@ -232,89 +362,3 @@
 		cmp.Compare(a.host, b.host),
 	)
 }
-
-// moveFor makes room for a model that fits nowhere by moving one other model to a
-// runner that has it near.
-func (p *packer) moveFor(it *item) {
-	for _, b := range p.bins {
-		if b.Near[it.model.Name] == Remote {
-			continue
-		}
-		for _, other := range p.items {
-			if other == it || !slices.Contains(other.keep, b) || b.free+other.model.MiB < it.model.MiB {
-				continue
-			}
-			target := p.best(other, func(t *bin) bool {
-				return t != b && t.free >= other.model.MiB && t.Near[other.model.Name] != Remote
-			})
-			if target == nil {
-				continue
-			}
-			p.unkeep(other, b)
-			p.keep(other, target)
-			p.keep(it, b)
-			return
-		}
-	}
-}
-
-func (p *packer) unkeep(it *item, b *bin) {
-	it.keep = slices.DeleteFunc(it.keep, func(kept *bin) bool { return kept == b })
-	b.free += it.model.MiB
-	b.kept--
-	if it.interactive || it.replicas > 1 {
-		b.interactive--
-	}
-}
-
-// place lists a model's permits: the kept replicas, then runners that have it
-// near, and if there is none, the one with the most room.
-func (p *packer) place(it *item) Placed {
-	placed := Placed{Service: p.problem.Service, Model: it.model.Name, Interactive: it.interactive}
-	slices.SortFunc(it.keep, func(a, b *bin) int {
-		return cmp.Or(cmp.Compare(b.Near[it.model.Name], a.Near[it.model.Name]), cmp.Compare(a.Host, b.Host))
-	})
-	for _, b := range it.keep {
-		placed.Permits = append(placed.Permits, Permit{Host: b.Host, Keep: true})
-	}
-	for _, b := range p.spares(it) {
-		if len(placed.Permits) >= MaxPermits {
-			break
-		}
-		placed.Permits = append(placed.Permits, Permit{Host: b.Host})
-	}
-	if len(placed.Permits) == 0 {
-		if b := p.roomiest(it); b != nil {
-			placed.Permits = append(placed.Permits, Permit{Host: b.Host})
-		}
-	}
-	return placed
-}
-
-// spares are the runners that have a model near and don't keep it, the nearest
-// and least crowded first.
-func (p *packer) spares(it *item) []*bin {
-	var spares []*bin
-	for _, b := range p.bins {
-		if b.Near[it.model.Name] != Remote && !slices.Contains(it.keep, b) && p.fitsEmpty(it) {
-			spares = append(spares, b)
-		}
-	}
-	slices.SortFunc(spares, func(a, b *bin) int {
-		return cmp.Or(cmp.Compare(b.Near[it.model.Name], a.Near[it.model.Name]),
-			cmp.Compare(a.interactive, b.interactive), cmp.Compare(b.free, a.free), cmp.Compare(a.Host, b.Host))
-	})
-	return spares
-}
-
-func (p *packer) fitsEmpty(it *item) bool { return it.model.MiB <= p.problem.Engine.MiB }
-
-func (p *packer) roomiest(it *item) *bin {
-	var best *bin
-	for _, b := range p.bins {
-		if p.fitsEmpty(it) && (best == nil || b.free > best.free) {
-			best = b
-		}
-	}
-	return best
-}
--- /dev/null
+++ b/pkg/packing/permits.go
@@ -0,0 +1,71 @@
+package packing
+
+import (
+	"cmp"
+	"slices"
+)
+
+// place lists a model's permits: the kept replicas, then runners that may load it
+// when it is asked for.
+func (p *packer) place(it *item) Placed {
+	placed := Placed{Service: p.problem.Service, Model: it.model.Name, Interactive: it.rank < patient}
+	slices.SortFunc(it.keep, func(a, b *bin) int { return cmp.Compare(a.Host, b.Host) })
+	for _, b := range it.keep {
+		placed.Permits = append(placed.Permits, Permit{Host: b.Host, Keep: true})
+	}
+	for _, b := range p.spares(it) {
+		if len(placed.Permits) >= MaxPermits {
+			break
+		}
+		if len(it.keep) == 0 {
+			// A model that is kept needs its spares only after a failure.
+			b.spares++
+		}
+		placed.Permits = append(placed.Permits, Permit{Host: b.Host})
+	}
+	return placed
+}
+
+// spares are the runners that may hold a model and don't keep it. Those that the
+// placement in force names go first, then those that don't have adapters in
+// demand, then those with the fewest spares.
+func (p *packer) spares(it *item) []*bin {
+	if it.model.MiB > p.problem.Engine.MiB {
+		return nil
+	}
+	var spares []*bin
+	for _, b := range p.bins {
+		if p.mayHold(it, b) && !slices.Contains(it.keep, b) {
+			spares = append(spares, b)
+		}
+	}
+	slices.SortFunc(spares, func(a, b *bin) int {
+		return cmp.Or(
+			cmp.Compare(order(a.adapters), order(b.adapters)),
+			cmp.Compare(it.permitBefore(a.Host), it.permitBefore(b.Host)),
+			cmp.Compare(a.spares, b.spares),
+			cmp.Compare(a.urgent, b.urgent),
+			cmp.Compare(a.Host, b.Host),
+		)
+	})
+	return spares
+}
+
+// permitBefore is the place of a host's permit in the placement in force.
+func (it *item) permitBefore(host string) int {
+	if it.before != nil {
+		for i, permit := range it.before.Permits {
+			if permit.Host == host {
+				return i
+			}
+		}
+	}
+	return MaxPermits
+}
+
+func order(last bool) int {
+	if last {
+		return 1
+	}
+	return 0
+}
--- a/pkg/packing/problem.go
+++ b/pkg/packing/problem.go
@@ -25,21 +25,14 @@
 	Near map[string]Nearness
 }
 
-// Demand is the present rate of requests for a model.
-type Demand struct {
-	// Interactive and Patient are requests a second that can't and can wait for
-	// a load.
-	Interactive float64
-	Patient     float64
-}
-
 // Problem is what Pack decides on: one service's engine and its runners.
 type Problem struct {
 	Service string
 	Engine  *fleet.Engine
 	// Runners are those that take new work, ordered by host.
 	Runners []Runner
-	Demand  map[string]Demand
+	// Hot names the models that interactive requests ask for now.
+	Hot map[string]bool
 	// Current is the placement in force, or nil.
 	Current *Placement
 }
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -101,10 +101,11 @@
 	return m.advance(now)
 }
 
-// orderAdapter orders an adapter that a use waits for, or makes room for it.
+// orderAdapter orders an adapter that a use waits for, or makes room for it. The
+// runner refuses it while an order for a model is carried out.
 func (m *Manager) orderAdapter(now time.Time) bool {
 	id, ok := m.wantedAdapter()
-	if !ok {
+	if !ok || m.changing != nil || m.report.Busy {
 		return false
 	}
 	if m.comingAdapters() >= maxComing {
