Let an agent's refusals arrive, and let a restarted runner replace its entry

After a power loss two entries had a runner's address until the older one lapsed, and the agent waited for an ID that never came: first orders 1.7 to 2.5 s after its start.

--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -50,7 +50,10 @@
 // Put takes in a registration. A write that is older than what is known of the
 // same server is ignored; it returns whether anything but the heartbeat's
 // sequence changed.
-func (r *Registry) Put(backend fleet.Backend) bool {
+func (r *Registry) Put(now time.Time, backend fleet.Backend) bool {
+	if !r.supersede(now, &backend) {
+		return false
+	}
 	known := r.entries[backend.ID]
 	if known == nil {
 		r.entries[backend.ID] = &entry{backend: backend, usable: true}
@@ -66,6 +69,23 @@
 	return changed
 }
 
+// supersede drops the servers that had an address before. It returns false if a
+// later server has the address.
+func (r *Registry) supersede(now time.Time, backend *fleet.Backend) bool {
+	for id, other := range r.entries {
+		if id == backend.ID || other.backend.Address != backend.Address || !other.usable {
+			continue
+		}
+		if other.backend.BornMillis > backend.BornMillis {
+			return false
+		}
+		if other.backend.BornMillis < backend.BornMillis {
+			other.drop(now)
+		}
+	}
+	return true
+}
+
 // isOlder tells whether a registration was written before another one of the
 // same server.
 func isOlder(a, b *fleet.Backend) bool {
@@ -125,7 +145,7 @@
 	present := make(map[string]bool, len(listed))
 	for _, backend := range listed {
 		present[backend.ID] = true
-		changed = r.Put(backend) || changed
+		changed = r.Put(now, backend) || changed
 	}
 	for id := range r.entries {
 		if !present[id] {
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -160,7 +160,7 @@
 		case change.unreadable:
 			changed = registry.Unreadable(now, change.id) || changed
 		default:
-			changed = registry.Put(change.backend) || changed
+			changed = registry.Put(now, change.backend) || changed
 			listed = append(listed, change.backend)
 		}
 	}
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -120,7 +120,8 @@
 		}
 	}
 	s.controller.loop.Do(func() { s.controller.release(time.Now(), acquire.RequestID) })
-	stream.Abort()
+	// An orderly end lets the last frame arrive.
+	stream.Close()
 	<-ended
 }
 
@@ -153,7 +154,6 @@
 			Reason:           result.refused.Reason,
 			RetryAfterMillis: uint32(result.refused.RetryAfter.Milliseconds()),
 		}})
-		stream.CloseSend()
 		return false
 	}
 	waited := uint32(time.Since(arrived).Milliseconds())
