Spread on-demand loads by the expected wait, and keep as many models as fit

Change: agents tell the expected wait of each permitted model, and entries choose the shortest; patient models are packed by size, the smallest first.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -26,6 +26,8 @@
 	near   bool
 	// permit is the place of the runner's permit, or noPermit.
 	permit int
+	// wait is the expected time until the model is loaded.
+	wait time.Duration
 }
 
 // noPermit is the place of a runner without a permit.
@@ -85,7 +87,11 @@
 	if status.Slots > 0 {
 		c.load = float64(status.Running+status.Waiting) / float64(status.Slots)
 	}
-	c.place = readinessOf(s.model(key.model), c.load, c.permit != noPermit)
+	known := s.model(key.model)
+	c.place = readinessOf(known, c.load, c.permit != noPermit)
+	if known != nil {
+		c.wait = time.Duration(known.WaitMillis) * time.Millisecond
+	}
 	return c
 }
 
@@ -108,7 +114,7 @@
 		return readyNow
 	case known != nil && known.State == wire.ModelLoaded:
 		return readyBusy
-	case known != nil && known.State == wire.ModelLoading:
+	case known != nil && (known.State == wire.ModelLoading || known.Wanted):
 		return readySoon
 	case permitted:
 		return readyAfterLoad
@@ -121,6 +127,7 @@
 	return cmp.Or(
 		cmp.Compare(trouble(a.health), trouble(b.health)),
 		cmp.Compare(a.place, b.place),
+		cmp.Compare(a.wait, b.wait),
 		cmp.Compare(a.rank(), b.rank()),
 		cmp.Compare(a.permit, b.permit),
 		cmp.Compare(a.ID, b.ID),
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -57,7 +57,6 @@
 type item struct {
 	model *fleet.Model
 	rank  class
-	rate  float64
 	// replicas is how many are to be kept.
 	replicas int
 	keep     []*bin
@@ -96,8 +95,8 @@
 		p.items = append(p.items, p.newItem(&problem.Engine.Models[i]))
 	}
 	slices.SortStableFunc(p.items, func(a, b *item) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.rate, a.rate),
-			cmp.Compare(b.model.MiB, a.model.MiB), cmp.Compare(a.model.Name, b.model.Name))
+		// Small models first, so that as many as possible are kept.
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.model.MiB, b.model.MiB), cmp.Compare(a.model.Name, b.model.Name))
 	})
 	return p
 }
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -75,5 +75,27 @@
 		Patient:     known.patient.current(now),
 		WantsStart:  wanted && state == wire.ModelAbsent && known.tier == wire.CacheRemote && !known.startGranted,
 		FromStore:   state == wire.ModelLoading && m.changing.tier == wire.CacheRemote,
+		Wanted:      known.isWanted(now),
+		WaitMillis:  m.waitMillis(now, known),
 	}
 }
+
+// waitStep is the resolution of the waits that entries learn, so that they don't
+// get a status for each small change.
+const waitStep = 250 * time.Millisecond
+
+// waitMillis is the expected time until a permitted model is loaded if it is
+// asked for now, behind those that are wanted already.
+func (m *Manager) waitMillis(now time.Time, known *model) uint32 {
+	if known.held || !known.Permitted {
+		return 0
+	}
+	wait := m.readyIn(now, known)
+	for _, other := range m.models {
+		if other != known && other.isWanted(now) && m.state(other) == wire.ModelAbsent && other.Permitted {
+			wait += m.loadTime(other) + orderOverhead
+		}
+	}
+	steps := (wait + waitStep - 1) / waitStep
+	return uint32((steps * waitStep).Milliseconds())
+}
--- a/pkg/runneragent/subscribers.go
+++ b/pkg/runneragent/subscribers.go
@@ -46,7 +46,8 @@
 
 func sameModel(a, b wire.RunnerModel) bool {
 	return a.Name == b.Name && a.State == b.State && a.Tier == b.Tier &&
-		a.WantsStart == b.WantsStart && a.FromStore == b.FromStore
+		a.WantsStart == b.WantsStart && a.FromStore == b.FromStore &&
+		a.Wanted == b.Wanted && a.WaitMillis == b.WaitMillis
 }
 
 // subscribe returns a channel that holds a token after each change, and the end
--- a/pkg/wire/runner.go
+++ b/pkg/wire/runner.go
@@ -69,6 +69,11 @@
 	WantsStart bool `cbor:"8,keyasint,omitempty"`
 	// FromStore tells that a load from the weight store is under way.
 	FromStore bool `cbor:"9,keyasint,omitempty"`
+	// Wanted tells that a request waits for the model, or is expected back.
+	Wanted bool `cbor:"10,keyasint,omitempty"`
+	// WaitMillis is the expected time until the model is loaded if it is asked for
+	// now, in milliseconds and coarsely; zero if it is loaded.
+	WaitMillis uint32 `cbor:"11,keyasint,omitempty"`
 }
 
 // RunnerStatus is what an agent says of its runner. Models that are neither held
