--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -28,6 +28,10 @@
 	started bool
 	// lastEventID is the ID of the last whole event that was passed on.
 	lastEventID string
+	// lastRead is when the last bytes of a stream came, longestGap the longest
+	// pause between them.
+	lastRead   time.Time
+	longestGap time.Duration
 }
 
 // deliver passes an answer on. It returns nil when the caller has all of it, or
@@ -97,7 +101,7 @@
 func (x *exchange) delivered(status int) {
 	x.logger.Info("answered", "status", status, "backend", x.server, "model", x.caller.Model, "adapter", x.caller.Adapter,
 		"sends", x.machine.Sends(), "leased_ms", x.leased.Milliseconds(), "first_ms", x.first.Milliseconds(),
-		"took_ms", time.Since(x.arrived).Milliseconds())
+		"gap_ms", x.answer.longestGap.Milliseconds(), "took_ms", time.Since(x.arrived).Milliseconds())
 }
 
 // writeHead writes the head of the first server that answered. A length below
@@ -139,7 +143,7 @@
 		n, err := response.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if n > 0 {
-			x.handler.tracker.Heard(time.Now(), backend.ID)
+			x.heard(backend)
 			whole := len(buffer)
 			if x.route.Resumable {
 				whole = wholeEvents(buffer)
@@ -166,6 +170,16 @@
 	}
 }
 
+// heard notes bytes of a stream.
+func (x *exchange) heard(backend *server) {
+	now := time.Now()
+	x.handler.tracker.Heard(now, backend.ID)
+	if !x.answer.lastRead.IsZero() {
+		x.answer.longestGap = max(x.answer.longestGap, now.Sub(x.answer.lastRead))
+	}
+	x.answer.lastRead = now
+}
+
 // eventEnd ends an event of a stream.
 var eventEnd = []byte("\n\n")
 
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
@@ -22,10 +23,6 @@
 	firstSettleTime = 5 * time.Second
 	// downTolerance is how long a runner that is down keeps its permits.
 	downTolerance = time.Second
-	// hotRate is the rate of interactive requests a second from which a model
-	// counts as hot, coolRate the one below which it no longer does.
-	hotRate  = 0.3
-	coolRate = 0.03
 	// startTTL is how long a leave to load counts before the agent's status shows
 	// the load.
 	startTTL = time.Second
@@ -45,8 +42,10 @@
 	since          time.Time
 	// decidedFor names the state that the last decision was made for.
 	decidedFor string
-	// hot are the models that were hot at the last look.
-	hot map[string]bool
+	// sizers follow the demand for each service's models, replicas is what they
+	// last said.
+	sizers   map[string]*packing.Sizer
+	replicas map[string]map[string]int
 	// downSince is when each runner was first seen down.
 	downSince map[string]time.Time
 	// started holds the leaves that no status shows yet.
@@ -65,7 +64,8 @@
 	d.leaderRevision = leaderRevision
 	d.since = time.Now()
 	d.decidedFor = ""
-	d.hot = make(map[string]bool)
+	d.sizers = make(map[string]*packing.Sizer)
+	d.replicas = make(map[string]map[string]int)
 	d.downSince = make(map[string]time.Time)
 	d.started = make(map[startKey]time.Time)
 }
@@ -80,6 +80,7 @@
 	if !d.isSettled(now, current) {
 		return
 	}
+	d.size(now, current)
 	state := d.stateOf(now, current)
 	if state != d.decidedFor && d.place(ctx, now, current) {
 		d.decidedFor = state
@@ -147,34 +148,37 @@
 				parts = append(parts, s.agent)
 			}
 		}
-		for model := range d.hotModels(current, service.Name) {
-			parts = append(parts, "+"+model)
+		for model, replicas := range d.replicas[service.Name] {
+			parts = append(parts, fmt.Sprintf("%s*%d", model, replicas))
 		}
 	}
 	slices.Sort(parts)
 	return strings.Join(parts, " ")
 }
 
-// hotModels are the models that interactive requests ask for now. A model stays
-// hot until its demand has fallen well below what made it so.
-func (d *decider) hotModels(current *view, service string) map[string]bool {
-	rates := make(map[string]float64)
-	for _, s := range current.servers[service] {
-		if s.state == nil {
-			continue
-		}
-		for _, model := range s.state.status.Models {
-			rates[model.Name] += model.Interactive
-		}
+// size takes in the present demand for each service's models. Before the first
+// placement there is none.
+func (d *decider) size(now time.Time, current *view) {
+	if current.placement == nil {
+		return
 	}
-	hot := make(map[string]bool)
-	for model, rate := range rates {
-		if rate >= hotRate || (d.hot[model] && rate >= coolRate) {
-			hot[model] = true
+	for _, service := range current.table.Engines() {
+		rates := make(map[string]float64)
+		for _, s := range current.servers[service.Name] {
+			if s.state == nil {
+				continue
+			}
+			for _, model := range s.state.status.Models {
+				rates[model.Name] += model.Interactive
+			}
+		}
+		sizer := d.sizers[service.Name]
+		if sizer == nil {
+			sizer = packing.NewSizer(current.placement)
+			d.sizers[service.Name] = sizer
 		}
+		d.replicas[service.Name] = sizer.Update(now, rates)
 	}
-	d.hot = hot
-	return hot
 }
 
 // place decides the placement and writes it if it differs. It returns false if
@@ -216,10 +220,10 @@
 
 func (d *decider) problem(now time.Time, current *view, service *fleet.Service) *packing.Problem {
 	problem := &packing.Problem{
-		Service: service.Name,
-		Engine:  service.Engine,
-		Hot:     d.hotModels(current, service.Name),
-		Current: current.placement,
+		Service:  service.Name,
+		Engine:   service.Engine,
+		Replicas: d.replicas[service.Name],
+		Current:  current.placement,
 	}
 	for _, s := range current.servers[service.Name] {
 		if !d.usable(now, s) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -209,6 +209,7 @@
 		DeadlineMillis: remaining(now, x.deadline),
 		StartMillis:    remaining(now, x.startBy()),
 		TargetMillis:   uint32(x.route.TargetLatency.Milliseconds()),
+		PromptTokens:   int64(x.caller.PromptTokens),
 		Tokens:         int64(x.caller.PromptTokens) + answerTokenCost*int64(x.caller.MaxAnswerTokens),
 	}
 }
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -10,9 +10,6 @@
 const (
 	// MaxPermits bounds the permits of a model.
 	MaxPermits = 4
-	// hotReplicas is the number of replicas kept of a model that interactive
-	// requests ask for now, so that the loss of one runner doesn't hold them up.
-	hotReplicas = 2
 	// firstMoves and laterMoves bound the models that move in turn to make room
 	// for one: in the first placement, and in one that is in force already.
 	firstMoves = 3
@@ -117,16 +114,16 @@
 		before:   p.problem.Current.find(p.problem.Service, model.Name),
 		replicas: 1,
 	}
-	isHot := p.problem.Hot[model.Name]
-	if p.problem.Current == nil {
+	replicas := p.problem.Replicas[model.Name]
+	if held := p.heldBy(model.Name); p.problem.Current == nil && held > 1 {
 		// Before any demand is known, a model that the platform has placed on
 		// several runners is expected to be asked for most.
-		isHot = p.heldBy(model.Name) > 1
+		replicas = max(replicas, held)
 	}
 	switch {
-	case isHot:
+	case replicas > 0:
 		it.rank = hot
-		it.replicas = min(hotReplicas, len(p.bins))
+		it.replicas = min(replicas, len(p.bins))
 	case it.before != nil && it.before.Interactive:
 		it.rank = urgent
 	}
--- a/pkg/packing/pack_test.go
+++ b/pkg/packing/pack_test.go
@@ -31,7 +31,7 @@
 			RemoteLoad: 6 * time.Second,
 		})
 	}
-	problem := &Problem{Service: "engine", Engine: engine, Hot: map[string]bool{}}
+	problem := &Problem{Service: "engine", Engine: engine}
 	next := 0
 	for i := range s.runners {
 		runner := Runner{Host: fmt.Sprintf("h%02d", i), FailureDomain: fmt.Sprintf("d%d", i%4), Near: map[string]Nearness{}}
--- a/pkg/packing/problem.go
+++ b/pkg/packing/problem.go
@@ -31,8 +31,9 @@
 	Engine  *fleet.Engine
 	// Runners are those that take new work, ordered by host.
 	Runners []Runner
-	// Hot names the models that interactive requests ask for now.
-	Hot map[string]bool
+	// Replicas are the wanted replicas of the models that interactive requests ask
+	// for now.
+	Replicas map[string]int
 	// Current is the placement in force, or nil.
 	Current *Placement
 }
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -85,6 +85,7 @@
 	models       map[string]*model
 	adapters     map[adapterID]*adapter
 	uses         map[string]*use
+	prompts      promptPacer
 	// calling is the order whose answer is awaited.
 	calling *modelrunner.Order
 	// changing is the accepted order for a model that is being carried out.
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -34,6 +34,15 @@
 	return idlePoll
 }
 
+// Wake is when Tick may grant a use that waits only for its turn to be let in, or
+// the zero time.
+func (m *Manager) Wake(now time.Time) time.Time {
+	if opens := m.prompts.opensAt(); m.queue.Len() > 0 && opens.After(now) {
+		return opens
+	}
+	return time.Time{}
+}
+
 // Status describes the runner. Models that are neither held nor near nor wanted
 // are left out.
 func (m *Manager) Status(now time.Time) *wire.RunnerStatus {
--- a/pkg/residency/types.go
+++ b/pkg/residency/types.go
@@ -23,8 +23,9 @@
 	StartBy  time.Time
 	// TargetLatency is the time to the first event that is on time.
 	TargetLatency time.Duration
-	// Tokens is the estimated work.
-	Tokens int64
+	// Tokens is the estimated work, PromptTokens the part that is read first.
+	Tokens       int64
+	PromptTokens int64
 }
 
 // Action is what a Manager wants done.
--- a/pkg/residency/uses.go
+++ b/pkg/residency/uses.go
@@ -176,7 +176,7 @@
 
 // grantReady grants the uses that can start.
 func (m *Manager) grantReady(now time.Time) {
-	for {
+	for !now.Before(m.prompts.opensAt()) {
 		next, ok := m.queue.Next(now, m.isReady)
 		if !ok {
 			return
@@ -185,6 +185,7 @@
 		m.leftQueue(u)
 		u.granted = true
 		u.grantedAt = now
+		m.prompts.admit(now, u.PromptTokens)
 		known := m.models[u.Model]
 		known.running++
 		known.lastUsed = now
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -27,6 +27,8 @@
 	// minPlan is the revision below which a placement may be older than what an
 	// earlier incarnation acted on.
 	minPlan int64
+	// waking tells that a look at the manager is due.
+	waking bool
 
 	subscribers subscribers
 }
@@ -53,10 +55,25 @@
 			c.worker.give(a.Order)
 		}
 	}
+	c.wakeAt(c.manager.Wake(time.Now()))
 	c.subscribers.publish(time.Now(), c.manager)
 	c.worker.poll(c.manager.PollInterval())
 }
 
+// wakeAt has the manager look again at a time; the zero time asks for nothing.
+func (c *controller) wakeAt(at time.Time) {
+	if at.IsZero() || c.waking {
+		return
+	}
+	c.waking = true
+	time.AfterFunc(time.Until(at), func() {
+		c.loop.Post(func() {
+			c.waking = false
+			c.perform(c.manager.Tick(time.Now()))
+		})
+	})
+}
+
 func (c *controller) finish(id string, result outcome) {
 	if waiter := c.waiting[id]; waiter != nil {
 		delete(c.waiting, id)
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -172,5 +172,6 @@
 		StartBy:       after(acquire.StartMillis),
 		TargetLatency: time.Duration(acquire.TargetMillis) * time.Millisecond,
 		Tokens:        acquire.Tokens,
+		PromptTokens:  acquire.PromptTokens,
 	}
 }
--- a/pkg/wire/runner.go
+++ b/pkg/wire/runner.go
@@ -108,8 +108,9 @@
 	DeadlineMillis uint32 `cbor:"6,keyasint"`
 	StartMillis    uint32 `cbor:"7,keyasint"`
 	TargetMillis   uint32 `cbor:"8,keyasint"`
-	// Tokens is the estimated work.
-	Tokens int64 `cbor:"9,keyasint,omitempty"`
+	// Tokens is the estimated work, PromptTokens the part that is read first.
+	Tokens       int64 `cbor:"9,keyasint,omitempty"`
+	PromptTokens int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Granted tells that the request may be sent to the runner now.
