--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -23,6 +23,16 @@
 	connected bool
 }
 
+// leaderKnown is what is known of the leader's key.
+type leaderKnown struct {
+	// host is the leader's host ID; empty if there is none.
+	host string
+	// key is the revision of the key; zero if there is none.
+	key int64
+	// at is the revision at which this was so.
+	at int64
+}
+
 // control owns the control state. Its methods run on the loop, but for current
 // and changes.
 type control struct {
@@ -35,7 +45,7 @@
 	placement *packing.Placement
 	// permits indexes placement.
 	permits map[modelKey][]packing.Permit
-	leader  string
+	leader  leaderKnown
 	// asOf is the store's revision up to which hosts and placement are known.
 	asOf int64
 
@@ -116,9 +126,8 @@
 	hosts     []roster.Host
 	gone      []string
 	placement *packing.Placement
-	// leader is the host ID of the leader; empty with leaderGone if there is none.
-	leader     string
-	leaderGone bool
+	// leader is nil if nothing is said of it.
+	leader *leaderKnown
 }
 
 // siteChanged takes in a change of the site's own processes and decisions.
@@ -126,7 +135,6 @@
 	c.asOf = max(c.asOf, change.asOf)
 	if change.complete {
 		c.hosts = make(map[string]roster.Host)
-		c.leader = ""
 	} else if len(change.hosts)+len(change.gone) > 0 {
 		// Views share the map, so it is replaced.
 		c.hosts = maps.Clone(c.hosts)
@@ -141,8 +149,9 @@
 		c.placement = change.placement
 		c.permits = permitsOf(change.placement)
 	}
-	if change.leader != "" || change.leaderGone {
-		c.leader = change.leader
+	// Watches may bring what is older than what an election has shown.
+	if change.leader != nil && change.leader.at >= c.leader.at {
+		c.leader = *change.leader
 	}
 	c.publish()
 }
--- a/pkg/gateway/leader.go
+++ b/pkg/gateway/leader.go
@@ -39,8 +39,9 @@
 	for ctx.Err() == nil {
 		changed := l.control.changes()
 		current := l.control.current()
-		if current.asOf > 0 && current.leader == "" {
-			l.stand(ctx)
+		// A key with this host's own name is left over from an earlier incarnation.
+		if current.asOf > 0 && (current.leader.host == "" || current.leader.host == l.self) {
+			l.stand(ctx, current)
 			continue
 		}
 		select {
@@ -51,42 +52,60 @@
 }
 
 // stand tries to become leader, and leads as long as the lease lasts.
-func (l *leadership) stand(ctx context.Context) {
-	backoff.Sleep(ctx, rand.N(electionJitter))
-	if l.control.current().leader != "" {
-		return
+func (l *leadership) stand(ctx context.Context, current *view) {
+	if current.leader.host == "" {
+		backoff.Sleep(ctx, rand.N(electionJitter))
+		current = l.control.current()
+		if current.leader.host != "" {
+			return
+		}
 	}
-	lease, revision, err := l.elect(ctx)
+	lease, revision, err := l.elect(ctx, current.leader.key)
 	if err != nil {
 		l.logger.Info("not elected", "error", err)
 		backoff.Sleep(ctx, storeRetry)
 		return
 	}
 	l.logger.Info("leading", "revision", revision)
-	l.control.loop.Do(func() { l.control.siteChanged(siteChange{leader: l.self}) })
+	l.learn(leaderKnown{host: l.self, key: revision, at: revision})
 	l.lead(ctx, lease, revision)
 }
 
 // errLedByOther tells that another entry is leader.
 var errLedByOther = errors.New("another entry leads")
 
-func (l *leadership) elect(ctx context.Context) (lease, revision int64, err error) {
+// elect writes the leader's key if it is still as it was at a revision; zero
+// means that there was none.
+func (l *leadership) elect(ctx context.Context, before int64) (lease, revision int64, err error) {
 	lease, err = l.store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return 0, 0, err
 	}
-	const absent = 0
-	result, err := l.store.Txn(ctx, []keyvalue.Compare{{Key: leaderKey, ModRevision: absent}},
+	result, err := l.store.Txn(ctx, []keyvalue.Compare{{Key: leaderKey, ModRevision: before}},
 		[]keyvalue.Op{{Key: leaderKey, Value: []byte(l.self), Lease: lease}})
 	if err != nil {
 		return 0, 0, err
 	}
 	if !result.Succeeded {
+		l.takeLeader(result)
 		return 0, 0, errLedByOther
 	}
 	return lease, result.Revision, nil
 }
 
+// takeLeader takes in the leader's key as it stood when an election failed.
+func (l *leadership) takeLeader(result keyvalue.TxnResult) {
+	for _, current := range result.Current {
+		if current.Key == leaderKey && current.ModRevision > 0 {
+			l.learn(leaderKnown{host: string(current.Value), key: current.ModRevision, at: current.ModRevision})
+		}
+	}
+}
+
+func (l *leadership) learn(known leaderKnown) {
+	l.control.loop.Do(func() { l.control.siteChanged(siteChange{leader: &known}) })
+}
+
 // lead decides until the lease is lost or ctx ends.
 func (l *leadership) lead(ctx context.Context, lease, revision int64) {
 	renewed := time.Now()
@@ -97,7 +116,7 @@
 			err := l.store.KeepAlive(ctx, lease)
 			if errors.Is(err, keyvalue.ErrLeaseEnded) {
 				l.logger.Warn("leadership lost", "error", err)
-				l.control.loop.Do(func() { l.control.siteChanged(siteChange{leaderGone: true}) })
+				l.learn(leaderKnown{at: revision})
 				return
 			}
 			if err != nil {
@@ -105,8 +124,8 @@
 			}
 			renewed = time.Now()
 		}
-		if other := l.control.current().leader; other != "" && other != l.self {
-			l.logger.Warn("leadership lost", "leader", other)
+		if now := l.control.current().leader; now.key != revision {
+			l.logger.Warn("leadership lost", "leader", now.host)
 			return
 		}
 		l.decider.decide(ctx, time.Now())
--- a/pkg/gateway/site.go
+++ b/pkg/gateway/site.go
@@ -25,12 +25,14 @@
 
 func (s *sources) decodeSite(read reading) siteChange {
 	change := siteChange{complete: read.complete, asOf: read.revision}
+	if read.complete {
+		change.leader = &leaderKnown{at: read.revision}
+	}
 	for _, event := range read.events {
 		key := event.Value.Key
 		switch {
 		case key == leaderKey:
-			change.leader = string(event.Value.Value)
-			change.leaderGone = event.Deleted
+			change.leader = decodeLeader(event)
 		case key == placementKey:
 			s.decodePlacement(&change, event)
 		case strings.HasPrefix(key, roster.HostPrefix):
@@ -40,6 +42,13 @@
 	return change
 }
 
+func decodeLeader(event keyvalue.WatchEvent) *leaderKnown {
+	if event.Deleted {
+		return &leaderKnown{at: event.Value.ModRevision}
+	}
+	return &leaderKnown{host: string(event.Value.Value), key: event.Value.ModRevision, at: event.Value.ModRevision}
+}
+
 func (s *sources) decodePlacement(change *siteChange, event keyvalue.WatchEvent) {
 	if event.Deleted {
 		return
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -57,7 +57,7 @@
 	// placement is nil before the first.
 	placement *packing.Placement
 	permits   map[modelKey][]packing.Permit
-	leader    string
+	leader    leaderKnown
 	asOf      int64
 }
 
