Load second copies of weights before they are needed, and share what fails

Changes: the placement names a second runner for models with a single copy, which loads them once, before traffic if it can; agents pool the outcomes that entries report with the end of each use; an agent empties patient models for one that is worth more.

--- a/pkg/attempt/machine.go
+++ b/pkg/attempt/machine.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// IsFailure tells whether the server failed at the request.
+func (e Event) IsFailure() bool { return e != NotRun && e != NotSent }
+
 // Verdict is what to do next.
 type Verdict uint8
 
--- a/pkg/backends/tracker.go
+++ b/pkg/backends/tracker.go
@@ -8,12 +8,6 @@
 const (
 	// latencyGain is the weight of a new answer in the mean latency.
 	latencyGain = 0.2
-	// failureGain is the weight of a new outcome in the failure share.
-	failureGain = 0.15
-	// failureLimit is the failure share from which a server is avoided, once
-	// minOutcomes were seen.
-	failureLimit = 0.25
-	minOutcomes  = 4
 	// silenceFactor and minSilence tell when a server that answers nothing is
 	// taken for dead: after a multiple of its mean latency.
 	silenceFactor = 4
@@ -21,12 +15,8 @@
 	// recentlyHeard is the time since a server's last byte in which it surely
 	// lives.
 	recentlyHeard = 100 * time.Millisecond
-	// avoidFor and maxAvoidFor bound how long a failing server is avoided; the
-	// time doubles with each relapse.
-	avoidFor    = time.Second
-	maxAvoidFor = 8 * time.Second
-	// relapseMemory is how long after an avoidance a new one counts as relapse.
-	relapseMemory = 10 * time.Second
+	// trialPause is the time between two calls that try a silent server.
+	trialPause = time.Second
 )
 
 // Health is what requests showed of one server. The zero value is that of an
@@ -45,8 +35,7 @@
 type record struct {
 	inFlight int
 	latency  time.Duration
-	failures float64
-	outcomes int
+	failures Failures
 	// quietSince is when the server was last heard while requests are open.
 	quietSince time.Time
 	// heard is when the last byte came from the server.
@@ -55,9 +44,6 @@
 	// trialAt is when it may get a request to show whether it is back.
 	silent  bool
 	trialAt time.Time
-	// failingUntil is until when the server is avoided for its failures.
-	failingUntil time.Time
-	avoidance    time.Duration
 }
 
 // Tracker holds the load and the health of backend servers by ID. It is safe
@@ -125,14 +111,14 @@
 		r.latency = took
 	}
 	r.latency += time.Duration(latencyGain * float64(took-r.latency))
-	r.outcome(now, failed)
+	r.failures.Note(now, failed)
 }
 
 // Failed notes a request that got no usable answer.
 func (t *Tracker) Failed(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.record(id).outcome(now, true)
+	t.record(id).failures.Note(now, true)
 }
 
 // AgentSilent notes that the agent beside a server doesn't answer, which for both
@@ -158,33 +144,7 @@
 
 func (r *record) fellSilent(now time.Time) {
 	r.silent = true
-	r.trialAt = now.Add(avoidFor)
-}
-
-func (r *record) outcome(now time.Time, failed bool) {
-	r.outcomes++
-	sample := 0.0
-	if failed {
-		sample = 1
-	}
-	r.failures += failureGain * (sample - r.failures)
-	if failed && r.outcomes >= minOutcomes && r.failures >= failureLimit {
-		r.avoid(now)
-	}
-}
-
-func (r *record) avoid(now time.Time) {
-	if now.Before(r.failingUntil) {
-		return
-	}
-	if now.Sub(r.failingUntil) > relapseMemory {
-		r.avoidance = 0
-	}
-	r.avoidance = min(max(2*r.avoidance, avoidFor), maxAvoidFor)
-	r.failingUntil = now.Add(r.avoidance)
-	// The share starts anew below the limit, so that some further failures are
-	// needed for a relapse.
-	r.failures = failureLimit / 2
+	r.trialAt = now.Add(trialPause)
 }
 
 // Health returns what is known of a server.
@@ -199,7 +159,7 @@
 	return Health{
 		InFlight: r.inFlight,
 		Latency:  r.latency,
-		Avoid:    r.silent || now.Before(r.failingUntil),
+		Avoid:    r.silent || r.failures.Avoided(now),
 		Silent:   r.silent,
 	}
 }
@@ -223,7 +183,7 @@
 	if r == nil || !r.silent || now.Before(r.trialAt) {
 		return false
 	}
-	r.trialAt = now.Add(avoidFor)
+	r.trialAt = now.Add(trialPause)
 	return true
 }
 
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -23,7 +23,9 @@
 	// included.
 	load   float64
 	health backends.Health
-	near   bool
+	// failing: the agent says that the runner fails at many requests.
+	failing bool
+	near    bool
 	// permit is the place of the runner's permit, or noPermit.
 	permit int
 	// wait is the expected time until the model is loaded.
@@ -84,6 +86,7 @@
 		c.place = readyNever
 		return c
 	}
+	c.failing = status.Failing
 	if status.Slots > 0 {
 		c.load = float64(status.Running+status.Waiting) / float64(status.Slots)
 	}
@@ -125,7 +128,7 @@
 
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
-		cmp.Compare(trouble(a.health), trouble(b.health)),
+		cmp.Compare(a.trouble(), b.trouble()),
 		cmp.Compare(a.place, b.place),
 		cmp.Compare(a.wait, b.wait),
 		cmp.Compare(a.rank(), b.rank()),
@@ -134,11 +137,11 @@
 	)
 }
 
-func trouble(health backends.Health) int {
+func (c *candidate) trouble() int {
 	switch {
-	case health.Silent:
+	case c.health.Silent:
 		return 2
-	case health.Avoid:
+	case c.health.Avoid || c.failing:
 		return 1
 	default:
 		return 0
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -23,9 +23,6 @@
 	firstSettleTime = 5 * time.Second
 	// downTolerance is how long a runner that is down keeps its permits.
 	downTolerance = time.Second
-	// startTTL is how long a leave to load counts before the agent's status shows
-	// the load.
-	startTTL = time.Second
 )
 
 // decider decides the placement and the starts of loads while its entry leads. It
@@ -48,13 +45,9 @@
 	replicas map[string]map[string]int
 	// downSince is when each runner was first seen down.
 	downSince map[string]time.Time
-	// started holds the leaves that no status shows yet.
-	started map[startKey]time.Time
+	starts    *packing.Starts
 }
 
-// startKey names a load from the weight store.
-type startKey struct{ host, model string }
-
 // setLoadsAtOnce changes the bound of loads from the weight store. Any goroutine
 // may call it.
 func (d *decider) setLoadsAtOnce(loads int) { d.loadsAtOnce.Store(int64(loads)) }
@@ -67,7 +60,7 @@
 	d.sizers = make(map[string]*packing.Sizer)
 	d.replicas = make(map[string]map[string]int)
 	d.downSince = make(map[string]time.Time)
-	d.started = make(map[startKey]time.Time)
+	d.starts = packing.NewStarts()
 }
 
 // decide looks at the placement and at waiting loads.
@@ -243,61 +236,25 @@
 // startLoads gives leave to load from the weight store, to as many runners as it
 // serves at full speed.
 func (d *decider) startLoads(now time.Time, current *view) {
-	running := 0
-	var waiting []waitingLoad
+	var statuses []packing.LoadStatus
 	for host, state := range current.agents {
 		if !state.connected {
 			continue
 		}
 		for _, model := range state.status.Models {
-			key := startKey{host, model.Name}
-			if model.FromStore {
-				running++
-				delete(d.started, key)
-			} else if model.WantsStart && d.started[key].IsZero() {
-				waiting = append(waiting, waitingLoad{key: key, waiting: model.Waiting, rate: model.Interactive + model.Patient})
+			if !model.FromStore && !model.WantsStart {
+				continue
 			}
+			statuses = append(statuses, packing.LoadStatus{
+				Load:    packing.Load{Host: host, Model: model.Name},
+				Running: model.FromStore,
+				Waiting: model.Waiting,
+				Rate:    model.Interactive + model.Patient,
+			})
 		}
 	}
-	for key, at := range d.started {
-		if now.Sub(at) > startTTL {
-			delete(d.started, key)
-		}
-	}
-	slices.SortFunc(waiting, compareLoads)
-	for _, load := range waiting {
-		if int64(running+len(d.started)) >= d.loadsAtOnce.Load() {
-			return
-		}
-		if d.isStarted(load.key.model) {
-			continue
-		}
-		if d.links.startLoad(load.key.host, load.key.model) {
-			d.started[load.key] = now
-			d.logger.Info("load from the weight store granted", "agent", load.key.host, "model", load.key.model,
-				"waiting", load.waiting, "running", running)
-		}
-	}
-}
-
-func (d *decider) isStarted(model string) bool {
-	for key := range d.started {
-		if key.model == model {
-			return true
-		}
+	for _, load := range d.starts.Next(now, statuses, int(d.loadsAtOnce.Load())) {
+		sent := d.links.startLoad(load.Host, load.Model)
+		d.logger.Info("load from the weight store granted", "agent", load.Host, "model", load.Model, "sent", sent)
 	}
-	return false
-}
-
-// waitingLoad is a load from the weight store that an agent wants to start.
-type waitingLoad struct {
-	key     startKey
-	waiting int
-	rate    float64
-}
-
-// compareLoads puts the loads first that most requests wait for.
-func compareLoads(a, b waitingLoad) int {
-	return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(b.rate, a.rate),
-		cmp.Compare(a.key.model, b.key.model), cmp.Compare(a.key.host, b.key.host))
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -112,7 +112,7 @@
 			event = x.deliver(ctx, target, response)
 			response = nil
 		}
-		held.release()
+		held.release(event != nil && event.IsFailure() && !x.callerLeft())
 		if event == nil || x.conclude(ctx, target, *event, response) {
 			return
 		}
--- a/pkg/gateway/leases.go
+++ b/pkg/gateway/leases.go
@@ -19,10 +19,15 @@
 	stream *wire.Stream
 }
 
-func (l *lease) release() {
-	if l != nil {
-		l.stream.Close()
+// release ends the lease and tells the agent whether the runner failed at the
+// request. nil leases, of servers without agents, are ignored.
+func (l *lease) release(failed bool) {
+	if l == nil {
+		return
 	}
+	// An agent that doesn't get the frame notices the end of the stream.
+	_ = l.stream.Send(&wire.Frame{Released: &wire.Released{Failed: failed}})
+	l.stream.Close()
 }
 
 // acquire asks an agent for the use of a model. It returns a lease, or the
--- a/pkg/gateway/site.go
+++ b/pkg/gateway/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/roster"
@@ -17,9 +18,12 @@
 // followSite keeps the site's own processes and decisions up to date until ctx
 // ends.
 func (s *sources) followSite(ctx context.Context) {
-	s.follow(ctx, roster.Prefix, true, func(_ context.Context, read reading) {
+	s.follow(ctx, roster.Prefix, true, func(ctx context.Context, read reading) {
 		change := s.decodeSite(read)
 		s.control.loop.Do(func() { s.control.siteChanged(change) })
+		if len(read.events) > 0 {
+			backoff.Sleep(ctx, sitePace)
+		}
 	})
 }
 
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -18,7 +18,10 @@
 	storeRetry = 300 * time.Millisecond
 	// registrationPace is the least time between two calls for registrations.
 	// Heartbeats would answer each call at once.
-	registrationPace = 700 * time.Millisecond
+	registrationPace = 800 * time.Millisecond
+	// sitePace is the least time between two calls for the site's own processes
+	// and decisions, so that changes that come together cost one call.
+	sitePace = 150 * time.Millisecond
 	// expireInterval is the time between two looks at lapsed servers.
 	expireInterval = 250 * time.Millisecond
 )
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -188,6 +188,7 @@
 		if permit.Host == host {
 			p.Permitted = true
 			p.Keep = permit.Keep
+			p.Copy = permit.Copy
 		}
 	}
 	return p
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -48,6 +48,8 @@
 	adapters bool
 	// spares counts the models that have a permit here without being kept.
 	spares int
+	// copies counts the models that are to be loaded for a copy of their weights.
+	copies int
 }
 
 // item is a model while it is placed.
@@ -58,6 +60,9 @@
 	replicas int
 	keep     []*bin
 	before   *Placed
+	// held tells that the platform has placed the model itself, which is all that
+	// is known of its importance before there is a placement.
+	held bool
 	// moving guards against moving a model in a circle.
 	moving bool
 }
@@ -93,7 +98,8 @@
 	}
 	slices.SortStableFunc(p.items, func(a, b *item) int {
 		// Small models first, so that as many as possible are kept.
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.model.MiB, b.model.MiB), cmp.Compare(a.model.Name, b.model.Name))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(order(!a.held), order(!b.held)),
+			cmp.Compare(a.model.MiB, b.model.MiB), cmp.Compare(a.model.Name, b.model.Name))
 	})
 	return p
 }
@@ -115,10 +121,14 @@
 		replicas: 1,
 	}
 	replicas := p.problem.Replicas[model.Name]
-	if held := p.heldBy(model.Name); p.problem.Current == nil && held > 1 {
+	if p.problem.Current == nil {
 		// Before any demand is known, a model that the platform has placed on
 		// several runners is expected to be asked for most.
-		replicas = max(replicas, held)
+		held := p.heldBy(model.Name)
+		it.held = held > 0
+		if held > 1 {
+			replicas = max(replicas, held)
+		}
 	}
 	switch {
 	case replicas > 0:
@@ -320,6 +330,8 @@
 type binRank struct {
 	// sharedDomain counts the model's replicas in the runner's failure domain.
 	sharedDomain int
+	// blocked: a long load would hold up the loads of adapters in demand.
+	blocked int
 	// moved: the runner doesn't hold the model now.
 	moved int
 	// crowded counts the runner's models for interactive requests, if this is
@@ -337,6 +349,9 @@
 	if near != Held {
 		rank.moved = 1
 	}
+	if near == Remote {
+		rank.blocked = order(b.adapters)
+	}
 	if it.rank < patient {
 		rank.crowded = b.urgent
 	}
@@ -351,6 +366,7 @@
 func (a binRank) compare(b binRank) int {
 	return cmp.Or(
 		cmp.Compare(a.sharedDomain, b.sharedDomain),
+		cmp.Compare(a.blocked, b.blocked),
 		cmp.Compare(a.moved, b.moved),
 		cmp.Compare(a.crowded, b.crowded),
 		cmp.Compare(a.distance, b.distance),
--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -13,6 +13,9 @@
 	for _, b := range it.keep {
 		placed.Permits = append(placed.Permits, Permit{Host: b.Host, Keep: true})
 	}
+	for _, b := range p.copies(it) {
+		placed.Permits = append(placed.Permits, Permit{Host: b.Host, Copy: true})
+	}
 	for _, b := range p.spares(it) {
 		if len(placed.Permits) >= MaxPermits {
 			break
@@ -26,6 +29,38 @@
 	return placed
 }
 
+// minCopies is the number of runners that should have a model's weights near.
+const minCopies = 2
+
+// copies are the runners that should get a copy of a model's weights: those with
+// the fewest such loads, and with the most room.
+func (p *packer) copies(it *item) []*bin {
+	missing := minCopies
+	var others []*bin
+	for _, b := range p.bins {
+		switch {
+		case b.Near[it.model.Name] != Remote || slices.Contains(it.keep, b):
+			missing--
+		case it.model.MiB <= p.problem.Engine.MiB:
+			others = append(others, b)
+		}
+	}
+	slices.SortFunc(others, func(a, b *bin) int {
+		return cmp.Or(
+			cmp.Compare(order(a.adapters), order(b.adapters)),
+			cmp.Compare(it.permitBefore(a.Host), it.permitBefore(b.Host)),
+			cmp.Compare(a.copies, b.copies),
+			cmp.Compare(b.free, a.free),
+			cmp.Compare(a.Host, b.Host),
+		)
+	})
+	chosen := others[:min(max(missing, 0), len(others))]
+	for _, b := range chosen {
+		b.copies++
+	}
+	return chosen
+}
+
 // spares are the runners that may hold a model and don't keep it. Those that the
 // placement in force names go first, then those that don't have adapters in
 // demand, then those with the fewest spares.
--- a/pkg/packing/placement.go
+++ b/pkg/packing/placement.go
@@ -15,6 +15,10 @@
 	Host string `json:"host"`
 	// Keep tells the runner to hold the replica loaded without requests.
 	Keep bool `json:"keep,omitempty"`
+	// Copy tells the runner to load the model once if it has no copy of the
+	// weights, so that the loss of another runner doesn't mean a load from the
+	// weight store just when the model is asked for.
+	Copy bool `json:"copy,omitempty"`
 }
 
 // Placed is a model with its permits, the preferred ones first.
--- /dev/null
+++ b/pkg/packing/starts.go
@@ -0,0 +1,93 @@
+package packing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// startTTL is how long a granted start counts before the agent's status shows
+	// the load.
+	startTTL = time.Second
+	// maxStartsPerModel bounds the loads of one model that run at once: a second
+	// one only helps if the first runner is lost.
+	maxStartsPerModel = 2
+)
+
+// Load is a load from the weight store at one runner.
+type Load struct {
+	Host  string
+	Model string
+}
+
+// LoadStatus is what an agent says of a load from the weight store.
+type LoadStatus struct {
+	Load
+	// Running tells that it is under way; else it waits for its start.
+	Running bool
+	// Waiting counts the requests that wait for it, Rate those a second.
+	Waiting int
+	Rate    float64
+}
+
+// Starts hands out the starts of loads from the weight store. Its state is soft:
+// a new leader learns the loads under way from the agents. Use NewStarts.
+type Starts struct {
+	// granted holds the starts that no status shows yet.
+	granted map[Load]time.Time
+}
+
+// NewStarts returns a value without granted starts.
+func NewStarts() *Starts { return &Starts{granted: make(map[Load]time.Time)} }
+
+// Next returns the loads that may start now, the most wanted first, so that at
+// most atOnce run.
+func (s *Starts) Next(now time.Time, statuses []LoadStatus, atOnce int) []Load {
+	perModel := make(map[string]int)
+	running := 0
+	var waiting []LoadStatus
+	for _, status := range statuses {
+		switch {
+		case status.Running:
+			running++
+			perModel[status.Model]++
+			delete(s.granted, status.Load)
+		case s.granted[status.Load].IsZero():
+			waiting = append(waiting, status)
+		}
+	}
+	for load, at := range s.granted {
+		if now.Sub(at) > startTTL {
+			delete(s.granted, load)
+			continue
+		}
+		running++
+		perModel[load.Model]++
+	}
+	slices.SortFunc(waiting, compareWaiting)
+	var started []Load
+	for _, status := range waiting {
+		if running >= atOnce {
+			break
+		}
+		if perModel[status.Model] >= maxStartsPerModel {
+			continue
+		}
+		running++
+		perModel[status.Model]++
+		s.granted[status.Load] = now
+		started = append(started, status.Load)
+	}
+	return started
+}
+
+// compareWaiting puts the loads first that most requests wait for.
+func compareWaiting(a, b LoadStatus) int {
+	return cmp.Or(
+		cmp.Compare(b.Waiting, a.Waiting),
+		cmp.Compare(b.Rate, a.Rate),
+		cmp.Compare(a.Model, b.Model),
+		cmp.Compare(a.Host, b.Host),
+	)
+}
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/admission"
+	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/ledger"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
@@ -42,8 +43,14 @@
 	// wantedUntil is how long the model is to be loaded although no use waits,
 	// because a refused caller is expected to come back.
 	wantedUntil time.Time
+	// emptyUntil is how long the model gets no new uses, so that it can make way
+	// for one that is worth more.
+	emptyUntil time.Time
 }
 
+// isEmptying tells whether the model gets no new uses.
+func (known *model) isEmptying(now time.Time) bool { return now.Before(known.emptyUntil) }
+
 // isWanted tells whether a use waits for the model or is expected back.
 func (known *model) isWanted(now time.Time) bool {
 	return known.waiting > 0 || now.Before(known.wantedUntil)
@@ -86,6 +93,9 @@
 	adapters     map[adapterID]*adapter
 	uses         map[string]*use
 	prompts      promptPacer
+	failures     backends.Failures
+	// used tells that a use has come.
+	used bool
 	// calling is the order whose answer is awaited.
 	calling *modelrunner.Order
 	// changing is the accepted order for a model that is being carried out.
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -26,6 +26,16 @@
 	// keepGain is how much more than its victims a model must be worth to be
 	// loaded without a request.
 	keepGain = 0.5
+	// copyWorth is what a copy of a model's weights is worth in models that make
+	// way for its load.
+	copyWorth = 0.6
+	// emptyGain is how much more than its victims a model must be worth for their
+	// uses to make way, and emptyTime how long these get no new ones.
+	emptyGain = 2.0
+	// patientRate is the rate of interactive requests a second below which a model
+	// counts as patient.
+	patientRate = 0.1
+	emptyTime   = 5 * time.Second
 	// conflictPause is the time to the next order after one that was refused.
 	conflictPause = 50 * time.Millisecond
 	// maxComing bounds the adapters on their way to one runner.
@@ -204,7 +214,31 @@
 	if m.orderWaitedFor(now) || m.unloadUnpermitted() {
 		return
 	}
-	m.orderKept(now)
+	// Before the first request there is time for the long loads.
+	if !m.used && m.orderCopy(now) {
+		return
+	}
+	if !m.orderKept(now) {
+		m.orderCopy(now)
+	}
+}
+
+// orderCopy loads a model of whose weights the runner should have a copy, if what
+// makes way for it is worth little.
+func (m *Manager) orderCopy(now time.Time) bool {
+	var wanted []*model
+	for _, known := range m.models {
+		if known.Copy && known.Permitted && known.tier == wire.CacheRemote && !known.held {
+			wanted = append(wanted, known)
+		}
+	}
+	slices.SortFunc(wanted, func(a, b *model) int { return cmp.Compare(a.Name, b.Name) })
+	for _, known := range wanted {
+		if m.loadOrMakeRoom(known, func(needed int64) bool { return m.makeRoomWorth(now, known, needed, copyWorth) }) {
+			return true
+		}
+	}
+	return false
 }
 
 // orderWaitedFor loads the model whose uses have waited longest.
@@ -241,20 +275,45 @@
 }
 
 // makeRoom orders the first of the idle models out that together free enough
-// memory at the least cost.
+// memory at the least cost. If too few are idle, models that are worth less than
+// the wanted one are emptied: they get no new uses.
 func (m *Manager) makeRoom(now time.Time, wanted string, needed int64) bool {
-	victims, ok := loading.Cheapest(m.idleVictims(now, wanted), needed)
-	if !ok || len(victims) == 0 {
-		return false
+	victims, ok := loading.Cheapest(m.victims(now, wanted, isIdle), needed)
+	if ok && len(victims) > 0 {
+		m.give(modelrunner.Unload, victims[0].Model, "")
+		return true
 	}
-	m.give(modelrunner.Unload, victims[0].Model, "")
-	return true
+	m.empty(now, wanted, needed)
+	return false
 }
 
-func (m *Manager) idleVictims(now time.Time, wanted string) []loading.Victim {
+// empty marks the models that must lose their uses to make room for a wanted one:
+// patient ones that are worth less than it.
+func (m *Manager) empty(now time.Time, wanted string, needed int64) {
+	worth := m.worth(now, m.models[wanted])
+	victims, ok := loading.Cheapest(m.victims(now, wanted, func(known *model) bool {
+		return known.interactive.current(now) < patientRate && m.worth(now, known)+emptyGain < worth
+	}), needed)
+	if !ok {
+		return
+	}
+	for _, victim := range victims {
+		m.models[victim.Model].emptyUntil = now.Add(emptyTime)
+	}
+	m.refuseWaiting(func(u *use) (wire.Reason, bool) {
+		return wire.ReasonNoMemory, m.models[u.Model].isEmptying(now)
+	}, now)
+}
+
+// isIdle tells whether no use runs or waits.
+func isIdle(known *model) bool { return known.running == 0 && known.waiting == 0 }
+
+// victims lists the loaded models that a condition names, with the cost of their
+// absence.
+func (m *Manager) victims(now time.Time, wanted string, condition func(*model) bool) []loading.Victim {
 	var idle []loading.Victim
 	for name, known := range m.models {
-		if name == wanted || m.state(known) != wire.ModelLoaded || known.running > 0 || known.waiting > 0 || known.MiB == 0 {
+		if name == wanted || m.state(known) != wire.ModelLoaded || known.MiB == 0 || !condition(known) {
 			continue
 		}
 		idle = append(idle, loading.Victim{
@@ -302,7 +361,7 @@
 
 // orderKept loads a model that the placement wants kept, the one worth most
 // first, if it is worth more than what makes way for it.
-func (m *Manager) orderKept(now time.Time) {
+func (m *Manager) orderKept(now time.Time) bool {
 	var kept []*model
 	for _, known := range m.models {
 		if known.Keep && !known.held && known.Permitted {
@@ -313,16 +372,18 @@
 		return cmp.Or(cmp.Compare(m.worth(now, b), m.worth(now, a)), cmp.Compare(a.Name, b.Name))
 	})
 	for _, known := range kept {
-		if m.loadOrMakeRoom(known, func(needed int64) bool { return m.makeRoomFor(now, known, needed) }) {
-			return
+		worth := m.worth(now, known) - keepGain
+		if m.loadOrMakeRoom(known, func(needed int64) bool { return m.makeRoomWorth(now, known, needed, worth) }) {
+			return true
 		}
 	}
+	return false
 }
 
-// makeRoomFor is makeRoom for a model that no use waits for: it must be worth
-// more than its victims.
-func (m *Manager) makeRoomFor(now time.Time, known *model, needed int64) bool {
-	idle := m.idleVictims(now, known.Name)
+// makeRoomWorth is makeRoom for a model that no use waits for: its victims must
+// not be worth more than a bound.
+func (m *Manager) makeRoomWorth(now time.Time, known *model, needed int64, bound float64) bool {
+	idle := m.victims(now, known.Name, isIdle)
 	victims, ok := loading.Cheapest(idle, needed)
 	if !ok || len(victims) == 0 {
 		return false
@@ -331,7 +392,7 @@
 	for _, victim := range victims {
 		cost += m.worth(now, m.models[victim.Model])
 	}
-	if m.worth(now, known) < cost+keepGain {
+	if cost > bound {
 		return false
 	}
 	m.give(modelrunner.Unload, victims[0].Model, "")
--- a/pkg/residency/prefill.go
+++ b/pkg/residency/prefill.go
@@ -9,6 +9,9 @@
 	promptRate = 20000
 	// promptBurst is the number of prompt tokens that may be let in at once.
 	promptBurst = 1000
+	// promptHurry is the number of waiting requests that doubles the pace, since a
+	// late first event is worse than an uneven stream.
+	promptHurry = 4
 )
 
 // promptPacer spaces the prompts that a runner gets. The zero value is ready.
@@ -23,12 +26,12 @@
 	return p.clearAt.Add(-tokenTime(promptBurst))
 }
 
-// admit notes a prompt that is let in.
-func (p *promptPacer) admit(now time.Time, tokens int64) {
+// admit notes a prompt that is let in while others wait.
+func (p *promptPacer) admit(now time.Time, tokens int64, waiting int) {
 	if p.clearAt.Before(now) {
 		p.clearAt = now
 	}
-	p.clearAt = p.clearAt.Add(tokenTime(tokens))
+	p.clearAt = p.clearAt.Add(tokenTime(tokens * promptHurry / int64(promptHurry+waiting)))
 }
 
 func tokenTime(tokens int64) time.Duration {
--- a/pkg/residency/reports.go
+++ b/pkg/residency/reports.go
@@ -68,6 +68,7 @@
 			known.lastUsed = now
 			known.wantedSince = time.Time{}
 			known.wantedUntil = time.Time{}
+			known.emptyUntil = time.Time{}
 			known.startGranted = false
 		}
 	}
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 	// reports while an adapter comes, an order for a model is carried out, uses
 	// wait, and otherwise.
 	adapterPoll = 4 * time.Millisecond
-	changePoll  = 25 * time.Millisecond
+	changePoll  = 10 * time.Millisecond
 	waitPoll    = 50 * time.Millisecond
 	idlePoll    = 250 * time.Millisecond
 )
@@ -52,6 +53,7 @@
 		Down:     m.isDown(now),
 		Running:  m.queue.Running(),
 		Waiting:  m.queue.Len(),
+		Failing:  m.failures.Avoided(now),
 	}
 	if m.report != nil {
 		status.BornMillis = m.report.BornMillis
@@ -73,7 +75,7 @@
 
 func (m *Manager) describe(now time.Time, known *model) wire.RunnerModel {
 	state := m.state(known)
-	wanted := known.Permitted && (known.isWanted(now) || known.Keep)
+	wanted := known.Permitted && (known.isWanted(now) || known.Keep || known.Copy)
 	return wire.RunnerModel{
 		Name:        known.Name,
 		State:       state,
@@ -93,6 +95,19 @@
 // get a status for each small change.
 const waitStep = 250 * time.Millisecond
 
+// crowdedWait is the expected wait until a model that is in use now is idle and
+// may make way.
+const crowdedWait = 2 * time.Second
+
+// canMakeRoom tells whether free memory and idle models are enough for a model.
+func (m *Manager) canMakeRoom(now time.Time, known *model) bool {
+	room := m.ledger.Free()
+	for _, victim := range m.victims(now, known.Name, isIdle) {
+		room += victim.MiB
+	}
+	return room >= known.MiB
+}
+
 // waitMillis is the expected time until a permitted model is loaded if it is
 // asked for now, behind those that are wanted already.
 func (m *Manager) waitMillis(now time.Time, known *model) uint32 {
@@ -105,6 +120,28 @@
 			wait += m.loadTime(other) + orderOverhead
 		}
 	}
+	if !m.canMakeRoom(now, known) {
+		wait += crowdedWait
+	}
 	steps := (wait + waitStep - 1) / waitStep
 	return uint32((steps * waitStep).Milliseconds())
 }
+
+// Explain tells for the log what a use depends on.
+func (m *Manager) Explain(now time.Time, wanted Use) string {
+	known := m.models[wanted.Model]
+	if known == nil || m.report == nil {
+		return "unknown"
+	}
+	text := fmt.Sprintf("model=%s tier=%s permitted=%t running=%d/%d waiting=%d prompts_in=%s",
+		m.state(known), known.tier, known.Permitted, m.queue.Running(), m.plan.Slots, m.queue.Len(),
+		max(m.prompts.opensAt().Sub(now), 0))
+	if m.changing != nil {
+		text += fmt.Sprintf(" changing=%s:%s", m.changing.order.Operation, m.changing.order.Model)
+	}
+	if a := m.adapters[adapterID{wanted.Model, wanted.Adapter}]; a != nil {
+		text += fmt.Sprintf(" adapter_loaded=%t adapter_coming=%t adapters_held=%d/%d", a.loaded, a.coming,
+			m.heldAdapters(adapterID{}), m.plan.AdapterSlots)
+	}
+	return text + fmt.Sprintf(" free_mib=%d doubtful=%d calling=%t", m.ledger.Free(), len(m.doubtful), m.calling != nil)
+}
--- a/pkg/residency/uses.go
+++ b/pkg/residency/uses.go
@@ -29,6 +29,7 @@
 	if reason, ok := m.refusal(now, wanted); ok {
 		return []Action{Refuse{ID: wanted.ID, Reason: reason, RetryAfter: comeBackSoon}}
 	}
+	m.used = true
 	known := m.models[wanted.Model]
 	m.noteDemand(now, known, wanted)
 	estimate := admission.Estimate{ReadyIn: m.readyIn(now, known)}
@@ -65,6 +66,8 @@
 		return wire.ReasonNotFound, true
 	case !known.Permitted:
 		return wire.ReasonNoPermit, true
+	case known.held && known.isEmptying(now):
+		return wire.ReasonNoMemory, true
 	default:
 		return "", false
 	}
@@ -141,6 +144,9 @@
 
 func millis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+// Ended takes in how a granted use's request ended.
+func (m *Manager) Ended(now time.Time, failed bool) { m.failures.Note(now, failed) }
+
 // Release ends a use, granted or not.
 func (m *Manager) Release(now time.Time, id string) []Action {
 	u := m.uses[id]
@@ -177,7 +183,7 @@
 // grantReady grants the uses that can start.
 func (m *Manager) grantReady(now time.Time) {
 	for !now.Before(m.prompts.opensAt()) {
-		next, ok := m.queue.Next(now, m.isReady)
+		next, ok := m.queue.Next(now, func(t admission.Target) bool { return m.isReady(now, t) })
 		if !ok {
 			return
 		}
@@ -185,7 +191,7 @@
 		m.leftQueue(u)
 		u.granted = true
 		u.grantedAt = now
-		m.prompts.admit(now, u.PromptTokens)
+		m.prompts.admit(now, u.PromptTokens, m.queue.Len())
 		known := m.models[u.Model]
 		known.running++
 		known.lastUsed = now
@@ -198,9 +204,9 @@
 	}
 }
 
-func (m *Manager) isReady(t admission.Target) bool {
+func (m *Manager) isReady(now time.Time, t admission.Target) bool {
 	known := m.models[t.Model]
-	if known == nil || m.state(known) != wire.ModelLoaded || m.isOrderedOut(t) {
+	if known == nil || m.state(known) != wire.ModelLoaded || m.isOrderedOut(t) || known.isEmptying(now) {
 		return false
 	}
 	if t.Version == "" {
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -15,6 +15,13 @@
 	refused *residency.Refuse
 }
 
+// waitingUse is a use that waits for its outcome.
+type waitingUse struct {
+	residency.Use
+	arrived time.Time
+	result  chan outcome
+}
+
 // controller drives the decisions. Its methods run on the loop, but for
 // subscribe and unsubscribe.
 type controller struct {
@@ -22,8 +29,8 @@
 	logger  *slog.Logger
 	manager *residency.Manager
 	worker  *worker
-	// waiting holds where the outcome of each use goes.
-	waiting map[string]chan outcome
+	// waiting holds the uses without an outcome.
+	waiting map[string]waitingUse
 	// minPlan is the revision below which a placement may be older than what an
 	// earlier incarnation acted on.
 	minPlan int64
@@ -38,7 +45,7 @@
 		loop:    eventloop.New(),
 		logger:  logger,
 		manager: manager,
-		waiting: make(map[string]chan outcome),
+		waiting: make(map[string]waitingUse),
 	}
 }
 
@@ -75,20 +82,32 @@
 }
 
 func (c *controller) finish(id string, result outcome) {
-	if waiter := c.waiting[id]; waiter != nil {
-		delete(c.waiting, id)
-		waiter <- result
+	waiter, ok := c.waiting[id]
+	if !ok {
+		return
 	}
+	delete(c.waiting, id)
+	if result.refused != nil {
+		c.logRefusal(waiter, result.refused)
+	}
+	waiter.result <- result
+}
+
+// logRefusal tells what a refused use waited for.
+func (c *controller) logRefusal(waiter waitingUse, refused *residency.Refuse) {
+	c.logger.Info("use refused", "request", waiter.ID, "model", waiter.Model, "adapter", waiter.Adapter,
+		"reason", refused.Reason, "waited_ms", time.Since(waiter.arrived).Milliseconds(),
+		"state", c.manager.Explain(time.Now(), waiter.Use))
 }
 
 // acquire takes in a use and returns where its outcome will come.
 func (c *controller) acquire(now time.Time, use residency.Use) <-chan outcome {
 	result := make(chan outcome, 1)
-	if c.waiting[use.ID] != nil {
+	if _, ok := c.waiting[use.ID]; ok {
 		result <- outcome{refused: &residency.Refuse{ID: use.ID, Reason: wire.ReasonInvalid}}
 		return result
 	}
-	c.waiting[use.ID] = result
+	c.waiting[use.ID] = waitingUse{Use: use, arrived: now, result: result}
 	c.perform(c.manager.Acquire(now, use))
 	return result
 }
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -109,8 +109,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		// The gateway sends nothing more; the stream's end is the end of the use.
-		_, _ = stream.Receive()
+		s.takeRelease(stream)
 	}()
 	granted := s.await(ctx, stream, acquire, arrived, result, ended)
 	if granted {
@@ -125,6 +124,16 @@
 	<-ended
 }
 
+// takeRelease waits for the end of a use.
+func (s *server) takeRelease(stream *wire.Stream) {
+	frame, err := stream.Receive()
+	if err != nil || frame.Released == nil {
+		// The gateway gave the use up without a word on the request.
+		return
+	}
+	s.controller.loop.Do(func() { s.controller.manager.Ended(time.Now(), frame.Released.Failed) })
+}
+
 // await answers an Acquire and tells whether it was granted.
 func (s *server) await(ctx context.Context, stream *wire.Stream, acquire *wire.Acquire, arrived time.Time, result <-chan outcome, ended <-chan struct{}) bool {
 	select {
--- a/pkg/runneragent/subscribers.go
+++ b/pkg/runneragent/subscribers.go
@@ -40,7 +40,7 @@
 // differs tells whether two statuses differ in more than counts and rates.
 func differs(a, b *wire.RunnerStatus) bool {
 	return a.Instance != b.Instance || a.BornMillis != b.BornMillis || a.PlanRevision != b.PlanRevision ||
-		a.Leaving != b.Leaving || a.Down != b.Down || a.Slots != b.Slots ||
+		a.Leaving != b.Leaving || a.Down != b.Down || a.Failing != b.Failing || a.Slots != b.Slots ||
 		!slices.EqualFunc(a.Models, b.Models, sameModel)
 }
 
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -121,7 +121,7 @@
 		f.Chunk != nil, f.End != nil, f.Probe != nil, f.Status != nil,
 		f.Sync != nil, f.Update != nil, f.LoadAsk != nil, f.LoadSlot != nil,
 		f.Resume != nil, f.Subscribe != nil, f.RunnerPlan != nil, f.StartLoad != nil,
-		f.RunnerStatus != nil, f.Acquire != nil, f.Granted != nil,
+		f.RunnerStatus != nil, f.Acquire != nil, f.Granted != nil, f.Released != nil,
 	} {
 		if set {
 			count++
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -29,6 +29,7 @@
 	RunnerStatus *RunnerStatus `cbor:"17,keyasint,omitempty"`
 	Acquire      *Acquire      `cbor:"18,keyasint,omitempty"`
 	Granted      *Granted      `cbor:"19,keyasint,omitempty"`
+	Released     *Released     `cbor:"20,keyasint,omitempty"`
 }
 
 // Request carries one caller's request from an entry to an agent.
@@ -214,6 +215,18 @@
 	CacheMemory
 )
 
+// String returns the tier's name in logs.
+func (t CacheTier) String() string {
+	switch t {
+	case CacheMemory:
+		return "memory"
+	case CacheDisk:
+		return "disk"
+	default:
+		return "store"
+	}
+}
+
 // ModelState is the state of a model at a runner.
 type ModelState uint8
 
@@ -225,6 +238,20 @@
 	ModelUnloading
 )
 
+// String returns the state's name in logs.
+func (s ModelState) String() string {
+	switch s {
+	case ModelLoading:
+		return "loading"
+	case ModelLoaded:
+		return "loaded"
+	case ModelUnloading:
+		return "unloading"
+	default:
+		return "absent"
+	}
+}
+
 // ModelStatus is the state of one model at a runner. Models that are neither
 // cached nor loaded nor permitted are left out.
 type ModelStatus struct {
--- a/pkg/wire/runner.go
+++ b/pkg/wire/runner.go
@@ -25,6 +25,9 @@
 	// Interactive tells that the model is asked for by requests that can't wait
 	// for a load.
 	Interactive bool `cbor:"9,keyasint,omitempty"`
+	// Copy tells that the runner loads the model once if it has no copy of the
+	// weights.
+	Copy bool `cbor:"10,keyasint,omitempty"`
 }
 
 // RunnerPlan is the part of a placement that concerns one runner.
@@ -90,6 +93,8 @@
 	Running int           `cbor:"7,keyasint,omitempty"`
 	Waiting int           `cbor:"8,keyasint,omitempty"`
 	Models  []RunnerModel `cbor:"9,keyasint,omitempty"`
+	// Failing tells that the runner fails at many of its requests.
+	Failing bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Acquire asks for the use of a model, and of an adapter if it names one, for one
@@ -113,6 +118,14 @@
 	PromptTokens int64 `cbor:"10,keyasint,omitempty"`
 }
 
+// Released ends a use and tells how the request ended. A use also ends with its
+// stream.
+type Released struct {
+	// Failed tells that the runner failed at the request: its answer was lost, cut
+	// or no answer at all.
+	Failed bool `cbor:"1,keyasint,omitempty"`
+}
+
 // Granted tells that the request may be sent to the runner now.
 type Granted struct {
 	// WaitedMillis is how long the request waited for it.
