Watch the site's own keys with a longer wait, and registrations at 1.1 s

Change: the site's own keys are watched with a wait of 10 s, and all watches are opened anew when one fails; registrations are asked for each 1.1 s, well within the two seconds that a leaving server leaves.

--- a/cmd/teaselgauge-entry/main.go
+++ b/cmd/teaselgauge-entry/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -44,12 +45,18 @@
 	os.Exit(command.Run(ctx, root, os.Args))
 }
 
+// siteWatchWait is how long the store holds back a watch of what teaselgauge's
+// own processes write there. They hear of changes at once; the wait only bounds
+// how often a watch without news is renewed.
+const siteWatchWait = 10 * time.Second
+
 // runGateway connects the gateway to the platform's adapter.
 func runGateway(ctx context.Context, config settings.Gateway, environment command.Environment[settings.Gateway]) error {
 	store := platform.NewStore(config.Store.Address)
 	defer store.Close()
 	return gateway.Run(ctx, config, gateway.Dependencies{
-		Store: store,
+		Store:     store,
+		SiteStore: store.WithWatchWait(siteWatchWait),
 		Codec: gateway.Codec{
 			ConfigurationKey:    platform.ConfigurationKey,
 			RegistrationPrefix:  platform.RegistrationPrefix,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -35,9 +35,12 @@
 
 // Dependencies are the clients of the platform that a gateway works with.
 type Dependencies struct {
-	Store   keyvalue.LeaseStore
-	Codec   Codec
-	Dialect forward.Dialect
+	Store keyvalue.LeaseStore
+	// SiteStore is the same store with a longer wait for news, for what the site's
+	// own processes write.
+	SiteStore keyvalue.Store
+	Codec     Codec
+	Dialect   forward.Dialect
 	// ReadinessPath is where the balancer asks whether the entry is ready.
 	ReadinessPath string
 	// Updates brings changed settings.
@@ -97,7 +100,7 @@
 
 func (g *Gateway) provision(d Dependencies) {
 	g.control = newControl(g.logger)
-	g.sources = &sources{store: d.Store, codec: d.Codec, control: g.control, logger: g.logger}
+	g.sources = newSources(d, g.control, g.logger)
 	g.decider = &decider{store: d.Store, control: g.control, logger: g.logger}
 	g.decider.setLoadsAtOnce(g.config.WeightStore.LoadsAtOnce)
 	g.pool = forward.NewPool(d.Dialect, func(string, time.Duration, error) {})
--- a/pkg/gateway/site.go
+++ b/pkg/gateway/site.go
@@ -18,7 +18,7 @@
 // followSite keeps the site's own processes and decisions up to date until ctx
 // ends.
 func (s *sources) followSite(ctx context.Context) {
-	s.follow(ctx, roster.Prefix, true, func(ctx context.Context, read reading) {
+	s.follow(ctx, s.siteStore, roster.Prefix, true, func(ctx context.Context, read reading) {
 		change := s.decodeSite(read)
 		s.control.loop.Do(func() { s.control.siteChanged(change) })
 		if len(read.events) > 0 {
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"strings"
+	"sync"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
@@ -18,7 +19,7 @@
 	storeRetry = 300 * time.Millisecond
 	// registrationPace is the least time between two calls for registrations.
 	// Heartbeats would answer each call at once.
-	registrationPace = 800 * time.Millisecond
+	registrationPace = 1100 * time.Millisecond
 	// sitePace is the least time between two calls for the site's own processes
 	// and decisions, so that changes that come together cost one call.
 	sitePace = 150 * time.Millisecond
@@ -38,20 +39,54 @@
 
 // sources follows the platform's store.
 type sources struct {
-	store   keyvalue.Store
-	codec   Codec
-	control *control
-	logger  *slog.Logger
+	store keyvalue.Store
+	// siteStore is the same store with a longer wait for news, for the site's own
+	// processes and decisions.
+	siteStore keyvalue.Store
+	codec     Codec
+	control   *control
+	logger    *slog.Logger
+
+	mu sync.Mutex
+	// broken is closed and replaced when a call of the store fails, so that all
+	// watches are opened anew.
+	broken chan struct{}
+}
+
+func newSources(d Dependencies, c *control, logger *slog.Logger) *sources {
+	return &sources{
+		store:     d.Store,
+		siteStore: d.SiteStore,
+		codec:     d.Codec,
+		control:   c,
+		logger:    logger,
+		broken:    make(chan struct{}),
+	}
+}
+
+// breaks returns a channel that is closed when a call of the store fails.
+func (s *sources) breaks() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.broken
+}
+
+// noteBroken has all watches opened anew.
+func (s *sources) noteBroken() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.broken)
+	s.broken = make(chan struct{})
 }
 
 // followConfiguration keeps the newest configuration in force until ctx ends.
 func (s *sources) followConfiguration(ctx context.Context) {
-	s.follow(ctx, s.codec.ConfigurationKey, false, s.takeConfiguration)
+	s.follow(ctx, s.store, s.codec.ConfigurationKey, false, s.takeConfiguration)
 }
 
 // followRegistrations keeps the registered servers up to date until ctx ends.
 func (s *sources) followRegistrations(ctx context.Context) {
-	s.follow(ctx, s.codec.RegistrationPrefix, true, func(ctx context.Context, read reading) {
+	s.follow(ctx, s.store, s.codec.RegistrationPrefix, true, func(ctx context.Context, read reading) {
 		s.takeRegistrations(read)
 		if !read.complete {
 			backoff.Sleep(ctx, registrationPace)
@@ -68,36 +103,55 @@
 	events   []keyvalue.WatchEvent
 }
 
+// errOtherWatchBroke tells that a watch is opened anew because another one failed.
+var errOtherWatchBroke = errors.New("another call of the store failed")
+
 // follow reads a key or prefix and then watches it, and starts anew after a
 // failure.
-func (s *sources) follow(ctx context.Context, key string, prefix bool, take func(context.Context, reading)) {
+func (s *sources) follow(ctx context.Context, store keyvalue.Store, key string, prefix bool, take func(context.Context, reading)) {
 	for ctx.Err() == nil {
-		err := s.followOnce(ctx, key, prefix, take)
+		err := s.followOnce(ctx, store, key, prefix, take)
 		if ctx.Err() != nil {
 			return
 		}
 		s.logger.Warn("store lost", "key", key, "error", err)
-		if !errors.Is(err, keyvalue.ErrCompacted) {
-			s.control.loop.Post(func() { s.control.storeUnstable(time.Now()) })
-			backoff.Sleep(ctx, storeRetry)
+		if errors.Is(err, keyvalue.ErrCompacted) || errors.Is(err, errOtherWatchBroke) {
+			continue
 		}
+		s.control.loop.Post(func() { s.control.storeUnstable(time.Now()) })
+		s.noteBroken()
+		backoff.Sleep(ctx, storeRetry)
 	}
 }
 
-func (s *sources) followOnce(ctx context.Context, key string, prefix bool, take func(context.Context, reading)) error {
-	result, err := s.store.Range(ctx, key, prefix)
+func (s *sources) followOnce(ctx context.Context, store keyvalue.Store, key string, prefix bool, take func(context.Context, reading)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	broken := s.breaks()
+	result, err := store.Range(ctx, key, prefix)
 	if err != nil {
 		return err
 	}
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-broken:
+			cancel(errOtherWatchBroke)
+		}
+	}()
 	read := reading{complete: true, revision: result.Revision}
 	for _, value := range result.Values {
 		read.events = append(read.events, keyvalue.WatchEvent{Value: value})
 	}
 	take(ctx, read)
 	s.logger.Info("store read", "key", key, "revision", result.Revision, "values", len(result.Values))
-	return s.store.Watch(ctx, key, result.Revision, func(revision int64, events []keyvalue.WatchEvent) {
+	err = store.Watch(ctx, key, result.Revision, func(revision int64, events []keyvalue.WatchEvent) {
 		take(ctx, reading{revision: revision, events: events})
 	})
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
 }
 
 func (s *sources) takeConfiguration(_ context.Context, read reading) {
