Explain a use that was refused before the first plan

Cause: Manager.Explain, which only serves the log line of a refused use, read the slots of a plan that a restarted agent doesn't have yet. Change: it says unplanned. TestExplainBeforeThePlan panicked before.

--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -130,8 +130,8 @@
 // Explain tells for the log what a use depends on.
 func (m *Manager) Explain(now time.Time, wanted Use) string {
 	known := m.models[wanted.Model]
-	if known == nil || m.report == nil {
-		return "unknown"
+	if known == nil || m.report == nil || m.plan == nil {
+		return "unplanned"
 	}
 	text := fmt.Sprintf("model=%s tier=%s permitted=%t running=%d/%d waiting=%d prompts_in=%s",
 		m.state(known), known.tier, known.Permitted, m.queue.Running(), m.plan.Slots, m.queue.Len(),
