--- a/testkit/standin/keyvalue/client_test.go
+++ b/testkit/standin/keyvalue/client_test.go
@@ -248,9 +248,9 @@
 	server, client := start(t)
 	put(t, client, "/a", "1")
 	last := put(t, client, "/a", "2")
-	server.store.mu.Lock()
-	server.store.compactBefore(last)
-	server.store.mu.Unlock()
+	server.store.Mu.Lock()
+	server.store.Compact(last)
+	server.store.Mu.Unlock()
 	_, failed := watch(t.Context(), client, 1)
 	if err := receive(t, failed); !keyvalue.IsCompacted(err) {
 		t.Errorf("watch ended with %v, want a compaction", err)
--- a/testkit/standin/keyvalue/keyvalue.go
+++ b/testkit/standin/keyvalue/keyvalue.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/testkit/standin/httpapi"
+	"teaselgauge.example/teaselgauge/testkit/standin/revisions"
 )
 
 const (
@@ -56,7 +57,7 @@
 
 // Server is the stand-in. It is safe for concurrent use.
 type Server struct {
-	store *store
+	store *revisions.Store
 	mux   *http.ServeMux
 
 	mu       sync.Mutex
@@ -70,7 +71,7 @@
 // New returns an empty store without faults.
 func New() *Server {
 	s := &Server{
-		store:  newStore(),
+		store:  revisions.New(),
 		mux:    http.NewServeMux(),
 		random: rand.New(rand.NewPCG(0, 0)),
 		outage: make(chan struct{}),
@@ -94,7 +95,7 @@
 
 // Close stops the leases.
 func (s *Server) Close() {
-	s.store.close()
+	s.store.Close()
 }
 
 // SetFaults replaces the faults.
@@ -113,9 +114,9 @@
 
 // Counters returns the calls so far.
 func (s *Server) Counters() Counters {
-	s.store.mu.Lock()
-	revision := s.store.revision
-	s.store.mu.Unlock()
+	s.store.Mu.Lock()
+	revision := s.store.Revision
+	s.store.Mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counters := s.counters
@@ -179,10 +180,10 @@
 		return
 	}
 	s.count(&s.counters.Range)
-	s.store.mu.Lock()
-	kvs := s.store.readRange(request.Key, request.RangeEnd)
-	revision := s.store.revision
-	s.store.mu.Unlock()
+	s.store.Mu.Lock()
+	kvs := s.store.Range(request.Key, request.RangeEnd)
+	revision := s.store.Revision
+	s.store.Mu.Unlock()
 	httpapi.Write(w, http.StatusOK, rangeResponse{
 		Header: header{Revision: revision}, KVs: kvs, Count: int64(len(kvs)),
 	})
@@ -198,7 +199,7 @@
 		return
 	}
 	s.count(&s.counters.Txn)
-	response, err := s.store.txn(request)
+	response, err := txn(s.store, request)
 	if err != nil {
 		httpapi.Fail(w, http.StatusNotFound, err.Error())
 		return
@@ -217,14 +218,14 @@
 	if !httpapi.Read(w, r, &request) {
 		return
 	}
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
-	if request.Revision > s.store.revision {
+	s.store.Mu.Lock()
+	defer s.store.Mu.Unlock()
+	if request.Revision > s.store.Revision {
 		httpapi.Fail(w, http.StatusBadRequest, "required revision is a future revision")
 		return
 	}
-	s.store.compactBefore(request.Revision)
-	httpapi.Write(w, http.StatusOK, compactionResponse{Header: header{Revision: s.store.revision}})
+	s.store.Compact(request.Revision)
+	httpapi.Write(w, http.StatusOK, compactionResponse{Header: header{Revision: s.store.Revision}})
 }
 
 func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
@@ -237,10 +238,10 @@
 		return
 	}
 	s.count(&s.counters.LeaseGrant)
-	s.store.mu.Lock()
-	id := s.store.grant(request.ID, time.Duration(request.TTL)*time.Second)
-	revision := s.store.revision
-	s.store.mu.Unlock()
+	s.store.Mu.Lock()
+	id := s.store.Grant(request.ID, time.Duration(request.TTL)*time.Second)
+	revision := s.store.Revision
+	s.store.Mu.Unlock()
 	if s.losesAnswer() {
 		httpapi.Abort()
 	}
@@ -253,10 +254,10 @@
 		return
 	}
 	s.count(&s.counters.LeaseKeepAlive)
-	s.store.mu.Lock()
-	ttl := s.store.keepAlive(request.ID)
-	revision := s.store.revision
-	s.store.mu.Unlock()
+	s.store.Mu.Lock()
+	ttl := s.store.KeepAlive(request.ID)
+	revision := s.store.Revision
+	s.store.Mu.Unlock()
 	response := leaseResponse{Header: header{Revision: revision}, ID: request.ID, TTL: int64(ttl / time.Second)}
 	httpapi.Write(w, http.StatusOK, keepAliveResponse{Result: response})
 }
@@ -267,12 +268,12 @@
 		return
 	}
 	s.count(&s.counters.LeaseRevoke)
-	s.store.mu.Lock()
-	found := s.store.revoke(request.ID)
-	revision := s.store.revision
-	s.store.mu.Unlock()
+	s.store.Mu.Lock()
+	found := s.store.Revoke(request.ID)
+	revision := s.store.Revision
+	s.store.Mu.Unlock()
 	if !found {
-		httpapi.Fail(w, http.StatusNotFound, errNoLease.Error())
+		httpapi.Fail(w, http.StatusNotFound, revisions.ErrNoLease.Error())
 		return
 	}
 	if s.losesAnswer() {
@@ -306,10 +307,10 @@
 		}
 		return flusher.Flush()
 	}
-	s.store.mu.Lock()
-	next, compacted := create.StartRevision, s.store.compacted
-	current := header{Revision: s.store.revision}
-	s.store.mu.Unlock()
+	s.store.Mu.Lock()
+	next, compacted := create.StartRevision, s.store.Compacted
+	current := header{Revision: s.store.Revision}
+	s.store.Mu.Unlock()
 	if next == 0 {
 		next = current.Revision + 1
 	}
@@ -320,9 +321,9 @@
 		return send(watchResult{Header: current, Canceled: true, CompactRevision: compacted})
 	}
 	for {
-		s.store.mu.Lock()
-		events, revision, changed := s.store.since(next, create.Key, create.RangeEnd)
-		s.store.mu.Unlock()
+		s.store.Mu.Lock()
+		events, revision, changed := s.store.Since(next, create.Key, create.RangeEnd)
+		s.store.Mu.Unlock()
 		next = revision + 1
 		if len(events) > 0 {
 			if err := send(watchResult{Header: header{Revision: revision}, Events: events}); err != nil {
--- a/testkit/standin/keyvalue/messages.go
+++ b/testkit/standin/keyvalue/messages.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+
+	"teaselgauge.example/teaselgauge/testkit/standin/revisions"
 )
 
 type header struct {
@@ -14,9 +16,9 @@
 }
 
 type rangeResponse struct {
-	Header header   `json:"header"`
-	KVs    []record `json:"kvs,omitempty"`
-	Count  int64    `json:"count,omitempty,string"`
+	Header header             `json:"header"`
+	KVs    []revisions.Record `json:"kvs,omitempty"`
+	Count  int64              `json:"count,omitempty,string"`
 }
 
 type txnRequest struct {
@@ -104,11 +106,11 @@
 }
 
 type watchResult struct {
-	Header          header  `json:"header"`
-	Created         bool    `json:"created,omitempty"`
-	Canceled        bool    `json:"canceled,omitempty"`
-	CompactRevision int64   `json:"compact_revision,omitempty,string"`
-	Events          []event `json:"events,omitempty"`
+	Header          header            `json:"header"`
+	Created         bool              `json:"created,omitempty"`
+	Canceled        bool              `json:"canceled,omitempty"`
+	CompactRevision int64             `json:"compact_revision,omitempty,string"`
+	Events          []revisions.Event `json:"events,omitempty"`
 }
 
 // check refuses what the stand-in does not know and what exceeds its limits.
@@ -138,67 +140,59 @@
 }
 
 // txn runs a transaction in one revision.
-func (s *store) txn(request txnRequest) (txnResponse, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func txn(s *revisions.Store, request txnRequest) (txnResponse, error) {
+	s.Mu.Lock()
+	defer s.Mu.Unlock()
 	succeeded := true
 	for _, c := range request.Compare {
-		succeeded = succeeded && s.keys[string(c.Key)].ModRevision == c.ModRevision
+		succeeded = succeeded && s.Keys[string(c.Key)].ModRevision == c.ModRevision
 	}
 	ops := request.Failure
 	if succeeded {
 		ops = request.Success
 	}
-	if err := s.checkLeases(ops); err != nil {
+	if err := checkLeases(s, ops); err != nil {
 		return txnResponse{}, err
 	}
-	responses := s.apply(ops)
-	return txnResponse{Header: header{Revision: s.revision}, Succeeded: succeeded, Responses: responses}, nil
+	responses := apply(s, ops)
+	return txnResponse{Header: header{Revision: s.Revision}, Succeeded: succeeded, Responses: responses}, nil
 }
 
-func (s *store) checkLeases(ops []txnOp) error {
+func checkLeases(s *revisions.Store, ops []txnOp) error {
 	for _, op := range ops {
-		if op.Put == nil || op.Put.Lease == 0 {
-			continue
-		}
-		if _, ok := s.leases[op.Put.Lease]; !ok {
-			return errNoLease
+		if op.Put != nil && op.Put.Lease != 0 && !s.HasLease(op.Put.Lease) {
+			return revisions.ErrNoLease
 		}
 	}
 	return nil
 }
 
-func (s *store) apply(ops []txnOp) []opResponse {
-	before := len(s.history)
-	s.revision++
+func apply(s *revisions.Store, ops []txnOp) []opResponse {
 	responses := make([]opResponse, 0, len(ops))
-	for _, op := range ops {
-		responses = append(responses, s.applyOne(op))
-	}
-	if len(s.history) == before {
-		s.revision--
-		return responses
-	}
-	s.publish()
+	s.Change(func() {
+		for _, op := range ops {
+			responses = append(responses, applyOne(s, op))
+		}
+	})
 	return responses
 }
 
-func (s *store) applyOne(op txnOp) opResponse {
-	at := header{Revision: s.revision}
+func applyOne(s *revisions.Store, op txnOp) opResponse {
+	at := header{Revision: s.Revision}
 	switch {
 	case op.Put != nil:
-		s.put(op.Put.Key, op.Put.Value, op.Put.Lease)
+		s.Put(op.Put.Key, op.Put.Value, op.Put.Lease)
 		return opResponse{Put: &changeResponse{Header: at}}
 	case op.Delete != nil:
 		deleted := int64(0)
-		for _, kv := range s.readRange(op.Delete.Key, op.Delete.RangeEnd) {
-			if s.remove(kv.Key) {
+		for _, kv := range s.Range(op.Delete.Key, op.Delete.RangeEnd) {
+			if s.Remove(kv.Key) {
 				deleted++
 			}
 		}
 		return opResponse{Delete: &changeResponse{Header: at, Deleted: deleted}}
 	case op.Range != nil:
-		kvs := s.readRange(op.Range.Key, op.Range.RangeEnd)
+		kvs := s.Range(op.Range.Key, op.Range.RangeEnd)
 		return opResponse{Range: &rangeResponse{Header: at, KVs: kvs, Count: int64(len(kvs))}}
 	default:
 		return opResponse{}
