Play the programs as processes beside stand-ins of the platform

Change: testkit/standin/backendserver stands in for plain servers and model runners (slots, loads from store, disk and memory, adapters, orders late and unanswered, refusals, failures, cut, lost, doubled and garbled answers, restarts, draining); testkit/platformsite runs the built entries and agents beside it and the store's stand-in, and checks each request against the journals: runs, bodies, seals, promises.

--- /dev/null
+++ b/testkit/platformprocess/help_test.go
@@ -0,0 +1,16 @@
+package platformprocess
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+func contextWithTimeout(t *testing.T, d time.Duration) (context.Context, context.CancelFunc) {
+	t.Helper()
+	return context.WithTimeout(t.Context(), d)
+}
+
+// errNotYet tells what was seen instead of what is awaited.
+func errNotYet(seen any) error { return fmt.Errorf("not yet: %v", seen) }
--- /dev/null
+++ b/testkit/platformprocess/path_test.go
@@ -0,0 +1,110 @@
+package platformprocess
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"teaselgauge.example/teaselgauge/testkit/platformsite"
+	"teaselgauge.example/teaselgauge/testkit/standin/backendserver"
+)
+
+// TestWholePath sends requests of each kind through each entry.
+func TestWholePath(t *testing.T) {
+	s := start(t, nil)
+	for _, entry := range s.Entries {
+		for _, path := range []string{platformsite.BookingPath, platformsite.StockPath} {
+			mustServe(t, s, entry, s.NewRequest(path, ""))
+		}
+		for _, model := range []string{"m1", "m2", "m3", "m4", "m1/a1", "m2/a1", "m1/a2"} {
+			eventuallyServe(t, s, entry, platformsite.AdvicePath, model)
+			eventuallyServe(t, s, entry, platformsite.BatchPath, model)
+		}
+	}
+}
+
+// TestHeadersOfTheSystemDoNotComeFromCallers checks what a backend server gets.
+func TestHeadersOfTheSystemDoNotComeFromCallers(t *testing.T) {
+	s := start(t, nil)
+	request := s.NewRequest(platformsite.StockPath, "")
+	request.Header = http.Header{
+		backendserver.HeaderInstance: {"p-none"}, backendserver.HeaderPriority: {"0"}, "Teaselgauge-Hold": {"7"},
+	}
+	mustServe(t, s, s.Entries[0], request)
+	streamed := s.NewRequest(platformsite.AdvicePath, "m1")
+	streamed.Header = request.Header
+	eventuallyServe(t, s, s.Entries[0], platformsite.AdvicePath, "m1")
+	mustServe(t, s, s.Entries[0], streamed)
+	if got := s.Runs(streamed.ID)[0].Priority; got != "1" {
+		t.Errorf("priority %q at the runner, want the route's", got)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	s := start(t, nil)
+	entry := s.Entries[0]
+	unrouted := s.NewRequest("/nowhere/", "")
+	if got := entry.Send(within(t), unrouted); got.Status != http.StatusNotFound {
+		t.Errorf("request without a route: %s", got)
+	}
+	tooLarge := s.NewRequest(platformsite.StockPath, "")
+	tooLarge.Body = string(make([]byte, 2<<20))
+	if got := entry.Send(within(t), tooLarge); got.Status != http.StatusRequestEntityTooLarge {
+		t.Errorf("too large a body: %s", got)
+	}
+	unknown := s.NewRequest(platformsite.AdvicePath, "no-such-model")
+	if got := entry.Send(within(t), unknown); !got.IsNotRun() || got.Header.Get("Retry-After") == "" {
+		t.Errorf("unknown model: %s with header %v, want a refusal that says when to come back", got, got.Header)
+	}
+	for _, request := range []platformsite.Request{unrouted, tooLarge, unknown} {
+		if runs := s.Runs(request.ID); len(runs) > 0 {
+			t.Errorf("%s ran", request.ID)
+		}
+	}
+}
+
+// TestDeadline gives a request less time than its work takes.
+func TestDeadline(t *testing.T) {
+	s := start(t, nil)
+	for _, backend := range s.Plain {
+		backend.SetWork(2 * time.Second)
+	}
+	request := s.NewRequest(platformsite.BookingPath, "")
+	request.Budget = 300 * time.Millisecond
+	result := s.Entries[0].Send(within(t), request)
+	if result.Status != http.StatusGatewayTimeout || result.Total > 700*time.Millisecond {
+		t.Errorf("after %s: %s, want a timeout at the deadline", result.Total, result)
+	}
+	checkRules(t, s, request, result)
+	timedOut := s.NewRequest(platformsite.BookingPath, "")
+	result = s.Entries[0].Send(within(t), timedOut)
+	if result.Status != http.StatusGatewayTimeout || result.Total > 1400*time.Millisecond {
+		t.Errorf("after %s: %s, want a timeout at the route's bound", result.Total, result)
+	}
+}
+
+// TestCallerLeaves checks that a backend server is told when a caller is gone.
+func TestCallerLeaves(t *testing.T) {
+	s := start(t, func(o *platformsite.Options) { o.Events = 1000 })
+	entry := s.Entries[0]
+	request := s.NewRequest(platformsite.AdvicePath, "m1")
+	eventually(t, func() error {
+		ctx, cancel := contextWithTimeout(t, 500*time.Millisecond)
+		defer cancel()
+		request = s.NewRequest(platformsite.AdvicePath, "m1")
+		result := entry.Send(ctx, request)
+		if len(s.Runs(request.ID)) == 0 {
+			return errNotYet(result)
+		}
+		return nil
+	})
+	eventually(t, func() error {
+		if run := s.Runs(request.ID)[0]; !run.Abandoned {
+			return errNotYet(run)
+		}
+		return nil
+	})
+	if left := time.Since(s.Runs(request.ID)[0].At); left > 3*time.Second {
+		t.Errorf("the runner learnt it only %s after the request came", left)
+	}
+}
--- /dev/null
+++ b/testkit/platformsite/site.go
@@ -0,0 +1,317 @@
+// Package platformsite runs the product's programs beside stand-ins of the users'
+// platform on loopback addresses: entries before backend servers, and an agent
+// beside each model runner. The stand-ins run in this process, so that tests set
+// their faults and read their journals directly.
+package platformsite
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/testkit/site"
+	"teaselgauge.example/teaselgauge/testkit/standin/backendserver"
+	"teaselgauge.example/teaselgauge/testkit/standin/metadatastore"
+)
+
+// Options describe a site.
+type Options struct {
+	// Entries, Runners and Plain are the numbers of entries, of model runners with
+	// their agents, and of plain servers.
+	Entries, Runners, Plain int
+	// Zones are given to them in turn.
+	Zones []string
+	// RunnerMB is the accelerator memory of each runner.
+	RunnerMB       float64
+	AdapterSlots   int
+	Slots          int
+	LoadsPerSecond float64
+	Models         []backendserver.Model
+	// Work is the time of a plain request and of an event, Events the number of
+	// events of a stream.
+	Work   time.Duration
+	Events int
+	// DrainMillis is the time between SIGTERM and the end of an entry.
+	DrainMillis int
+	LogLevel    string
+	// Arrange changes the engine of the i-th runner before it starts.
+	Arrange func(i int, engine *backendserver.Engine)
+}
+
+// Entry is an entry's process.
+type Entry struct {
+	*site.Process
+	ID, Zone  string
+	Callers   string
+	Readiness string
+	Metrics   string
+	settings  string
+}
+
+// Runner is a model runner with its agent's process.
+type Runner struct {
+	*site.Process
+	ID, Zone string
+	Metrics  string
+	Backend  *backendserver.Server
+	settings string
+}
+
+// Site is a running site. Its methods are called from one goroutine.
+type Site struct {
+	Store   *metadatastore.Server
+	Entries []*Entry
+	Runners []*Runner
+	Plain   []*backendserver.Server
+
+	options  Options
+	binaries site.Binaries
+	dir      string
+	listener *httptest.Server
+	version  int64
+	nextID   int
+}
+
+// startTimeout bounds the start of a site.
+const startTimeout = 30 * time.Second
+
+// Start starts all processes and waits until the entries are ready and the models
+// are placed. On failure it ends what it started.
+func Start(ctx context.Context, binaries site.Binaries, options Options) (*Site, error) {
+	dir, err := os.MkdirTemp("", "teaselgauge-platform-")
+	if err != nil {
+		return nil, fmt.Errorf("platform site: %w", err)
+	}
+	s := &Site{Store: metadatastore.New(), options: options, binaries: binaries, dir: dir}
+	s.listener = httptest.NewServer(s.Store)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := s.start(ctx); err != nil {
+		err = errors.Join(err, errors.New(s.Logs()))
+		return nil, errors.Join(err, s.Close())
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	s.Configure(nil)
+	for i := range s.options.Plain {
+		if err := s.addPlain(i); err != nil {
+			return err
+		}
+	}
+	for range s.options.Runners {
+		if _, err := s.AddRunner(); err != nil {
+			return err
+		}
+	}
+	for i := range s.options.Entries {
+		if err := s.addEntry(i); err != nil {
+			return err
+		}
+	}
+	for _, entry := range s.Entries {
+		if err := entry.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return s.AwaitPlacement(ctx)
+}
+
+func (s *Site) zone(i int) string { return s.options.Zones[i%len(s.options.Zones)] }
+
+func (s *Site) addPlain(i int) error {
+	backend, err := backendserver.Start("127.0.0.1:0", s.Store, backendserver.Options{
+		ID: fmt.Sprintf("p-%d", i+1), Service: PlainService, Zone: s.zone(i),
+		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work,
+	})
+	if err != nil {
+		return err
+	}
+	s.Plain = append(s.Plain, backend)
+	return nil
+}
+
+// AddRunner starts a model runner and its agent.
+func (s *Site) AddRunner() (*Runner, error) {
+	i := len(s.Runners)
+	engine := &backendserver.Engine{MB: s.options.RunnerMB, AdapterSlots: s.options.AdapterSlots, Models: s.options.Models}
+	if s.options.Arrange != nil {
+		s.options.Arrange(i, engine)
+	}
+	backend, err := backendserver.Start("127.0.0.1:0", s.Store, backendserver.Options{
+		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Engine: engine,
+		Slots: s.options.Slots, Queue: 2 * s.options.Slots, Work: s.options.Work, Events: s.options.Events,
+	})
+	if err != nil {
+		return nil, err
+	}
+	addresses, err := site.FreeAddresses(2)
+	if err != nil {
+		return nil, err
+	}
+	runner := &Runner{ID: fmt.Sprintf("side-%d", i+1), Zone: s.zone(i), Metrics: addresses[1], Backend: backend}
+	s.Runners = append(s.Runners, runner)
+	config := settings.Runner{
+		Host:   s.host(runner.ID, runner.Zone),
+		Listen: settings.RunnerListen{Inner: addresses[0], Metrics: addresses[1]},
+		Store:  settings.MetadataStore{Address: s.storeAddress()},
+		Runner: backend.Address(),
+		Log:    settings.Log{Level: s.options.LogLevel},
+	}
+	runner.settings, err = s.writeSettings(runner.ID, config)
+	if err != nil {
+		return nil, err
+	}
+	runner.Process = s.process(runner.ID, s.binaries.Agent, "runner", runner.settings)
+	return runner, runner.Start()
+}
+
+func (s *Site) addEntry(i int) error {
+	addresses, err := site.FreeAddresses(4)
+	if err != nil {
+		return err
+	}
+	entry := &Entry{
+		ID: fmt.Sprintf("front-%d", i+1), Zone: s.zone(i),
+		Callers: addresses[0], Readiness: addresses[1], Metrics: addresses[2],
+	}
+	s.Entries = append(s.Entries, entry)
+	config := settings.Gateway{
+		Host: s.host(entry.ID, entry.Zone),
+		Listen: settings.GatewayListen{
+			Callers: entry.Callers, Readiness: entry.Readiness, Metrics: entry.Metrics, Inner: addresses[3],
+		},
+		Store:       settings.MetadataStore{Address: s.storeAddress()},
+		DrainMillis: s.options.DrainMillis,
+		Log:         settings.Log{Level: s.options.LogLevel},
+	}
+	entry.settings, err = s.writeSettings(entry.ID, config)
+	if err != nil {
+		return err
+	}
+	entry.Process = s.process(entry.ID, s.binaries.Entry, "gateway", entry.settings)
+	return entry.Start()
+}
+
+func (s *Site) host(id, zone string) settings.Host {
+	return settings.Host{ID: id, Region: "region-1", FailureDomain: zone}
+}
+
+func (s *Site) storeAddress() string { return strings.TrimPrefix(s.listener.URL, "http://") }
+
+func (s *Site) writeSettings(id string, config any) (string, error) {
+	path := filepath.Join(s.dir, id+".json")
+	data, err := json.MarshalIndent(config, "", "  ")
+	if err != nil {
+		return "", fmt.Errorf("platform site: settings of %s: %w", id, err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return "", fmt.Errorf("platform site: settings of %s: %w", id, err)
+	}
+	return path, nil
+}
+
+func (s *Site) process(id, binary, command, path string) *site.Process {
+	return site.NewProcess(id, binary, []string{command, "--settings", path}, s.logPath(id))
+}
+
+func (s *Site) logPath(id string) string { return filepath.Join(s.dir, id+".log") }
+
+// Processes returns all processes of the product.
+func (s *Site) Processes() []*site.Process {
+	var all []*site.Process
+	for _, entry := range s.Entries {
+		all = append(all, entry.Process)
+	}
+	for _, runner := range s.Runners {
+		all = append(all, runner.Process)
+	}
+	return all
+}
+
+// Close ends all processes and removes the site's files.
+func (s *Site) Close() error {
+	var failures []error
+	for _, process := range s.Processes() {
+		if process != nil && process.Running() {
+			failures = append(failures, process.Kill())
+		}
+	}
+	for _, backend := range s.Backends() {
+		backend.Close()
+	}
+	s.listener.CloseClientConnections()
+	s.Store.Close()
+	s.listener.Close()
+	return errors.Join(append(failures, os.RemoveAll(s.dir))...)
+}
+
+// Backends returns all backend servers.
+func (s *Site) Backends() []*backendserver.Server {
+	all := append([]*backendserver.Server{}, s.Plain...)
+	for _, runner := range s.Runners {
+		all = append(all, runner.Backend)
+	}
+	return all
+}
+
+// Logs returns the ends of all logs.
+func (s *Site) Logs() string {
+	const shown = 6000
+	var text strings.Builder
+	for _, process := range s.Processes() {
+		if process == nil {
+			continue
+		}
+		log := process.Log()
+		fmt.Fprintf(&text, "--- %s\n%s\n", process.Name, log[max(0, len(log)-shown):])
+	}
+	return text.String()
+}
+
+// AwaitReady waits until the entry says that it is ready.
+func (e *Entry) AwaitReady(ctx context.Context) error {
+	return site.Eventually(ctx, func() error {
+		ready, err := e.IsReady(ctx)
+		if err == nil && !ready {
+			err = fmt.Errorf("platform site: %s isn't ready", e.ID)
+		}
+		return err
+	})
+}
+
+// IsReady asks the entry as the platform's balancer does.
+func (e *Entry) IsReady(ctx context.Context) (bool, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Readiness+"/v1/ready", nil)
+	if err != nil {
+		return false, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK, nil
+}
+
+// errNotPlaced tells that there is no placement yet.
+var errNotPlaced = errors.New("platform site: models aren't placed")
+
+// AwaitPlacement waits until the models are placed.
+func (s *Site) AwaitPlacement(ctx context.Context) error {
+	return site.Eventually(ctx, func() error {
+		if _, revision := s.Store.Get("teaselgauge/placement"); revision == 0 {
+			return errNotPlaced
+		}
+		return nil
+	})
+}
--- a/testkit/site/ports.go
+++ b/testkit/site/ports.go
@@ -65,3 +65,16 @@
 	}
 	p.held = nil
 }
+
+// FreeAddresses returns loopback addresses that are free for TCP and UDP.
+func FreeAddresses(count int) ([]string, error) {
+	free := &ports{}
+	defer free.release()
+	addresses := make([]string, count)
+	for i := range addresses {
+		if err := assign(free, &addresses[i]); err != nil {
+			return nil, err
+		}
+	}
+	return addresses, nil
+}
--- a/testkit/site/process.go
+++ b/testkit/site/process.go
@@ -15,6 +15,8 @@
 // for concurrent use.
 type Process struct {
 	Name string
+	// Output gets the output instead of the log file, if it is set.
+	Output *os.File
 
 	path    string
 	args    []string
@@ -26,8 +28,13 @@
 	exit error
 }
 
-// start starts the process. It is killed by the kernel if this process dies.
-func (p *Process) start() error {
+// NewProcess returns a process that was not started yet.
+func NewProcess(name, path string, args []string, logPath string) *Process {
+	return &Process{Name: name, path: path, args: args, logPath: logPath}
+}
+
+// Start starts the process. It is killed by the kernel if this process dies.
+func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -37,8 +44,10 @@
 	defer log.Close()
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Stdout = log
-	cmd.Stdout = log
 	cmd.Stderr = log
+	if p.Output != nil {
+		cmd.Stdout = p.Output
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("site: start %s: %w", p.Name, err)
@@ -63,8 +72,8 @@
 	return p.cmd, p.done
 }
 
-// signal sends a signal, unless the process has ended.
-func (p *Process) signal(signal syscall.Signal) error {
+// Signal sends a signal, unless the process has ended.
+func (p *Process) Signal(signal syscall.Signal) error {
 	cmd, done := p.current()
 	if cmd == nil {
 		return fmt.Errorf("site: %s was not started", p.Name)
@@ -82,7 +91,7 @@
 
 // Kill ends the process with SIGKILL and waits until it is gone.
 func (p *Process) Kill() error {
-	if err := p.signal(syscall.SIGKILL); err != nil {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
 		return err
 	}
 	_, done := p.current()
@@ -91,7 +100,7 @@
 }
 
 // Terminate sends SIGTERM and returns at once.
-func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+func (p *Process) Terminate() error { return p.Signal(syscall.SIGTERM) }
 
 // Stop sends SIGTERM and waits until the process is gone. Its error tells that
 // ctx ended first or that the process failed.
@@ -116,10 +125,10 @@
 }
 
 // Freeze stops the process with SIGSTOP; Thaw lets it go on.
-func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
 
 // Thaw continues a frozen process.
-func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
+func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
 
 // Restart kills the process if it still runs and starts it again with the same
 // arguments.
@@ -127,7 +136,7 @@
 	if err := p.Kill(); err != nil {
 		return err
 	}
-	return p.start()
+	return p.Start()
 }
 
 // PID returns the id of the newest start of the process, or zero.
--- a/testkit/site/site.go
+++ b/testkit/site/site.go
@@ -202,7 +202,7 @@
 }
 
 func (s *Site) process(name, binary string, args []string) *Process {
-	process := &Process{Name: name, path: binary, args: args, logPath: filepath.Join(s.dir, name+".log")}
+	process := NewProcess(name, binary, args, filepath.Join(s.dir, name+".log"))
 	s.processes = append(s.processes, process)
 	return process
 }
@@ -247,7 +247,7 @@
 		}
 	}
 	for _, standin := range standins {
-		if err := standin.start(); err != nil {
+		if err := standin.Start(); err != nil {
 			return err
 		}
 	}
@@ -281,7 +281,7 @@
 		}
 	}
 	for _, host := range s.Hosts() {
-		if err := host.start(); err != nil {
+		if err := host.Start(); err != nil {
 			return err
 		}
 	}
@@ -373,5 +373,5 @@
 // that takes the first one for dead.
 func (s *Site) StartSecond(host *Host) (*Process, error) {
 	second := s.process(fmt.Sprintf("%s-second-%d", host.ID, len(s.processes)), host.path, host.args)
-	return second, second.start()
+	return second, second.Start()
 }
--- /dev/null
+++ b/testkit/standin/backendserver/requests.go
@@ -0,0 +1,226 @@
+package backendserver
+
+import (
+	"bufio"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"teaselgauge.example/teaselgauge/testkit/standin/httpapi"
+)
+
+// The headers that the stand-in reads and writes.
+const (
+	HeaderRequestID = "Teaselgauge-Attempt-Id"
+	HeaderModel     = "Teaselgauge-Model"
+	HeaderBudget    = "Teaselgauge-Deadline-Ms"
+	HeaderTokens    = "Teaselgauge-Token-Count"
+	HeaderSeal      = "Teaselgauge-Response-Seal"
+	HeaderNotRun    = "Teaselgauge-Not-Executed"
+	HeaderInstance  = "Teaselgauge-Expect-Instance"
+	HeaderPriority  = "Teaselgauge-Request-Priority"
+)
+
+// StreamPath begins the paths that are answered with a stream.
+const StreamPath = "/stream/"
+
+// Seal returns the seal of the answer to a request.
+func Seal(requestID string) string {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, requestID)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// Answer returns the body of the answer to a plain request.
+func Answer(requestID, path, body string) string {
+	return fmt.Sprintf("%s|%s|%s", requestID, path, body)
+}
+
+// Event returns one event of the stream that answers a request.
+func Event(requestID string, number, last int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", number, requestID, number, last)
+}
+
+// Stream returns the whole stream that answers a request.
+func Stream(requestID string, events int) string {
+	var text strings.Builder
+	for i := 1; i <= events; i++ {
+		text.WriteString(Event(requestID, i, events))
+	}
+	return text.String()
+}
+
+func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(HeaderRequestID)
+	body, err := httpapi.Body(w, r)
+	if err != nil || id == "" {
+		s.refuse(w, id, http.StatusBadRequest)
+		return
+	}
+	change := s.note(Run{
+		ID: id, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), Model: r.Header.Get(HeaderModel),
+		Priority: r.Header.Get(HeaderPriority), Budget: r.Header.Get(HeaderBudget),
+		LastEventID: r.Header.Get("Last-Event-Id"), At: time.Now(),
+	})
+	if status := s.refusal(r); status != 0 {
+		s.refuse(w, id, status)
+		return
+	}
+	if !s.enter(r) {
+		s.refuse(w, id, http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	change(func(run *Run) { run.Ran = true })
+	defer func() {
+		left := r.Context().Err() != nil
+		change(func(run *Run) { run.Ended, run.Abandoned = !left, left })
+	}()
+	s.answer(w, r, id, string(body))
+}
+
+func (s *Server) refuse(w http.ResponseWriter, id string, status int) {
+	w.Header().Set(HeaderRequestID, id)
+	w.Header().Set(HeaderNotRun, "1")
+	w.WriteHeader(status)
+}
+
+// refusal is the status with which a request is refused, or zero.
+func (s *Server) refusal(r *http.Request) int {
+	if s.takes(func(f *Faults) *int { return &f.RefuseNext }) {
+		return http.StatusServiceUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if expected := r.Header.Get(HeaderInstance); expected != "" && expected != s.id {
+		s.journal.Violations.WrongInstance++
+		return http.StatusMisdirectedRequest
+	}
+	if s.engine == nil {
+		return 0
+	}
+	model, adapter, named := strings.Cut(r.Header.Get(HeaderModel), "/")
+	adapters, loaded := s.engine.loaded[model]
+	if !loaded || (named && !adapters[adapter]) {
+		return http.StatusMisdirectedRequest
+	}
+	return 0
+}
+
+// enter waits for a slot and returns false if too many wait already.
+func (s *Server) enter(r *http.Request) bool {
+	s.mu.Lock()
+	if len(s.slots) == cap(s.slots) && s.waiting >= s.options.Queue {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.waiting--
+	}()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-s.stopped:
+		return false
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, id, body string) {
+	s.mu.Lock()
+	work, events, silent := s.options.Work, s.options.Events, s.faults.Silent
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
+	switch {
+	case s.takes(func(f *Faults) *int { return &f.GarbleNext }):
+		s.hijack(w, "\x00\x01 this is no answer\r\n\r\n")
+		return
+	case s.takes(func(f *Faults) *int { return &f.LoseNext }):
+		httpapi.Sleep(r.Context(), work)
+		httpapi.Abort()
+	}
+	w.Header().Set(HeaderRequestID, id)
+	w.Header().Set(HeaderSeal, Seal(id))
+	if s.takes(func(f *Faults) *int { return &f.FailNext }) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	cut := s.takes(func(f *Faults) *int { return &f.CutNext })
+	if strings.HasPrefix(r.URL.Path, StreamPath) {
+		s.stream(w, r, id, work, events, cut)
+		return
+	}
+	s.plain(w, r, id, body, work, cut)
+}
+
+func (s *Server) plain(w http.ResponseWriter, r *http.Request, id, body string, work time.Duration, cut bool) {
+	if !httpapi.Sleep(r.Context(), work) {
+		return
+	}
+	text := Answer(id, r.URL.RequestURI(), body)
+	if s.takes(func(f *Faults) *int { return &f.DoubleNext }) {
+		s.hijack(w, rawAnswer(id, text)+rawAnswer(id, text))
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if cut {
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
+		httpapi.Abort()
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+func rawAnswer(id, text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		HeaderRequestID, id, HeaderSeal, Seal(id), len(text), text)
+}
+
+func (s *Server) hijack(w http.ResponseWriter, raw string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		httpapi.Abort()
+	}
+	_, _ = buffered.WriteString(raw)
+	_ = buffered.Flush()
+	// The connection stays open for a moment, as that of a faulty server does.
+	time.AfterFunc(time.Second, func() { _ = conn.Close() })
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, work time.Duration, events int, cut bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	first := 1
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = after + 1
+	}
+	out := bufio.NewWriter(w)
+	for i := first; i <= events; i++ {
+		if !httpapi.Sleep(r.Context(), work) {
+			return
+		}
+		event := Event(id, i, events)
+		if cut && i == (first+events)/2 {
+			_, _ = out.WriteString(event[:len(event)/2])
+			_ = out.Flush()
+			_ = flusher.Flush()
+			httpapi.Abort()
+		}
+		_, _ = out.WriteString(event)
+		_ = out.Flush()
+		_ = flusher.Flush()
+	}
+}
