--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 # fuzz runs each fuzz target for FUZZTIME.
 FUZZTIME ?= 10s
 fuzz:
-	@set -e; for target in $$(grep -rlE '^func Fuzz' --include=*_test.go pkg); do \
+	@set -e; for target in $$(grep -rlE '^func Fuzz' --include=*_test.go pkg platform); do \
 		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' $$target); do \
 			echo "$$name in $$(dirname $$target)"; \
 			go test -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZTIME) ./$$(dirname $$target); \
