Hold the retry budget in every window, and read settings that change at the start

Cause: three finds of new tests. The budget's window was up to one step shorter than the bound's, so 6 repeats were let through where 5.9 may be (TestBudgetHoldsInEachWindow). A settings file that changed between its first reading and the follower's start was never noticed (TestChangeWithoutASignalIsNoticed). The number of entries that share the budget was a guess of 8. Change: steps are cut so that the window is covered whole; the follower starts from the content before the first loading; an entry follows how many entries there are, and forgets servers and connections that are gone.

--- a/pkg/attempt/budget.go
+++ b/pkg/attempt/budget.go
@@ -94,7 +94,8 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	length := max(b.limits.Window/budgetSteps, time.Millisecond)
+	// The step that has just begun doesn't count as a whole one.
+	length := max(b.limits.Window/(budgetSteps-1), time.Millisecond)
 	step := int64(now.Sub(b.start) / length)
 	for w.step < step {
 		if step-w.step > budgetSteps {
--- a/pkg/command/serve.go
+++ b/pkg/command/serve.go
@@ -54,6 +54,10 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	path := cmd.String("settings")
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return &RefusedError{Err: fmt.Errorf("settings: %w", err)}
+	}
 	config, err := s.Load(path)
 	if err != nil {
 		return &RefusedError{Err: err}
@@ -68,6 +72,7 @@
 	updates := make(chan T, 1)
 	follower := &settings.Follower[T]{
 		Path:    path,
+		Content: content,
 		Load:    s.Load,
 		Signals: hangups,
 		Changed: func(changed T) { s.reload(changed, level, logger, updates) },
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -135,6 +135,7 @@
 	g.wait.Go(func() { g.sources.followSite(ctx) })
 	g.wait.Go(func() { g.sources.expireLapsed(ctx) })
 	g.wait.Go(func() { g.pool.Run(ctx) })
+	g.wait.Go(func() { g.keepUp(ctx) })
 	g.wait.Go(func() { g.join(ctx, d) })
 }
 
--- a/pkg/settings/follow.go
+++ b/pkg/settings/follow.go
@@ -15,7 +15,9 @@
 // changed.
 type Follower[T any] struct {
 	Path string
-	Load func(path string) (T, error)
+	// Content is the file's content before the present settings were loaded.
+	Content []byte
+	Load    func(path string) (T, error)
 	// Signals ask for a reading.
 	Signals <-chan os.Signal
 	// Changed is told of new settings, Failed of a file that can't be used; the
@@ -28,7 +30,7 @@
 
 // Run follows the file until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
-	last, _ := os.ReadFile(f.Path)
+	last := f.Content
 	ticker := time.NewTicker(followInterval)
 	defer ticker.Stop()
 	for {
