--- /dev/null
+++ b/pkg/gateway/main_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/packing"
+	"teaselgauge.example/teaselgauge/pkg/roster"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const (
+	testEngine = "engine"
+	testModel  = "m"
+	testZone   = "zone-1"
+)
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// testRunner is a model runner as the fixture draws it.
+type testRunner struct {
+	id, zone string
+	status   *wire.RunnerStatus
+	// unheard leaves the agent without a status.
+	unheard bool
+	permits bool
+	loaded  bool
+}
+
+// fixture is a control state that isn't driven by a loop.
+func fixture(now time.Time, runners ...testRunner) *control {
+	c := newControl(quiet())
+	c.configured(&fleet.Configuration{
+		Version: 1,
+		Services: []fleet.Service{{Name: testEngine, Engine: &fleet.Engine{
+			Slots: 10, MiB: 100, AdapterSlots: 2, Models: []fleet.Model{{Name: testModel, MiB: 40}},
+		}}},
+	})
+	placement := &packing.Placement{Revision: 5, Models: []packing.Placed{{Service: testEngine, Model: testModel}}}
+	for _, runner := range runners {
+		listed := fleet.Backend{
+			ID: runner.id, Service: testEngine, Address: "addr-" + runner.id, FailureDomain: runner.zone, Slots: 10, BornMillis: 1,
+		}
+		if runner.loaded {
+			listed.Models = []fleet.LoadedModel{{Name: testModel}}
+		}
+		c.registry.Put(now, listed)
+		host := "host-" + runner.id
+		c.siteChanged(siteChange{asOf: 9, hosts: []roster.Host{{ID: host, Role: keys.RoleAgent, Runner: listed.Address, Revision: 3}}})
+		if runner.permits {
+			placed := &placement.Models[0]
+			placed.Permits = append(placed.Permits, packing.Permit{Host: host})
+		}
+		if !runner.unheard {
+			var status wire.RunnerStatus
+			if runner.status != nil {
+				status = *runner.status
+			}
+			status.BornMillis = 1
+			c.agentSaid(now, host, &status)
+		}
+	}
+	c.siteChanged(siteChange{placement: placement})
+	return c
+}
+
+// statusOf is a status with one model.
+func statusOf(running int, model wire.RunnerModel) *wire.RunnerStatus {
+	model.Name = testModel
+	return &wire.RunnerStatus{Slots: 10, Running: running, Models: []wire.RunnerModel{model}}
+}
+
+func chosen(c *control, tracker *backends.Tracker, now time.Time, tried ...string) string {
+	s := chooseRunner(now, c.current(), tracker, testEngine, testModel, testZone, tried)
+	if s == nil {
+		return ""
+	}
+	return s.ID
+}
--- a/pkg/keyvalue/keyvaluetest/store.go
+++ b/pkg/keyvalue/keyvaluetest/store.go
@@ -35,7 +35,7 @@
 	MaxDelay time.Duration
 }
 
-// Store implements keyvalue.Store in memory.
+// Store implements keyvalue.LeaseStore in memory.
 type Store struct {
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -44,10 +44,12 @@
 	first    int64
 	values   map[string]keyvalue.KeyValue
 	leases   map[string]int64
-	nextID   int64
-	log      []change
-	changed  chan struct{}
-	calls    int
+	// ended holds the leases that have ended.
+	ended   map[int64]bool
+	nextID  int64
+	log     []change
+	changed chan struct{}
+	calls   int
 }
 
 // change is one entry of the history that watches read.
@@ -62,6 +64,7 @@
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		values:  make(map[string]keyvalue.KeyValue),
 		leases:  make(map[string]int64),
+		ended:   make(map[int64]bool),
 		changed: make(chan struct{}),
 	}
 }
@@ -205,10 +208,33 @@
 	return s.nextID, nil
 }
 
+// KeepAlive implements keyvalue.LeaseStore.
+func (s *Store) KeepAlive(ctx context.Context, lease int64) error {
+	if err := s.begin(ctx, "keep-alive"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lease > s.nextID || s.ended[lease] {
+		return &keyvalue.StoreError{Op: "keep-alive", Err: keyvalue.ErrLeaseEnded}
+	}
+	return nil
+}
+
+// Revoke implements keyvalue.LeaseStore.
+func (s *Store) Revoke(ctx context.Context, lease int64) error {
+	if err := s.begin(ctx, "revoke"); err != nil {
+		return err
+	}
+	s.Expire(lease)
+	return nil
+}
+
 // Expire ends a lease and deletes its keys.
 func (s *Store) Expire(lease int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended[lease] = true
 	var changes []keyvalue.Op
 	for _, key := range slices.Sorted(maps.Keys(s.leases)) {
 		if lease != 0 && s.leases[key] == lease {
--- /dev/null
+++ b/pkg/runneragent/agent_test.go
@@ -0,0 +1,287 @@
+package runneragent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
+	"teaselgauge.example/teaselgauge/pkg/modelrunner"
+	"teaselgauge.example/teaselgauge/pkg/roster"
+	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const (
+	agentID  = "side-1"
+	instance = "r-1"
+	born     = 7
+	// patience bounds the wait for something that must happen.
+	patience = 10 * time.Second
+)
+
+// fakeRunner holds what it is told to and takes every order.
+type fakeRunner struct {
+	mu     sync.Mutex
+	report modelrunner.Report
+	orders []modelrunner.Order
+	err    error
+}
+
+func (r *fakeRunner) Report(context.Context) (modelrunner.Report, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.report, r.err
+}
+
+func (r *fakeRunner) Order(_ context.Context, order modelrunner.Order) (modelrunner.Result, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orders = append(r.orders, order)
+	r.report.Sequence++
+	if order.Operation == modelrunner.Load && order.Adapter == "" {
+		r.report.Models = append(r.report.Models, modelrunner.Held{Name: order.Model})
+	}
+	return modelrunner.Accepted, nil
+}
+
+func (r *fakeRunner) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.err = err
+}
+
+// fixture is an agent with a gateway's end of the inner protocol.
+type fixture struct {
+	t      *testing.T
+	runner *fakeRunner
+	node   *wire.Node
+	inner  string
+	subscr *wire.Stream
+}
+
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	return conn.LocalAddr().String()
+}
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	store := keyvaluetest.NewStore(1)
+	f := &fixture{t: t, inner: freeUDP(t), runner: &fakeRunner{report: modelrunner.Report{BornMillis: born, OnDisk: []string{"m"}}}}
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	config := settings.Runner{
+		Host:   settings.Host{ID: agentID, FailureDomain: "z"},
+		Listen: settings.RunnerListen{Inner: f.inner, Metrics: "127.0.0.1:0"},
+		Runner: "127.0.0.1:1",
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- Run(ctx, config, Dependencies{Store: store, Runner: f.runner}, logger) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	f.connect(store, logger)
+	return f
+}
+
+// connect opens a gateway's node and subscribes.
+func (f *fixture) connect(store *keyvaluetest.Store, logger *slog.Logger) {
+	f.t.Helper()
+	secret, err := roster.Secret(f.t.Context(), store, func(error) {})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ephemeral, err := keys.NewEphemeral(secret, "front-1", keys.RoleEntry, time.Now())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.node, err = wire.NewNode(wire.NodeConfig{
+		Address: "127.0.0.1:0", ServerTLS: ephemeral.ServerConfig(keys.RoleAgent), ClientTLS: ephemeral.ClientConfig(keys.RoleAgent),
+		Identify: keys.Identify, Handler: refuse{}, Logger: logger,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(f.node.Close)
+	f.subscr = f.open(&wire.Frame{Subscribe: &wire.Subscribe{Entry: "front-1"}})
+	f.t.Cleanup(f.subscr.Cancel)
+}
+
+// refuse ends the streams that others open.
+type refuse struct{}
+
+func (refuse) ServeStream(_ context.Context, _ wire.Peer, stream *wire.Stream) { stream.Cancel() }
+
+// open opens a stream with a first frame, once the agent listens.
+func (f *fixture) open(first *wire.Frame) *wire.Stream {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		ctx, cancel := context.WithTimeout(f.t.Context(), time.Second)
+		stream, err := f.node.Open(ctx, agentID, f.inner)
+		cancel()
+		if err == nil {
+			if err := stream.Send(first); err != nil {
+				f.t.Fatal(err)
+			}
+			return stream
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatal("the agent doesn't listen")
+	return nil
+}
+
+// plan sends a placement for the runner.
+func (f *fixture) plan(asOf int64) {
+	f.t.Helper()
+	err := f.subscr.Send(&wire.Frame{RunnerPlan: &wire.RunnerPlan{
+		Revision: 5, AsOf: asOf, Instance: instance, BornMillis: born, Slots: 2, MiB: 100,
+		Models: []wire.PlannedModel{{Name: "m", MiB: 40, RemoteLoadMillis: 100, DiskLoadMillis: 20, MemoryLoadMillis: 10, Permitted: true}},
+	}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// awaitStatus reads statuses until one meets a condition.
+func (f *fixture) awaitStatus(isRight func(*wire.RunnerStatus) bool) {
+	f.t.Helper()
+	for {
+		f.subscr.SetReadDeadline(time.Now().Add(patience))
+		frame, err := f.subscr.Receive()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if frame.RunnerStatus != nil && isRight(frame.RunnerStatus) {
+			return
+		}
+	}
+}
+
+func (f *fixture) awaitPlan() {
+	f.t.Helper()
+	f.plan(1000)
+	f.awaitStatus(func(s *wire.RunnerStatus) bool { return s.PlanRevision == 5 })
+}
+
+func acquire(id, model string) *wire.Frame {
+	return &wire.Frame{Acquire: &wire.Acquire{
+		RequestID: id, Model: model, Route: "advice", DeadlineMillis: 5000, StartMillis: 5000, TargetMillis: 300, Tokens: 10, PromptTokens: 10,
+	}}
+}
+
+// outcomeOf reads a stream until the use is granted or refused.
+func (f *fixture) outcomeOf(stream *wire.Stream) *wire.Frame {
+	f.t.Helper()
+	stream.SetReadDeadline(time.Now().Add(patience))
+	for {
+		frame, err := stream.Receive()
+		if err != nil {
+			f.t.Fatalf("no outcome arrived: %v", err)
+		}
+		if frame.Accepted == nil {
+			return frame
+		}
+	}
+}
+
+func TestUseIsGrantedAfterALoad(t *testing.T) {
+	f := start(t)
+	f.awaitPlan()
+	stream := f.open(acquire("q1", "m"))
+	defer stream.Cancel()
+	if frame := f.outcomeOf(stream); frame.Granted == nil {
+		t.Fatalf("outcome %+v", frame)
+	}
+	f.runner.mu.Lock()
+	defer f.runner.mu.Unlock()
+	if len(f.runner.orders) != 1 || f.runner.orders[0].Fence == 0 || f.runner.orders[0].Instance != instance || f.runner.orders[0].Holder != agentID {
+		t.Errorf("orders %+v", f.runner.orders)
+	}
+}
+
+// TestRefusalsArrive asks for what can't be granted again and again; each refusal
+// must arrive before the stream ends.
+func TestRefusalsArrive(t *testing.T) {
+	f := start(t)
+	f.awaitPlan()
+	for i := range 200 {
+		stream := f.open(acquire("q", "unknown"))
+		frame := f.outcomeOf(stream)
+		if frame.Refusal == nil || frame.Refusal.Outcome != wire.OutcomeNotRun {
+			t.Fatalf("outcome %d: %+v", i, frame)
+		}
+		stream.Cancel()
+	}
+}
+
+// TestSlotsAreFreeAgainAfterARequest releases uses in each way.
+func TestSlotsAreFreeAgainAfterARequest(t *testing.T) {
+	f := start(t)
+	f.awaitPlan()
+	for i := range 12 {
+		stream := f.open(acquire("q"+string(rune('a'+i)), "m"))
+		if frame := f.outcomeOf(stream); frame.Granted == nil {
+			t.Fatalf("outcome %d: %+v", i, frame)
+		}
+		switch i % 3 {
+		case 0:
+			if err := stream.Send(&wire.Frame{Released: &wire.Released{}}); err != nil {
+				t.Fatal(err)
+			}
+			stream.Close()
+		case 1:
+			stream.Close()
+		default:
+			stream.Cancel()
+		}
+	}
+}
+
+// TestPlanThatMayBeOldIsNotUsed sends a placement as of a revision before the
+// agent's registration: an earlier incarnation may have acted on a newer one.
+func TestPlanThatMayBeOldIsNotUsed(t *testing.T) {
+	f := start(t)
+	f.plan(0)
+	stream := f.open(acquire("q1", "m"))
+	defer stream.Cancel()
+	if frame := f.outcomeOf(stream); frame.Refusal == nil {
+		t.Errorf("outcome %+v", frame)
+	}
+	f.awaitPlan()
+}
+
+func TestLostRunnerIsTold(t *testing.T) {
+	f := start(t)
+	f.awaitPlan()
+	f.runner.fail(errors.New("no answer"))
+	f.awaitStatus(func(s *wire.RunnerStatus) bool { return s.Down })
+	stream := f.open(acquire("q1", "m"))
+	defer stream.Cancel()
+	if frame := f.outcomeOf(stream); frame.Refusal == nil || frame.Refusal.Reason != wire.ReasonUnavailable {
+		t.Errorf("outcome %+v", frame)
+	}
+	f.runner.fail(nil)
+	f.awaitStatus(func(s *wire.RunnerStatus) bool { return !s.Down })
+}
