--- a/pkg/gateway/leader_test.go
+++ b/pkg/gateway/leader_test.go
@@ -176,10 +176,9 @@
 	c := fixture(testStart, testRunner{id: "a", permits: true})
 	d := &decider{control: c, logger: quiet()}
 	d.begin(1)
-	s := c.current().servers[testEngine][0]
 	c.agentLost("host-a")
 	d.noteDown(testStart, c.current())
-	s = c.current().servers[testEngine][0]
+	s := c.current().servers[testEngine][0]
 	if !d.usable(testStart.Add(downTolerance/2), s) || d.usable(testStart.Add(downTolerance), s) {
 		t.Error("a runner isn't given up after the tolerance")
 	}
--- a/pkg/keyvalue/etcd.go
+++ b/pkg/keyvalue/etcd.go
@@ -29,9 +29,6 @@
 	maxErrorBytes    = 4 << 10
 )
 
-// errResponseTooLarge tells that an answer exceeds maxResponseBytes.
-var errResponseTooLarge = errors.New("response too large")
-
 // Etcd is a client of etcd's v3 JSON/HTTP gateway. It is safe for concurrent
 // use.
 type Etcd struct {
