--- a/cmd/teaselgauge-agent/main.go
+++ b/cmd/teaselgauge-agent/main.go
@@ -13,8 +13,11 @@
 
 	"teaselgauge.example/teaselgauge/pkg/agent"
 	"teaselgauge.example/teaselgauge/pkg/command"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/runneragent"
 	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/state"
+	"teaselgauge.example/teaselgauge/pkg/telemetry"
 	"teaselgauge.example/teaselgauge/platform"
 )
 
@@ -25,6 +28,7 @@
 		Name:    "run",
 		Usage:   "serve the backend server until SIGTERM",
 		Load:    settings.LoadAgent,
+		Host:    func(config settings.Agent) settings.Host { return config.Host },
 		Log:     func(config settings.Agent) settings.Log { return config.Log },
 		Process: runSite,
 	}
@@ -33,6 +37,7 @@
 		Usage:             "serve a model runner of an operator's platform until SIGTERM",
 		SettingsVariables: []string{platform.SettingsVariable},
 		Load:              settings.LoadRunner,
+		Host:              func(config settings.Runner) settings.Host { return config.Host },
 		Log:               func(config settings.Runner) settings.Log { return config.Log },
 		Process:           runRunner,
 	}
@@ -46,11 +51,19 @@
 
 // runRunner connects the agent to the platform's adapter.
 func runRunner(ctx context.Context, config settings.Runner, environment command.Environment[settings.Runner]) error {
-	store := platform.NewStore(config.Store.Address)
+	shown := telemetry.New(state.Identity{Program: "teaselgauge-agent", Version: environment.Version, HostID: config.Host.ID})
+	defer shown.Close()
+	counted := metrics.NewRunner(shown.Scope())
+	store := platform.NewStore(config.Store.Address).WithObserver(counted.ObserveStore)
 	defer store.Close()
 	runner := platform.NewRunner(config.Runner)
 	defer runner.Close()
-	return runneragent.Run(ctx, config, runneragent.Dependencies{Store: store, Runner: runner}, environment.Logger)
+	return runneragent.Run(ctx, config, runneragent.Dependencies{
+		Store:     store,
+		Runner:    runner,
+		Telemetry: shown,
+		Metrics:   counted,
+	}, environment.Logger)
 }
 
 // runSite serves a site of teaselgauge's own, whose settings take effect at the
--- a/cmd/teaselgauge-entry/main.go
+++ b/cmd/teaselgauge-entry/main.go
@@ -15,7 +15,10 @@
 	"teaselgauge.example/teaselgauge/pkg/command"
 	"teaselgauge.example/teaselgauge/pkg/entry"
 	"teaselgauge.example/teaselgauge/pkg/gateway"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/state"
+	"teaselgauge.example/teaselgauge/pkg/telemetry"
 	"teaselgauge.example/teaselgauge/platform"
 )
 
@@ -26,6 +29,7 @@
 		Name:    "run",
 		Usage:   "serve callers and administrators until SIGTERM",
 		Load:    settings.LoadEntry,
+		Host:    func(config settings.Entry) settings.Host { return config.Host },
 		Log:     func(config settings.Entry) settings.Log { return config.Log },
 		Process: runSite,
 	}
@@ -34,13 +38,14 @@
 		Usage:             "serve an operator's platform until SIGTERM",
 		SettingsVariables: []string{platform.SettingsVariable},
 		Load:              settings.LoadGateway,
+		Host:              func(config settings.Gateway) settings.Host { return config.Host },
 		Log:               func(config settings.Gateway) settings.Log { return config.Log },
 		Process:           runGateway,
 	}
 	root := &cli.Command{
 		Name:     "teaselgauge-entry",
 		Usage:    "entry host of teaselgauge",
-		Commands: append(command.EntryCommands(), site.Command(), before.Command()),
+		Commands: append(command.EntryCommands(), command.CheckDeploy(platform.CheckDeployFile), site.Command(), before.Command()),
 	}
 	os.Exit(command.Run(ctx, root, os.Args))
 }
@@ -52,7 +57,10 @@
 
 // runGateway connects the gateway to the platform's adapter.
 func runGateway(ctx context.Context, config settings.Gateway, environment command.Environment[settings.Gateway]) error {
-	store := platform.NewStore(config.Store.Address)
+	shown := telemetry.New(state.Identity{Program: "teaselgauge-entry", Version: environment.Version, HostID: config.Host.ID})
+	defer shown.Close()
+	counted := metrics.NewGateway(shown.Scope())
+	store := platform.NewStore(config.Store.Address).WithObserver(counted.ObserveStore)
 	defer store.Close()
 	return gateway.Run(ctx, config, gateway.Dependencies{
 		Store:     store,
@@ -66,6 +74,8 @@
 		Dialect:       platform.Callers{},
 		ReadinessPath: platform.ReadinessPath,
 		Updates:       environment.Updates,
+		Telemetry:     shown,
+		Metrics:       counted,
 	}, environment.Logger)
 }
 
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	a.wait.Go(func() { a.tick(workCtx) })
-	a.logger.Info("serving", "host", a.config.Host.ID, "incarnation", a.incarnation, "inner", a.node.Address())
+	a.logger.Info("serving", "incarnation", a.incarnation, "inner", a.node.Address())
 	<-ctx.Done()
 	a.drain()
 	return nil
@@ -294,5 +294,5 @@
 		time.Sleep(drainPoll)
 	}
 	time.Sleep(drainLinger)
-	a.logger.Info("stopped", "host", a.config.Host.ID)
+	a.logger.Info("stopped")
 }
--- a/pkg/command/command.go
+++ b/pkg/command/command.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"teaselgauge.example/teaselgauge/pkg/lists"
+	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
 // The exit codes.
@@ -50,9 +51,14 @@
 	return []*cli.Command{
 		keysCommand(),
 		listsCommand(),
-		checkEntrySettingsCommand(),
+		checkSettingsCommand(map[string]loadSettings{
+			"run":     func(path string) (any, error) { return settings.LoadEntry(path) },
+			"gateway": func(path string) (any, error) { return settings.LoadGateway(path) },
+		}),
 		statusCommand(),
+		modelsCommand(),
 		dumpCommand(),
+		traceCommand(),
 		versionCommand(),
 	}
 }
@@ -60,7 +66,10 @@
 // AgentCommands returns the subcommands of teaselgauge-agent.
 func AgentCommands() []*cli.Command {
 	return []*cli.Command{
-		checkAgentSettingsCommand(),
+		checkSettingsCommand(map[string]loadSettings{
+			"run":    func(path string) (any, error) { return settings.LoadAgent(path) },
+			"runner": func(path string) (any, error) { return settings.LoadRunner(path) },
+		}),
 		dumpCommand(),
 		versionCommand(),
 	}
--- a/pkg/command/docs_test.go
+++ b/pkg/command/docs_test.go
@@ -39,7 +39,7 @@
 			return true
 		})
 	}
-	for _, document := range []any{settings.Entry{}, settings.Agent{}, lists.Plans{}, lists.Allowances{}} {
+	for _, document := range []any{settings.Entry{}, settings.Agent{}, settings.Gateway{}, settings.Runner{}, lists.Plans{}, lists.Allowances{}} {
 		for _, field := range leafFields(reflect.TypeOf(document)) {
 			check("field", field)
 		}
--- a/pkg/command/serve.go
+++ b/pkg/command/serve.go
@@ -33,6 +33,8 @@
 	// file, beside the product's own.
 	SettingsVariables []string
 	Load              func(path string) (T, error)
+	// Host picks the host's settings; each log line bears its ID.
+	Host func(T) settings.Host
 	// Log picks the settings of the logger.
 	Log     func(T) settings.Log
 	Process Process[T]
@@ -68,6 +70,7 @@
 	if err != nil {
 		return fmt.Errorf("log settings: %w", err)
 	}
+	logger = logger.With("host", s.Host(config).ID)
 	slog.SetDefault(logger)
 	updates := make(chan T, 1)
 	follower := &settings.Follower[T]{
--- a/pkg/command/settings.go
+++ b/pkg/command/settings.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"teaselgauge.example/teaselgauge/pkg/schema"
-	"teaselgauge.example/teaselgauge/pkg/settings"
 )
 
 // SettingsFlag returns the flag that names the settings file. Environment
@@ -22,21 +24,36 @@
 	}
 }
 
-func checkEntrySettingsCommand() *cli.Command {
-	return checkSettingsCommand(func(path string) (any, error) { return settings.LoadEntry(path) })
-}
+// loadSettings reads and checks a settings file.
+type loadSettings func(path string) (any, error)
 
-func checkAgentSettingsCommand() *cli.Command {
-	return checkSettingsCommand(func(path string) (any, error) { return settings.LoadAgent(path) })
-}
+// defaultCommand is the command whose settings are checked unless another one is
+// named.
+const defaultCommand = "run"
 
-func checkSettingsCommand(load func(path string) (any, error)) *cli.Command {
+// checkSettingsCommand checks the settings of the commands that run a process.
+func checkSettingsCommand(loads map[string]loadSettings) *cli.Command {
+	commands := slices.Sorted(maps.Keys(loads))
 	return &cli.Command{
 		Name:  "check-settings",
 		Usage: "check a settings file without starting and print it with the defaults filled in",
-		Flags: []cli.Flag{SettingsFlag(), outputFlag()},
+		Flags: []cli.Flag{
+			SettingsFlag(),
+			&cli.StringFlag{
+				Name:  "for",
+				Value: defaultCommand,
+				Usage: "the command that the settings are for: " + strings.Join(commands, " or "),
+				Validator: func(name string) error {
+					if loads[name] == nil {
+						return fmt.Errorf("%q is not allowed, must be %s", name, strings.Join(commands, " or "))
+					}
+					return nil
+				},
+			},
+			outputFlag(),
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			loaded, err := load(c.String("settings"))
+			loaded, err := loads[c.String("for")](c.String("settings"))
 			var schemaErr *schema.Error
 			if errors.As(err, &schemaErr) {
 				return &RefusedError{Err: err}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -76,7 +76,7 @@
 	if err := e.listen(); err != nil {
 		return fmt.Errorf("entry %s: %w", config.Host.ID, err)
 	}
-	logger.Info("serving", "host", config.Host.ID, "callers", config.Listen.Callers,
+	logger.Info("serving", "callers", config.Listen.Callers,
 		"admin", config.Listen.Admin, "inner", e.node.Address())
 	<-ctx.Done()
 	e.drain()
@@ -253,7 +253,7 @@
 	for e.callers.InFlight() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPoll)
 	}
-	e.logger.Info("stopped", "host", e.config.Host.ID, "in_flight", e.callers.InFlight())
+	e.logger.Info("stopped", "in_flight", e.callers.InFlight())
 }
 
 func (e *Entry) cleanUp() {
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -61,7 +62,7 @@
 		if backend != nil && !x.callerLeft() {
 			x.handler.tracker.Failed(time.Now(), backend.ID)
 		}
-		x.logger.Info("answer incomplete", "error", err)
+		x.sendError = err
 		return &event
 	}
 	if len(body) > maxBufferedBytes {
@@ -91,6 +92,7 @@
 func (x *exchange) copyRest(response *forward.Response) *attempt.Event {
 	if _, err := io.Copy(x.writer, response); err != nil {
 		response.Close()
+		x.sendError = err
 		event := attempt.Broken
 		return &event
 	}
@@ -99,9 +101,10 @@
 }
 
 func (x *exchange) delivered(status int) {
-	x.logger.Info("answered", "status", status, "backend", x.server, "model", x.caller.Model, "adapter", x.caller.Adapter,
-		"sends", x.machine.Sends(), "leased_ms", x.leased.Milliseconds(), "first_ms", x.first.Milliseconds(),
-		"gap_ms", x.answer.longestGap.Milliseconds(), "took_ms", time.Since(x.arrived).Milliseconds())
+	x.end = ending{outcome: outcomeAnswered, status: status}
+	if status >= http.StatusInternalServerError {
+		x.end.outcome = outcomeServerFailed
+	}
 }
 
 // writeHead writes the head of the first server that answered. A length below
@@ -164,7 +167,7 @@
 			return nil
 		}
 		if err != nil {
-			x.logger.Info("stream broke off", "backend", backend.ID, "last_event", x.answer.lastEventID, "error", err)
+			x.sendError = fmt.Errorf("after event %q: %w", x.answer.lastEventID, err)
 			return &broken
 		}
 	}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -70,6 +72,31 @@
 	return best.server
 }
 
+// shortage tells for the log why no server can take a request.
+func shortage(now time.Time, v *view, service, model string) string {
+	var ready, unheard, permitted, loaded int
+	for _, s := range v.servers[service] {
+		if s.State != fleet.BackendReady {
+			continue
+		}
+		ready++
+		if s.agent != "" && !s.hears(now) {
+			unheard++
+		}
+		if known := s.model(model); known != nil && known.State == wire.ModelLoaded {
+			loaded++
+		}
+		if slices.ContainsFunc(v.permits[modelKey{service, model}], func(p packing.Permit) bool { return p.Host == s.agent }) {
+			permitted++
+		}
+	}
+	text := fmt.Sprintf("listed=%d ready=%d", len(v.servers[service]), ready)
+	if model != "" {
+		text += fmt.Sprintf(" unheard=%d permitted=%d loaded=%d", unheard, permitted, loaded)
+	}
+	return text
+}
+
 func newCandidate(now time.Time, v *view, s *server, key modelKey) candidate {
 	c := candidate{server: s, permit: noPermit}
 	for i, permit := range v.permits[key] {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +51,9 @@
 	// asOf is the store's revision up to which hosts and placement are known.
 	asOf int64
 
+	// beliefs may be used by any goroutine.
+	beliefs beliefs
+
 	view atomic.Pointer[view]
 	// changed is closed and replaced when anything but statuses has changed.
 	mu      sync.Mutex
@@ -98,16 +103,45 @@
 	}
 	c.table = fleet.NewTable(configuration)
 	c.publish()
-	c.logger.Info("configuration in force", "version", configuration.Version,
+	c.logger.Info("configuration in force", "belief", "configuration", "version", configuration.Version,
 		"routes", len(configuration.Routes), "services", len(configuration.Services))
 }
 
 // registrations takes in changes of the registered backend servers.
 func (c *control) registrations(change func(registry *backends.Registry) bool) {
-	if change(c.registry) {
-		c.publish()
-		c.logger.Info("backend servers changed", "usable", len(c.registry.Backends()))
+	before := c.registry.Backends()
+	if !change(c.registry) {
+		return
+	}
+	c.publish()
+	after := c.registry.Backends()
+	c.logger.Info("backend servers changed", "belief", "registrations", "usable", len(after))
+	c.logChanges(before, after)
+}
+
+// logChanges tells which backend servers came, went and changed. Both lists are
+// ordered by ID.
+func (c *control) logChanges(before, after []fleet.Backend) {
+	compareIDs := func(b fleet.Backend, id string) int { return cmp.Compare(b.ID, id) }
+	for i := range after {
+		at, known := slices.BinarySearchFunc(before, after[i].ID, compareIDs)
+		switch {
+		case !known:
+			c.logBackend("added", &after[i])
+		case before[at].State != after[i].State || before[at].BornMillis != after[i].BornMillis || before[at].Address != after[i].Address:
+			c.logBackend("changed", &after[i])
+		}
 	}
+	for i := range before {
+		if _, known := slices.BinarySearchFunc(after, before[i].ID, compareIDs); !known {
+			c.logBackend("gone", &before[i])
+		}
+	}
+}
+
+func (c *control) logBackend(change string, b *fleet.Backend) {
+	c.logger.Info("backend server", "belief", "backend:"+b.ID, "change", change, "service", b.Service, "address", b.Address,
+		"state", b.State.String(), "born_ms", b.BornMillis, "sequence", b.Sequence)
 }
 
 // storeUnstable notes that a call of the store failed.
@@ -146,18 +180,35 @@
 		delete(c.hosts, id)
 	}
 	if change.placement != nil && (c.placement == nil || change.placement.Revision >= c.placement.Revision) {
-		c.placement = change.placement
-		c.permits = permitsOf(change.placement)
+		c.takePlacement(change.placement)
 	}
 	// Watches may bring what is older than what an election has shown.
 	if change.leader != nil && change.leader.at >= c.leader.at {
-		c.leader = *change.leader
+		c.takeLeader(*change.leader)
 	}
 	c.publish()
 }
 
+func (c *control) takePlacement(placement *packing.Placement) {
+	if c.placement == nil || placement.Revision > c.placement.Revision {
+		c.logger.Info("placement in force", "belief", "placement", "revision", placement.Revision, "models", len(placement.Models))
+	}
+	c.placement = placement
+	c.permits = permitsOf(placement)
+}
+
+func (c *control) takeLeader(leader leaderKnown) {
+	if leader.host != c.leader.host {
+		c.logger.Info("leader changed", "belief", "leader", "leader", leader.host, "revision", leader.at)
+	}
+	c.leader = leader
+}
+
 // agentSaid takes in an agent's status.
 func (c *control) agentSaid(now time.Time, host string, status *wire.RunnerStatus) {
+	if before := c.agents[host]; before == nil || !before.connected {
+		c.logger.Info("agent heard", "belief", "agent:"+host, "agent", host, "plan", status.PlanRevision, "models", len(status.Models))
+	}
 	c.agents = maps.Clone(c.agents)
 	c.agents[host] = &agentState{status: status, heard: now, connected: true}
 	c.publishStatuses()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,8 +16,10 @@
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/telemetry"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -43,29 +45,36 @@
 	Dialect   forward.Dialect
 	// ReadinessPath is where the balancer asks whether the entry is ready.
 	ReadinessPath string
+	// Telemetry serves Metrics and the state dump.
+	Telemetry *telemetry.Telemetry
+	Metrics   *metrics.Gateway
 	// Updates brings changed settings.
 	Updates <-chan settings.Gateway
 }
 
 // Gateway is the process.
 type Gateway struct {
-	config  settings.Gateway
-	logger  *slog.Logger
-	control *control
-	sources *sources
-	handler *handler
-	pool    *forward.Pool
-	decider *decider
-	stopped atomic.Bool
-	callers *http.Server
-	ready   *http.Server
-	wait    sync.WaitGroup
+	config   settings.Gateway
+	logger   *slog.Logger
+	control  *control
+	sources  *sources
+	handler  *handler
+	pool     *forward.Pool
+	decider  *decider
+	observer *observer
+	stopped  atomic.Bool
+	callers  *http.Server
+	ready    *http.Server
+	wait     sync.WaitGroup
 }
 
 // Run serves callers until ctx ends, then drains.
 func Run(ctx context.Context, config settings.Gateway, dependencies Dependencies, logger *slog.Logger) error {
 	g := &Gateway{config: config, logger: logger}
 	g.provision(dependencies)
+	if err := dependencies.Telemetry.Listen(config.Listen.Metrics, logger); err != nil {
+		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
+	}
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer func() {
 		stopWork()
@@ -75,7 +84,7 @@
 	if err := g.listen(dependencies.ReadinessPath); err != nil {
 		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
 	}
-	logger.Info("serving", "host", config.Host.ID, "callers", config.Listen.Callers)
+	logger.Info("serving", "callers", config.Listen.Callers)
 	g.takeUpdates(ctx, dependencies.Updates)
 	g.drain()
 	return nil
@@ -99,20 +108,22 @@
 }
 
 func (g *Gateway) provision(d Dependencies) {
+	g.observer = newObserver(g.logger, d.Metrics)
 	g.control = newControl(g.logger)
 	g.sources = newSources(d, g.control, g.logger)
 	g.decider = &decider{store: d.Store, control: g.control, logger: g.logger}
 	g.decider.setLoadsAtOnce(g.config.WeightStore.LoadsAtOnce)
-	g.pool = forward.NewPool(d.Dialect, func(string, time.Duration, error) {})
+	g.pool = forward.NewPool(d.Dialect, g.observer.connected)
 	g.handler = &handler{
-		control: g.control,
-		dialect: d.Dialect,
-		pool:    g.pool,
-		tracker: backends.NewTracker(),
-		budget:  attempt.NewBudget(time.Now(), budgetLimits(g.config.Retries), assumedEntries),
-		domain:  g.config.Host.FailureDomain,
-		logger:  g.logger,
+		control:  g.control,
+		dialect:  d.Dialect,
+		pool:     g.pool,
+		tracker:  backends.NewTracker(),
+		budget:   attempt.NewBudget(time.Now(), budgetLimits(g.config.Retries), assumedEntries),
+		domain:   g.config.Host.FailureDomain,
+		observer: g.observer,
 	}
+	d.Telemetry.Register(DumpName, g.dump)
 	g.handler.unsent, g.handler.giveUpUnsent = context.WithCancel(context.Background())
 }
 
@@ -136,9 +147,31 @@
 	g.wait.Go(func() { g.sources.expireLapsed(ctx) })
 	g.wait.Go(func() { g.pool.Run(ctx) })
 	g.wait.Go(func() { g.keepUp(ctx) })
+	g.wait.Go(func() { telemetry.Every(ctx, showInterval, g.show) })
 	g.wait.Go(func() { g.join(ctx, d) })
 }
 
+// showInterval is the time between two updates of the gauges.
+const showInterval = time.Second
+
+// show updates the gauges and reports the log lines that were left out.
+func (g *Gateway) show(now time.Time) {
+	current := g.control.current()
+	usable := 0
+	for _, servers := range current.servers {
+		usable += len(servers)
+	}
+	connected := 0
+	for _, state := range current.agents {
+		if state.connected {
+			connected++
+		}
+	}
+	g.observer.metrics.State(int(g.handler.inFlight.Load()), usable, connected, current.leader.host == g.config.Host.ID)
+	g.control.beliefs.show(now, g.observer.metrics)
+	g.observer.reportSkipped()
+}
+
 // join derives the process's keys from the site's secret, registers the host and
 // takes up the work with the agents.
 func (g *Gateway) join(ctx context.Context, d Dependencies) {
@@ -165,7 +198,7 @@
 		ID: self, Role: keys.RoleEntry, Inner: g.config.Listen.Inner, FailureDomain: g.config.Host.FailureDomain,
 	}, failed)
 	if err == nil {
-		g.logger.Info("registered", "host", self)
+		g.logger.Info("registered")
 	}
 	wait.Wait()
 }
@@ -249,5 +282,5 @@
 		_ = g.callers.Close()
 	}
 	_ = g.ready.Close()
-	g.logger.Info("stopped", "host", g.config.Host.ID, "in_flight", g.handler.inFlight.Load())
+	g.logger.Info("stopped", "in_flight", g.handler.inFlight.Load())
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -34,10 +33,10 @@
 	pool    *forward.Pool
 	tracker *backends.Tracker
 	// node is nil until the site's secret is known.
-	node   atomic.Pointer[wire.Node]
-	budget *attempt.Budget
-	domain string
-	logger *slog.Logger
+	node     atomic.Pointer[wire.Node]
+	budget   *attempt.Budget
+	domain   string
+	observer *observer
 	// inFlight counts requests until their last byte.
 	inFlight atomic.Int64
 	// closing tells that kept connections should end after their answer.
@@ -56,30 +55,41 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
+	x, failure := h.accept(w, r, arrived)
+	if failure != nil {
+		refuse(w, *failure)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.run(ctx)
+}
+
+// accept finds a request's route and reads the request.
+func (h *handler) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange, *refusal) {
 	current := h.control.current()
+	caller, err := h.dialect.ReadCaller(r.Header)
+	var version int64
+	reject := func(why refusal) (*exchange, *refusal) {
+		h.observer.refusedEarly(r, caller.RequestID, arrived, version, why)
+		return nil, &why
+	}
 	if current.table == nil {
-		refuse(w, refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: unconfiguredRetry})
-		return
+		return reject(refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: unconfiguredRetry})
 	}
+	version = current.table.Configuration().Version
 	route := current.table.Match(r.Host, rawPath(r))
 	if route == nil {
-		refuse(w, refusal{status: http.StatusNotFound, reason: "no route"})
-		return
+		return reject(refusal{status: http.StatusNotFound, reason: "no route"})
 	}
-	caller, err := h.dialect.ReadCaller(r.Header)
 	if err != nil {
-		refuse(w, refusal{status: http.StatusBadRequest, reason: err.Error()})
-		return
+		return reject(refusal{status: http.StatusBadRequest, reason: err.Error()})
 	}
 	body, failure := readBody(w, r, current.table.Configuration().Limits)
 	if failure != nil {
-		refuse(w, *failure)
-		return
+		return reject(*failure)
 	}
-	x := h.newExchange(w, r, route, caller, body, arrived)
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
-	defer cancel()
-	x.run(ctx)
+	return h.newExchange(w, r, route, caller, body, arrived), nil
 }
 
 // rawPath is the path as the caller sent it, without the query.
--- a/pkg/gateway/leader.go
+++ b/pkg/gateway/leader.go
@@ -66,7 +66,7 @@
 		backoff.Sleep(ctx, storeRetry)
 		return
 	}
-	l.logger.Info("leading", "revision", revision)
+	l.logger.Info("leading", "belief", "leader", "revision", revision)
 	l.learn(leaderKnown{host: l.self, key: revision, at: revision})
 	l.lead(ctx, lease, revision)
 }
@@ -115,7 +115,7 @@
 		if time.Since(renewed) >= leaseRenewal {
 			err := l.store.KeepAlive(ctx, lease)
 			if errors.Is(err, keyvalue.ErrLeaseEnded) {
-				l.logger.Warn("leadership lost", "error", err)
+				l.logger.Warn("leadership lost", "belief", "leader", "error", err)
 				l.learn(leaderKnown{at: revision})
 				return
 			}
@@ -125,7 +125,7 @@
 			renewed = time.Now()
 		}
 		if now := l.control.current().leader; now.key != revision {
-			l.logger.Warn("leadership lost", "leader", now.host)
+			l.logger.Warn("leadership lost", "belief", "leader", "leader", now.host)
 			return
 		}
 		l.decider.decide(ctx, time.Now())
--- /dev/null
+++ b/pkg/gateway/leasing.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// next returns the server to send the request to, with the lease of its model if
+// it needs one. It returns false if there is none.
+func (x *exchange) next(ctx context.Context) (*server, *lease, bool) {
+	if x.caller.Model == "" {
+		now := time.Now()
+		current := x.handler.control.current()
+		x.know(now, current)
+		s := x.choose(now, current)
+		return s, nil, s != nil
+	}
+	for ctx.Err() == nil && x.handler.unsent.Err() == nil {
+		now := time.Now()
+		current := x.handler.control.current()
+		x.know(now, current)
+		s := chooseRunner(now, current, x.handler.tracker, x.service, x.caller.Model, x.handler.domain, x.tried)
+		if s == nil {
+			return nil, nil, false
+		}
+		if s.agent == "" || !s.hears(now) || x.handler.node.Load() == nil {
+			return s, nil, true
+		}
+		if held, ok := x.lease(ctx, s); ok {
+			return s, held, true
+		}
+		x.tried = append(x.tried, s.ID)
+	}
+	return nil, nil, false
+}
+
+// know notes the versions and the age of what a choice rests on.
+func (x *exchange) know(now time.Time, current *view) {
+	x.known = knowledge{
+		configuration: current.table.Configuration().Version,
+		serversAge:    x.handler.control.beliefs.age(now, metrics.BeliefRegistrations),
+	}
+	if current.placement != nil {
+		x.known.placement = current.placement.Revision
+	}
+}
+
+// lease acquires the use of the request's model. It returns false if the agent
+// refused. Where the agent is silent, a runner that holds the model is used
+// without it.
+func (x *exchange) lease(ctx context.Context, s *server) (*lease, bool) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(x.handler.unsent, cancel)
+	defer stop()
+	asked := time.Now()
+	held, refusal, err := acquire(waitCtx, x.handler.node.Load(), s, x.acquireFrame(asked))
+	waited := time.Since(asked)
+	switch {
+	case err != nil:
+		if waitCtx.Err() != nil {
+			return nil, false
+		}
+		x.handler.observer.metrics.LeaseWait(leaseSilent, waited)
+		lives := isReset(err) || x.handler.tracker.AgentSilent(time.Now(), s.ID)
+		x.logger.Info("agent silent", "agent", s.agent, "backend", s.ID, "runner_lives", lives,
+			"waited_ms", waited.Milliseconds(), "error", err)
+		known := s.model(x.caller.Model)
+		return nil, lives && known != nil && known.State == wire.ModelLoaded
+	case refusal != nil:
+		x.retryAfter = time.Duration(refusal.RetryAfterMillis) * time.Millisecond
+		x.handler.observer.metrics.LeaseWait(string(refusal.Reason), waited)
+		x.logger.Info("lease refused", "agent", s.agent, "backend", s.ID, "reason", refusal.Reason,
+			"retry_after_ms", refusal.RetryAfterMillis, "waited_ms", waited.Milliseconds(), "status_age_ms", s.statusAge(asked).Milliseconds())
+		return nil, false
+	default:
+		x.handler.observer.metrics.LeaseWait(leaseGranted, waited)
+		x.leased = time.Since(x.arrived)
+		return held, true
+	}
+}
+
+// leaseGranted and leaseSilent are the results of asking an agent, beside the
+// reasons of its refusals.
+const (
+	leaseGranted = "granted"
+	leaseSilent  = "silent"
+)
+
+// isReset tells whether the host of an agent answered that its process is gone,
+// so that only the agent is away.
+func isReset(err error) bool {
+	var reset *quic.StatelessResetError
+	return errors.As(err, &reset) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+const (
+	// minPatience, latencyPatience and gapPatience tell how long a caller waits
+	// for the first event of a stream: the longest of a fixed time and multiples
+	// of the route's target latency and longest pause.
+	minPatience     = 2 * time.Second
+	latencyPatience = 4
+	gapPatience     = 8
+	// startMargin is kept free of it for the first event to be made and to travel.
+	startMargin = 200 * time.Millisecond
+)
+
+// startBy is when the request must have started at its runner.
+func (x *exchange) startBy() time.Time {
+	patience := max(minPatience, latencyPatience*x.route.TargetLatency, gapPatience*x.route.MaxEventGap)
+	by := x.arrived.Add(patience)
+	if x.deadline.Before(by) {
+		by = x.deadline
+	}
+	return by.Add(-startMargin)
+}
+
+func (x *exchange) acquireFrame(now time.Time) *wire.Acquire {
+	return &wire.Acquire{
+		RequestID:      x.caller.RequestID,
+		Model:          x.caller.Model,
+		Adapter:        x.caller.Adapter,
+		Route:          x.route.Name,
+		Priority:       x.route.Priority,
+		DeadlineMillis: remaining(now, x.deadline),
+		StartMillis:    remaining(now, x.startBy()),
+		TargetMillis:   uint32(x.route.TargetLatency.Milliseconds()),
+		PromptTokens:   int64(x.caller.PromptTokens),
+		Tokens:         int64(x.caller.PromptTokens) + answerTokenCost*int64(x.caller.MaxAnswerTokens),
+	}
+}
+
+// answerTokenCost is the work of a generated token in tokens of the prompt.
+const answerTokenCost = 10
+
+func remaining(now, until time.Time) uint32 {
+	return uint32(max(until.Sub(now).Milliseconds(), 0))
+}
+
+// choose picks a server of a plain service that was not tried yet, or nil.
+func (x *exchange) choose(now time.Time, current *view) *server {
+	var choices []backends.Choice
+	var servers []*server
+	for _, s := range current.servers[x.service] {
+		if s.State != fleet.BackendReady || slices.Contains(x.tried, s.ID) {
+			continue
+		}
+		servers = append(servers, s)
+		choices = append(choices, backends.Choice{
+			Backend: s.Backend,
+			Health:  x.handler.tracker.Health(now, s.ID),
+			Near:    s.FailureDomain == x.handler.domain,
+		})
+	}
+	best := backends.Pick(choices)
+	if best < 0 {
+		return nil
+	}
+	return servers[best]
+}
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -87,7 +87,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		l.logger.Warn("agent lost", "agent", k.host.ID, "error", err)
+		l.logger.Warn("agent lost", "belief", "agent:"+k.host.ID, "agent", k.host.ID, "error", err)
 		l.node.Retire(k.host.ID)
 		backoff.Sleep(ctx, linkRetry)
 	}
--- /dev/null
+++ b/pkg/gateway/send.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/attempt"
+	"teaselgauge.example/teaselgauge/pkg/forward"
+)
+
+// sendAnswered counts a send whose answer is passed on.
+const sendAnswered = "answered"
+
+// send sends the request to a server. It returns what went wrong, or the answer;
+// both if the server answered with a failure.
+func (x *exchange) send(ctx context.Context, backend *server) (*attempt.Event, *forward.Response) {
+	tracker := x.handler.tracker
+	now := time.Now()
+	x.machine.Sent(now)
+	x.server = backend.ID
+	x.sendError = nil
+	tracker.Began(now, backend.ID)
+	response, err := x.handler.pool.Send(ctx, backend.Address, x.outgoing(now, backend), false)
+	if err != nil {
+		tracker.Ended(backend.ID)
+		return x.sendFailed(ctx, backend, err), nil
+	}
+	if event := x.judge(response); event != nil {
+		x.handler.observer.metrics.Send(event.String())
+		tracker.Answered(time.Now(), backend.ID, time.Since(now), *event == attempt.Failed)
+		tracker.Ended(backend.ID)
+		return event, response
+	}
+	x.handler.observer.metrics.Send(sendAnswered)
+	tracker.Answered(time.Now(), backend.ID, time.Since(now), false)
+	return nil, response
+}
+
+func (x *exchange) sendFailed(ctx context.Context, backend *server, err error) *attempt.Event {
+	event := attempt.Lost
+	if forward.IsNotSent(err) {
+		event = attempt.NotSent
+	}
+	if ctx.Err() == nil {
+		if event == attempt.NotSent {
+			x.handler.tracker.Unreachable(time.Now(), backend.ID)
+		} else {
+			x.handler.tracker.Failed(time.Now(), backend.ID)
+		}
+	}
+	x.sendError = err
+	x.handler.observer.metrics.Send(event.String())
+	return &event
+}
+
+func (x *exchange) outgoing(now time.Time, backend *server) *forward.Request {
+	header := x.handler.dialect.Compose(x.request.Header, forward.Directives{
+		Budget:      x.deadline.Sub(now),
+		Instance:    backend.ID,
+		Priority:    x.route.Priority,
+		LastEventID: x.answer.lastEventID,
+	})
+	return &forward.Request{
+		ID:     x.caller.RequestID,
+		Method: x.request.Method,
+		Target: target(x.request),
+		Host:   x.request.Host,
+		Header: header,
+		Body:   x.body,
+	}
+}
+
+// judge tells which answers are failures; nil for those to pass on.
+func (x *exchange) judge(response *forward.Response) *attempt.Event {
+	event := attempt.Failed
+	switch {
+	case response.Info.NotRun:
+		event = attempt.NotRun
+	case response.Status < http.StatusMultipleChoices && !response.Info.Sealed:
+		// A success without the server's seal is no answer of a backend server.
+		event = attempt.Lost
+	case response.Status < http.StatusInternalServerError:
+		return nil
+	}
+	return &event
+}
--- a/pkg/gateway/site.go
+++ b/pkg/gateway/site.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 )
@@ -21,12 +23,22 @@
 	s.follow(ctx, s.siteStore, roster.Prefix, true, func(ctx context.Context, read reading) {
 		change := s.decodeSite(read)
 		s.control.loop.Do(func() { s.control.siteChanged(change) })
+		s.confirmSite(read.revision)
 		if len(read.events) > 0 {
 			backoff.Sleep(ctx, sitePace)
 		}
 	})
 }
 
+// confirmSite notes that hosts and placement were known completely just now.
+func (s *sources) confirmSite(revision int64) {
+	now := time.Now()
+	s.control.beliefs.confirm(now, metrics.BeliefSite, revision)
+	if placement := s.control.current().placement; placement != nil {
+		s.control.beliefs.confirm(now, metrics.BeliefPlacement, placement.Revision)
+	}
+}
+
 func (s *sources) decodeSite(read reading) siteChange {
 	change := siteChange{complete: read.complete, asOf: read.revision}
 	if read.complete {
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -12,6 +12,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 )
 
 const (
@@ -114,7 +115,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		s.logger.Warn("store lost", "key", key, "error", err)
+		s.logger.Warn("store lost", "belief", "store:"+key, "error", err)
 		if errors.Is(err, keyvalue.ErrCompacted) || errors.Is(err, errOtherWatchBroke) {
 			continue
 		}
@@ -144,7 +145,7 @@
 		read.events = append(read.events, keyvalue.WatchEvent{Value: value})
 	}
 	take(ctx, read)
-	s.logger.Info("store read", "key", key, "revision", result.Revision, "values", len(result.Values))
+	s.logger.Info("store read", "belief", "store:"+key, "revision", result.Revision, "values", len(result.Values))
 	err = store.Watch(ctx, key, result.Revision, func(revision int64, events []keyvalue.WatchEvent) {
 		take(ctx, reading{revision: revision, events: events})
 	})
@@ -155,6 +156,7 @@
 }
 
 func (s *sources) takeConfiguration(_ context.Context, read reading) {
+	defer s.confirmConfiguration()
 	for _, event := range read.events {
 		if event.Deleted || event.Value.Key != s.codec.ConfigurationKey {
 			continue
@@ -168,6 +170,14 @@
 	}
 }
 
+// confirmConfiguration notes that the configuration in force was the newest just
+// now.
+func (s *sources) confirmConfiguration() {
+	if table := s.control.current().table; table != nil {
+		s.control.beliefs.confirm(time.Now(), metrics.BeliefConfiguration, table.Configuration().Version)
+	}
+}
+
 // registrationChange is one event of a backend server's registration.
 type registrationChange struct {
 	id      string
@@ -188,6 +198,7 @@
 			return applyRegistrations(now, registry, read.complete, changes)
 		})
 	})
+	s.control.beliefs.confirm(now, metrics.BeliefRegistrations, read.revision)
 }
 
 func (s *sources) decodeRegistration(event keyvalue.WatchEvent) registrationChange {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -29,6 +29,15 @@
 	return s.state != nil && s.state.connected && now.Sub(s.state.heard) < statusTTL
 }
 
+// statusAge is the time since the agent's last status; below zero if there is
+// none.
+func (s *server) statusAge(now time.Time) time.Duration {
+	if s.state == nil {
+		return -1
+	}
+	return now.Sub(s.state.heard)
+}
+
 // model returns what the agent last said of a model; nil if it is neither held
 // nor near.
 func (s *server) model(name string) *wire.RunnerModel {
--- a/pkg/keyvalue/observer.go
+++ b/pkg/keyvalue/observer.go
@@ -14,6 +14,7 @@
 	OpTxn   Operation = "txn"
 	OpWatch Operation = "watch"
 	OpLease Operation = "lease"
+	OpRenew Operation = "renew"
 )
 
 // Observer is told of each call, its duration and its failure, if any.
--- a/pkg/metrics/common.go
+++ b/pkg/metrics/common.go
@@ -60,14 +60,19 @@
 
 // ObserveKeyValue is a keyvalue.Observer that counts calls.
 func (c *control) ObserveKeyValue(op keyvalue.Operation, took time.Duration, err error) {
-	result := ResultOK
+	c.KeyValueCall(string(op), ResultOf(err), took)
+}
+
+// ResultOf is the result of a call with an error.
+func ResultOf(err error) Result {
 	switch {
 	case keyvalue.IsUncertain(err):
-		result = ResultUncertain
+		return ResultUncertain
 	case err != nil:
-		result = ResultError
+		return ResultError
+	default:
+		return ResultOK
 	}
-	c.KeyValueCall(string(op), result, took)
 }
 
 // Sync counts an exchange of lists and placements with another process.
--- /dev/null
+++ b/pkg/metrics/gateway.go
@@ -0,0 +1,133 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+)
+
+// Belief names what a process knows from elsewhere and decides by.
+type Belief string
+
+// The beliefs.
+const (
+	BeliefConfiguration Belief = "configuration"
+	BeliefRegistrations Belief = "registrations"
+	BeliefPlacement     Belief = "placement"
+	BeliefSite          Belief = "site"
+	BeliefReport        Belief = "report"
+)
+
+// storeCalls counts the calls of the platform's store.
+type storeCalls struct {
+	calls *vector[tally.Counter]
+	times *vector[tally.Timer]
+}
+
+func newStoreCalls(scope tally.Scope) storeCalls {
+	return storeCalls{
+		calls: newCounters(scope, "store_calls_total", "operation", "result"),
+		times: newTimers(scope, "store_call_seconds", "operation"),
+	}
+}
+
+// ObserveStore is a keyvalue.Observer that counts calls.
+func (s *storeCalls) ObserveStore(op keyvalue.Operation, took time.Duration, err error) {
+	s.calls.with(labels{string(op), string(ResultOf(err))}).Inc(1)
+	s.times.with(labels{string(op)}).Record(took)
+}
+
+// Gateway holds the metrics of an entry before an operator's platform. Its
+// methods are safe for concurrent use.
+type Gateway struct {
+	storeCalls
+	requests     *vector[tally.Counter]
+	requestTimes *vector[tally.Timer]
+	firstBytes   *vector[tally.Timer]
+	sends        *vector[tally.Counter]
+	leaseWaits   *vector[tally.Timer]
+	verdicts     *vector[tally.Counter]
+	connects     *vector[tally.Counter]
+	versions     *vector[tally.Gauge]
+	ages         *vector[tally.Gauge]
+	inFlight     tally.Gauge
+	backends     tally.Gauge
+	agents       tally.Gauge
+	leading      tally.Gauge
+	unlogged     tally.Counter
+}
+
+// NewGateway returns a gateway's metrics in scope.
+func NewGateway(scope tally.Scope) *Gateway {
+	gateway := scope.SubScope("gateway")
+	return &Gateway{
+		storeCalls:   newStoreCalls(gateway),
+		requests:     newCounters(gateway, "requests_total", "route", "kind", "outcome"),
+		requestTimes: newTimers(gateway, "request_seconds", "kind"),
+		firstBytes:   newTimers(gateway, "first_byte_seconds", "kind"),
+		sends:        newCounters(gateway, "sends_total", "event"),
+		leaseWaits:   newTimers(gateway, "lease_wait_seconds", "outcome"),
+		verdicts:     newCounters(gateway, "retry_verdicts_total", "verdict"),
+		connects:     newCounters(gateway, "connects_total", "result"),
+		versions:     newGauges(gateway, "belief_version", "belief"),
+		ages:         newGauges(gateway, "belief_age_seconds", "belief"),
+		inFlight:     gateway.Gauge("requests_in_flight"),
+		backends:     gateway.Gauge("backends"),
+		agents:       gateway.Gauge("agents_connected"),
+		leading:      gateway.Gauge("leading"),
+		unlogged:     gateway.Counter("answers_not_logged_total"),
+	}
+}
+
+// RequestDone counts a request of a route.
+func (g *Gateway) RequestDone(route, kind, outcome string, took time.Duration) {
+	g.requests.with(labels{route, kind, outcome}).Inc(1)
+	g.requestTimes.with(labels{kind}).Record(took)
+}
+
+// FirstByte records the time to the head of an answer.
+func (g *Gateway) FirstByte(kind string, took time.Duration) {
+	g.firstBytes.with(labels{kind}).Record(took)
+}
+
+// Send counts a request that was sent to a backend server, by what became of it.
+func (g *Gateway) Send(event string) { g.sends.with(labels{event}).Inc(1) }
+
+// LeaseWait records the wait for the use of a model; outcome is granted, silent or
+// the reason of a refusal.
+func (g *Gateway) LeaseWait(outcome string, took time.Duration) {
+	g.leaseWaits.with(labels{outcome}).Record(took)
+}
+
+// Verdict counts what followed from a failed send.
+func (g *Gateway) Verdict(verdict string) { g.verdicts.with(labels{verdict}).Inc(1) }
+
+// Connect counts a connection to a backend server.
+func (g *Gateway) Connect(result Result) { g.connects.with(labels{string(result)}).Inc(1) }
+
+// Belief shows the version of a belief and how long ago it was confirmed.
+func (g *Gateway) Belief(belief Belief, version int64, age time.Duration) {
+	g.versions.with(labels{string(belief)}).Update(float64(version))
+	g.ages.with(labels{string(belief)}).Update(age.Seconds())
+}
+
+// State shows the requests in flight, the usable backend servers, the agents that
+// are connected, and whether this entry leads.
+func (g *Gateway) State(inFlight, backends, agents int, leading bool) {
+	g.inFlight.Update(float64(inFlight))
+	g.backends.Update(float64(backends))
+	g.agents.Update(float64(agents))
+	g.leading.Update(boolGauge(leading))
+}
+
+// Unlogged counts an answer that was left out of the log.
+func (g *Gateway) Unlogged() { g.unlogged.Inc(1) }
+
+func boolGauge(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"errors"
 	"net/http/httptest"
 	"os"
 	"regexp"
@@ -9,6 +10,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 )
 
 // TestText checks the text form and that docs/METRICS.md lists each name.
@@ -16,6 +19,7 @@
 	defer goleak.VerifyNone(t)
 	registry := NewRegistry()
 	useAll(NewEntry(registry.Scope()), NewAgent(registry.Scope()))
+	useAllOnAPlatform(NewGateway(registry.Scope()), NewRunner(registry.Scope()))
 	if err := registry.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -28,6 +32,10 @@
 		`teaselgauge_entry_request_seconds_sum{kind="model"} 0.3`,
 		`teaselgauge_agent_idle_accelerator_milliseconds_total 1500`,
 		`teaselgauge_agent_requests_queued 4`,
+		`teaselgauge_gateway_requests_total{kind="streaming",outcome="answered",route="a"} 1`,
+		`teaselgauge_gateway_store_calls_total{operation="txn",result="uncertain"} 1`,
+		`teaselgauge_gateway_belief_age_seconds{belief="configuration"} 2.5`,
+		`teaselgauge_runner_loads_total{result="ok",source="disk"} 1`,
 	} {
 		if !strings.Contains(text, line+"\n") {
 			t.Errorf("%s is missing in\n%s", line, text)
@@ -44,6 +52,27 @@
 	}
 }
 
+func useAllOnAPlatform(gateway *Gateway, runner *Runner) {
+	uncertain := &keyvalue.StoreError{Op: "txn", Uncertain: true, Err: errors.New("no answer")}
+	gateway.RequestDone("a", "streaming", "answered", time.Second)
+	gateway.FirstByte("streaming", time.Millisecond)
+	gateway.Send("lost")
+	gateway.Verdict("elsewhere")
+	gateway.LeaseWait("granted", time.Millisecond)
+	gateway.Connect(ResultOf(nil))
+	gateway.Belief(BeliefConfiguration, 7, 2500*time.Millisecond)
+	gateway.State(1, 2, 3, true)
+	gateway.Unlogged()
+	gateway.ObserveStore(keyvalue.OpTxn, time.Millisecond, uncertain)
+	runner.Use("granted", time.Millisecond)
+	runner.Order("load", "accepted", time.Millisecond)
+	runner.Load("disk", ResultOK, time.Second)
+	runner.Report(nil)
+	runner.Belief(BeliefReport, 0, time.Second)
+	runner.State(1, 2, 3)
+	runner.ObserveStore(keyvalue.OpRange, time.Millisecond, nil)
+}
+
 func useAll(entry *Entry, agent *Agent) {
 	for range 2 {
 		entry.RequestDone(KindModel, "not-run", "queue-full", 150*time.Millisecond)
--- /dev/null
+++ b/pkg/metrics/runner.go
@@ -0,0 +1,80 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Runner holds the metrics of an agent beside a model runner of an operator's
+// platform. Its methods are safe for concurrent use.
+type Runner struct {
+	storeCalls
+	uses       *vector[tally.Counter]
+	useWaits   *vector[tally.Timer]
+	orders     *vector[tally.Counter]
+	orderTimes *vector[tally.Timer]
+	loads      *vector[tally.Counter]
+	loadTimes  *vector[tally.Timer]
+	reports    *vector[tally.Counter]
+	versions   *vector[tally.Gauge]
+	ages       *vector[tally.Gauge]
+	waiting    tally.Gauge
+	running    tally.Gauge
+	gateways   tally.Gauge
+}
+
+// NewRunner returns an agent's metrics in scope.
+func NewRunner(scope tally.Scope) *Runner {
+	runner := scope.SubScope("runner")
+	return &Runner{
+		storeCalls: newStoreCalls(runner),
+		uses:       newCounters(runner, "uses_total", "outcome"),
+		useWaits:   newTimers(runner, "use_wait_seconds", "outcome"),
+		orders:     newCounters(runner, "orders_total", "operation", "result"),
+		orderTimes: newTimers(runner, "order_seconds", "operation"),
+		loads:      newCounters(runner, "loads_total", "source", "result"),
+		loadTimes:  newTimers(runner, "load_seconds", "source"),
+		reports:    newCounters(runner, "reports_total", "result"),
+		versions:   newGauges(runner, "belief_version", "belief"),
+		ages:       newGauges(runner, "belief_age_seconds", "belief"),
+		waiting:    runner.Gauge("uses_waiting"),
+		running:    runner.Gauge("uses_running"),
+		gateways:   runner.Gauge("gateways"),
+	}
+}
+
+// Use counts the use of a model after its wait; outcome is granted or the reason
+// of a refusal.
+func (r *Runner) Use(outcome string, waited time.Duration) {
+	r.uses.with(labels{outcome}).Inc(1)
+	r.useWaits.with(labels{outcome}).Record(waited)
+}
+
+// Order counts an order to the model runner.
+func (r *Runner) Order(operation, result string, took time.Duration) {
+	r.orders.with(labels{operation, result}).Inc(1)
+	r.orderTimes.with(labels{operation}).Record(took)
+}
+
+// Load counts a load that has ended; source is where the weights came from.
+func (r *Runner) Load(source string, result Result, took time.Duration) {
+	r.loads.with(labels{source, string(result)}).Inc(1)
+	r.loadTimes.with(labels{source}).Record(took)
+}
+
+// Report counts a reading of the model runner's report.
+func (r *Runner) Report(err error) { r.reports.with(labels{string(ResultOf(err))}).Inc(1) }
+
+// Belief shows the version of a belief and how long ago it was confirmed.
+func (r *Runner) Belief(belief Belief, version int64, age time.Duration) {
+	r.versions.with(labels{string(belief)}).Update(float64(version))
+	r.ages.with(labels{string(belief)}).Update(age.Seconds())
+}
+
+// State shows the waiting and running uses and the subscribed gateways.
+func (r *Runner) State(waiting, running, gateways int) {
+	r.waiting.Update(float64(waiting))
+	r.running.Update(float64(running))
+	r.gateways.Update(float64(gateways))
+}
--- a/pkg/metrics/vector.go
+++ b/pkg/metrics/vector.go
@@ -38,6 +38,13 @@
 	}
 }
 
+func newGauges(scope tally.Scope, name string, tags ...string) *vector[tally.Gauge] {
+	return &vector[tally.Gauge]{
+		scope: scope, name: name, tags: tags,
+		make: func(scope tally.Scope, name string) tally.Gauge { return scope.Gauge(name) },
+	}
+}
+
 func newTimers(scope tally.Scope, name string, tags ...string) *vector[tally.Timer] {
 	return &vector[tally.Timer]{
 		scope: scope, name: name, tags: tags,
--- a/pkg/residency/reports.go
+++ b/pkg/residency/reports.go
@@ -31,7 +31,7 @@
 	m.noteModels(now, report)
 	m.noteAdapters(report)
 	if !report.Busy {
-		m.changing = nil
+		m.endChange(now)
 	}
 	m.rebuildLedger()
 	if m.isLeaving() {
@@ -39,6 +39,22 @@
 	}
 }
 
+// endChange notes that the order under way has been carried out.
+func (m *Manager) endChange(now time.Time) {
+	c := m.changing
+	if c == nil {
+		return
+	}
+	m.changing = nil
+	held := m.model(c.order.Model).held
+	m.act(Changed{
+		Order: c.order,
+		Tier:  c.tier,
+		Took:  now.Sub(c.started),
+		Done:  held == (c.order.Operation == modelrunner.Load),
+	})
+}
+
 // restarted forgets what an earlier incarnation of the runner held.
 func (m *Manager) restarted() {
 	m.changing = nil
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -127,6 +127,20 @@
 	return uint32((steps * waitStep).Milliseconds())
 }
 
+// PlanRevision is that of the placement in force, or zero if there is none.
+func (m *Manager) PlanRevision() int64 {
+	if m.plan == nil {
+		return 0
+	}
+	return m.plan.Revision
+}
+
+// Waiting and Running count uses.
+func (m *Manager) Waiting() int { return m.queue.Len() }
+
+// Running counts the granted uses.
+func (m *Manager) Running() int { return m.queue.Running() }
+
 // Explain tells for the log what a use depends on.
 func (m *Manager) Explain(now time.Time, wanted Use) string {
 	known := m.models[wanted.Model]
--- a/pkg/residency/types.go
+++ b/pkg/residency/types.go
@@ -44,6 +44,18 @@
 // GiveOrder demands an order. Answered must follow.
 type GiveOrder struct{ Order modelrunner.Order }
 
+// Changed tells that an order for a model has been carried out, or has failed.
+type Changed struct {
+	Order modelrunner.Order
+	// Tier is where a load's weights came from.
+	Tier wire.CacheTier
+	Took time.Duration
+	// Done tells that the runner holds the model after a load, and doesn't after
+	// an unload.
+	Done bool
+}
+
 func (Grant) action()     {}
 func (Refuse) action()    {}
 func (GiveOrder) action() {}
+func (Changed) action()   {}
--- a/pkg/runneragent/agent.go
+++ b/pkg/runneragent/agent.go
@@ -10,20 +10,28 @@
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
 	"teaselgauge.example/teaselgauge/pkg/residency"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/telemetry"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
 // tickInterval is the time between two looks at uses that wait too long.
 const tickInterval = 50 * time.Millisecond
 
+// showInterval is the time between two updates of the gauges.
+const showInterval = time.Second
+
 // Dependencies are the clients of the platform that an agent works with.
 type Dependencies struct {
 	Store  keyvalue.Store
 	Runner modelrunner.Runner
+	// Telemetry serves Metrics and the state dump.
+	Telemetry *telemetry.Telemetry
+	Metrics   *metrics.Runner
 }
 
 // agent is one incarnation of the process.
@@ -38,6 +46,9 @@
 // Run serves until ctx ends. A stopping agent has nothing to drain: the requests
 // run at the runner and go on.
 func Run(ctx context.Context, config settings.Runner, dependencies Dependencies, logger *slog.Logger) error {
+	if err := dependencies.Telemetry.Listen(config.Listen.Metrics, logger); err != nil {
+		return fmt.Errorf("agent %s: %w", config.Host.ID, err)
+	}
 	a := &agent{config: config, dependencies: dependencies, logger: logger}
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer func() {
@@ -53,9 +64,9 @@
 		return fmt.Errorf("agent %s: %w", config.Host.ID, err)
 	}
 	defer node.Close()
-	logger.Info("serving", "host", config.Host.ID, "inner", node.Address(), "runner", config.Runner)
+	logger.Info("serving", "inner", node.Address(), "runner", config.Runner)
 	<-ctx.Done()
-	logger.Info("stopped", "host", config.Host.ID)
+	logger.Info("stopped")
 	return nil
 }
 
@@ -63,11 +74,13 @@
 func (a *agent) start(ctx context.Context) {
 	const notRegistered = 0
 	manager := residency.NewManager(a.config.Host.ID, notRegistered)
-	a.controller = newController(manager, a.logger)
+	a.controller = newController(manager, a.dependencies.Metrics, a.logger)
+	a.dependencies.Telemetry.Register(DumpName, a.controller.dump)
 	a.controller.worker = newWorker(a.dependencies.Runner, a.controller, a.logger)
 	a.wait.Go(func() { a.controller.loop.Run(ctx) })
 	a.wait.Go(func() { a.controller.worker.run(ctx) })
 	a.wait.Go(func() { a.tick(ctx) })
+	a.wait.Go(func() { telemetry.Every(ctx, showInterval, a.controller.show) })
 }
 
 // join derives the process's keys from the site's secret, listens, and registers
@@ -106,7 +119,7 @@
 		return nil, err
 	}
 	a.controller.loop.Do(func() { a.controller.registered(time.Now(), fence) })
-	a.logger.Info("registered", "host", a.config.Host.ID, "fence", fence)
+	a.logger.Info("registered", "fence", fence)
 	return node, nil
 }
 
--- a/pkg/runneragent/agent_test.go
+++ b/pkg/runneragent/agent_test.go
@@ -14,9 +14,12 @@
 
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/settings"
+	"teaselgauge.example/teaselgauge/pkg/state"
+	"teaselgauge.example/teaselgauge/pkg/telemetry"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -94,8 +97,11 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- Run(ctx, config, Dependencies{Store: store, Runner: f.runner}, logger) }()
+	shown := telemetry.New(state.Identity{Program: "agent"})
+	dependencies := Dependencies{Store: store, Runner: f.runner, Telemetry: shown, Metrics: metrics.NewRunner(shown.Scope())}
+	go func() { done <- Run(ctx, config, dependencies, logger) }()
 	t.Cleanup(func() {
+		defer shown.Close()
 		cancel()
 		if err := <-done; err != nil {
 			t.Error(err)
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
+	"teaselgauge.example/teaselgauge/pkg/logging"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
 	"teaselgauge.example/teaselgauge/pkg/residency"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -28,23 +30,33 @@
 	loop    *eventloop.Loop
 	logger  *slog.Logger
 	manager *residency.Manager
-	worker  *worker
+	metrics *metrics.Runner
+	// grants samples the log lines about uses that were granted at once.
+	grants *logging.Sampler
+	worker *worker
 	// waiting holds the uses without an outcome.
 	waiting map[string]waitingUse
 	// minPlan is the revision below which a placement may be older than what an
 	// earlier incarnation acted on.
 	minPlan int64
+	// asOf and plannedAt are the revision of the store that the newest plan goes
+	// back to and when the plan came, reportedAt when the runner reported last.
+	asOf       int64
+	plannedAt  time.Time
+	reportedAt time.Time
 	// waking tells that a look at the manager is due.
 	waking bool
 
 	subscribers subscribers
 }
 
-func newController(manager *residency.Manager, logger *slog.Logger) *controller {
+func newController(manager *residency.Manager, counted *metrics.Runner, logger *slog.Logger) *controller {
 	return &controller{
 		loop:    eventloop.New(),
 		logger:  logger,
 		manager: manager,
+		metrics: counted,
+		grants:  logging.NewSampler(grantsPerSecond),
 		waiting: make(map[string]waitingUse),
 	}
 }
@@ -60,6 +72,8 @@
 			c.finish(a.ID, outcome{refused: &refused})
 		case residency.GiveOrder:
 			c.worker.give(a.Order)
+		case residency.Changed:
+			c.noteChange(a)
 		}
 	}
 	c.wakeAt(c.manager.Wake(time.Now()))
@@ -87,17 +101,57 @@
 		return
 	}
 	delete(c.waiting, id)
+	waited := time.Since(waiter.arrived)
 	if result.refused != nil {
-		c.logRefusal(waiter, result.refused)
+		c.metrics.Use(string(result.refused.Reason), waited)
+		c.logRefusal(waiter, result.refused, waited)
+	} else {
+		c.metrics.Use(useGranted, waited)
+		c.logGrant(waiter, waited)
 	}
 	waiter.result <- result
 }
 
+const (
+	// useGranted is the outcome of a use that isn't refused.
+	useGranted = "granted"
+	// longWait is the wait from which the log tells of each use.
+	longWait = 100 * time.Millisecond
+	// grantsPerSecond bounds the log lines about other uses.
+	grantsPerSecond = 20
+)
+
+// logGrant tells of a use that may start, always if it had to wait.
+func (c *controller) logGrant(waiter waitingUse, waited time.Duration) {
+	now := time.Now()
+	if waited < longWait && !c.grants.Allow(now) {
+		return
+	}
+	c.logger.Info("use granted", "request", waiter.ID, "model", waiter.Model, "adapter", waiter.Adapter,
+		"waited_ms", waited.Milliseconds(), "plan", c.manager.PlanRevision(), "report_age_ms", now.Sub(c.reportedAt).Milliseconds(),
+		"state", c.manager.Explain(now, waiter.Use))
+}
+
+// noteChange tells that an order for a model has been carried out, or has failed.
+func (c *controller) noteChange(change residency.Changed) {
+	result := metrics.ResultOK
+	if !change.Done {
+		result = metrics.ResultError
+	}
+	if change.Order.Operation == modelrunner.Load {
+		c.metrics.Load(string(change.Tier), result, change.Took)
+	}
+	c.logger.Info("order carried out", "belief", "model:"+change.Order.Model, "operation", change.Order.Operation.String(), "model", change.Order.Model,
+		"source", change.Tier, "done", change.Done, "took_ms", change.Took.Milliseconds())
+}
+
 // logRefusal tells what a refused use waited for.
-func (c *controller) logRefusal(waiter waitingUse, refused *residency.Refuse) {
+func (c *controller) logRefusal(waiter waitingUse, refused *residency.Refuse, waited time.Duration) {
+	now := time.Now()
 	c.logger.Info("use refused", "request", waiter.ID, "model", waiter.Model, "adapter", waiter.Adapter,
-		"reason", refused.Reason, "waited_ms", time.Since(waiter.arrived).Milliseconds(),
-		"state", c.manager.Explain(time.Now(), waiter.Use))
+		"reason", refused.Reason, "retry_after_ms", refused.RetryAfter.Milliseconds(), "waited_ms", waited.Milliseconds(),
+		"plan", c.manager.PlanRevision(), "report_age_ms", now.Sub(c.reportedAt).Milliseconds(),
+		"state", c.manager.Explain(now, waiter.Use))
 }
 
 // acquire takes in a use and returns where its outcome will come.
@@ -118,6 +172,7 @@
 }
 
 func (c *controller) reported(now time.Time, report modelrunner.Report) {
+	c.reportedAt = now
 	c.perform(c.manager.Reported(now, report))
 }
 
@@ -133,6 +188,11 @@
 	if plan.AsOf < c.minPlan {
 		return
 	}
+	if plan.Revision > c.manager.PlanRevision() {
+		c.logger.Info("plan in force", "belief", "placement", "revision", plan.Revision, "as_of", plan.AsOf, "instance", plan.Instance, "models", len(plan.Models))
+	}
+	c.asOf = max(c.asOf, plan.AsOf)
+	c.plannedAt = now
 	c.perform(c.manager.Identified(now, plan.Instance, plan.BornMillis))
 	if plan.Revision > 0 {
 		c.perform(c.manager.Planned(now, plan))
--- /dev/null
+++ b/pkg/runneragent/dump.go
@@ -0,0 +1,69 @@
+package runneragent
+
+import (
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// DumpName is the name of the agent's part of the state dump.
+const DumpName = "runner"
+
+// Dump is the agent's part of the state dump: what it believes.
+type Dump struct {
+	Fence int64 `json:"fence"`
+	// Plan is the revision of the placement in force, PlanAsOf that of the store
+	// up to which it was known to be the newest.
+	Plan            int64 `json:"plan"`
+	PlanAsOf        int64 `json:"plan_as_of"`
+	PlanAgeMillis   int64 `json:"plan_age_ms"`
+	ReportAgeMillis int64 `json:"report_age_ms"`
+	Gateways        int   `json:"gateways"`
+	// Status is what gateways are told.
+	Status *wire.RunnerStatus `json:"status"`
+}
+
+// dump describes the agent. Any goroutine may call it.
+func (c *controller) dump() any {
+	var d Dump
+	c.loop.Do(func() {
+		now := time.Now()
+		d = Dump{
+			Fence:           c.manager.Fence(),
+			Plan:            c.manager.PlanRevision(),
+			PlanAsOf:        c.asOf,
+			PlanAgeMillis:   sinceMillis(now, c.plannedAt),
+			ReportAgeMillis: sinceMillis(now, c.reportedAt),
+			Gateways:        c.subscribers.count(),
+			Status:          c.manager.Status(now),
+		}
+	})
+	return d
+}
+
+// sinceMillis is the time since an event in milliseconds, or -1 if there was
+// none.
+func sinceMillis(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+// show updates the gauges.
+func (c *controller) show(now time.Time) {
+	c.loop.Do(func() {
+		c.metrics.State(c.manager.Waiting(), c.manager.Running(), c.subscribers.count())
+		if !c.plannedAt.IsZero() {
+			c.metrics.Belief(metrics.BeliefPlacement, c.manager.PlanRevision(), now.Sub(c.plannedAt))
+		}
+		if !c.reportedAt.IsZero() {
+			const unversioned = 0
+			c.metrics.Belief(metrics.BeliefReport, unversioned, now.Sub(c.reportedAt))
+		}
+	})
+	if skipped := c.grants.TakeSkipped(); skipped > 0 {
+		c.logger.Info("grants not logged", "count", skipped)
+	}
+}
--- a/pkg/runneragent/subscribers.go
+++ b/pkg/runneragent/subscribers.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// count returns the number of subscribers.
+func (s *subscribers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.wakes)
+}
+
 // status returns the newest status, or nil before the first.
 func (s *subscribers) status() *wire.RunnerStatus {
 	s.mu.Lock()
--- a/pkg/runneragent/worker.go
+++ b/pkg/runneragent/worker.go
@@ -76,6 +76,7 @@
 
 func (w *worker) report(ctx context.Context) {
 	report, err := w.runner.Report(ctx)
+	w.controller.metrics.Report(err)
 	w.noteDown(err)
 	w.controller.loop.Do(func() {
 		if err != nil {
@@ -90,9 +91,9 @@
 func (w *worker) noteDown(err error) {
 	switch {
 	case err != nil && !w.down:
-		w.logger.Warn("runner lost", "error", err)
+		w.logger.Warn("runner lost", "belief", "runner", "error", err)
 	case err == nil && w.down:
-		w.logger.Info("runner back")
+		w.logger.Info("runner back", "belief", "runner")
 	}
 	w.down = err != nil
 }
@@ -100,8 +101,10 @@
 func (w *worker) order(ctx context.Context, order modelrunner.Order) {
 	started := time.Now()
 	result, err := w.runner.Order(ctx, order)
+	took := time.Since(started)
+	w.controller.metrics.Order(order.Operation.String(), result.String(), took)
 	w.logger.Info("order", "operation", order.Operation.String(), "model", order.Model, "adapter", order.Adapter,
-		"expected", order.Expected, "result", result.String(), "took_ms", time.Since(started).Milliseconds(), "error", err)
+		"expected", order.Expected, "result", result.String(), "fence", order.Fence, "took_ms", took.Milliseconds(), "error", err)
 	var after *modelrunner.Report
 	if report, err := w.runner.Report(ctx); err == nil {
 		after = &report
--- /dev/null
+++ b/pkg/telemetry/telemetry.go
@@ -0,0 +1,88 @@
+// Package telemetry serves a process's metrics and the dump of its state on one
+// address.
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/state"
+)
+
+const (
+	// MetricsPath is where the metrics are served.
+	MetricsPath = "/metrics"
+
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+)
+
+// Telemetry holds a process's metrics and the parts of its state dump. Use New.
+type Telemetry struct {
+	metrics *metrics.Registry
+	state   *state.Registry
+	server  *http.Server
+	wait    sync.WaitGroup
+}
+
+// New returns a value with a goroutine that ends with Close.
+func New(identity state.Identity) *Telemetry {
+	return &Telemetry{metrics: metrics.NewRegistry(), state: state.NewRegistry(identity, nil)}
+}
+
+// Scope returns the scope that the process's metrics belong to.
+func (t *Telemetry) Scope() tally.Scope { return t.metrics.Scope() }
+
+// Register adds a component to the state dump, see state.Registry.
+func (t *Telemetry) Register(name string, part func() any) { t.state.Register(name, part) }
+
+// Listen serves metrics and state at an IP address and port until Close.
+func (t *Telemetry) Listen(address string, logger *slog.Logger) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on metrics address: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+MetricsPath, t.metrics.Handler())
+	mux.Handle("GET "+state.Path, t.state.Handler())
+	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	t.wait.Go(func() {
+		if err := t.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logger.Error("HTTP server ended", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+// Close ends the server, its connections and the metrics.
+func (t *Telemetry) Close() {
+	if t.server != nil {
+		_ = t.server.Close()
+	}
+	t.wait.Wait()
+	// The last report goes nowhere once nobody can ask for it.
+	_ = t.metrics.Close()
+}
+
+// Every calls a function at an interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, show func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			show(now)
+		}
+	}
+}
