Leave the lead at the start of a stop, and log a lost agent once

A stopping leader ended its lease last, with a call of up to a second beyond the drain (TestStopEndsInTimeWithoutTheStore: 4.7 s of 4 s). Change: leadership ends with the signal, so the call is over long before the drain is, and another entry decides meanwhile. A lost agent is logged when it was heard before; the pause between tries doubles to 1.2 s.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -80,7 +80,7 @@
 		stopWork()
 		g.wait.Wait()
 	}()
-	g.work(workCtx, dependencies)
+	g.work(workCtx, ctx, dependencies)
 	if err := g.listen(dependencies.ReadinessPath); err != nil {
 		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
 	}
@@ -139,7 +139,9 @@
 // is known.
 const assumedEntries = 8
 
-func (g *Gateway) work(ctx context.Context, d Dependencies) {
+// work starts what runs until ctx ends. leading ends earlier, when the process is
+// to stop.
+func (g *Gateway) work(ctx, leading context.Context, d Dependencies) {
 	g.wait.Go(func() { g.control.loop.Run(ctx) })
 	g.wait.Go(func() { g.sources.followConfiguration(ctx) })
 	g.wait.Go(func() { g.sources.followRegistrations(ctx) })
@@ -148,7 +150,7 @@
 	g.wait.Go(func() { g.pool.Run(ctx) })
 	g.wait.Go(func() { g.keepUp(ctx) })
 	g.wait.Go(func() { telemetry.Every(ctx, showInterval, g.show) })
-	g.wait.Go(func() { g.join(ctx, d) })
+	g.wait.Go(func() { g.join(ctx, leading, d) })
 }
 
 // showInterval is the time between two updates of the gauges.
@@ -173,8 +175,9 @@
 }
 
 // join derives the process's keys from the site's secret, registers the host and
-// takes up the work with the agents.
-func (g *Gateway) join(ctx context.Context, d Dependencies) {
+// takes up the work with the agents. A stopping entry leaves the lead at once, so
+// that another one decides meanwhile.
+func (g *Gateway) join(ctx, leading context.Context, d Dependencies) {
 	failed := func(err error) { g.logger.Warn("store lost", "error", err) }
 	secret, err := roster.Secret(ctx, d.Store, failed)
 	if err != nil {
@@ -193,7 +196,7 @@
 	g.handler.node.Store(node)
 	var wait sync.WaitGroup
 	wait.Go(func() { linked.run(ctx) })
-	wait.Go(func() { leads.run(ctx) })
+	wait.Go(func() { leads.run(leading) })
 	_, err = roster.Register(ctx, d.Store, roster.Host{
 		ID: self, Role: keys.RoleEntry, Inner: g.config.Listen.Inner, FailureDomain: g.config.Host.FailureDomain,
 	}, failed)
--- a/pkg/gateway/leader.go
+++ b/pkg/gateway/leader.go
@@ -133,10 +133,13 @@
 	l.resign(lease)
 }
 
+// resignTimeout bounds the last call of a stopping leader.
+const resignTimeout = time.Second
+
 // resign ends the lease of a stopping leader, so that another one takes over at
 // once.
 func (l *leadership) resign(lease int64) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	if err := l.store.Revoke(ctx, lease); err != nil {
 		l.logger.Info("lease not ended", "error", err)
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// linkRetry is the pause before a broken stream to an agent is opened again.
-	linkRetry = 300 * time.Millisecond
+	// linkRetry is the pause before a broken stream to an agent is opened again. It
+	// doubles up to maxLinkRetry while nothing is heard.
+	linkRetry    = 300 * time.Millisecond
+	maxLinkRetry = 1200 * time.Millisecond
 	// linkSilence is the time without a status after which a stream counts as
 	// broken.
 	linkSilence = 2500 * time.Millisecond
@@ -81,31 +83,42 @@
 
 // keep holds a stream to an agent open until ctx ends.
 func (l *links) keep(ctx context.Context, k *link) {
+	known := true
+	pause := linkRetry
 	for ctx.Err() == nil {
-		err := l.follow(ctx, k)
+		heard, err := l.follow(ctx, k)
 		l.control.loop.Do(func() { l.control.agentLost(k.host.ID) })
 		if ctx.Err() != nil {
 			return
 		}
-		l.logger.Warn("agent lost", "belief", "agent:"+k.host.ID, "agent", k.host.ID, "error", err)
+		if heard {
+			known = true
+			pause = linkRetry
+		}
+		if known {
+			l.logger.Warn("agent lost", "belief", "agent:"+k.host.ID, "agent", k.host.ID, "error", err)
+		}
+		known = false
 		l.node.Retire(k.host.ID)
-		backoff.Sleep(ctx, linkRetry)
+		backoff.Sleep(ctx, pause)
+		pause = min(2*pause, maxLinkRetry)
 	}
 }
 
-// follow opens a stream and takes statuses in until it breaks.
-func (l *links) follow(ctx context.Context, k *link) error {
+// follow opens a stream and takes statuses in until it breaks. It tells whether
+// the agent was heard.
+func (l *links) follow(ctx context.Context, k *link) (heard bool, err error) {
 	openCtx, cancel := context.WithTimeout(ctx, linkTimeout)
 	stream, err := l.node.Open(openCtx, k.host.ID, k.host.Inner)
 	cancel()
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer stream.Cancel()
 	stop := context.AfterFunc(ctx, stream.Abort)
 	defer stop()
 	if err := stream.Send(&wire.Frame{Subscribe: &wire.Subscribe{Entry: l.self}}); err != nil {
-		return err
+		return false, err
 	}
 	k.set(stream)
 	defer k.set(nil)
@@ -123,16 +136,17 @@
 	k.stream = stream
 }
 
-func (l *links) takeStatuses(stream *wire.Stream, host roster.Host) error {
+func (l *links) takeStatuses(stream *wire.Stream, host roster.Host) (heard bool, err error) {
 	for {
 		stream.SetReadDeadline(time.Now().Add(linkSilence))
 		frame, err := stream.Receive()
 		if err != nil {
-			return err
+			return heard, err
 		}
 		if frame.RunnerStatus == nil {
 			continue
 		}
+		heard = true
 		l.control.loop.Do(func() { l.control.agentSaid(time.Now(), host.ID, frame.RunnerStatus) })
 	}
 }
--- a/testkit/platformprocess/lifecycle_test.go
+++ b/testkit/platformprocess/lifecycle_test.go
@@ -11,6 +11,7 @@
 
 	"teaselgauge.example/teaselgauge/testkit/platformsite"
 	"teaselgauge.example/teaselgauge/testkit/standin/backendserver"
+	"teaselgauge.example/teaselgauge/testkit/standin/metadatastore"
 )
 
 // traffic sends requests of all kinds from several callers until stop is called,
@@ -326,3 +327,40 @@
 	}
 	s.Plain[0].SetFaults(backendserver.Faults{})
 }
+
+// TestStopEndsInTimeWithoutTheStore stops the leader with a request in flight that
+// lasts longer than the drain, while the store doesn't answer.
+func TestStopEndsInTimeWithoutTheStore(t *testing.T) {
+	const drain = 4 * time.Second
+	s := start(t, func(o *platformsite.Options) {
+		o.DrainMillis = int(drain.Milliseconds())
+		o.Work = 8 * time.Second
+	})
+	name, _ := s.Store.Get("teaselgauge/leader")
+	var leader *platformsite.Entry
+	for _, entry := range s.Entries {
+		if entry.ID == string(name) {
+			leader = entry
+		}
+	}
+	if leader == nil {
+		t.Fatalf("leader %q is no entry", name)
+	}
+	var flight sync.WaitGroup
+	request := s.NewRequest(platformsite.BatchPath, "m2")
+	flight.Go(func() { leader.Send(t.Context(), request) })
+	time.Sleep(200 * time.Millisecond)
+	s.Store.SetFaults(metadatastore.Faults{Silent: true})
+	started := time.Now()
+	if err := leader.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	if err := leader.Wait(within(t)); err != nil {
+		t.Errorf("the entry ended with %v", err)
+	}
+	if took := time.Since(started); took > drain {
+		t.Errorf("the entry ended after %s, later than its drain of %s", took, drain)
+	}
+	s.Store.SetFaults(metadatastore.Faults{})
+	flight.Wait()
+}
