Load urgent models first, and keep the room that they wait for

Change: waited-for models go by their rate of interactive requests, then by their wait; while room for an urgent model is coming, nothing else is loaded. Tests: TestUrgentModelGoesFirst and TestRoomForAnUrgentModelIsNotTaken failed first.

--- a/pkg/residency/manager_test.go
+++ b/pkg/residency/manager_test.go
@@ -403,3 +403,66 @@
 		t.Fatalf("waiting requests don't hurry the next prompt: %s", got)
 	}
 }
+
+// acquirePatient asks for a model on behalf of a request that can wait for a load.
+func (f *fixture) acquirePatient(id, model string) {
+	f.t.Helper()
+	f.do(f.manager.Acquire(f.now, Use{
+		ID: id, Model: model, Route: "batch",
+		Deadline: f.now.Add(25 * time.Second), StartBy: f.now.Add(12 * time.Second),
+		TargetLatency: 3 * time.Second, Tokens: 100, PromptTokens: 100,
+	}))
+}
+
+// TestUrgentModelGoesFirst has a model that only patient requests wait for, and
+// have for longer, and one that interactive requests ask for.
+func TestUrgentModelGoesFirst(t *testing.T) {
+	f := newFixture(t, "busy", "other", "patient", "urgent")
+	f.report.OnDisk = []string{"patient", "urgent"}
+	f.hold("busy", "other")
+	f.acquirePatient("1", "busy")
+	f.acquirePatient("2", "other")
+	f.acquirePatient("3", "patient")
+	f.pass(time.Second)
+	f.acquire("4", "urgent", "")
+	if len(f.orders) != 0 {
+		t.Fatalf("ordered %+v while all held models are in use", f.orders)
+	}
+	f.do(f.manager.Release(f.now, "1"))
+	unload := f.lastOrder()
+	if unload.Operation != modelrunner.Unload || unload.Model != "busy" {
+		t.Fatalf("ordered %+v, want busy out", unload)
+	}
+	f.answer(modelrunner.Accepted)
+	f.report.Sequence++
+	f.hold("other")
+	if load := f.lastOrder(); load.Operation != modelrunner.Load || load.Model != "urgent" {
+		t.Errorf("ordered %+v, want the urgent model in", load)
+	}
+}
+
+// TestRoomForAnUrgentModelIsNotTaken has a small patient model that would fit into
+// what is already free of the room that an urgent one waits for.
+func TestRoomForAnUrgentModelIsNotTaken(t *testing.T) {
+	f := newFixture(t, "a", "b", "small", "urgent")
+	plan := testPlan("a", "b", "small", "urgent")
+	plan.Models[2].MiB = 20
+	plan.Models[3].MiB = 50
+	plan.Revision++
+	f.do(f.manager.Planned(f.now, plan))
+	f.report.OnDisk = []string{"small", "urgent"}
+	f.hold("a", "b")
+	f.acquirePatient("1", "a")
+	f.acquirePatient("2", "b")
+	for i := range 5 {
+		f.acquire("urgent-"+string(rune('0'+i)), "urgent", "")
+	}
+	f.acquirePatient("3", "small")
+	if len(f.orders) != 0 {
+		t.Errorf("ordered %+v, want the room kept for the urgent model", f.orders)
+	}
+	f.do(f.manager.Release(f.now, "1"))
+	if unload := f.lastOrder(); unload.Operation != modelrunner.Unload || unload.Model != "a" {
+		t.Errorf("ordered %+v, want a out", unload)
+	}
+}
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -241,7 +241,8 @@
 	return false
 }
 
-// orderWaitedFor loads the model whose uses have waited longest.
+// orderWaitedFor loads the most urgent model that uses wait for. It returns false
+// if something else may be ordered.
 func (m *Manager) orderWaitedFor(now time.Time) bool {
 	var waited []*model
 	for _, known := range m.models {
@@ -249,21 +250,61 @@
 			waited = append(waited, known)
 		}
 	}
-	slices.SortFunc(waited, func(a, b *model) int {
-		return cmp.Or(a.wantedSince.Compare(b.wantedSince), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(waited, func(a, b *model) int { return compareUrgency(now, a, b) })
 	for _, known := range waited {
 		if m.loadOrMakeRoom(now, known, func(needed int64) bool { return m.makeRoom(now, known.Name, needed) }) {
 			return true
 		}
+		if m.isRoomComing(now, known) {
+			// Another load would take the room that this one waits for.
+			return true
+		}
 	}
 	return false
 }
 
+// compareUrgency puts the models first that interactive requests ask for, the most
+// wanted first, then those that have been wanted longest.
+func compareUrgency(now time.Time, a, b *model) int {
+	rateA, rateB := a.urgentRate(now), b.urgentRate(now)
+	return cmp.Or(
+		cmp.Compare(rateB, rateA),
+		a.wantedSince.Compare(b.wantedSince),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
+// urgentRate is the rate of interactive requests, or zero below patientRate.
+func (known *model) urgentRate(now time.Time) float64 {
+	if rate := known.interactive.current(now); rate >= patientRate {
+		return rate
+	}
+	return 0
+}
+
+// isRoomComing tells whether models are being emptied to make room for an urgent
+// one whose weights may be loaded as soon as there is room.
+func (m *Manager) isRoomComing(now time.Time, known *model) bool {
+	if known.urgentRate(now) == 0 || !m.mayStart(now, known) {
+		return false
+	}
+	room := m.freeFor(engine.Target{Model: known.Name})
+	for _, victim := range m.victims(now, known.Name, func(other *model) bool { return other.isEmptying(now) || isIdle(other) }) {
+		room += victim.MiB
+	}
+	return room >= known.MiB
+}
+
+// mayStart tells whether a load of the model may begin as far as the weight store
+// is concerned.
+func (m *Manager) mayStart(now time.Time, known *model) bool {
+	return known.tier != wire.CacheRemote || now.Before(known.startUntil)
+}
+
 // loadOrMakeRoom orders a load if it may start and there is room, or else what
 // makes room.
 func (m *Manager) loadOrMakeRoom(now time.Time, known *model, makeRoom func(needed int64) bool) bool {
-	if known.tier == wire.CacheRemote && !now.Before(known.startUntil) {
+	if !m.mayStart(now, known) {
 		return false
 	}
 	if needed := known.MiB - m.freeFor(engine.Target{Model: known.Name}); needed > 0 {
@@ -292,7 +333,7 @@
 func (m *Manager) empty(now time.Time, wanted string, needed int64) {
 	worth := m.worth(now, m.models[wanted])
 	victims, ok := loading.Cheapest(m.victims(now, wanted, func(known *model) bool {
-		return known.interactive.current(now) < patientRate && m.worth(now, known)+emptyGain < worth
+		return known.urgentRate(now) == 0 && m.worth(now, known)+emptyGain < worth
 	}), needed)
 	if !ok {
 		return
