Ask for leave to load when the load can begin, and start loads by their gain

Change: an agent asks for one leave, for the load that it would order next; the leader starts loads by what one more replica is worth to the site; a request counts as demand once, not once for each agent that refused it.

--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -14,6 +14,7 @@
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/packing"
+	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
 const (
@@ -249,6 +250,7 @@
 // startLoads gives leave to load from the weight store, to as many runners as it
 // serves at full speed.
 func (d *decider) startLoads(now time.Time, current *view) {
+	demand := demandOf(current)
 	var statuses []packing.LoadStatus
 	for host, state := range current.agents {
 		if !state.connected {
@@ -261,8 +263,8 @@
 			statuses = append(statuses, packing.LoadStatus{
 				Load:    packing.Load{Host: host, Model: model.Name},
 				Running: model.FromStore,
+				Demand:  demand[model.Name],
 				Waiting: model.Waiting,
-				Rate:    model.Interactive + model.Patient,
 			})
 		}
 	}
@@ -271,3 +273,23 @@
 		d.logger.Info("load from the weight store granted", "agent", load.Host, "model", load.Model, "sent", sent)
 	}
 }
+
+// demandOf adds up what the agents say of each model.
+func demandOf(current *view) map[string]packing.Demand {
+	demand := make(map[string]packing.Demand)
+	for _, state := range current.agents {
+		if !state.connected {
+			continue
+		}
+		for _, model := range state.status.Models {
+			d := demand[model.Name]
+			d.Interactive += model.Interactive
+			d.Patient += model.Patient
+			if model.State == wire.ModelLoaded {
+				d.Loaded++
+			}
+			demand[model.Name] = d
+		}
+	}
+	return demand
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -39,6 +39,8 @@
 	// long until the head of its answer.
 	leased time.Duration
 	first  time.Duration
+	// counted tells that an agent has counted the request as demand.
+	counted bool
 	// server is the one that it was sent to last.
 	server string
 	// retryAfter is the last advice of an agent when to come back.
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -78,6 +78,7 @@
 		known := s.model(x.caller.Model)
 		return nil, lives && known != nil && known.State == wire.ModelLoaded
 	case refusal != nil:
+		x.counted = true
 		x.retryAfter = time.Duration(refusal.RetryAfterMillis) * time.Millisecond
 		x.handler.observer.metrics.LeaseWait(string(refusal.Reason), waited)
 		x.logger.Info("lease refused", "agent", s.agent, "backend", s.ID, "reason", refusal.Reason,
@@ -86,6 +87,7 @@
 	default:
 		x.handler.observer.metrics.LeaseWait(leaseGranted, waited)
 		x.leased = time.Since(x.arrived)
+		x.counted = true
 		return held, true
 	}
 }
@@ -137,6 +139,7 @@
 		TargetMillis:   uint32(x.route.TargetLatency.Milliseconds()),
 		PromptTokens:   int64(x.caller.PromptTokens),
 		Tokens:         int64(x.caller.PromptTokens) + answerTokenCost*int64(x.caller.MaxAnswerTokens),
+		Repeated:       x.counted,
 	}
 }
 
--- a/pkg/packing/pack_test.go
+++ b/pkg/packing/pack_test.go
@@ -119,8 +119,10 @@
 		if len(problem.Runners) < 2 {
 			return
 		}
-		// Without demand no model may take another one's place.
+		// Without demand no model may take another one's place. A model that several
+		// runners hold before the first placement counts as one in demand.
 		clear(problem.Replicas)
+		holdOnce(problem)
 		before := Pack(problem)
 		lost := problem.Runners[0].Host
 		problem.Current = &Placement{Models: before}
@@ -139,6 +141,19 @@
 	})
 }
 
+// holdOnce leaves each model loaded at one runner at most.
+func holdOnce(problem *Problem) {
+	held := map[string]bool{}
+	for _, runner := range problem.Runners {
+		for model, nearness := range runner.Near {
+			if nearness == Held && held[model] {
+				runner.Near[model] = OnDisk
+			}
+			held[model] = held[model] || nearness == Held
+		}
+	}
+}
+
 func TestPackSpreadsReplicasOverFailureDomains(t *testing.T) {
 	engine := &fleet.Engine{MiB: 100, Models: []fleet.Model{{Name: "a", MiB: 40}}}
 	problem := &Problem{Service: testService, Engine: engine, Replicas: map[string]int{"a": 2}}
--- a/pkg/packing/starts.go
+++ b/pkg/packing/starts.go
@@ -31,9 +31,28 @@
 	Load
 	// Running tells that it is under way; else it waits for its start.
 	Running bool
-	// Waiting counts the requests that wait for it, Rate those a second.
+	// Demand is what the whole site asks of the model.
+	Demand Demand
+	// Waiting counts the requests that wait for the load.
 	Waiting int
-	Rate    float64
+}
+
+// Demand is what a site asks of a model, and how many runners hold it.
+type Demand struct {
+	// Interactive and Patient are requests a second that can't wait for a load, and
+	// that can.
+	Interactive float64
+	Patient     float64
+	Loaded      int
+}
+
+// interactiveWeight is what an interactive request is worth in patient ones, when
+// loads compete for the weight store.
+const interactiveWeight = 20
+
+// gain is what one more runner that holds the model is worth.
+func (d Demand) gain() float64 {
+	return (interactiveWeight*d.Interactive + d.Patient) / float64(1+d.Loaded)
 }
 
 // StartLimits are the limits of the weight store.
@@ -114,11 +133,11 @@
 	return started
 }
 
-// compareWaiting puts the loads first that most requests wait for.
+// compareWaiting puts the loads first that the site gains most by.
 func compareWaiting(a, b LoadStatus) int {
 	return cmp.Or(
+		cmp.Compare(b.Demand.gain(), a.Demand.gain()),
 		cmp.Compare(b.Waiting, a.Waiting),
-		cmp.Compare(b.Rate, a.Rate),
 		cmp.Compare(a.Model, b.Model),
 		cmp.Compare(a.Host, b.Host),
 	)
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -104,6 +104,9 @@
 	changing *change
 	// doubtful are orders without an answer that may still be carried out.
 	doubtful []doubtfulOrder
+	// startWanted is the model whose load comes next and needs leave to load from
+	// the weight store; empty if there is none.
+	startWanted string
 	// pausedUntil puts the next order off after one that had no effect.
 	pausedUntil time.Time
 	actions     []Action
--- a/pkg/residency/manager_test.go
+++ b/pkg/residency/manager_test.go
@@ -466,3 +466,73 @@
 		t.Errorf("ordered %+v, want a out", unload)
 	}
 }
+
+// TestARequestCountsOnceAsDemand sends one request to two agents in turn.
+func TestARequestCountsOnceAsDemand(t *testing.T) {
+	f := newFixture(t, "a")
+	f.hold("a")
+	use := Use{
+		ID: "1", Model: "a", Route: "chat", Deadline: f.now.Add(time.Minute), StartBy: f.now.Add(time.Minute),
+		TargetLatency: 300 * time.Millisecond,
+	}
+	f.do(f.manager.Acquire(f.now, use))
+	once := f.manager.Status(f.now).Models[0].Interactive
+	use.ID = "2"
+	use.Repeated = true
+	f.do(f.manager.Acquire(f.now, use))
+	if twice := f.manager.Status(f.now).Models[0].Interactive; once == 0 || twice != once {
+		t.Errorf("rate %v after one request, %v after its second try", once, twice)
+	}
+}
+
+// wantsStart tells whether the status asks for leave to load a model.
+func (f *fixture) wantsStart(model string) bool {
+	return slices.ContainsFunc(f.manager.Status(f.now).Models, func(known wire.RunnerModel) bool {
+		return known.Name == model && known.WantsStart
+	})
+}
+
+// TestLeaveIsAskedForWhenTheLoadCanBegin has a model in the weight store and a
+// runner whose models are all in use.
+func TestLeaveIsAskedForWhenTheLoadCanBegin(t *testing.T) {
+	f := newFixture(t, "a", "b", "remote", "other")
+	f.hold("a", "b")
+	f.acquirePatient("1", "a")
+	f.acquirePatient("2", "b")
+	f.acquirePatient("3", "remote")
+	f.acquirePatient("4", "other")
+	if f.wantsStart("remote") || f.wantsStart("other") {
+		t.Error("leave is asked for though there is no room")
+	}
+	f.do(f.manager.Release(f.now, "1"))
+	if !f.wantsStart("other") || f.wantsStart("remote") {
+		t.Error("leave isn't asked for the one load that comes next")
+	}
+	if len(f.orders) > 0 {
+		t.Errorf("ordered %+v before there was leave", f.orders)
+	}
+}
+
+// TestUrgentModelHasRoomEmptiedOnceItMayLoad has an urgent model in the weight
+// store.
+func TestUrgentModelHasRoomEmptiedOnceItMayLoad(t *testing.T) {
+	f := newFixture(t, "a", "b", "urgent")
+	f.hold("a", "b")
+	f.acquirePatient("1", "a")
+	f.acquirePatient("2", "b")
+	for i := range 5 {
+		f.acquire("urgent-"+string(rune('0'+i)), "urgent", "")
+	}
+	if !f.wantsStart("urgent") {
+		t.Fatal("leave isn't asked for")
+	}
+	f.do(f.manager.Release(f.now, "2"))
+	f.acquirePatient("3", "a")
+	if _, refused := f.refused["3"]; refused {
+		t.Error("a model was emptied before the load may begin")
+	}
+	f.do(f.manager.StartGranted(f.now, "urgent"))
+	if unload := f.lastOrder(); unload.Operation != modelrunner.Unload || unload.Model != "b" {
+		t.Errorf("ordered %+v, want the idle model out", unload)
+	}
+}
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -75,7 +75,6 @@
 
 func (m *Manager) describe(now time.Time, known *model) wire.RunnerModel {
 	state := m.state(known)
-	wanted := known.Permitted && (known.isWanted(now) || known.Keep || known.Copy)
 	return wire.RunnerModel{
 		Name:        known.Name,
 		State:       state,
@@ -84,7 +83,7 @@
 		Running:     known.running,
 		Interactive: known.interactive.current(now),
 		Patient:     known.patient.current(now),
-		WantsStart:  wanted && state == wire.ModelAbsent && known.tier == wire.CacheRemote && !now.Before(known.startUntil),
+		WantsStart:  known.Name == m.startWanted,
 		FromStore:   state == wire.ModelLoading && m.changing.tier == wire.CacheRemote,
 		Wanted:      known.isWanted(now),
 		WaitMillis:  m.waitMillis(now, known),
--- a/pkg/residency/types.go
+++ b/pkg/residency/types.go
@@ -26,6 +26,9 @@
 	// Tokens is the estimated work, PromptTokens the part that is read first.
 	Tokens       int64
 	PromptTokens int64
+	// Repeated tells that another runner has been asked before, whose agent counted
+	// the request as demand.
+	Repeated bool
 }
 
 // Action is what a Manager wants done.
--- a/pkg/residency/uses.go
+++ b/pkg/residency/uses.go
@@ -74,6 +74,9 @@
 }
 
 func (m *Manager) noteDemand(now time.Time, known *model, wanted Use) {
+	if wanted.Repeated {
+		return
+	}
 	if wanted.TargetLatency < millis(known.DiskLoadMillis) {
 		known.interactive.note(now)
 		return
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -182,5 +182,6 @@
 		TargetLatency: time.Duration(acquire.TargetMillis) * time.Millisecond,
 		Tokens:        acquire.Tokens,
 		PromptTokens:  acquire.PromptTokens,
+		Repeated:      acquire.Repeated,
 	}
 }
--- a/pkg/wire/runner.go
+++ b/pkg/wire/runner.go
@@ -116,6 +116,9 @@
 	// Tokens is the estimated work, PromptTokens the part that is read first.
 	Tokens       int64 `cbor:"9,keyasint,omitempty"`
 	PromptTokens int64 `cbor:"10,keyasint,omitempty"`
+	// Repeated tells that another agent has taken the request in before, and so
+	// counted it as demand.
+	Repeated bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Released ends a use and tells how the request ended. A use also ends with its
