Test what backend servers are told, and callers that leave early

Cause: mutations of the platform's path on a scratch copy; five stayed green: a success without seal, requests without an instance, draining runners chosen by the entry alone, a caller that leaves before its answer, and a deposed leader's write (which hung its test).

--- a/pkg/gateway/choose_test.go
+++ b/pkg/gateway/choose_test.go
@@ -38,6 +38,9 @@
 		{"not one that leaves", []testRunner{
 			{id: "a", status: &wire.RunnerStatus{Leaving: true, Models: []wire.RunnerModel{{Name: testModel, State: wire.ModelLoaded}}}},
 		}, ""},
+		{"not one that has registered that it leaves", []testRunner{
+			{id: "a", draining: true, status: statusOf(0, loaded)},
+		}, ""},
 		{"not one that is down", []testRunner{
 			{id: "a", status: &wire.RunnerStatus{Down: true, Models: []wire.RunnerModel{{Name: testModel, State: wire.ModelLoaded}}}},
 		}, ""},
--- a/pkg/gateway/leader_test.go
+++ b/pkg/gateway/leader_test.go
@@ -132,7 +132,18 @@
 	const longAgo = 1
 	deposed.begin(longAgo)
 	deposed.since = time.Now().Add(-time.Hour)
-	deposed.decide(t.Context(), time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		deposed.control.loop.Run(ctx)
+	}()
+	deposed.decide(ctx, time.Now())
+	cancel()
+	<-done
+	if deposed.control.current().placement != nil {
+		t.Error("an entry that doesn't lead any more wrote a placement")
+	}
 	for range 300 {
 		result, err := store.Range(t.Context(), placementKey, false)
 		if err == nil && len(result.Values) == 1 {
--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -38,6 +38,8 @@
 	unheard bool
 	permits bool
 	loaded  bool
+	// draining is what the runner has registered.
+	draining bool
 }
 
 // fixture is a control state that isn't driven by a loop.
@@ -57,6 +59,9 @@
 		if runner.loaded {
 			listed.Models = []fleet.LoadedModel{{Name: testModel}}
 		}
+		if runner.draining {
+			listed.State = fleet.BackendDraining
+		}
 		c.registry.Put(now, listed)
 		host := "host-" + runner.id
 		c.siteChanged(siteChange{asOf: 9, hosts: []roster.Host{{ID: host, Role: keys.RoleAgent, Runner: listed.Address, Revision: 3}}})
--- a/testkit/platformprocess/path_test.go
+++ b/testkit/platformprocess/path_test.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// TestCallerLeavesBeforeTheAnswer checks the same for a request of which nothing was
+// answered yet.
+func TestCallerLeavesBeforeTheAnswer(t *testing.T) {
+	s := start(t, nil)
+	for _, backend := range s.Plain {
+		backend.SetWork(900 * time.Millisecond)
+	}
+	ctx, cancel := contextWithTimeout(t, 200*time.Millisecond)
+	defer cancel()
+	request := s.NewRequest(platformsite.StockPath, "")
+	s.Entries[0].Send(ctx, request)
+	time.Sleep(300 * time.Millisecond)
+	runs := s.Runs(request.ID)
+	if len(runs) != 1 || !runs[0].Abandoned {
+		t.Errorf("runs %+v, want one that was told that its caller is gone", runs)
+	}
+}
+
 // TestCallerLeaves checks that a backend server is told when a caller is gone.
 func TestCallerLeaves(t *testing.T) {
 	s := start(t, func(o *platformsite.Options) { o.Events = 1000 })
--- a/testkit/platformprocess/runners_test.go
+++ b/testkit/platformprocess/runners_test.go
@@ -121,8 +121,17 @@
 	}
 }
 
-// TestAddressUsedAgain gives a server's address to one of another service.
+// TestAddressUsedAgain gives a server's address to one of another service, which
+// has registered itself, or hasn't yet.
 func TestAddressUsedAgain(t *testing.T) {
+	for _, unregistered := range []bool{false, true} {
+		t.Run(fmt.Sprintf("unregistered=%t", unregistered), func(t *testing.T) {
+			testAddressUsedAgain(t, unregistered)
+		})
+	}
+}
+
+func testAddressUsedAgain(t *testing.T, unregistered bool) {
 	s := start(t, func(o *platformsite.Options) { o.Plain = 1 })
 	entry := s.Entries[0]
 	mustServe(t, s, entry, s.NewRequest(platformsite.BookingPath, ""))
@@ -130,7 +139,7 @@
 	address := old.Address()
 	old.Close()
 	other, err := backendserver.Start(address, s.Store, backendserver.Options{
-		ID: "x-1", Service: "another", Zone: "zone-1", Slots: 4, Queue: 4,
+		ID: "x-1", Service: "another", Zone: "zone-1", Slots: 4, Queue: 4, Unregistered: unregistered,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -48,6 +48,8 @@
 	Events int
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Unregistered leaves the server out of the store until Register.
+	Unregistered bool
 }
 
 // Faults are the failures that the stand-in shows.
@@ -115,7 +117,9 @@
 	}
 	s.http = &http.Server{Handler: s.routes()}
 	go func() { _ = s.http.Serve(listener) }()
-	s.Register()
+	if !options.Unregistered {
+		s.Register()
+	}
 	return s, nil
 }
 
