Name no time to come back where the same request can't succeed

Refusals with 400, 401, 404, 405, 413 and 422 named a time to come back, which made callers send the same request again for nothing.

The refusal of a reused idempotency key says that the earlier call may have run. The stand-in's answers tell when they were made (created was 0).

--- a/pkg/callers/refusal.go
+++ b/pkg/callers/refusal.go
@@ -47,21 +47,21 @@
 
 const (
 	retrySoon = time.Second
-	// retryLists is about the time in which a change of the lists is in force.
-	retryLists = 15 * time.Second
+	// retryNever is the time of refusals that the same request always gets.
+	retryNever time.Duration = 0
 )
 
 // errorClasses maps each reason to its class. See docs/METRICS.md for the
 // operators' form of the table.
 var errorClasses = map[wire.Reason]errorClass{
-	wire.ReasonInvalid:      {http.StatusBadRequest, typeInvalid, retrySoon},
-	ReasonUnauthenticated:   {http.StatusUnauthorized, typeAuth, retryLists},
-	wire.ReasonNotFound:     {http.StatusNotFound, typeNotFound, retryLists},
-	ReasonMethod:            {http.StatusMethodNotAllowed, typeInvalid, retrySoon},
+	wire.ReasonInvalid:      {http.StatusBadRequest, typeInvalid, retryNever},
+	ReasonUnauthenticated:   {http.StatusUnauthorized, typeAuth, retryNever},
+	wire.ReasonNotFound:     {http.StatusNotFound, typeNotFound, retryNever},
+	ReasonMethod:            {http.StatusMethodNotAllowed, typeInvalid, retryNever},
 	ReasonBodyTimeout:       {http.StatusRequestTimeout, typeInvalid, retrySoon},
 	wire.ReasonBoundLost:    {http.StatusConflict, typeConflict, retrySoon},
-	ReasonTooLarge:          {http.StatusRequestEntityTooLarge, typeInvalid, retrySoon},
-	wire.ReasonKeyReused:    {http.StatusUnprocessableEntity, typeInvalid, retrySoon},
+	ReasonTooLarge:          {http.StatusRequestEntityTooLarge, typeInvalid, retryNever},
+	wire.ReasonKeyReused:    {http.StatusUnprocessableEntity, typeInvalid, retryNever},
 	wire.ReasonQueueFull:    {http.StatusTooManyRequests, typeRateLimit, retrySoon},
 	wire.ReasonRate:         {http.StatusTooManyRequests, typeRateLimit, retrySoon},
 	wire.ReasonCancelled:    {statusClientGone, typeServer, retrySoon},
@@ -97,8 +97,9 @@
 	Type    string      `json:"type"`
 	Code    wire.Reason `json:"code"`
 	// Outcome is not-run, unknown or ran.
-	Outcome          string `json:"outcome"`
-	RetryAfterMillis int64  `json:"retry_after_ms"`
+	Outcome string `json:"outcome"`
+	// RetryAfterMillis is missing if the same request can't succeed later.
+	RetryAfterMillis int64  `json:"retry_after_ms,omitempty"`
 	RequestID        string `json:"request_id"`
 }
 
@@ -107,11 +108,13 @@
 	return &wire.Refusal{Outcome: wire.OutcomeNotRun, Reason: reason, Detail: detail}
 }
 
+// retryAfter is when to come back, or retryNever.
 func retryAfter(refusal *wire.Refusal) time.Duration {
-	if refusal.RetryAfterMillis > 0 {
+	class := classOf(refusal.Reason)
+	if class.retryAfter != retryNever && refusal.RetryAfterMillis > 0 {
 		return time.Duration(refusal.RetryAfterMillis) * time.Millisecond
 	}
-	return classOf(refusal.Reason).retryAfter
+	return class.retryAfter
 }
 
 // retryAfterSeconds rounds up, so that a caller never comes back early.
@@ -148,7 +151,9 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(HeaderOutcome, refusal.Outcome.String())
-	header.Set(headerRetryAfter, retryAfterSeconds(retryAfter(refusal)))
+	if after := retryAfter(refusal); after != retryNever {
+		header.Set(headerRetryAfter, retryAfterSeconds(after))
+	}
 	if refusal.Reason == ReasonUnauthenticated {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
--- a/pkg/once/machine.go
+++ b/pkg/once/machine.go
@@ -290,7 +290,7 @@
 }
 
 func (m *Machine) refuseReused(requestID string) {
-	m.refuse(requestID, wire.OutcomeNotRun, wire.ReasonKeyReused, "the key was used with another request")
+	m.refuse(requestID, wire.OutcomeNotRun, wire.ReasonKeyReused, "the key was used with another request, which may have run")
 }
 
 // bind runs the first call of a key whose own record is confirmed, and refuses
--- a/testkit/standin/modelengine/client_test.go
+++ b/testkit/standin/modelengine/client_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,6 +102,28 @@
 	}
 }
 
+// TestAnswersTellWhenTheyWereMade looks for the time in whole answers and in the
+// events of streams.
+func TestAnswersTellWhenTheyWereMade(t *testing.T) {
+	_, client := start(t, nil)
+	load(t, client)
+	since := time.Now().Unix()
+	for _, stream := range []bool{false, true} {
+		answer, err := read(t.Context(), client, call("a", stream))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var completion Completion
+		first, _, _ := strings.Cut(strings.TrimPrefix(answer, "data: "), "\n\n")
+		if err := json.Unmarshal([]byte(first), &completion); err != nil {
+			t.Fatalf("answer %q: %v", answer, err)
+		}
+		if completion.Created < since || completion.Created > time.Now().Unix() {
+			t.Errorf("stream %t: created %d, want %d or later", stream, completion.Created, since)
+		}
+	}
+}
+
 func TestCrossedAndLateAnswers(t *testing.T) {
 	server, client := start(t, nil)
 	load(t, client)
--- a/testkit/standin/modelengine/runs.go
+++ b/testkit/standin/modelengine/runs.go
@@ -72,6 +72,7 @@
 // run is one request and its answer, which grows while it is generated.
 type run struct {
 	requestID string
+	started   time.Time
 	target    engine.Target
 	stream    bool
 	chat      bool
@@ -162,6 +163,7 @@
 	}
 	current := &run{
 		requestID: r.Header.Get(engine.HeaderRequestID),
+		started:   time.Now(),
 		target:    target,
 		stream:    prompt.Stream,
 		chat:      strings.HasSuffix(r.URL.Path, "/chat/completions"),
--- a/testkit/standin/modelengine/serve.go
+++ b/testkit/standin/modelengine/serve.go
@@ -12,8 +12,9 @@
 
 // Completion is a whole answer or one event of a streamed one.
 type Completion struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	// Created is in seconds since 1970.
 	Created int64    `json:"created"`
 	Model   string   `json:"model"`
 	Choices []Choice `json:"choices"`
@@ -43,7 +44,7 @@
 
 func (r *run) completion(object string, choice Choice) Completion {
 	return Completion{
-		ID: "cmpl-" + r.requestID, Object: object, Model: Name(r.target), Choices: []Choice{choice},
+		ID: "cmpl-" + r.requestID, Object: object, Created: r.started.Unix(), Model: Name(r.target), Choices: []Choice{choice},
 	}
 }
 
