--- a/pkg/command/trace.go
+++ b/pkg/command/trace.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -60,21 +61,20 @@
 	out := c.Root().Writer
 	fmt.Fprintln(out, "the request:")
 	for _, line := range trace.Lines {
-		fmt.Fprintln(out, "  "+describeLine(&line, "request"))
+		fmt.Fprintln(out, "  "+describeLine(&line, "request", "level"))
 	}
 	fmt.Fprintln(out, "in force at its last line in each process:")
 	for _, line := range trace.Beliefs {
-		fmt.Fprintln(out, "  "+describeLine(&line, "belief"))
+		fmt.Fprintln(out, "  "+describeLine(&line, "level"))
 	}
 }
 
-// describeLine prints a line without empty attributes, the level, and the one
-// that it was found by.
-func describeLine(line *logtrace.Line, foundBy string) string {
+// describeLine prints a line without empty attributes and those left out.
+func describeLine(line *logtrace.Line, leftOut ...string) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s %s:", line.Time.UTC().Format(time.RFC3339Nano), line.Host, line.Message)
 	for _, attr := range line.Attrs {
-		if attr.Name == foundBy || attr.Name == "level" || attr.Value == "" {
+		if slices.Contains(leftOut, attr.Name) || attr.Value == "" {
 			continue
 		}
 		value := attr.Value
