Send a request where its model is expected first, and let it move while it waits

Cause, from the trace of a request that waited 11.8 s: it stood at a runner that had no copy of the weights and was loading another model, while a second permitted runner had a copy on disk and loaded it in 1.2 s for somebody else. - Agents left permitted models without a copy out of their status, so an entry took their wait for zero and preferred them to those that load from disk. - A runner where a model was wanted went before all others, however long it had been wanted in vain. - A request stayed at the agent that it had asked first.

Tests at the interfaces, red before.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -16,6 +16,10 @@
 // a runner that would have to load the model first may go before it.
 const busyShare = 0.8
 
+// soonMillis is the longest expected wait, in milliseconds, for which a runner
+// where a model is wanted already goes before those that don't load it yet.
+const soonMillis = 1500
+
 // candidate is a runner that may serve a model.
 type candidate struct {
 	*server
@@ -144,7 +148,7 @@
 		return readyNow
 	case known != nil && known.State == wire.ModelLoaded:
 		return readyBusy
-	case known != nil && (known.State == wire.ModelLoading || known.Wanted):
+	case known != nil && (known.State == wire.ModelLoading || (known.Wanted && known.WaitMillis <= soonMillis)):
 		return readySoon
 	case permitted:
 		return readyAfterLoad
--- a/pkg/gateway/choose_test.go
+++ b/pkg/gateway/choose_test.go
@@ -35,6 +35,14 @@
 			{id: "a", permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 2000})},
 			{id: "b", permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 500})},
 		}, "b"},
+		{"one where the model is wanted and expected soon", []testRunner{
+			{id: "a", permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 500})},
+			{id: "b", permits: true, status: statusOf(0, wire.RunnerModel{Wanted: true, WaitMillis: 1500})},
+		}, "b"},
+		{"not one where the model has been wanted in vain", []testRunner{
+			{id: "a", permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 1250})},
+			{id: "b", permits: true, status: statusOf(0, wire.RunnerModel{Wanted: true, WaitMillis: 4000})},
+		}, "a"},
 		{"not one that leaves", []testRunner{
 			{id: "a", status: &wire.RunnerStatus{Leaving: true, Models: []wire.RunnerModel{{Name: testModel, State: wire.ModelLoaded}}}},
 		}, ""},
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -36,10 +36,15 @@
 		if s.agent == "" || !s.hears(now) || x.handler.node.Load() == nil {
 			return s, nil, true
 		}
-		if held, ok := x.lease(ctx, s); ok {
+		held, result := x.lease(ctx, s)
+		switch result {
+		case leaseHeld:
 			return s, held, true
+		case leaseMoved:
+			x.moves++
+		default:
+			x.tried = append(x.tried, s.ID)
 		}
-		x.tried = append(x.tried, s.ID)
 	}
 	return nil, nil, false
 }
@@ -55,48 +60,71 @@
 	}
 }
 
-// lease acquires the use of the request's model. It returns false if the agent
-// refused. Where the agent is silent, a runner that holds the model is used
-// without it.
-func (x *exchange) lease(ctx context.Context, s *server) (*lease, bool) {
+// leaseResult tells how asking an agent for the use of a model ended.
+type leaseResult uint8
+
+const (
+	// leaseNone: the runner can't be used.
+	leaseNone leaseResult = iota
+	// leaseHeld: the runner may be used.
+	leaseHeld
+	// leaseMoved: another runner can serve the request at once.
+	leaseMoved
+)
+
+// lease acquires the use of the request's model. Where the agent is silent, a
+// runner that holds the model is used without it.
+func (x *exchange) lease(ctx context.Context, s *server) (*lease, leaseResult) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(x.handler.unsent, cancel)
 	defer stop()
+	mover := x.watch(waitCtx, s, cancel)
+	defer func() { <-mover.done }()
+	defer cancel()
 	asked := time.Now()
 	held, refusal, err := acquire(waitCtx, x.handler.node.Load(), s, x.acquireFrame(asked))
 	waited := time.Since(asked)
 	switch {
+	case err != nil && mover.moved.Load():
+		x.counted = true
+		x.handler.observer.metrics.LeaseWait(leaseLeft, waited)
+		x.logger.Info("lease given up, another runner has the model", "agent", s.agent, "backend", s.ID, "waited_ms", waited.Milliseconds())
+		return nil, leaseMoved
 	case err != nil:
 		if waitCtx.Err() != nil {
-			return nil, false
+			return nil, leaseNone
 		}
 		x.handler.observer.metrics.LeaseWait(leaseSilent, waited)
 		lives := isReset(err) || x.handler.tracker.AgentSilent(time.Now(), s.ID)
 		x.logger.Info("agent silent", "agent", s.agent, "backend", s.ID, "runner_lives", lives,
 			"waited_ms", waited.Milliseconds(), "error", err)
 		known := s.model(x.caller.Model)
-		return nil, lives && known != nil && known.State == wire.ModelLoaded
+		if lives && known != nil && known.State == wire.ModelLoaded {
+			return nil, leaseHeld
+		}
+		return nil, leaseNone
 	case refusal != nil:
 		x.counted = true
 		x.retryAfter = time.Duration(refusal.RetryAfterMillis) * time.Millisecond
 		x.handler.observer.metrics.LeaseWait(string(refusal.Reason), waited)
 		x.logger.Info("lease refused", "agent", s.agent, "backend", s.ID, "reason", refusal.Reason,
 			"retry_after_ms", refusal.RetryAfterMillis, "waited_ms", waited.Milliseconds(), "status_age_ms", s.statusAge(asked).Milliseconds())
-		return nil, false
+		return nil, leaseNone
 	default:
 		x.handler.observer.metrics.LeaseWait(leaseGranted, waited)
 		x.leased = time.Since(x.arrived)
 		x.counted = true
-		return held, true
+		return held, leaseHeld
 	}
 }
 
-// leaseGranted and leaseSilent are the results of asking an agent, beside the
-// reasons of its refusals.
+// leaseGranted, leaseSilent and leaseLeft are the results of asking an agent that
+// metrics name, beside the reasons of its refusals.
 const (
 	leaseGranted = "granted"
 	leaseSilent  = "silent"
+	leaseLeft    = "left"
 )
 
 // isReset tells whether the host of an agent answered that its process is gone,
--- /dev/null
+++ b/pkg/gateway/moving_test.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/roster"
+	"teaselgauge.example/teaselgauge/pkg/state"
+	"teaselgauge.example/teaselgauge/pkg/telemetry"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+func TestBetterRunner(t *testing.T) {
+	loaded := wire.RunnerModel{State: wire.ModelLoaded}
+	waiting := wire.RunnerModel{Wanted: true, WaitMillis: 1000}
+	tests := []struct {
+		name  string
+		here  testRunner
+		other testRunner
+		tried []string
+		want  bool
+	}{
+		{name: "the other one has the model", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{status: statusOf(0, loaded)}, want: true},
+		{name: "the other one would have to load it", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{permits: true}},
+		{name: "the other one is busy", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{status: statusOf(9, loaded)}},
+		{name: "both have it", here: testRunner{status: statusOf(5, loaded)}, other: testRunner{status: statusOf(0, loaded)}},
+		{name: "this one is busy", here: testRunner{status: statusOf(9, loaded)}, other: testRunner{status: statusOf(0, loaded)}, want: true},
+		{name: "the other one was tried", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{status: statusOf(0, loaded)}, tried: []string{"other"}},
+		{name: "this one is gone", here: testRunner{draining: true}, other: testRunner{status: statusOf(0, loaded)}, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.here.id, test.other.id = "here", "other"
+			c := fixture(testStart, test.here, test.other)
+			got := betterRunner(testStart, c.current(), backends.NewTracker(), testEngine, testModel, testZone, "here", test.tried)
+			if got != test.want {
+				t.Errorf("got %t", got)
+			}
+		})
+	}
+}
+
+// fakeAgent takes in uses. It grants them at once, or lets them wait and tells
+// when they end.
+type fakeAgent struct {
+	grants bool
+	asked  chan struct{}
+	ended  chan struct{}
+}
+
+func newFakeAgent(grants bool) *fakeAgent {
+	return &fakeAgent{grants: grants, asked: make(chan struct{}, 1), ended: make(chan struct{}, 1)}
+}
+
+func (a *fakeAgent) ServeStream(_ context.Context, _ wire.Peer, stream *wire.Stream) {
+	defer stream.Close()
+	if frame, err := stream.ReceiveFirst(); err != nil || frame.Acquire == nil {
+		return
+	}
+	a.asked <- struct{}{}
+	answer := &wire.Frame{Accepted: &wire.Accepted{}}
+	if a.grants {
+		answer = &wire.Frame{Granted: &wire.Granted{}}
+	}
+	if stream.Send(answer) == nil {
+		_, _ = stream.Receive()
+	}
+	a.ended <- struct{}{}
+}
+
+// newNode opens one process's end of the inner protocol.
+func newNode(t *testing.T, secret []byte, host, role, peers string, handler wire.Handler) *wire.Node {
+	t.Helper()
+	ephemeral, err := keys.NewEphemeral(secret, host, role, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	node, err := wire.NewNode(wire.NodeConfig{
+		Address: "127.0.0.1:0", ServerTLS: ephemeral.ServerConfig(peers), ClientTLS: ephemeral.ClientConfig(peers),
+		Identify: keys.Identify, Handler: handler, Logger: quiet(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(node.Close)
+	return node
+}
+
+// TestWaitingRequestMoves has a request wait at a runner until another one has
+// the model loaded.
+func TestWaitingRequestMoves(t *testing.T) {
+	now := time.Now()
+	c := fixture(now,
+		testRunner{id: "here", permits: true, status: statusOf(0, wire.RunnerModel{Wanted: true, WaitMillis: 1000})},
+		testRunner{id: "other", permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 2000})})
+	secret, err := roster.Secret(t.Context(), keyvaluetest.NewStore(1), func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	here, other := newFakeAgent(false), newFakeAgent(true)
+	for id, agent := range map[string]*fakeAgent{"here": here, "other": other} {
+		node := newNode(t, secret, "host-"+id, keys.RoleAgent, keys.RoleEntry, agent)
+		host := c.hosts["host-"+id]
+		host.Inner = node.Address()
+		c.siteChanged(siteChange{asOf: 10, hosts: []roster.Host{host}})
+	}
+	shown := telemetry.New(state.Identity{Program: "entry"})
+	t.Cleanup(func() { shown.Close() })
+	h := &handler{control: c, dialect: &recorder{}, tracker: backends.NewTracker(), observer: newObserver(quiet(), metrics.NewGateway(shown.Scope()))}
+	h.unsent, h.giveUpUnsent = context.WithCancel(t.Context())
+	h.node.Store(newNode(t, secret, "front-1", keys.RoleEntry, keys.RoleAgent, refuseStreams{}))
+
+	x := testExchange(&recorder{}, &fleet.Route{Destinations: []fleet.Destination{{Service: testEngine, Weight: 1}}})
+	x.handler = h
+	x.caller = forward.Caller{RequestID: "r", Model: testModel}
+	x.arrived, x.deadline = now, now.Add(10*time.Second)
+	ctx, cancel := context.WithDeadline(t.Context(), x.deadline)
+	defer cancel()
+	go func() {
+		<-here.asked
+		c.agentSaid(time.Now(), "host-other", &wire.RunnerStatus{BornMillis: 1, Slots: 10, Models: []wire.RunnerModel{{Name: testModel, State: wire.ModelLoaded}}})
+		c.publish()
+	}()
+	chosen, held, ok := x.next(ctx)
+	if !ok || chosen.ID != "other" || held == nil {
+		t.Fatalf("got %v %v %t, want a lease at the other runner", chosen, held, ok)
+	}
+	held.release(false)
+	select {
+	case <-here.ended:
+	case <-ctx.Done():
+		t.Fatal("the request still waits where it was")
+	}
+	if x.moves != 1 || len(x.tried) != 0 {
+		t.Errorf("moves %d, tried %v", x.moves, x.tried)
+	}
+}
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -95,8 +95,8 @@
 // Send counts a request that was sent to a backend server, by what became of it.
 func (g *Gateway) Send(event string) { g.sends.with(labels{event}).Inc(1) }
 
-// LeaseWait records the wait for the use of a model; outcome is granted, silent or
-// the reason of a refusal.
+// LeaseWait records the wait for the use of a model; outcome is granted, silent,
+// left for another runner, or the reason of a refusal.
 func (g *Gateway) LeaseWait(outcome string, took time.Duration) {
 	g.leaseWaits.with(labels{outcome}).Record(took)
 }
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -40,7 +40,7 @@
 	lastUsed    time.Time
 	// startUntil is how long the model may begin to load from the weight store.
 	startUntil time.Time
-	// wantedSince is when the model was first wanted since it was last loaded.
+	// wantedSince is since when the model has been wanted; zero after it was loaded.
 	wantedSince time.Time
 	// wantedUntil is how long the model is to be loaded although no use waits,
 	// because a refused caller is expected to come back.
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -44,7 +44,7 @@
 	return time.Time{}
 }
 
-// Status describes the runner. Models that are neither held nor near nor wanted
+// Status describes the runner. Models that are neither held nor near nor permitted
 // are left out.
 func (m *Manager) Status(now time.Time) *wire.RunnerStatus {
 	status := &wire.RunnerStatus{
@@ -64,7 +64,7 @@
 	}
 	for _, known := range m.models {
 		described := m.describe(now, known)
-		if described.State == wire.ModelAbsent && described.Tier == wire.CacheRemote && !described.WantsStart {
+		if described.State == wire.ModelAbsent && described.Tier == wire.CacheRemote && !known.Permitted {
 			continue
 		}
 		status.Models = append(status.Models, described)
@@ -107,6 +107,15 @@
 	return room >= known.MiB
 }
 
+// crowdedFor is the expected time until there is room for a model that has none
+// now: as long again as it has been wanted already.
+func (m *Manager) crowdedFor(now time.Time, known *model) time.Duration {
+	if !known.isWanted(now) {
+		return crowdedWait
+	}
+	return max(crowdedWait, now.Sub(known.wantedSince))
+}
+
 // waitMillis is the expected time until a permitted model is loaded if it is
 // asked for now, behind those that are wanted already.
 func (m *Manager) waitMillis(now time.Time, known *model) uint32 {
@@ -120,7 +129,7 @@
 		}
 	}
 	if !m.canMakeRoom(now, known) {
-		wait += crowdedWait
+		wait += m.crowdedFor(now, known)
 	}
 	steps := (wait + waitStep - 1) / waitStep
 	return uint32((steps * waitStep).Milliseconds())
--- a/pkg/residency/uses.go
+++ b/pkg/residency/uses.go
@@ -34,22 +34,23 @@
 	m.noteDemand(now, known, wanted)
 	estimate := admission.Estimate{ReadyIn: m.readyIn(now, known)}
 	if refused := m.queue.Offer(now, item(wanted), estimate); refused != nil {
-		known.wantedUntil = now.Add(comeBackTime)
 		known.noteWanted(now)
+		known.wantedUntil = now.Add(comeBackTime)
 		m.act(Refuse{ID: wanted.ID, Reason: refused.Reason, RetryAfter: refused.RetryAfter})
 		return m.advance(now)
 	}
 	m.uses[wanted.ID] = &use{Use: wanted}
-	known.waiting++
 	known.noteWanted(now)
+	known.waiting++
 	if wanted.Adapter != "" {
 		m.adapter(adapterID{wanted.Model, wanted.Adapter}).waiting++
 	}
 	return m.advance(now)
 }
 
+// noteWanted notes that the model is about to be wanted by one more caller.
 func (known *model) noteWanted(now time.Time) {
-	if known.wantedSince.IsZero() {
+	if known.wantedSince.IsZero() || !known.isWanted(now) {
 		known.wantedSince = now
 	}
 }
