--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -48,8 +48,7 @@
 	}
 	slices.SortFunc(others, func(a, b *bin) int {
 		return cmp.Or(
-			cmp.Compare(order(a.adapters), order(b.adapters)),
-			cmp.Compare(it.permitBefore(a.Host), it.permitBefore(b.Host)),
+			it.compareUnkept(a, b),
 			cmp.Compare(a.copies, b.copies),
 			cmp.Compare(b.free, a.free),
 			cmp.Compare(a.Host, b.Host),
@@ -63,9 +62,7 @@
 }
 
 // spares are the runners that may hold a model and neither keep it nor are to get
-// a copy. Those that the
-// placement in force names go first, then those that don't have adapters in
-// demand, then those with the fewest spares.
+// a copy, those with the fewest spares first.
 func (p *packer) spares(it *item, copies []*bin) []*bin {
 	if it.model.MiB > p.problem.Engine.MiB {
 		return nil
@@ -78,8 +75,7 @@
 	}
 	slices.SortFunc(spares, func(a, b *bin) int {
 		return cmp.Or(
-			cmp.Compare(order(a.adapters), order(b.adapters)),
-			cmp.Compare(it.permitBefore(a.Host), it.permitBefore(b.Host)),
+			it.compareUnkept(a, b),
 			cmp.Compare(a.spares, b.spares),
 			cmp.Compare(a.urgent, b.urgent),
 			cmp.Compare(a.Host, b.Host),
@@ -88,6 +84,16 @@
 	return spares
 }
 
+// compareUnkept puts the runners first that don't have adapters in demand, whose
+// loads a load of the model would hold up, then those that the placement in force
+// names.
+func (it *item) compareUnkept(a, b *bin) int {
+	return cmp.Or(
+		cmp.Compare(order(a.adapters), order(b.adapters)),
+		cmp.Compare(it.permitBefore(a.Host), it.permitBefore(b.Host)),
+	)
+}
+
 // permitBefore is the place of a host's permit in the placement in force.
 func (it *item) permitBefore(host string) int {
 	if it.before != nil {
