Let a waiting request go where its model is expected sooner

Cause: a request that waits at a runner without room stayed there until another one had the model, though that one's load would have begun with the request.

Change: it also moves to a runner whose expected wait is 1.5 s shorter.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -35,7 +35,7 @@
 	// refused holds the IDs of the servers that refused the request, which may
 	// have lost its model just before. They get it once more.
 	refused []string
-	// moves counts how often it left a runner for one that could serve it at once.
+	// moves counts how often it left a runner for a better one.
 	moves int
 	// leased is how long the request waited for the use of its model, first how
 	// long until the head of its answer.
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -68,7 +68,7 @@
 	leaseNone leaseResult = iota
 	// leaseHeld: the runner may be used.
 	leaseHeld
-	// leaseMoved: another runner can serve the request at once.
+	// leaseMoved: another runner can serve the request sooner.
 	leaseMoved
 )
 
@@ -89,7 +89,7 @@
 	case err != nil && mover.moved.Load():
 		x.counted = true
 		x.handler.observer.metrics.LeaseWait(leaseLeft, waited)
-		x.logger.Info("lease given up, another runner has the model", "agent", s.agent, "backend", s.ID, "waited_ms", waited.Milliseconds())
+		x.logger.Info("lease given up, another runner is better", "agent", s.agent, "backend", s.ID, "waited_ms", waited.Milliseconds())
 		return nil, leaseMoved
 	case err != nil:
 		if waitCtx.Err() != nil {
--- a/pkg/gateway/moving.go
+++ b/pkg/gateway/moving.go
@@ -10,15 +10,18 @@
 )
 
 const (
-	// moveCheck is how often a request that waits for a runner looks whether
-	// another one has its model loaded by now.
+	// moveCheck is how often a request that waits for a runner looks for a better
+	// one.
 	moveCheck = 100 * time.Millisecond
-	// maxMoves bounds how often a request leaves a runner for such a one.
+	// moveGain is how much shorter the expected wait must be at a runner that
+	// doesn't have the model loaded either.
+	moveGain = 1500 * time.Millisecond
+	// maxMoves bounds how often a request leaves a runner for a better one.
 	maxMoves = 3
 )
 
-// mover ends the wait of one request at a runner when another one can serve it at
-// once.
+// mover ends the wait of one request at a runner when another one can serve it
+// sooner.
 type mover struct {
 	moved atomic.Bool
 	done  chan struct{}
@@ -54,14 +57,15 @@
 }
 
 // canMove tells whether another runner than the one that the request waits at can
-// serve it at once.
+// serve it sooner.
 func (x *exchange) canMove(now time.Time, waitsAt *server) bool {
 	h := x.handler
 	return betterRunner(now, h.control.current(), h.tracker, x.service, x.caller.Model, h.domain, waitsAt.ID, x.tried)
 }
 
-// betterRunner tells whether a runner that was not tried has a model loaded and
-// room for a request, which the one where the request waits doesn't.
+// betterRunner tells whether a runner that was not tried can serve a request sooner
+// than the one where it waits: it has the model loaded and room for the request, or
+// is expected to have the model loaded earlier.
 func betterRunner(now time.Time, v *view, tracker *backends.Tracker, service, model, domain, waitsAt string, tried []string) bool {
 	best := chooseRunner(now, v, tracker, service, model, domain, tried)
 	if best == nil || best.ID == waitsAt || best.agent == "" {
@@ -70,11 +74,16 @@
 	key := modelKey{service, model}
 	better := newCandidate(now, v, best, key)
 	better.health = tracker.Health(now, best.ID)
-	if better.place != readyNow || better.trouble() != 0 {
+	if better.place == readyBusy || better.trouble() != 0 {
 		return false
 	}
-	return !slices.ContainsFunc(v.servers[service], func(s *server) bool {
-		here := newCandidate(now, v, s, key)
-		return s.ID == waitsAt && here.place == readyNow
-	})
+	at := slices.IndexFunc(v.servers[service], func(s *server) bool { return s.ID == waitsAt })
+	if at < 0 {
+		return true
+	}
+	here := newCandidate(now, v, v.servers[service][at], key)
+	if here.place == readyNow {
+		return false
+	}
+	return better.place == readyNow || here.wait >= better.wait+moveGain
 }
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -28,7 +28,8 @@
 		want  bool
 	}{
 		{name: "the other one has the model", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{status: statusOf(0, loaded)}, want: true},
-		{name: "the other one would have to load it", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{permits: true}},
+		{name: "the other one would have to load it as long", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 750})}},
+		{name: "the other one is expected to load it sooner", here: testRunner{permits: true, status: statusOf(0, wire.RunnerModel{Wanted: true, WaitMillis: 4000})}, other: testRunner{permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 1250})}, want: true},
 		{name: "the other one is busy", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{status: statusOf(9, loaded)}},
 		{name: "both have it", here: testRunner{status: statusOf(5, loaded)}, other: testRunner{status: statusOf(0, loaded)}},
 		{name: "this one is busy", here: testRunner{status: statusOf(9, loaded)}, other: testRunner{status: statusOf(0, loaded)}, want: true},
