Let a request without a runner wait while it can be on time

Change: such a request looks for a runner until its route's target latency has passed; then it is refused as before. One that an agent has declined for want of time or room is refused at once.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -41,6 +41,8 @@
 	// long until the head of its answer.
 	leased time.Duration
 	first  time.Duration
+	// declined tells that an agent can't have its runner serve the request in time.
+	declined bool
 	// counted tells that an agent has counted the request as demand.
 	counted bool
 	// server is the one that it was sent to last.
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -31,7 +31,10 @@
 		x.know(now, current)
 		s := chooseRunner(now, current, x.handler.tracker, x.service, x.caller.Model, x.handler.domain, x.tried)
 		if s == nil {
-			return nil, nil, false
+			if !x.awaitRunner(ctx, now) {
+				return nil, nil, false
+			}
+			continue
 		}
 		if s.agent == "" || !s.hears(now) || x.handler.node.Load() == nil {
 			return s, nil, true
@@ -49,6 +52,28 @@
 	return nil, nil, false
 }
 
+// runnerCheck is how often a request for which there is no runner looks for one.
+const runnerCheck = 50 * time.Millisecond
+
+// awaitRunner lets a request for which there is no runner wait a moment. It
+// returns false if the request can't be on time any more, or if an agent has said
+// that its runner can't serve it in time.
+func (x *exchange) awaitRunner(ctx context.Context, now time.Time) bool {
+	if x.declined || !now.Before(x.arrived.Add(x.route.TargetLatency)) {
+		return false
+	}
+	timer := time.NewTimer(runnerCheck)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-x.handler.unsent.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // know notes the versions and the age of what a choice rests on.
 func (x *exchange) know(now time.Time, current *view) {
 	x.known = knowledge{
@@ -106,6 +131,7 @@
 		return nil, leaseNone
 	case refusal != nil:
 		x.counted = true
+		x.declined = x.declined || isDeclined(refusal.Reason)
 		x.retryAfter = time.Duration(refusal.RetryAfterMillis) * time.Millisecond
 		x.handler.observer.metrics.LeaseWait(string(refusal.Reason), waited)
 		x.logger.Info("lease refused", "agent", s.agent, "backend", s.ID, "reason", refusal.Reason,
@@ -119,6 +145,17 @@
 	}
 }
 
+// isDeclined tells whether an agent's refusal says that its runner can't serve the
+// request in time, and not that it is out of use.
+func isDeclined(reason wire.Reason) bool {
+	switch reason {
+	case wire.ReasonDeadline, wire.ReasonNoMemory, wire.ReasonQueueFull:
+		return true
+	default:
+		return false
+	}
+}
+
 // leaseGranted, leaseSilent and leaseLeft are the results of asking an agent that
 // metrics name, beside the reasons of its refusals.
 const (
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -94,19 +95,15 @@
 	return node
 }
 
-// TestWaitingRequestMoves has a request wait at a runner until another one has
-// the model loaded.
-func TestWaitingRequestMoves(t *testing.T) {
-	now := time.Now()
-	c := fixture(now,
-		testRunner{id: "here", permits: true, status: statusOf(0, wire.RunnerModel{Wanted: true, WaitMillis: 1000})},
-		testRunner{id: "other", permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 2000})})
+// moveFixture is a control state with agents that answer, and an exchange that
+// asks them.
+func moveFixture(t *testing.T, target time.Duration, c *control, agents map[string]*fakeAgent) *exchange {
+	t.Helper()
 	secret, err := roster.Secret(t.Context(), keyvaluetest.NewStore(1), func(err error) { t.Error(err) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	here, other := newFakeAgent(false), newFakeAgent(true)
-	for id, agent := range map[string]*fakeAgent{"here": here, "other": other} {
+	for id, agent := range agents {
 		node := newNode(t, secret, "host-"+id, keys.RoleAgent, keys.RoleEntry, agent)
 		host := c.hosts["host-"+id]
 		host.Inner = node.Address()
@@ -117,17 +114,33 @@
 	h := &handler{control: c, dialect: &recorder{}, tracker: backends.NewTracker(), observer: newObserver(quiet(), metrics.NewGateway(shown.Scope()))}
 	h.unsent, h.giveUpUnsent = context.WithCancel(t.Context())
 	h.node.Store(newNode(t, secret, "front-1", keys.RoleEntry, keys.RoleAgent, refuseStreams{}))
-
-	x := testExchange(&recorder{}, &fleet.Route{Destinations: []fleet.Destination{{Service: testEngine, Weight: 1}}})
+	x := testExchange(&recorder{}, &fleet.Route{TargetLatency: target, Destinations: []fleet.Destination{{Service: testEngine, Weight: 1}}})
 	x.handler = h
 	x.caller = forward.Caller{RequestID: "r", Model: testModel}
-	x.arrived, x.deadline = now, now.Add(10*time.Second)
+	x.arrived = time.Now()
+	x.deadline = x.arrived.Add(10 * time.Second)
+	return x
+}
+
+// loads tells that a runner has the model.
+func loads(c *control, id string) {
+	c.agentSaid(time.Now(), "host-"+id, &wire.RunnerStatus{BornMillis: 1, Slots: 10, Models: []wire.RunnerModel{{Name: testModel, State: wire.ModelLoaded}}})
+	c.publish()
+}
+
+// TestWaitingRequestMoves has a request wait at a runner until another one has
+// the model loaded.
+func TestWaitingRequestMoves(t *testing.T) {
+	c := fixture(time.Now(),
+		testRunner{id: "here", permits: true, status: statusOf(0, wire.RunnerModel{Wanted: true, WaitMillis: 1000})},
+		testRunner{id: "other", permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 2000})})
+	here, other := newFakeAgent(false), newFakeAgent(true)
+	x := moveFixture(t, 0, c, map[string]*fakeAgent{"here": here, "other": other})
 	ctx, cancel := context.WithDeadline(t.Context(), x.deadline)
 	defer cancel()
 	go func() {
 		<-here.asked
-		c.agentSaid(time.Now(), "host-other", &wire.RunnerStatus{BornMillis: 1, Slots: 10, Models: []wire.RunnerModel{{Name: testModel, State: wire.ModelLoaded}}})
-		c.publish()
+		loads(c, "other")
 	}()
 	chosen, held, ok := x.next(ctx)
 	if !ok || chosen.ID != "other" || held == nil {
@@ -143,3 +156,32 @@
 		t.Errorf("moves %d, tried %v", x.moves, x.tried)
 	}
 }
+
+// TestRequestWaitsForARunner has no runner for a request until a moment later, and
+// none for one that has less time.
+func TestRequestWaitsForARunner(t *testing.T) {
+	for _, target := range []time.Duration{5 * time.Second, 20 * time.Millisecond} {
+		c := fixture(time.Now(), testRunner{id: "a"})
+		x := moveFixture(t, target, c, map[string]*fakeAgent{"a": newFakeAgent(true)})
+		var wait sync.WaitGroup
+		wait.Go(func() {
+			time.Sleep(4 * runnerCheck)
+			loads(c, "a")
+		})
+		_, held, ok := x.next(t.Context())
+		if want := target > time.Second; ok != want {
+			t.Errorf("target latency %s: found a runner %t, want %t", target, ok, want)
+		}
+		held.release(false)
+		wait.Wait()
+	}
+}
+
+// TestDeclinedRequestIsNotHeld refuses at once what an agent can't serve in time.
+func TestDeclinedRequestIsNotHeld(t *testing.T) {
+	x := moveFixture(t, 5*time.Second, fixture(time.Now(), testRunner{id: "a"}), nil)
+	x.declined = true
+	if _, _, ok := x.next(t.Context()); ok || time.Since(x.arrived) > time.Second {
+		t.Errorf("found a runner %t after %s", ok, time.Since(x.arrived))
+	}
+}
