--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -31,7 +31,7 @@
 		x.know(now, current)
 		s := chooseRunner(now, current, x.handler.tracker, x.service, x.caller.Model, x.handler.domain, x.tried)
 		if s == nil {
-			if !x.awaitRunner(ctx, now) {
+			if !x.awaitRunner(ctx, now, current) {
 				return nil, nil, false
 			}
 			continue
@@ -56,10 +56,11 @@
 const runnerCheck = 50 * time.Millisecond
 
 // awaitRunner lets a request for which there is no runner wait a moment. It
-// returns false if the request can't be on time any more, or if an agent has said
-// that its runner can't serve it in time.
-func (x *exchange) awaitRunner(ctx context.Context, now time.Time) bool {
-	if x.declined || !now.Before(x.arrived.Add(x.route.TargetLatency)) {
+// returns false if the request can't be on time any more, if an agent has said that
+// its runner can't serve it in time, or if its model has no place.
+func (x *exchange) awaitRunner(ctx context.Context, now time.Time, current *view) bool {
+	isPlaced := len(current.permits[modelKey{x.service, x.caller.Model}]) > 0
+	if x.declined || !isPlaced || !now.Before(x.arrived.Add(x.route.TargetLatency)) {
 		return false
 	}
 	timer := time.NewTimer(runnerCheck)
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -158,30 +158,40 @@
 }
 
 // TestRequestWaitsForARunner has no runner for a request until a moment later, and
-// none for one that has less time.
+// none for requests that have less time, were declined or name an unknown model.
 func TestRequestWaitsForARunner(t *testing.T) {
-	for _, target := range []time.Duration{5 * time.Second, 20 * time.Millisecond} {
-		c := fixture(time.Now(), testRunner{id: "a"})
-		x := moveFixture(t, target, c, map[string]*fakeAgent{"a": newFakeAgent(true)})
-		var wait sync.WaitGroup
-		wait.Go(func() {
-			time.Sleep(4 * runnerCheck)
-			loads(c, "a")
-		})
-		_, held, ok := x.next(t.Context())
-		if want := target > time.Second; ok != want {
-			t.Errorf("target latency %s: found a runner %t, want %t", target, ok, want)
-		}
-		held.release(false)
-		wait.Wait()
+	const soon, late = 5 * time.Second, 20 * time.Millisecond
+	tests := []struct {
+		name     string
+		target   time.Duration
+		declined bool
+		model    string
+		want     bool
+	}{
+		{name: "there is time", target: soon, model: testModel, want: true},
+		{name: "it would be late", target: late, model: testModel},
+		{name: "an agent has declined it", target: soon, declined: true, model: testModel},
+		{name: "its model is unknown", target: soon, model: "unknown"},
 	}
-}
-
-// TestDeclinedRequestIsNotHeld refuses at once what an agent can't serve in time.
-func TestDeclinedRequestIsNotHeld(t *testing.T) {
-	x := moveFixture(t, 5*time.Second, fixture(time.Now(), testRunner{id: "a"}), nil)
-	x.declined = true
-	if _, _, ok := x.next(t.Context()); ok || time.Since(x.arrived) > time.Second {
-		t.Errorf("found a runner %t after %s", ok, time.Since(x.arrived))
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := fixture(time.Now(), testRunner{id: "a", permits: true, status: &wire.RunnerStatus{Down: true}})
+			x := moveFixture(t, test.target, c, map[string]*fakeAgent{"a": newFakeAgent(true)})
+			x.caller.Model, x.declined = test.model, test.declined
+			var wait sync.WaitGroup
+			wait.Go(func() {
+				time.Sleep(4 * runnerCheck)
+				loads(c, "a")
+			})
+			_, held, ok := x.next(t.Context())
+			if ok != test.want {
+				t.Errorf("found a runner %t, want %t", ok, test.want)
+			}
+			if took := time.Since(x.arrived); took > time.Second {
+				t.Errorf("it took %s", took)
+			}
+			held.release(false)
+			wait.Wait()
+		})
 	}
 }
