--- a/pkg/command/docs_test.go
+++ b/pkg/command/docs_test.go
@@ -5,7 +5,6 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
-	"os"
 	"path/filepath"
 	"reflect"
 	"strconv"
@@ -22,7 +21,7 @@
 // TestOperationsPageIsComplete checks that docs/OPERATIONS.md names each log
 // message, reason of a refusal, error code, field and command of the program.
 func TestOperationsPageIsComplete(t *testing.T) {
-	page := readPage(t)
+	page := readFile(t, filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	check := func(kind, name string) {
 		if !strings.Contains(page, "`"+name+"`") && !strings.Contains(page, "."+name+"`") {
 			t.Errorf("%s %q isn't in docs/OPERATIONS.md", kind, name)
@@ -59,15 +58,6 @@
 	}
 }
 
-func readPage(t *testing.T) string {
-	t.Helper()
-	data, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(data)
-}
-
 func parsePackages(t *testing.T) []*ast.File {
 	t.Helper()
 	var files []*ast.File
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -106,6 +106,7 @@
 	stop := context.AfterFunc(x.handler.unsent, cancel)
 	defer stop()
 	mover := x.watch(waitCtx, s, cancel)
+	// The watch reads the exchange, so it ends before the exchange goes on.
 	defer func() { <-mover.done }()
 	defer cancel()
 	asked := time.Now()
