Date the stand-in engine's answers by a clock that tests set

The test compares answers of many runs byte by byte, and a second passed between two of them. Shown by a clock that goes on a second with each run, which fails at the first cut.

Change: the stand-in's options have a clock; the test sets a fixed one and compares as strictly as before. The test of the date sets the clock, too, and asks for the very second.

--- a/testkit/standin/modelengine/client_test.go
+++ b/testkit/standin/modelengine/client_test.go
@@ -105,9 +105,9 @@
 // TestAnswersTellWhenTheyWereMade looks for the time in whole answers and in the
 // events of streams.
 func TestAnswersTellWhenTheyWereMade(t *testing.T) {
-	_, client := start(t, nil)
+	now := time.Unix(1000, 0)
+	_, client := start(t, func(o *Options) { o.Now = func() time.Time { return now } })
 	load(t, client)
-	since := time.Now().Unix()
 	for _, stream := range []bool{false, true} {
 		answer, err := read(t.Context(), client, call("a", stream))
 		if err != nil {
@@ -118,9 +118,10 @@
 		if err := json.Unmarshal([]byte(first), &completion); err != nil {
 			t.Fatalf("answer %q: %v", answer, err)
 		}
-		if completion.Created < since || completion.Created > time.Now().Unix() {
-			t.Errorf("stream %t: created %d, want %d or later", stream, completion.Created, since)
+		if completion.Created != now.Unix() {
+			t.Errorf("stream %t: created %d, want %d", stream, completion.Created, now.Unix())
 		}
+		now = now.Add(time.Minute)
 	}
 }
 
@@ -148,9 +149,13 @@
 	}
 }
 
-// TestResumeAfterCut cuts a stream at each byte and continues it.
+// TestResumeAfterCut cuts a stream at each byte and continues it. All answers bear
+// the same date, so that each is the same as the whole one.
 func TestResumeAfterCut(t *testing.T) {
-	server, client := start(t, func(o *Options) { o.TokenTime = 0 })
+	server, client := start(t, func(o *Options) {
+		o.TokenTime = 0
+		o.Now = func() time.Time { return time.Unix(1000, 0) }
+	})
 	load(t, client)
 	for _, stream := range []bool{true, false} {
 		whole, err := read(t.Context(), client, call("r", stream))
--- a/testkit/standin/modelengine/engine.go
+++ b/testkit/standin/modelengine/engine.go
@@ -36,6 +36,8 @@
 	MemoryCached int
 	// Cached holds the checkpoints that are cached at the start.
 	Cached map[engine.Target]engine.CacheTier
+	// Now is the clock that answers are dated by; nil means time.Now.
+	Now func() time.Time
 }
 
 // DefaultOptions returns an engine with short load times.
@@ -96,6 +98,9 @@
 
 // New returns an engine with nothing loaded.
 func New(options Options) *Server {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	s := &Server{
 		options: options,
 		mux:     http.NewServeMux(),
--- a/testkit/standin/modelengine/runs.go
+++ b/testkit/standin/modelengine/runs.go
@@ -163,7 +163,7 @@
 	}
 	current := &run{
 		requestID: r.Header.Get(engine.HeaderRequestID),
-		started:   time.Now(),
+		started:   s.options.Now(),
 		target:    target,
 		stream:    prompt.Stream,
 		chat:      strings.HasSuffix(r.URL.Path, "/chat/completions"),
