Share the gauges of beliefs between entry and agent

Cause: found in the review of the change; both kept the same two gauges and the same method for them.

Change: one type, embedded by both, as the counts of store calls are. Names and values stay; the test of the metrics' text passes as it was.

--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -39,10 +39,30 @@
 	s.times.with(labels{string(op)}).Record(took)
 }
 
+// beliefGauges show how old and of which version a process's beliefs are.
+type beliefGauges struct {
+	versions *vector[tally.Gauge]
+	ages     *vector[tally.Gauge]
+}
+
+func newBeliefGauges(scope tally.Scope) beliefGauges {
+	return beliefGauges{
+		versions: newGauges(scope, "belief_version", "belief"),
+		ages:     newGauges(scope, "belief_age_seconds", "belief"),
+	}
+}
+
+// Belief shows the version of a belief and how long ago it was confirmed.
+func (b *beliefGauges) Belief(belief Belief, version int64, age time.Duration) {
+	b.versions.with(labels{string(belief)}).Update(float64(version))
+	b.ages.with(labels{string(belief)}).Update(age.Seconds())
+}
+
 // Gateway holds the metrics of an entry before an operator's platform. Its
 // methods are safe for concurrent use.
 type Gateway struct {
 	storeCalls
+	beliefGauges
 	requests     *vector[tally.Counter]
 	requestTimes *vector[tally.Timer]
 	firstBytes   *vector[tally.Timer]
@@ -50,8 +70,6 @@
 	leaseWaits   *vector[tally.Timer]
 	verdicts     *vector[tally.Counter]
 	connects     *vector[tally.Counter]
-	versions     *vector[tally.Gauge]
-	ages         *vector[tally.Gauge]
 	inFlight     tally.Gauge
 	backends     tally.Gauge
 	agents       tally.Gauge
@@ -64,6 +82,7 @@
 	gateway := scope.SubScope("gateway")
 	return &Gateway{
 		storeCalls:   newStoreCalls(gateway),
+		beliefGauges: newBeliefGauges(gateway),
 		requests:     newCounters(gateway, "requests_total", "route", "kind", "outcome"),
 		requestTimes: newTimers(gateway, "request_seconds", "kind"),
 		firstBytes:   newTimers(gateway, "first_byte_seconds", "kind"),
@@ -71,8 +90,6 @@
 		leaseWaits:   newTimers(gateway, "lease_wait_seconds", "outcome"),
 		verdicts:     newCounters(gateway, "retry_verdicts_total", "verdict"),
 		connects:     newCounters(gateway, "connects_total", "result"),
-		versions:     newGauges(gateway, "belief_version", "belief"),
-		ages:         newGauges(gateway, "belief_age_seconds", "belief"),
 		inFlight:     gateway.Gauge("requests_in_flight"),
 		backends:     gateway.Gauge("backends"),
 		agents:       gateway.Gauge("agents_connected"),
@@ -107,12 +124,6 @@
 // Connect counts a connection to a backend server.
 func (g *Gateway) Connect(result Result) { g.connects.with(labels{string(result)}).Inc(1) }
 
-// Belief shows the version of a belief and how long ago it was confirmed.
-func (g *Gateway) Belief(belief Belief, version int64, age time.Duration) {
-	g.versions.with(labels{string(belief)}).Update(float64(version))
-	g.ages.with(labels{string(belief)}).Update(age.Seconds())
-}
-
 // State shows the requests in flight, the usable backend servers, the agents that
 // are connected, and whether this entry leads.
 func (g *Gateway) State(inFlight, backends, agents int, leading bool) {
--- a/pkg/metrics/runner.go
+++ b/pkg/metrics/runner.go
@@ -10,6 +10,7 @@
 // platform. Its methods are safe for concurrent use.
 type Runner struct {
 	storeCalls
+	beliefGauges
 	uses       *vector[tally.Counter]
 	useWaits   *vector[tally.Timer]
 	orders     *vector[tally.Counter]
@@ -17,8 +18,6 @@
 	loads      *vector[tally.Counter]
 	loadTimes  *vector[tally.Timer]
 	reports    *vector[tally.Counter]
-	versions   *vector[tally.Gauge]
-	ages       *vector[tally.Gauge]
 	waiting    tally.Gauge
 	running    tally.Gauge
 	gateways   tally.Gauge
@@ -28,19 +27,18 @@
 func NewRunner(scope tally.Scope) *Runner {
 	runner := scope.SubScope("runner")
 	return &Runner{
-		storeCalls: newStoreCalls(runner),
-		uses:       newCounters(runner, "uses_total", "outcome"),
-		useWaits:   newTimers(runner, "use_wait_seconds", "outcome"),
-		orders:     newCounters(runner, "orders_total", "operation", "result"),
-		orderTimes: newTimers(runner, "order_seconds", "operation"),
-		loads:      newCounters(runner, "loads_total", "source", "result"),
-		loadTimes:  newTimers(runner, "load_seconds", "source"),
-		reports:    newCounters(runner, "reports_total", "result"),
-		versions:   newGauges(runner, "belief_version", "belief"),
-		ages:       newGauges(runner, "belief_age_seconds", "belief"),
-		waiting:    runner.Gauge("uses_waiting"),
-		running:    runner.Gauge("uses_running"),
-		gateways:   runner.Gauge("gateways"),
+		storeCalls:   newStoreCalls(runner),
+		beliefGauges: newBeliefGauges(runner),
+		uses:         newCounters(runner, "uses_total", "outcome"),
+		useWaits:     newTimers(runner, "use_wait_seconds", "outcome"),
+		orders:       newCounters(runner, "orders_total", "operation", "result"),
+		orderTimes:   newTimers(runner, "order_seconds", "operation"),
+		loads:        newCounters(runner, "loads_total", "source", "result"),
+		loadTimes:    newTimers(runner, "load_seconds", "source"),
+		reports:      newCounters(runner, "reports_total", "result"),
+		waiting:      runner.Gauge("uses_waiting"),
+		running:      runner.Gauge("uses_running"),
+		gateways:     runner.Gauge("gateways"),
 	}
 }
 
@@ -66,12 +64,6 @@
 // Report counts a reading of the model runner's report.
 func (r *Runner) Report(err error) { r.reports.with(labels{string(ResultOf(err))}).Inc(1) }
 
-// Belief shows the version of a belief and how long ago it was confirmed.
-func (r *Runner) Belief(belief Belief, version int64, age time.Duration) {
-	r.versions.with(labels{string(belief)}).Update(float64(version))
-	r.ages.with(labels{string(belief)}).Update(age.Seconds())
-}
-
 // State shows the waiting and running uses and the subscribed gateways.
 func (r *Runner) State(waiting, running, gateways int) {
 	r.waiting.Update(float64(waiting))
