Watch for a better runner by a timer, and only once a request waits

Cause: found in the review of the change. Each use of a model began a goroutine with a ticker, though most are granted before the first check; the chosen runner was judged a second time; the wait for a runner repeated backoff.Sleep.

Change: a timer, which starts no goroutine until its first check; chooseRunner returns the candidate that it has judged; backoff.Sleep is called. Checks, bounds and tests stay. A stopping entry notices within 50 ms that a request waits for a runner, instead of at once.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -55,7 +55,7 @@
 
 // chooseRunner returns the best runner for a model among those that were not
 // tried, or nil.
-func chooseRunner(now time.Time, v *view, tracker *backends.Tracker, service, model, domain string, tried []string) *server {
+func chooseRunner(now time.Time, v *view, tracker *backends.Tracker, service, model, domain string, tried []string) *candidate {
 	var candidates []candidate
 	for _, s := range v.servers[service] {
 		if s.State != fleet.BackendReady || slices.Contains(tried, s.ID) {
@@ -73,7 +73,7 @@
 		return nil
 	}
 	best := slices.MinFunc(candidates, compareCandidates)
-	return best.server
+	return &best
 }
 
 // shortage tells for the log why no server can take a request.
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -10,6 +10,7 @@
 	"github.com/quic-go/quic-go"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -29,13 +30,15 @@
 		now := time.Now()
 		current := x.handler.control.current()
 		x.know(now, current)
-		s := chooseRunner(now, current, x.handler.tracker, x.service, x.caller.Model, x.handler.domain, x.tried)
-		if s == nil {
-			if !x.awaitRunner(ctx, now, current) {
+		best := chooseRunner(now, current, x.handler.tracker, x.service, x.caller.Model, x.handler.domain, x.tried)
+		if best == nil {
+			if !x.mayAwaitRunner(now, current) {
 				return nil, nil, false
 			}
+			backoff.Sleep(ctx, runnerCheck)
 			continue
 		}
+		s := best.server
 		if s.agent == "" || !s.hears(now) || x.handler.node.Load() == nil {
 			return s, nil, true
 		}
@@ -55,24 +58,12 @@
 // runnerCheck is how often a request for which there is no runner looks for one.
 const runnerCheck = 50 * time.Millisecond
 
-// awaitRunner lets a request for which there is no runner wait a moment. It
-// returns false if the request can't be on time any more, if an agent has said that
-// its runner can't serve it in time, or if its model has no place.
-func (x *exchange) awaitRunner(ctx context.Context, now time.Time, current *view) bool {
+// mayAwaitRunner tells whether a request for which there is no runner may wait for
+// one: if it can still be on time, if no agent has said that its runner can't serve
+// it in time, and if its model has a place.
+func (x *exchange) mayAwaitRunner(now time.Time, current *view) bool {
 	isPlaced := len(current.permits[modelKey{x.service, x.caller.Model}]) > 0
-	if x.declined || !isPlaced || !now.Before(x.arrived.Add(x.route.TargetLatency)) {
-		return false
-	}
-	timer := time.NewTimer(runnerCheck)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-x.handler.unsent.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return !x.declined && isPlaced && now.Before(x.arrived.Add(x.route.TargetLatency))
 }
 
 // know notes the versions and the age of what a choice rests on.
@@ -105,15 +96,13 @@
 	defer cancel()
 	stop := context.AfterFunc(x.handler.unsent, cancel)
 	defer stop()
-	mover := x.watch(waitCtx, s, cancel)
-	// The watch reads the exchange, so it ends before the exchange goes on.
-	defer func() { <-mover.done }()
-	defer cancel()
+	mover := x.watch(s, cancel)
 	asked := time.Now()
 	held, refusal, err := acquire(waitCtx, x.handler.node.Load(), s, x.acquireFrame(asked))
+	moved := mover.end()
 	waited := time.Since(asked)
 	switch {
-	case err != nil && mover.moved.Load():
+	case err != nil && moved:
 		x.counted = true
 		x.handler.observer.metrics.LeaseWait(leaseLeft, waited)
 		x.logger.Info("lease given up, another runner is better", "agent", s.agent, "backend", s.ID, "waited_ms", waited.Milliseconds())
--- a/pkg/gateway/moving.go
+++ b/pkg/gateway/moving.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
@@ -21,41 +21,53 @@
 )
 
 // mover ends the wait of one request at a runner when another one can serve it
-// sooner.
+// sooner. Most requests don't wait until the first check, so it is a timer.
 type mover struct {
-	moved atomic.Bool
-	done  chan struct{}
+	mu sync.Mutex
+	// timer is nil if the request stays where it is.
+	timer *time.Timer
+	ended bool
+	moved bool
 }
 
 // watch begins to look for a runner that is better than the one that the request
-// waits at, until ctx ends. cancel ends the wait.
-func (x *exchange) watch(ctx context.Context, waitsAt *server, cancel context.CancelFunc) *mover {
-	m := &mover{done: make(chan struct{})}
+// waits at. cancel ends the wait. The exchange doesn't change until end is called.
+func (x *exchange) watch(waitsAt *server, cancel context.CancelFunc) *mover {
+	m := &mover{}
 	if x.moves >= maxMoves {
-		close(m.done)
 		return m
 	}
-	go func() {
-		defer close(m.done)
-		ticker := time.NewTicker(moveCheck)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case now := <-ticker.C:
-				if !x.canMove(now, waitsAt) {
-					continue
-				}
-				m.moved.Store(true)
-				cancel()
-				return
-			}
-		}
-	}()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.timer = time.AfterFunc(moveCheck, func() { m.check(x, waitsAt, cancel) })
 	return m
 }
 
+func (m *mover) check(x *exchange, waitsAt *server, cancel context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended {
+		return
+	}
+	if !x.canMove(time.Now(), waitsAt) {
+		m.timer.Reset(moveCheck)
+		return
+	}
+	m.moved = true
+	cancel()
+}
+
+// end stops looking, and tells whether the wait was ended for a better runner.
+func (m *mover) end() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = true
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	return m.moved
+}
+
 // canMove tells whether another runner than the one that the request waits at can
 // serve it sooner.
 func (x *exchange) canMove(now time.Time, waitsAt *server) bool {
@@ -67,21 +79,15 @@
 // than the one where it waits: it has the model loaded and room for the request, or
 // is expected to have the model loaded earlier.
 func betterRunner(now time.Time, v *view, tracker *backends.Tracker, service, model, domain, waitsAt string, tried []string) bool {
-	best := chooseRunner(now, v, tracker, service, model, domain, tried)
-	if best == nil || best.ID == waitsAt || best.agent == "" {
-		return false
-	}
-	key := modelKey{service, model}
-	better := newCandidate(now, v, best, key)
-	better.health = tracker.Health(now, best.ID)
-	if better.place == readyBusy || better.trouble() != 0 {
+	better := chooseRunner(now, v, tracker, service, model, domain, tried)
+	if better == nil || better.ID == waitsAt || better.agent == "" || better.place == readyBusy || better.trouble() != 0 {
 		return false
 	}
 	at := slices.IndexFunc(v.servers[service], func(s *server) bool { return s.ID == waitsAt })
 	if at < 0 {
 		return true
 	}
-	here := newCandidate(now, v, v.servers[service][at], key)
+	here := newCandidate(now, v, v.servers[service][at], modelKey{service, model})
 	if here.place == readyNow {
 		return false
 	}
