Send nothing to backend servers that leave or turned this host away

A server that leaves says so in all its answers, which may be long before its registration shows it, or instead of it; and a server that answers 503 may name a time for which it wants nothing from this host. Nobody read either header.

`backpressure` keeps what each incarnation said; every answer passes by it, whole, streamed or refused, and both choices of a server, the moves of waiting requests and a grant that comes after the word ask it. A request whose servers are all closed waits for the first that opens if it can still be served in time and is refused at once with that time otherwise; returns are spread. A refusal after refusals names the time at which the first server opens. The parameters of the choice of a runner became one value.

Ruled out: one probe within a named time. The server said that it wants none, and bursts in flight are what the two allowed requests are for.

Red without it: TestLeavingServerGetsNothingNew (`q012087 reached a server that leaves`), TestServerThatTurnsRequestsAway (`104 requests reached a server that wants none`), TestClosedRunnersAreNotChosen, TestGrantAtAClosedRunner, TestRequestWaitsItsTurn.

--- a/pkg/forward/dialect.go
+++ b/pkg/forward/dialect.go
@@ -50,6 +50,11 @@
 	NotRun bool
 	// Sealed tells that the answer bears a backend server's seal.
 	Sealed bool
+	// Leaving tells that the server leaves and takes no new work.
+	Leaving bool
+	// RetryAfter is how long a server that turned the request away wants none from
+	// this host; zero if it named no time.
+	RetryAfter time.Duration
 	// Load is nil if the server told none.
 	Load *Load
 }
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -53,20 +54,97 @@
 	readyNever
 )
 
-// chooseRunner returns the best runner for a model among those that were not
-// tried, or nil.
-func chooseRunner(now time.Time, v *view, tracker *backends.Tracker, service, model, domain string, tried []string) *candidate {
+// selection is what a server for a request is chosen by.
+type selection struct {
+	now     time.Time
+	view    *view
+	tracker *backends.Tracker
+	gate    *backpressure.Gate
+	service string
+	// model is empty for plain services.
+	model string
+	// domain is this host's failure domain.
+	domain string
+	// tried holds the IDs of the servers that are out of the question.
+	tried []string
+}
+
+// mayTry tells whether the request may go to a server at all, were the server
+// open.
+func (sel *selection) mayTry(s *server) bool {
+	return s.State == fleet.BackendReady && !slices.Contains(sel.tried, s.ID)
+}
+
+// isOpen tells whether a server takes requests from this host.
+func (sel *selection) isOpen(s *server) bool { return sel.gate.IsOpen(sel.now, s.incarnation()) }
+
+// opensAt is when the first of the servers opens that turned this host away, or
+// the zero time if there is none.
+func (sel *selection) opensAt() time.Time {
+	var first time.Time
+	for _, s := range sel.view.servers[sel.service] {
+		if !sel.mayTry(s) || (sel.model != "" && newCandidate(sel.now, sel.view, s, sel.key()).place == readyNever) {
+			continue
+		}
+		closure := sel.gate.Closure(s.incarnation())
+		if closure.Leaving || closure.IsOpen(sel.now) {
+			continue
+		}
+		if first.IsZero() || closure.Until.Before(first) {
+			first = closure.Until
+		}
+	}
+	return first
+}
+
+// choose returns the best server for the request, or nil.
+func (sel *selection) choose() *server {
+	if sel.model == "" {
+		return sel.choosePlain()
+	}
+	if best := chooseRunner(sel); best != nil {
+		return best.server
+	}
+	return nil
+}
+
+// choosePlain returns the best server of a plain service, or nil.
+func (sel *selection) choosePlain() *server {
+	var choices []backends.Choice
+	var servers []*server
+	for _, s := range sel.view.servers[sel.service] {
+		if !sel.mayTry(s) || !sel.isOpen(s) {
+			continue
+		}
+		servers = append(servers, s)
+		choices = append(choices, backends.Choice{
+			Backend: s.Backend,
+			Health:  sel.tracker.Health(sel.now, s.ID),
+			Near:    s.FailureDomain == sel.domain,
+		})
+	}
+	best := backends.Pick(choices)
+	if best < 0 {
+		return nil
+	}
+	return servers[best]
+}
+
+func (sel *selection) key() modelKey { return modelKey{sel.service, sel.model} }
+
+// chooseRunner returns the best runner for a model, or nil.
+func chooseRunner(sel *selection) *candidate {
 	var candidates []candidate
-	for _, s := range v.servers[service] {
-		if s.State != fleet.BackendReady || slices.Contains(tried, s.ID) {
+	for _, s := range sel.view.servers[sel.service] {
+		if !sel.mayTry(s) || !sel.isOpen(s) {
 			continue
 		}
-		c := newCandidate(now, v, s, modelKey{service, model})
+		c := newCandidate(sel.now, sel.view, s, sel.key())
 		if c.place == readyNever {
 			continue
 		}
-		c.health = tracker.Health(now, s.ID)
-		c.near = s.FailureDomain == domain
+		c.health = sel.tracker.Health(sel.now, s.ID)
+		c.near = s.FailureDomain == sel.domain
 		candidates = append(candidates, c)
 	}
 	if len(candidates) == 0 {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -188,7 +188,7 @@
 		}
 		return false
 	case attempt.RefuseNotRun:
-		x.fail(refusal{status: http.StatusServiceUnavailable, reason: "backend servers refused", retryAfter: noBackendRetry})
+		x.fail(refusal{status: http.StatusServiceUnavailable, reason: "backend servers refused", retryAfter: x.comeBack(time.Now())})
 	case attempt.Abort:
 		x.breakOff("stream broke off")
 	default:
@@ -197,6 +197,17 @@
 	return true
 }
 
+// comeBack is when a caller whose request no server took is to come back: at once
+// if there are others, else when the first one takes requests again.
+func (x *exchange) comeBack(now time.Time) time.Duration {
+	sel := x.selection(now)
+	sel.tried = nil
+	if sel.choose() != nil {
+		return noBackendRetry
+	}
+	return max(noBackendRetry, sel.opensAt().Sub(now))
+}
+
 func (x *exchange) callerLeft() bool { return x.request.Context().Err() != nil }
 
 func (x *exchange) lateRefusal() refusal {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"teaselgauge.example/teaselgauge/pkg/attempt"
 	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
@@ -119,6 +120,7 @@
 		dialect:  d.Dialect,
 		pool:     g.pool,
 		tracker:  backends.NewTracker(),
+		gate:     backpressure.NewGate(),
 		budget:   attempt.NewBudget(time.Now(), budgetLimits(g.config.Retries), assumedEntries),
 		domain:   g.config.Host.FailureDomain,
 		observer: g.observer,
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -11,6 +11,7 @@
 
 	"teaselgauge.example/teaselgauge/pkg/attempt"
 	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -32,6 +33,8 @@
 	dialect forward.Dialect
 	pool    *forward.Pool
 	tracker *backends.Tracker
+	// gate holds which servers want no requests from this host.
+	gate *backpressure.Gate
 	// node is nil until the site's secret is known.
 	node     atomic.Pointer[wire.Node]
 	budget   *attempt.Budget
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"errors"
-	"slices"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
 	"github.com/quic-go/quic-go"
 
-	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/backoff"
-	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -19,32 +18,26 @@
 // next returns the server to send the request to, with the lease of its model if
 // it needs one. It returns false if there is none.
 func (x *exchange) next(ctx context.Context) (*server, *lease, bool) {
-	if x.caller.Model == "" {
-		now := time.Now()
-		current := x.handler.control.current()
-		x.know(now, current)
-		s := x.choose(now, current)
-		return s, nil, s != nil
-	}
 	for ctx.Err() == nil && x.handler.unsent.Err() == nil {
-		now := time.Now()
-		current := x.handler.control.current()
-		x.know(now, current)
-		best := chooseRunner(now, current, x.handler.tracker, x.service, x.caller.Model, x.handler.domain, x.tried)
-		if best == nil {
-			if !x.mayAwaitRunner(now, current) {
+		sel := x.selection(time.Now())
+		s := sel.choose()
+		if s == nil {
+			if !x.awaitServer(ctx, sel) {
 				return nil, nil, false
 			}
-			backoff.Sleep(ctx, runnerCheck)
 			continue
 		}
-		s := best.server
-		if s.agent == "" || !s.hears(now) || x.handler.node.Load() == nil {
+		if s.agent == "" || !s.hears(sel.now) || x.handler.node.Load() == nil {
 			return s, nil, true
 		}
 		held, result := x.lease(ctx, s)
 		switch result {
 		case leaseHeld:
+			if !x.handler.gate.IsOpen(time.Now(), s.incarnation()) {
+				// The server closed while the request waited.
+				held.release(false)
+				continue
+			}
 			return s, held, true
 		case leaseMoved:
 			x.moves++
@@ -55,15 +48,68 @@
 	return nil, nil, false
 }
 
+// selection is what a server for the request is chosen by now.
+func (x *exchange) selection(now time.Time) *selection {
+	current := x.handler.control.current()
+	x.know(now, current)
+	return &selection{
+		now:     now,
+		view:    current,
+		tracker: x.handler.tracker,
+		gate:    x.handler.gate,
+		service: x.service,
+		model:   x.caller.Model,
+		domain:  x.handler.domain,
+		tried:   x.tried,
+	}
+}
+
+// awaitServer waits a while for a server if the request can still be served in
+// time. It returns false if the request is to be refused now.
+func (x *exchange) awaitServer(ctx context.Context, sel *selection) bool {
+	if opens := sel.opensAt(); !opens.IsZero() {
+		turn := backpressure.Turn(sel.now, opens, x.sendBy(), rand.Float64())
+		if turn.Refuse {
+			x.retryAfter = turn.After
+			return false
+		}
+		x.pause(ctx, turn.After)
+		return true
+	}
+	if sel.model == "" || !x.mayAwaitRunner(sel) {
+		return false
+	}
+	x.pause(ctx, runnerCheck)
+	return true
+}
+
+// pause waits for a time, or until ctx ends or a stopping entry gives the request
+// up.
+func (x *exchange) pause(ctx context.Context, d time.Duration) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(x.handler.unsent, cancel)
+	defer stop()
+	backoff.Sleep(waitCtx, d)
+}
+
+// sendBy is when the request must be sent to a server to be answered in time.
+func (x *exchange) sendBy() time.Time {
+	if x.caller.Model != "" {
+		return x.startBy()
+	}
+	return x.deadline.Add(-x.route.TargetLatency)
+}
+
 // runnerCheck is how often a request for which there is no runner looks for one.
 const runnerCheck = 50 * time.Millisecond
 
 // mayAwaitRunner tells whether a request for which there is no runner may wait for
 // one: if it can still be on time, if no agent has said that its runner can't serve
 // it in time, and if its model has a place.
-func (x *exchange) mayAwaitRunner(now time.Time, current *view) bool {
-	isPlaced := len(current.permits[modelKey{x.service, x.caller.Model}]) > 0
-	return !x.declined && isPlaced && now.Before(x.arrived.Add(x.route.TargetLatency))
+func (x *exchange) mayAwaitRunner(sel *selection) bool {
+	isPlaced := len(sel.view.permits[sel.key()]) > 0
+	return !x.declined && isPlaced && sel.now.Before(x.arrived.Add(x.route.TargetLatency))
 }
 
 // know notes the versions and the age of what a choice rests on.
@@ -205,25 +251,3 @@
 func remaining(now, until time.Time) uint32 {
 	return uint32(max(until.Sub(now).Milliseconds(), 0))
 }
-
-// choose picks a server of a plain service that was not tried yet, or nil.
-func (x *exchange) choose(now time.Time, current *view) *server {
-	var choices []backends.Choice
-	var servers []*server
-	for _, s := range current.servers[x.service] {
-		if s.State != fleet.BackendReady || slices.Contains(x.tried, s.ID) {
-			continue
-		}
-		servers = append(servers, s)
-		choices = append(choices, backends.Choice{
-			Backend: s.Backend,
-			Health:  x.handler.tracker.Health(now, s.ID),
-			Near:    s.FailureDomain == x.handler.domain,
-		})
-	}
-	best := backends.Pick(choices)
-	if best < 0 {
-		return nil
-	}
-	return servers[best]
-}
--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/goleak"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/packing"
@@ -88,8 +89,22 @@
 	return &wire.RunnerStatus{Slots: 10, Running: running, Models: []wire.RunnerModel{model}}
 }
 
+// selectionAt chooses for the test's model while all servers are open.
+func selectionAt(now time.Time, c *control, tracker *backends.Tracker, tried ...string) *selection {
+	return &selection{
+		now:     now,
+		view:    c.current(),
+		tracker: tracker,
+		gate:    backpressure.NewGate(),
+		service: testEngine,
+		model:   testModel,
+		domain:  testZone,
+		tried:   tried,
+	}
+}
+
 func chosen(c *control, tracker *backends.Tracker, now time.Time, tried ...string) string {
-	s := chooseRunner(now, c.current(), tracker, testEngine, testModel, testZone, tried)
+	s := chooseRunner(selectionAt(now, c, tracker, tried...))
 	if s == nil {
 		return ""
 	}
--- a/pkg/gateway/moving.go
+++ b/pkg/gateway/moving.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"teaselgauge.example/teaselgauge/pkg/backends"
 )
 
 const (
@@ -71,23 +69,23 @@
 // canMove tells whether another runner than the one that the request waits at can
 // serve it sooner.
 func (x *exchange) canMove(now time.Time, waitsAt *server) bool {
-	h := x.handler
-	return betterRunner(now, h.control.current(), h.tracker, x.service, x.caller.Model, h.domain, waitsAt.ID, x.tried)
+	return betterRunner(x.selection(now), waitsAt.ID)
 }
 
 // betterRunner tells whether a runner that was not tried can serve a request sooner
 // than the one where it waits: it has the model loaded and room for the request, or
 // is expected to have the model loaded earlier.
-func betterRunner(now time.Time, v *view, tracker *backends.Tracker, service, model, domain, waitsAt string, tried []string) bool {
-	better := chooseRunner(now, v, tracker, service, model, domain, tried)
+func betterRunner(sel *selection, waitsAt string) bool {
+	better := chooseRunner(sel)
 	if better == nil || better.ID == waitsAt || better.agent == "" || better.place == readyBusy || better.trouble() != 0 {
 		return false
 	}
-	at := slices.IndexFunc(v.servers[service], func(s *server) bool { return s.ID == waitsAt })
-	if at < 0 {
+	servers := sel.view.servers[sel.service]
+	at := slices.IndexFunc(servers, func(s *server) bool { return s.ID == waitsAt })
+	if at < 0 || !sel.isOpen(servers[at]) {
 		return true
 	}
-	here := newCandidate(now, v, v.servers[service][at], modelKey{service, model})
+	here := newCandidate(sel.now, sel.view, servers[at], sel.key())
 	if here.place == readyNow {
 		return false
 	}
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/keys"
@@ -41,7 +42,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			test.here.id, test.other.id = "here", "other"
 			c := fixture(testStart, test.here, test.other)
-			got := betterRunner(testStart, c.current(), backends.NewTracker(), testEngine, testModel, testZone, "here", test.tried)
+			got := betterRunner(selectionAt(testStart, c, backends.NewTracker(), test.tried...), "here")
 			if got != test.want {
 				t.Errorf("got %t", got)
 			}
@@ -53,6 +54,8 @@
 // when they end.
 type fakeAgent struct {
 	grants bool
+	// before is called before it answers.
+	before func()
 	asked  chan struct{}
 	ended  chan struct{}
 }
@@ -67,6 +70,9 @@
 		return
 	}
 	a.asked <- struct{}{}
+	if a.before != nil {
+		a.before()
+	}
 	answer := &wire.Frame{Accepted: &wire.Accepted{}}
 	if a.grants {
 		answer = &wire.Frame{Granted: &wire.Granted{}}
@@ -111,7 +117,7 @@
 	}
 	shown := telemetry.New(state.Identity{Program: "entry"})
 	t.Cleanup(func() { shown.Close() })
-	h := &handler{control: c, dialect: &recorder{}, tracker: backends.NewTracker(), observer: newObserver(quiet(), metrics.NewGateway(shown.Scope()))}
+	h := &handler{control: c, dialect: &recorder{}, tracker: backends.NewTracker(), gate: backpressure.NewGate(), observer: newObserver(quiet(), metrics.NewGateway(shown.Scope()))}
 	h.unsent, h.giveUpUnsent = context.WithCancel(t.Context())
 	h.node.Store(newNode(t, secret, "front-1", keys.RoleEntry, keys.RoleAgent, refuseStreams{}))
 	x := testExchange(&recorder{}, &fleet.Route{TargetLatency: target, Destinations: []fleet.Destination{{Service: testEngine, Weight: 1}}})
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -26,6 +26,7 @@
 		tracker.Ended(backend.ID)
 		return x.sendFailed(ctx, backend, err), nil
 	}
+	x.noteClosure(backend, response)
 	if event := x.judge(response); event != nil {
 		x.handler.observer.metrics.Send(event.String())
 		tracker.Answered(time.Now(), backend.ID, time.Since(now), *event == attempt.Failed)
@@ -37,6 +38,21 @@
 	return nil, response
 }
 
+// noteClosure notes what the server says of further requests from this host. Each
+// answer comes by here, whatever becomes of it.
+func (x *exchange) noteClosure(backend *server, response *forward.Response) {
+	now := time.Now()
+	gate := x.handler.gate
+	if response.Info.Leaving && gate.Leaving(now, backend.incarnation()) {
+		x.logger.Info("backend server leaves", "belief", "backend:"+backend.ID, "backend", backend.ID, "status", response.Status)
+	}
+	if after := response.Info.RetryAfter; after > 0 {
+		gate.TurnedAway(now, backend.incarnation(), after)
+		x.handler.observer.metrics.TurnedAway()
+		x.logger.Info("turned away by the backend server", "backend", backend.ID, "retry_after_ms", after.Milliseconds())
+	}
+}
+
 func (x *exchange) sendFailed(ctx context.Context, backend *server, err error) *attempt.Event {
 	event := attempt.Lost
 	if forward.IsNotSent(err) {
--- a/pkg/gateway/upkeep.go
+++ b/pkg/gateway/upkeep.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // keepUp passes on to the request path what follows from changes of the control
 // state, until ctx ends: how many entries share the retry budget, and which
@@ -38,5 +41,6 @@
 		}
 	}
 	g.handler.tracker.Forget(func(id string) bool { return ids[id] })
+	g.handler.gate.Sweep(time.Now())
 	return addresses
 }
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/packing"
@@ -24,6 +25,11 @@
 	state *agentState
 }
 
+// incarnation names the present start of the server.
+func (s *server) incarnation() backpressure.Incarnation {
+	return backpressure.Incarnation{ID: s.ID, BornMillis: s.BornMillis}
+}
+
 // hears tells whether the agent's status is recent.
 func (s *server) hears(now time.Time) bool {
 	return s.state != nil && s.state.connected && now.Sub(s.state.heard) < statusTTL
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -74,6 +74,7 @@
 	backends     tally.Gauge
 	agents       tally.Gauge
 	leading      tally.Gauge
+	turnedAway   tally.Counter
 	unlogged     tally.Counter
 }
 
@@ -94,6 +95,7 @@
 		backends:     gateway.Gauge("backends"),
 		agents:       gateway.Gauge("agents_connected"),
 		leading:      gateway.Gauge("leading"),
+		turnedAway:   gateway.Counter("turned_away_total"),
 		unlogged:     gateway.Counter("answers_not_logged_total"),
 	}
 }
@@ -133,6 +135,10 @@
 	g.leading.Update(boolGauge(leading))
 }
 
+// TurnedAway counts a backend server's answer that it wants no requests for a
+// while.
+func (g *Gateway) TurnedAway() { g.turnedAway.Inc(1) }
+
 // Unlogged counts an answer that was left out of the log.
 func (g *Gateway) Unlogged() { g.unlogged.Inc(1) }
 
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -23,6 +23,7 @@
 	HeaderNotRun    = "Teaselgauge-Not-Executed"
 	HeaderInstance  = "Teaselgauge-Expect-Instance"
 	HeaderPriority  = "Teaselgauge-Request-Priority"
+	HeaderLeaving   = "Server-Leaving"
 )
 
 // StreamPath begins the paths that are answered with a stream.
@@ -66,6 +67,11 @@
 		Priority: r.Header.Get(HeaderPriority), Budget: r.Header.Get(HeaderBudget),
 		LastEventID: r.Header.Get("Last-Event-Id"), At: time.Now(),
 	})
+	if left := s.turnedAway(); left > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+		s.refuse(w, id, http.StatusServiceUnavailable)
+		return
+	}
 	if status := s.refusal(r); status != 0 {
 		s.refuse(w, id, status)
 		return
@@ -83,6 +89,18 @@
 	s.answer(w, r, id, string(body))
 }
 
+// turnedAway is for how long requests are turned away, if they are.
+func (s *Server) turnedAway() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.faults.TurnAwayFor > 0 {
+		s.awayUntil = now.Add(s.faults.TurnAwayFor)
+		s.faults.TurnAwayFor = 0
+	}
+	return max(s.awayUntil.Sub(now), 0)
+}
+
 func (s *Server) refuse(w http.ResponseWriter, id string, status int) {
 	w.Header().Set(HeaderRequestID, id)
 	w.Header().Set(HeaderNotRun, "1")
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -70,6 +70,9 @@
 	DoubleNext int
 	// Silent leaves requests without an answer.
 	Silent bool
+	// TurnAwayFor makes the server refuse all requests for so long, from the first
+	// that it refuses on, and say so in its refusals.
+	TurnAwayFor time.Duration
 	// LoseOrders leaves orders without an answer and carries them out after a
 	// while, if their sequence still fits then.
 	LoseOrders time.Duration
@@ -87,7 +90,11 @@
 	faults   Faults
 	journal  Journal
 	draining bool
-	engine   *engine
+	// leaving is said in all answers.
+	leaving bool
+	// awayUntil is when a server that turns requests away takes them again.
+	awayUntil time.Time
+	engine    *engine
 	// born is the Unix time of the start in milliseconds.
 	born  int64
 	slots chan struct{}
@@ -131,7 +138,20 @@
 		mux.HandleFunc("GET /v1/report", s.handleReport)
 		mux.HandleFunc("POST /v1/order", s.handleOrder)
 	}
-	return mux
+	return s.sayLeaving(mux)
+}
+
+// sayLeaving adds to each answer of a server that leaves that it does.
+func (s *Server) sayLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		leaving := s.leaving
+		s.mu.Unlock()
+		if leaving {
+			w.Header().Set(HeaderLeaving, "1")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Address is where the server listens.
@@ -224,10 +244,19 @@
 func (s *Server) Drain() {
 	s.mu.Lock()
 	s.draining = true
+	s.leaving = true
 	s.mu.Unlock()
 	s.Register()
 }
 
+// Leave has the server say in its answers that it leaves, and nowhere else. It
+// goes on serving.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
 // Restart empties a runner, which keeps its disk, and registers the new
 // incarnation under an ID.
 func (s *Server) Restart(id string) {
