--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -122,6 +122,17 @@
 	return true
 }
 
+// Drop takes in that a server is gone, outage or not. It returns whether it was
+// usable.
+func (r *Registry) Drop(now time.Time, id string) bool {
+	known := r.entries[id]
+	if known == nil || !known.usable {
+		return false
+	}
+	known.drop(now)
+	return true
+}
+
 // Unreadable takes in an entry that can't be read, which names no server.
 func (r *Registry) Unreadable(now time.Time, id string) bool {
 	known := r.entries[id]
--- /dev/null
+++ b/pkg/directory/status.go
@@ -0,0 +1,114 @@
+package directory
+
+import (
+	"slices"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// Difference returns what has changed from one status to another as a partial
+// status, or nil if nothing has. Both have their models ordered by name. Without a
+// status before, it is the whole one.
+func Difference(before, after *wire.RunnerStatus) *wire.RunnerStatus {
+	if before == nil {
+		return after
+	}
+	change := *after
+	change.Partial = true
+	change.Models = nil
+	change.Dropped = nil
+	i := 0
+	for _, model := range after.Models {
+		for i < len(before.Models) && before.Models[i].Name < model.Name {
+			change.Dropped = append(change.Dropped, before.Models[i].Name)
+			i++
+		}
+		if i < len(before.Models) && before.Models[i].Name == model.Name {
+			if before.Models[i] != model {
+				change.Models = append(change.Models, model)
+			}
+			i++
+			continue
+		}
+		change.Models = append(change.Models, model)
+	}
+	for ; i < len(before.Models); i++ {
+		change.Dropped = append(change.Dropped, before.Models[i].Name)
+	}
+	if len(change.Models) == 0 && len(change.Dropped) == 0 && sameHead(before, after) {
+		return nil
+	}
+	return &change
+}
+
+// sameHead tells whether two statuses are the same but for their models.
+func sameHead(a, b *wire.RunnerStatus) bool {
+	return a.Instance == b.Instance && a.BornMillis == b.BornMillis && a.PlanRevision == b.PlanRevision &&
+		a.Leaving == b.Leaving && a.Down == b.Down && a.Slots == b.Slots && a.Running == b.Running &&
+		a.Waiting == b.Waiting && a.Failing == b.Failing
+}
+
+// Merge returns the status that a change makes of the one before it. Neither is
+// changed. A whole status takes the place of the one before, and so does a partial
+// one if there is none.
+func Merge(before, change *wire.RunnerStatus) *wire.RunnerStatus {
+	merged := *change
+	merged.Partial = false
+	merged.Dropped = nil
+	if !change.Partial || before == nil {
+		return &merged
+	}
+	merged.Models = make([]wire.RunnerModel, 0, len(before.Models)+len(change.Models))
+	for _, model := range before.Models {
+		if !slices.Contains(change.Dropped, model.Name) {
+			merged.Models = append(merged.Models, model)
+		}
+	}
+	for _, model := range change.Models {
+		at, known := slices.BinarySearchFunc(merged.Models, model.Name, compareName)
+		if known {
+			merged.Models[at] = model
+			continue
+		}
+		merged.Models = slices.Insert(merged.Models, at, model)
+	}
+	return &merged
+}
+
+func compareName(model wire.RunnerModel, name string) int {
+	switch {
+	case model.Name < name:
+		return -1
+	case model.Name > name:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// countSteps is into how many steps the load of a runner is divided in a summary.
+const countSteps = 6
+
+// Summarize returns what an entry that decides no placement needs of a status: the
+// models that the runner holds, loads or may load, and its load in steps.
+func Summarize(status *wire.RunnerStatus) *wire.RunnerStatus {
+	summary := *status
+	step := max(status.Slots/countSteps, 1)
+	summary.Running = (status.Running + step - 1) / step * step
+	summary.Waiting = (status.Waiting + step - 1) / step * step
+	summary.Models = make([]wire.RunnerModel, 0, len(status.Models))
+	for _, model := range status.Models {
+		if model.State == wire.ModelAbsent && model.Permit == 0 {
+			continue
+		}
+		summary.Models = append(summary.Models, wire.RunnerModel{
+			Name:       model.Name,
+			State:      model.State,
+			Tier:       model.Tier,
+			Wanted:     model.Wanted,
+			WaitMillis: model.WaitMillis,
+			Permit:     model.Permit,
+		})
+	}
+	return &summary
+}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -9,7 +9,6 @@
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
-	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -83,7 +82,7 @@
 func (sel *selection) opensAt() time.Time {
 	var first time.Time
 	for _, s := range sel.view.servers[sel.service] {
-		if !sel.mayTry(s) || (sel.model != "" && newCandidate(sel.now, sel.view, s, sel.key()).place == readyNever) {
+		if !sel.mayTry(s) || (sel.model != "" && newCandidate(sel.now, s, sel.model).place == readyNever) {
 			continue
 		}
 		closure := sel.gate.Closure(s.incarnation())
@@ -130,8 +129,6 @@
 	return servers[best]
 }
 
-func (sel *selection) key() modelKey { return modelKey{sel.service, sel.model} }
-
 // chooseRunner returns the best runner for a model, or nil.
 func chooseRunner(sel *selection) *candidate {
 	var candidates []candidate
@@ -139,7 +136,7 @@
 		if !sel.mayTry(s) || !sel.isOpen(s) {
 			continue
 		}
-		c := newCandidate(sel.now, sel.view, s, sel.key())
+		c := newCandidate(sel.now, s, sel.model)
 		if c.place == readyNever {
 			continue
 		}
@@ -168,7 +165,7 @@
 		if known := s.model(model); known != nil && known.State == wire.ModelLoaded {
 			loaded++
 		}
-		if slices.ContainsFunc(v.permits[modelKey{service, model}], func(p packing.Permit) bool { return p.Host == s.agent }) {
+		if s.isPermitted(model) {
 			permitted++
 		}
 	}
@@ -179,18 +176,13 @@
 	return text
 }
 
-func newCandidate(now time.Time, v *view, s *server, key modelKey) candidate {
+func newCandidate(now time.Time, s *server, model string) candidate {
 	c := candidate{server: s, permit: noPermit}
-	for i, permit := range v.permits[key] {
-		if permit.Host == s.agent {
-			c.permit = i
-		}
-	}
 	if !s.hears(now) {
-		c.place = readinessUnheard(s, key.model)
+		c.place = readinessUnheard(s, model)
 		return c
 	}
-	status := s.state.status
+	status := s.state.Status
 	if status.Down || status.Leaving {
 		c.place = readyNever
 		return c
@@ -199,11 +191,14 @@
 	if status.Slots > 0 {
 		c.load = float64(status.Running+status.Waiting) / float64(status.Slots)
 	}
-	known := s.model(key.model)
-	c.place = readinessOf(known, c.load, c.permit != noPermit)
+	known := s.model(model)
 	if known != nil {
 		c.wait = time.Duration(known.WaitMillis) * time.Millisecond
+		if known.Permit > 0 {
+			c.permit = known.Permit
+		}
 	}
+	c.place = readinessOf(known, c.load, c.permit != noPermit)
 	return c
 }
 
--- a/pkg/gateway/choose_test.go
+++ b/pkg/gateway/choose_test.go
@@ -112,7 +112,7 @@
 	if got := chosen(c, backends.NewTracker(), testStart.Add(statusTTL)); got != "" {
 		t.Errorf("chose %q, whose agent can't load the model", got)
 	}
-	c.agentLost("host-a")
+	c.agentLost("host-a", c.agents["host-a"].from)
 	if got := chosen(c, backends.NewTracker(), testStart); got != "" {
 		t.Errorf("chose %q, whose agent is gone", got)
 	}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/directory"
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/packing"
@@ -17,12 +18,11 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// agentState is what an agent last said of its runner.
+// agentState is what is known of an agent and its runner, and on which stream it
+// came. It is immutable.
 type agentState struct {
-	status *wire.RunnerStatus
-	heard  time.Time
-	// connected tells that the agent's stream of statuses is open.
-	connected bool
+	*directory.Row
+	from *source
 }
 
 // leaderKnown is what is known of the leader's key.
@@ -38,23 +38,36 @@
 // control owns the control state. Its methods run on the loop, but for current
 // and changes.
 type control struct {
-	loop      *eventloop.Loop
-	logger    *slog.Logger
-	registry  *backends.Registry
-	table     *fleet.Table
-	hosts     map[string]roster.Host
-	agents    map[string]*agentState
-	placement *packing.Placement
-	// permits indexes placement.
-	permits map[modelKey][]packing.Permit
-	leader  leaderKnown
+	loop     *eventloop.Loop
+	logger   *slog.Logger
+	registry *backends.Registry
+	table    *fleet.Table
+	hosts    map[string]roster.Host
+	agents   map[string]*agentState
+	// informed tells that all agents that there are have been heard of, or had the
+	// time.
+	informed bool
+	// agentsShared tells that a view holds agents.
+	agentsShared bool
+	placement    *packing.Placement
+	leader       leaderKnown
+	// engines holds what agents are told of each service with model runners.
+	engines map[string]*wire.Engine
 	// asOf is the store's revision up to which hosts and placement are known.
 	asOf int64
 
+	// relayingSince is when this entry began to relay what it knows to others; nil if
+	// it doesn't.
+	relayingSince atomic.Pointer[time.Time]
 	// beliefs may be used by any goroutine.
 	beliefs beliefs
 
 	view atomic.Pointer[view]
+	// statusPause is the least time between two views that differ in statuses only;
+	// publishing tells that one is due.
+	statusPause time.Duration
+	publishedAt time.Time
+	publishing  bool
 	// changed is closed and replaced when anything but statuses has changed.
 	mu      sync.Mutex
 	changed chan struct{}
@@ -73,6 +86,23 @@
 	return c
 }
 
+// setRelaying notes whether this entry relays, and tells whether that has changed.
+func (c *control) setRelaying(now time.Time, relays bool) bool {
+	if relays == c.isRelaying() {
+		return false
+	}
+	if relays {
+		c.relayingSince.Store(&now)
+	} else {
+		c.relayingSince.Store(nil)
+	}
+	return true
+}
+
+// isRelaying tells whether this entry relays what it knows to others. Any goroutine
+// may call it.
+func (c *control) isRelaying() bool { return c.relayingSince.Load() != nil }
+
 // current returns the newest view. Any goroutine may call it.
 func (c *control) current() *view { return c.view.Load() }
 
@@ -84,12 +114,29 @@
 	return c.changed
 }
 
-// publishStatuses makes changed statuses visible.
-func (c *control) publishStatuses() { c.view.Store(newView(c)) }
+// publishStatuses makes changed statuses visible, at once or a moment after the
+// view before, so that statuses that come together cost one view.
+func (c *control) publishStatuses() {
+	if c.publishing {
+		return
+	}
+	if wait := time.Until(c.publishedAt.Add(c.statusPause)); wait > 0 {
+		c.publishing = true
+		time.AfterFunc(wait, func() { c.loop.Post(c.publishNow) })
+		return
+	}
+	c.publishNow()
+}
+
+func (c *control) publishNow() {
+	c.publishing = false
+	c.publishedAt = time.Now()
+	c.view.Store(newView(c))
+}
 
 // publish makes all changes visible.
 func (c *control) publish() {
-	c.publishStatuses()
+	c.publishNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.changed)
@@ -102,6 +149,10 @@
 		return
 	}
 	c.table = fleet.NewTable(configuration)
+	c.engines = make(map[string]*wire.Engine)
+	for _, service := range c.table.Engines() {
+		c.engines[service.Name] = engineOf(configuration.Version, service.Engine)
+	}
 	c.publish()
 	c.logger.Info("configuration in force", "belief", "configuration", "version", configuration.Version,
 		"routes", len(configuration.Routes), "services", len(configuration.Services))
@@ -154,12 +205,14 @@
 
 // siteChange is what the store holds of the site's own processes and decisions.
 type siteChange struct {
-	// complete tells that hosts, placement and leader are all there is.
-	complete  bool
-	asOf      int64
-	hosts     []roster.Host
-	gone      []string
-	placement *packing.Placement
+	// complete tells that hosts, placement and leader are all there is, and
+	// listsAgents that the hosts of agents are among them.
+	complete    bool
+	listsAgents bool
+	asOf        int64
+	hosts       []roster.Host
+	gone        []string
+	placement   *packing.Placement
 	// leader is nil if nothing is said of it.
 	leader *leaderKnown
 }
@@ -179,6 +232,7 @@
 	for _, id := range change.gone {
 		delete(c.hosts, id)
 	}
+	c.forgetAgents(change)
 	if change.placement != nil && (c.placement == nil || change.placement.Revision >= c.placement.Revision) {
 		c.takePlacement(change.placement)
 	}
@@ -194,7 +248,6 @@
 		c.logger.Info("placement in force", "belief", "placement", "revision", placement.Revision, "models", len(placement.Models))
 	}
 	c.placement = placement
-	c.permits = permitsOf(placement)
 }
 
 func (c *control) takeLeader(leader leaderKnown) {
@@ -203,26 +256,3 @@
 	}
 	c.leader = leader
 }
-
-// agentSaid takes in an agent's status.
-func (c *control) agentSaid(now time.Time, host string, status *wire.RunnerStatus) {
-	if before := c.agents[host]; before == nil || !before.connected {
-		c.logger.Info("agent heard", "belief", "agent:"+host, "agent", host, "plan", status.PlanRevision, "models", len(status.Models))
-	}
-	c.agents = maps.Clone(c.agents)
-	c.agents[host] = &agentState{status: status, heard: now, connected: true}
-	c.publishStatuses()
-}
-
-// agentLost notes that the stream of an agent's statuses broke.
-func (c *control) agentLost(host string) {
-	state := c.agents[host]
-	if state == nil || !state.connected {
-		return
-	}
-	lost := *state
-	lost.connected = false
-	c.agents = maps.Clone(c.agents)
-	c.agents[host] = &lost
-	c.publishStatuses()
-}
--- a/pkg/gateway/control_test.go
+++ b/pkg/gateway/control_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
+	"teaselgauge.example/teaselgauge/pkg/directory"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/packing"
@@ -56,13 +58,13 @@
 	c := fixture(testStart, testRunner{id: "a", permits: true}, testRunner{id: "b"})
 	current := c.current()
 	plan := current.planFor(current.hosts["host-a"])
-	if plan == nil || plan.Instance != "a" || plan.Revision != 5 || plan.AsOf != 9 || plan.Slots != 10 || plan.MiB != 100 {
+	if plan == nil || plan.Instance != "a" || plan.Revision != 5 || plan.AsOf != 9 || plan.Engine.Slots != 10 || plan.Engine.MiB != 100 {
 		t.Fatalf("plan %+v", plan)
 	}
-	if len(plan.Models) != 1 || !plan.Models[0].Permitted {
-		t.Errorf("models %+v", plan.Models)
+	if want := []wire.ModelPermit{{Model: testModel, Place: 1}}; !slices.Equal(plan.Permits, want) || len(plan.Engine.Models) != 1 {
+		t.Errorf("permits %+v", plan.Permits)
 	}
-	if other := current.planFor(current.hosts["host-b"]); other == nil || other.Models[0].Permitted {
+	if other := current.planFor(current.hosts["host-b"]); other == nil || len(other.Permits) != 0 {
 		t.Errorf("plan %+v of a runner without a permit", other)
 	}
 	if unknown := current.planFor(roster.Host{ID: "host-x"}); unknown != nil {
@@ -71,13 +73,17 @@
 }
 
 func TestNewsForAnAgent(t *testing.T) {
-	plan := &wire.RunnerPlan{Revision: 5, AsOf: 9, Instance: "a", Models: []wire.PlannedModel{{Name: "m"}}}
-	taken := &agentState{status: &wire.RunnerStatus{PlanRevision: 5}}
-	ignored := &agentState{status: &wire.RunnerStatus{PlanRevision: 0}}
+	plan := &wire.RunnerPlan{Revision: 5, AsOf: 9, Instance: "a", Permits: []wire.ModelPermit{{Model: "m", Place: 2}}}
+	taken := &agentState{Row: &directory.Row{Status: &wire.RunnerStatus{PlanRevision: 5}}}
+	ignored := &agentState{Row: &directory.Row{Status: &wire.RunnerStatus{PlanRevision: 0}}}
 	changed := *plan
-	changed.Models = []wire.PlannedModel{{Name: "m", Permitted: true}}
+	changed.Permits = []wire.ModelPermit{{Model: "m", Place: 1}}
 	later := *plan
 	later.AsOf = 10
+	otherModels := *plan
+	otherModels.Revision = 6
+	otherEngine := *plan
+	otherEngine.Engine = &wire.Engine{}
 	tests := []struct {
 		name       string
 		plan, last *wire.RunnerPlan
@@ -86,7 +92,9 @@
 	}{
 		{"the first", plan, nil, nil, true},
 		{"the same", plan, plan, taken, false},
-		{"other models", &changed, plan, taken, true},
+		{"other permits", &changed, plan, taken, true},
+		{"another placement with the same permits", &otherModels, plan, taken, false},
+		{"another engine", &otherEngine, plan, taken, true},
 		{"known to be newer, though the last was taken", &later, plan, taken, false},
 		{"known to be newer, as the last was ignored", &later, plan, ignored, true},
 		{"no newer, though the last was ignored", plan, plan, ignored, false},
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -31,8 +31,9 @@
 type decider struct {
 	store   keyvalue.Store
 	control *control
-	links   *links
-	logger  *slog.Logger
+	// startLoad gives an agent leave to load a model from the weight store.
+	startLoad func(host, inner, model string)
+	logger    *slog.Logger
 	// loadsAtOnce is how many loads from the weight store run at full speed.
 	loadsAtOnce atomic.Int64
 
@@ -111,7 +112,7 @@
 
 func (d *decider) noteDown(now time.Time, current *view) {
 	for host, state := range current.agents {
-		isDown := state.status.Down || !state.connected
+		isDown := state.Status == nil || state.Status.Down || !state.hears(now)
 		if !isDown {
 			delete(d.downSince, host)
 		} else if d.downSince[host].IsZero() {
@@ -122,7 +123,7 @@
 
 // usable tells whether a runner may be given permits.
 func (d *decider) usable(now time.Time, s *server) bool {
-	if s.agent == "" || s.state == nil || s.State != fleet.BackendReady || s.state.status.Leaving {
+	if s.agent == "" || s.state == nil || s.State != fleet.BackendReady || s.state.Status.Leaving {
 		return false
 	}
 	down := d.downSince[s.agent]
@@ -162,7 +163,7 @@
 			if s.state == nil {
 				continue
 			}
-			for _, model := range s.state.status.Models {
+			for _, model := range s.state.Status.Models {
 				rates[model.Name] += model.Interactive
 			}
 		}
@@ -224,8 +225,8 @@
 			continue
 		}
 		runner := packing.Runner{Host: s.agent, FailureDomain: s.FailureDomain, Near: make(map[string]packing.Nearness)}
-		for i := range s.state.status.Models {
-			model := &s.state.status.Models[i]
+		for i := range s.state.Status.Models {
+			model := &s.state.Status.Models[i]
 			runner.Near[model.Name] = packing.NearnessOf(model)
 		}
 		problem.Runners = append(problem.Runners, runner)
@@ -250,13 +251,13 @@
 // startLoads gives leave to load from the weight store, to as many runners as it
 // serves at full speed.
 func (d *decider) startLoads(now time.Time, current *view) {
-	demand := demandOf(current)
+	demand := demandOf(now, current)
 	var statuses []packing.LoadStatus
 	for host, state := range current.agents {
-		if !state.connected {
+		if !state.hears(now) || state.Status == nil {
 			continue
 		}
-		for _, model := range state.status.Models {
+		for _, model := range state.Status.Models {
 			if !model.FromStore && !model.WantsStart {
 				continue
 			}
@@ -269,19 +270,19 @@
 		}
 	}
 	for _, load := range d.starts.Next(now, statuses, d.startLimits(current)) {
-		sent := d.links.startLoad(load.Host, load.Model)
-		d.logger.Info("load from the weight store granted", "agent", load.Host, "model", load.Model, "sent", sent)
+		d.logger.Info("load from the weight store granted", "agent", load.Host, "model", load.Model)
+		d.startLoad(load.Host, current.agents[load.Host].Inner, load.Model)
 	}
 }
 
 // demandOf adds up what the agents say of each model.
-func demandOf(current *view) map[string]packing.Demand {
+func demandOf(now time.Time, current *view) map[string]packing.Demand {
 	demand := make(map[string]packing.Demand)
 	for _, state := range current.agents {
-		if !state.connected {
+		if !state.hears(now) || state.Status == nil {
 			continue
 		}
-		for _, model := range state.status.Models {
+		for _, model := range state.Status.Models {
 			d := demand[model.Name]
 			d.Interactive += model.Interactive
 			d.Patient += model.Patient
--- a/pkg/gateway/dump.go
+++ b/pkg/gateway/dump.go
@@ -8,7 +8,6 @@
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
-	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -56,7 +55,8 @@
 type ModelDump struct {
 	Service string `json:"service"`
 	Model   string `json:"model"`
-	// Permitted counts the runners that may hold it, Kept those that are to.
+	// Permitted counts the runners that may hold it, Kept those that are to; an entry
+	// that follows a relay doesn't know the latter.
 	Permitted   int     `json:"permitted"`
 	Kept        int     `json:"kept"`
 	Loaded      int     `json:"loaded"`
@@ -120,16 +120,16 @@
 		d.StatusAgeMillis = s.statusAge(now).Milliseconds()
 	}
 	if s.state != nil {
-		d.Running = s.state.status.Running
-		d.Waiting = s.state.status.Waiting
+		d.Running = s.state.Status.Running
+		d.Waiting = s.state.Status.Waiting
 	}
 	return d
 }
 
 func dumpModel(current *view, service *fleet.Service, name string) ModelDump {
 	d := ModelDump{Service: service.Name, Model: name}
-	for _, permit := range current.permits[modelKey{service.Name, name}] {
-		d.addPermit(permit)
+	if current.placement != nil {
+		d.Kept = current.placement.Kept(service.Name, name)
 	}
 	for _, s := range current.servers[service.Name] {
 		if known := s.model(name); known != nil {
@@ -139,14 +139,10 @@
 	return d
 }
 
-func (d *ModelDump) addPermit(permit packing.Permit) {
-	d.Permitted++
-	if permit.Keep {
-		d.Kept++
-	}
-}
-
 func (d *ModelDump) addCopy(known *wire.RunnerModel) {
+	if known.Permit > 0 {
+		d.Permitted++
+	}
 	d.Running += known.Running
 	d.Waiting += known.Waiting
 	d.Interactive += known.Interactive
--- /dev/null
+++ b/pkg/gateway/following.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/directory"
+	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/roster"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// followCheck is the time between two looks at what the entry follows.
+	followCheck = 250 * time.Millisecond
+	// listedPatience is how long a new entry waits until it stands in the site's list
+	// itself, so that it doesn't take itself for the only one.
+	listedPatience = time.Second
+	// maxStoreAge is how long ago a relay may have heard from the store for its word
+	// on backend servers to be enough.
+	maxStoreAge = 2 * time.Second
+)
+
+// following keeps this entry informed of the site's agents: as a relay it follows
+// the agents of its failure domain and the relays of the others, else it follows a
+// relay.
+type following struct {
+	self     string
+	domain   string
+	node     *wire.Node
+	control  *control
+	sources  *sources
+	links    *links
+	logger   *slog.Logger
+	topology *directory.Topology
+	// wake asks for a look before the next check.
+	wake chan struct{}
+
+	// upstream is the relay that the entry follows, domains the relays that it
+	// follows as one, by failure domain.
+	upstream *upstream
+	domains  map[string]*upstream
+	wait     sync.WaitGroup
+}
+
+func newFollowing(self, domain string, node *wire.Node, c *control, s *sources, logger *slog.Logger) *following {
+	return &following{
+		self:     self,
+		domain:   domain,
+		node:     node,
+		control:  c,
+		sources:  s,
+		links:    &links{self: self, node: node, control: c, logger: logger, open: make(map[string]*link)},
+		logger:   logger,
+		topology: directory.NewTopology(self),
+		wake:     make(chan struct{}, 1),
+		domains:  make(map[string]*upstream),
+	}
+}
+
+// run follows until ctx ends.
+func (f *following) run(ctx context.Context) {
+	defer f.links.wait.Wait()
+	defer f.wait.Wait()
+	ticker := time.NewTicker(followCheck)
+	defer ticker.Stop()
+	started := time.Now()
+	for {
+		changed := f.control.changes()
+		_, isListed := f.control.current().hosts[f.self]
+		if now := time.Now(); isListed || now.Sub(started) > listedPatience {
+			f.reconcile(ctx, now)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		case <-f.wake:
+		}
+	}
+}
+
+// reconcile starts and ends what the entry follows.
+func (f *following) reconcile(ctx context.Context, now time.Time) {
+	f.noteEnded(now)
+	f.control.loop.Post(func() { f.control.expireAgents(time.Now()) })
+	hosts := f.control.current().hosts
+	plan := f.topology.Plan(now, hosts, f.domain)
+	if f.control.setRelaying(now, plan.Relay) {
+		f.logger.Info("relay", "belief", "relay", "relays", plan.Relay, "upstream", plan.Upstream)
+	}
+	if plan.Relay {
+		f.relay(ctx, plan, hosts)
+		return
+	}
+	f.follow(ctx, now, plan.Upstream, hosts)
+}
+
+// relay follows agents, other relays and the store.
+func (f *following) relay(ctx context.Context, plan directory.Plan, hosts map[string]roster.Host) {
+	f.upstream = f.upstream.end()
+	f.sources.readRegistrations(true)
+	f.sources.site.set(true)
+	f.links.follow(ctx, f.agentsToFollow(plan, hosts))
+	for domain, host := range plan.Domains {
+		f.domains[domain] = f.replace(ctx, f.domains[domain], hosts[host], domain)
+	}
+	for domain, followed := range f.domains {
+		if plan.Domains[domain] == "" {
+			followed.end()
+			delete(f.domains, domain)
+		}
+	}
+}
+
+// agentsToFollow are the agents that a relay follows itself: those of its own
+// failure domain, of domains without a relay, and of domains whose relay isn't heard
+// yet if it has followed them until now.
+func (f *following) agentsToFollow(plan directory.Plan, hosts map[string]roster.Host) map[string]roster.Host {
+	agents := make(map[string]roster.Host)
+	for id, host := range hosts {
+		if host.Role != keys.RoleAgent {
+			continue
+		}
+		isOwn := host.FailureDomain == f.domain || plan.Domains[host.FailureDomain] == ""
+		if isOwn || (f.links.open[id] != nil && !f.domains[host.FailureDomain].isHeard()) {
+			agents[id] = host
+		}
+	}
+	return agents
+}
+
+// follow follows a relay. What the entry does itself ends once it hears the relay.
+func (f *following) follow(ctx context.Context, now time.Time, host string, hosts map[string]roster.Host) {
+	f.upstream = f.replace(ctx, f.upstream, hosts[host], "")
+	age := f.upstream.storeAge(now)
+	f.sources.readRegistrations(age < 0 || age > maxStoreAge)
+	if !f.upstream.isHeard() {
+		return
+	}
+	f.sources.site.set(false)
+	f.links.follow(ctx, nil)
+	for domain, followed := range f.domains {
+		followed.end()
+		delete(f.domains, domain)
+	}
+}
+
+// replace follows a host instead of the one before, unless that is the same.
+func (f *following) replace(ctx context.Context, before *upstream, host roster.Host, domain string) *upstream {
+	if before != nil && before.host.ID == host.ID && before.host.Revision == host.Revision {
+		return before
+	}
+	before.end()
+	if host.ID == "" {
+		return nil
+	}
+	followCtx, cancel := context.WithCancel(ctx)
+	next := &upstream{host: host, domain: domain, following: f, cancel: cancel, ended: make(chan struct{})}
+	f.wait.Go(func() { next.run(followCtx) })
+	return next
+}
+
+// noteEnded takes in which relays could not be followed, or no longer.
+func (f *following) noteEnded(now time.Time) {
+	f.upstream = f.noteEndOf(now, f.upstream)
+	for domain, followed := range f.domains {
+		if f.noteEndOf(now, followed) == nil {
+			delete(f.domains, domain)
+		}
+	}
+}
+
+// noteEndOf returns nil if a relay is followed no longer.
+func (f *following) noteEndOf(now time.Time, u *upstream) *upstream {
+	if u == nil {
+		return nil
+	}
+	if !u.hasEnded() {
+		if u.isHeard() {
+			f.topology.Followed(u.host.ID)
+		}
+		return u
+	}
+	f.topology.Failed(now, u.host.ID)
+	return nil
+}
+
+// lookAgain asks for a look at what the entry follows.
+func (f *following) lookAgain() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,9 @@
 )
 
 const (
+	// statusPause is the least time between two views of the agents' statuses.
+	statusPause = 25 * time.Millisecond
+
 	headerTimeout = 10 * time.Second
 	// drainNotice is how long a stopping entry goes on taking new connections
 	// after its readiness has turned false, so that the balancer turns away first.
@@ -111,6 +114,7 @@
 func (g *Gateway) provision(d Dependencies) {
 	g.observer = newObserver(g.logger, d.Metrics)
 	g.control = newControl(g.logger)
+	g.control.statusPause = statusPause
 	g.sources = newSources(d, g.control, g.logger)
 	g.decider = &decider{store: d.Store, control: g.control, logger: g.logger}
 	g.decider.setLoadsAtOnce(g.config.WeightStore.LoadsAtOnce)
@@ -167,7 +171,7 @@
 	}
 	connected := 0
 	for _, state := range current.agents {
-		if state.connected {
+		if state.Connected {
 			connected++
 		}
 	}
@@ -192,20 +196,25 @@
 	}
 	defer node.Close()
 	self := g.config.Host.ID
-	linked := &links{self: self, node: node, control: g.control, logger: g.logger, open: make(map[string]*link)}
-	g.decider.links = linked
+	f := newFollowing(self, g.config.Host.FailureDomain, node, g.control, g.sources, g.logger)
+	g.decider.startLoad = func(host, inner, model string) { f.links.startLoad(ctx, host, inner, model) }
 	leads := &leadership{self: self, store: d.Store, control: g.control, logger: g.logger, decider: g.decider}
 	g.handler.node.Store(node)
 	var wait sync.WaitGroup
-	wait.Go(func() { linked.run(ctx) })
-	wait.Go(func() { leads.run(leading) })
+	defer wait.Wait()
+	wait.Go(func() { f.run(ctx) })
 	_, err = roster.Register(ctx, d.Store, roster.Host{
-		ID: self, Role: keys.RoleEntry, Inner: g.config.Listen.Inner, FailureDomain: g.config.Host.FailureDomain,
+		ID:            self,
+		Role:          keys.RoleEntry,
+		Inner:         g.config.Listen.Inner,
+		FailureDomain: g.config.Host.FailureDomain,
+		Processor:     g.config.ProcessorShare,
 	}, failed)
-	if err == nil {
-		g.logger.Info("registered")
+	if err != nil {
+		return
 	}
-	wait.Wait()
+	g.logger.Info("registered")
+	leads.run(leading)
 }
 
 func (g *Gateway) openNode(secret []byte) (*wire.Node, error) {
@@ -218,20 +227,12 @@
 		ServerTLS: ephemeral.ServerConfig(keys.RoleAgent, keys.RoleEntry),
 		ClientTLS: ephemeral.ClientConfig(keys.RoleAgent, keys.RoleEntry),
 		Identify:  keys.Identify,
-		Handler:   refuseStreams{},
+		Handler:   &relayServer{control: g.control},
 		ResetKey:  ephemeral.ResetKey(),
 		Logger:    g.logger,
 	})
 }
 
-// refuseStreams ends the streams that others open: a gateway only opens its own.
-type refuseStreams struct{}
-
-// ServeStream implements wire.Handler.
-func (refuseStreams) ServeStream(_ context.Context, _ wire.Peer, stream *wire.Stream) {
-	stream.Cancel()
-}
-
 func (g *Gateway) listen(readinessPath string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readinessPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -23,6 +23,10 @@
 	defaultBudget = 30 * time.Second
 	// defaultMaxBody bounds a body when the configuration names no bound.
 	defaultMaxBody = 4 << 20
+	// configurationPatience bounds the wait for the configuration, and
+	// configurationShare is the part of its time that a request waits at most.
+	configurationPatience = 500 * time.Millisecond
+	configurationShare    = 8
 	// unconfiguredRetry is when to come back to an entry without configuration.
 	unconfiguredRetry = 500 * time.Millisecond
 )
@@ -70,8 +74,9 @@
 
 // accept finds a request's route and reads the request.
 func (h *handler) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange, *refusal) {
-	current := h.control.current()
 	caller, err := h.dialect.ReadCaller(r.Header)
+	h.awaitConfiguration(r.Context(), caller.Budget)
+	current := h.control.current()
 	var version int64
 	reject := func(why refusal) (*exchange, *refusal) {
 		h.observer.refusedEarly(r, caller.RequestID, arrived, version, why)
@@ -95,6 +100,33 @@
 	return h.newExchange(w, r, route, caller, body, arrived), nil
 }
 
+// awaitConfiguration lets a request to an entry that has just started wait a moment
+// for the configuration.
+func (h *handler) awaitConfiguration(ctx context.Context, budget time.Duration) {
+	if h.control.current().table != nil {
+		return
+	}
+	patience := configurationPatience
+	if budget > 0 {
+		patience = min(patience, budget/configurationShare)
+	}
+	timeout := time.NewTimer(patience)
+	defer timeout.Stop()
+	for {
+		changed := h.control.changes()
+		if h.control.current().table != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // rawPath is the path as the caller sent it, without the query.
 func rawPath(r *http.Request) string {
 	path, _, _ := strings.Cut(target(r), "?")
--- a/pkg/gateway/leader.go
+++ b/pkg/gateway/leader.go
@@ -17,6 +17,8 @@
 	leaseTTL = 3 * time.Second
 	// leaseRenewal is the time between two renewals.
 	leaseRenewal = time.Second
+	// standInterval is the longest time between two looks at whether to stand.
+	standInterval = time.Second
 	// electionJitter spreads the entries' tries to become leader.
 	electionJitter = 200 * time.Millisecond
 	// decideInterval is the time between two looks at the placement.
@@ -40,13 +42,14 @@
 		changed := l.control.changes()
 		current := l.control.current()
 		// A key with this host's own name is left over from an earlier incarnation.
-		if current.asOf > 0 && (current.leader.host == "" || current.leader.host == l.self) {
+		if l.control.isRelaying() && current.asOf > 0 && (current.leader.host == "" || current.leader.host == l.self) {
 			l.stand(ctx, current)
 			continue
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-time.After(standInterval):
 		}
 	}
 }
@@ -110,7 +113,7 @@
 func (l *leadership) lead(ctx context.Context, lease, revision int64) {
 	renewed := time.Now()
 	l.decider.begin(revision)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && l.control.isRelaying() {
 		backoff.Sleep(ctx, decideInterval)
 		if time.Since(renewed) >= leaseRenewal {
 			err := l.store.KeepAlive(ctx, lease)
--- a/pkg/gateway/leader_test.go
+++ b/pkg/gateway/leader_test.go
@@ -40,7 +40,8 @@
 	c.placement, c.asOf = nil, 0
 	c.publish()
 	follow := newSources(Dependencies{Store: store, SiteStore: store}, c, quiet())
-	decide := &decider{store: store, control: c, logger: quiet(), links: &links{open: map[string]*link{}}}
+	c.setRelaying(now, true)
+	decide := &decider{store: store, control: c, logger: quiet(), startLoad: func(string, string, string) {}}
 	decide.setLoadsAtOnce(4)
 	leads := &leadership{self: id, store: store, control: c, logger: quiet(), decider: decide}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -126,7 +127,7 @@
 	leading := startContender(t, store, "front-1", runner)
 	defer leading.stop()
 	awaitLeader(t, store, func(id string) bool { return id == "front-1" })
-	deposed := &decider{store: store, control: fixture(time.Now(), runner), logger: quiet(), links: &links{}}
+	deposed := &decider{store: store, control: fixture(time.Now(), runner), logger: quiet()}
 	deposed.control.placement = nil
 	deposed.control.publish()
 	const longAgo = 1
@@ -169,7 +170,7 @@
 	if d.isSettled(testStart.Add(time.Second), c.current()) {
 		t.Error("settled before all agents were heard")
 	}
-	c.agentSaid(testStart, "host-b", &wire.RunnerStatus{BornMillis: 1})
+	said(c, testStart, "host-b", &wire.RunnerStatus{BornMillis: 1})
 	if !d.isSettled(testStart.Add(time.Second), c.current()) {
 		t.Error("not settled though all were heard")
 	}
@@ -187,13 +188,13 @@
 	c := fixture(testStart, testRunner{id: "a", permits: true})
 	d := &decider{control: c, logger: quiet()}
 	d.begin(1)
-	c.agentLost("host-a")
+	c.agentLost("host-a", c.agents["host-a"].from)
 	d.noteDown(testStart, c.current())
 	s := c.current().servers[testEngine][0]
 	if !d.usable(testStart.Add(downTolerance/2), s) || d.usable(testStart.Add(downTolerance), s) {
 		t.Error("a runner isn't given up after the tolerance")
 	}
-	c.agentSaid(testStart, "host-a", &wire.RunnerStatus{BornMillis: 1})
+	said(c, testStart, "host-a", &wire.RunnerStatus{BornMillis: 1})
 	d.noteDown(testStart, c.current())
 	if !d.usable(testStart.Add(time.Hour), c.current().servers[testEngine][0]) {
 		t.Error("a runner that is back isn't used")
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -106,9 +107,10 @@
 
 // mayAwaitRunner tells whether a request for which there is no runner may wait for
 // one: if it can still be on time, if no agent has said that its runner can't serve
-// it in time, and if its model has a place.
+// it in time, and if its model has a place or may have one that isn't known yet.
 func (x *exchange) mayAwaitRunner(sel *selection) bool {
-	isPlaced := len(sel.view.permits[sel.key()]) > 0
+	isPlaced := (!sel.view.informed && sel.view.table.Model(x.route, sel.model) != nil) ||
+		slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool { return s.isPermitted(sel.model) })
 	return !x.declined && isPlaced && sel.now.Before(x.arrived.Add(x.route.TargetLatency))
 }
 
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
-	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -25,57 +24,38 @@
 	linkTimeout = time.Second
 )
 
-// links keep a stream of statuses open to each agent and tell the agents of the
-// placement.
+// links keep a stream of statuses open to each agent that this entry follows
+// itself, and tell these agents of the placement. They are used by one goroutine.
 type links struct {
 	self    string
 	node    *wire.Node
 	control *control
 	logger  *slog.Logger
-
-	mu   sync.Mutex
-	open map[string]*link
-	wait sync.WaitGroup
+	open    map[string]*link
+	wait    sync.WaitGroup
 }
 
 // link is the stream to one agent.
 type link struct {
 	host   roster.Host
+	from   *source
 	cancel context.CancelFunc
-
-	mu sync.Mutex
-	// stream is nil while none is open.
-	stream *wire.Stream
-}
-
-// run opens and closes links as hosts come and go, until ctx ends.
-func (l *links) run(ctx context.Context) {
-	defer l.wait.Wait()
-	for ctx.Err() == nil {
-		changed := l.control.changes()
-		l.reconcile(ctx, l.control.current())
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
 }
 
-func (l *links) reconcile(ctx context.Context, current *view) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// follow opens and closes links so that the given agents are followed.
+func (l *links) follow(ctx context.Context, agents map[string]roster.Host) {
 	for id, open := range l.open {
-		if host, ok := current.hosts[id]; !ok || host.Revision != open.host.Revision {
+		if host, ok := agents[id]; !ok || host.Revision != open.host.Revision {
 			open.cancel()
 			delete(l.open, id)
 		}
 	}
-	for id, host := range current.hosts {
-		if host.Role != keys.RoleAgent || l.open[id] != nil {
+	for id, host := range agents {
+		if l.open[id] != nil {
 			continue
 		}
 		linkCtx, cancel := context.WithCancel(ctx)
-		opened := &link{host: host, cancel: cancel}
+		opened := &link{host: host, from: &source{}, cancel: cancel}
 		l.open[id] = opened
 		l.wait.Go(func() { l.keep(linkCtx, opened) })
 	}
@@ -86,11 +66,12 @@
 	known := true
 	pause := linkRetry
 	for ctx.Err() == nil {
-		heard, err := l.follow(ctx, k)
-		l.control.loop.Do(func() { l.control.agentLost(k.host.ID) })
+		heard, err := l.listen(ctx, k)
 		if ctx.Err() != nil {
+			// The agent is followed in another way from now on, or not at all.
 			return
 		}
+		l.control.loop.Do(func() { l.control.agentLost(k.host.ID, k.from) })
 		if heard {
 			known = true
 			pause = linkRetry
@@ -105,9 +86,9 @@
 	}
 }
 
-// follow opens a stream and takes statuses in until it breaks. It tells whether
+// listen opens a stream and takes statuses in until it breaks. It tells whether
 // the agent was heard.
-func (l *links) follow(ctx context.Context, k *link) (heard bool, err error) {
+func (l *links) listen(ctx context.Context, k *link) (heard bool, err error) {
 	openCtx, cancel := context.WithTimeout(ctx, linkTimeout)
 	stream, err := l.node.Open(openCtx, k.host.ID, k.host.Inner)
 	cancel()
@@ -120,23 +101,15 @@
 	if err := stream.Send(&wire.Frame{Subscribe: &wire.Subscribe{Entry: l.self}}); err != nil {
 		return false, err
 	}
-	k.set(stream)
-	defer k.set(nil)
 	ended := make(chan struct{})
 	var plans sync.WaitGroup
 	plans.Go(func() { l.sendPlans(stream, k.host, ended) })
 	defer plans.Wait()
 	defer close(ended)
-	return l.takeStatuses(stream, k.host)
+	return l.takeStatuses(stream, k)
 }
 
-func (k *link) set(stream *wire.Stream) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.stream = stream
-}
-
-func (l *links) takeStatuses(stream *wire.Stream, host roster.Host) (heard bool, err error) {
+func (l *links) takeStatuses(stream *wire.Stream, k *link) (heard bool, err error) {
 	for {
 		stream.SetReadDeadline(time.Now().Add(linkSilence))
 		frame, err := stream.Receive()
@@ -147,7 +120,7 @@
 			continue
 		}
 		heard = true
-		l.control.loop.Do(func() { l.control.agentSaid(time.Now(), host.ID, frame.RunnerStatus) })
+		l.control.loop.Do(func() { l.control.agentSaid(time.Now(), k.from, k.host.ID, frame.RunnerStatus) })
 	}
 }
 
@@ -159,7 +132,7 @@
 		current := l.control.current()
 		plan := current.planFor(host)
 		if plan != nil && isNews(plan, last, current.agents[host.ID]) {
-			if err := stream.Send(&wire.Frame{RunnerPlan: plan}); err != nil {
+			if err := stream.Send(&wire.Frame{RunnerPlan: withoutKnown(plan, last)}); err != nil {
 				return
 			}
 			last = plan
@@ -172,33 +145,43 @@
 	}
 }
 
-// isNews tells whether an agent needs a plan: it differs from the last one, or
-// the agent has not taken that one because it was not known to be new enough.
+// withoutKnown leaves out the engine if it was sent before.
+func withoutKnown(plan, last *wire.RunnerPlan) *wire.RunnerPlan {
+	if last == nil || last.Engine != plan.Engine {
+		return plan
+	}
+	shorter := *plan
+	shorter.Engine = nil
+	return &shorter
+}
+
+// isNews tells whether an agent needs a plan: it decides something else than the
+// last one, or the agent has not taken that one because it was not known to be new
+// enough.
 func isNews(plan, last *wire.RunnerPlan, state *agentState) bool {
 	if last == nil {
 		return true
 	}
-	if plan.Revision != last.Revision || plan.Instance != last.Instance || plan.BornMillis != last.BornMillis ||
-		plan.Slots != last.Slots || plan.MiB != last.MiB || plan.AdapterSlots != last.AdapterSlots ||
-		!slices.Equal(plan.Models, last.Models) {
+	if plan.Instance != last.Instance || plan.BornMillis != last.BornMillis || plan.Engine != last.Engine ||
+		(plan.Revision > 0) != (last.Revision > 0) || !slices.Equal(plan.Permits, last.Permits) {
 		return true
 	}
-	ignored := state != nil && state.status != nil && state.status.PlanRevision != plan.Revision
+	ignored := state != nil && state.Status != nil && state.Status.PlanRevision < last.Revision
 	return ignored && plan.AsOf > last.AsOf
 }
 
 // startLoad gives an agent leave to load a model from the weight store.
-func (l *links) startLoad(host, model string) bool {
-	l.mu.Lock()
-	k := l.open[host]
-	l.mu.Unlock()
-	if k == nil {
-		return false
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.stream == nil {
-		return false
-	}
-	return k.stream.Send(&wire.Frame{StartLoad: &wire.StartLoad{Model: model}}) == nil
+func (l *links) startLoad(ctx context.Context, host, inner, model string) {
+	l.wait.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+		defer cancel()
+		stream, err := l.node.Open(ctx, host, inner)
+		if err == nil {
+			err = stream.Send(&wire.Frame{StartLoad: &wire.StartLoad{Model: model}})
+			stream.Close()
+		}
+		if err != nil {
+			l.logger.Warn("leave to load not sent", "agent", host, "model", model, "error", err)
+		}
+	})
 }
--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,6 +48,7 @@
 // fixture is a control state that isn't driven by a loop.
 func fixture(now time.Time, runners ...testRunner) *control {
 	c := newControl(quiet())
+	c.informed = true
 	c.configured(&fleet.Configuration{
 		Version: 1,
 		Services: []fleet.Service{{Name: testEngine, Engine: &fleet.Engine{
@@ -75,14 +78,43 @@
 			if runner.status != nil {
 				status = *runner.status
 			}
+			if runner.permits {
+				permit(&status, len(placement.Models[0].Permits))
+			}
 			status.BornMillis = 1
-			c.agentSaid(now, host, &status)
+			said(c, now, host, &status)
 		}
 	}
 	c.siteChanged(siteChange{placement: placement})
 	return c
 }
 
+// said has an agent say something on the stream on which it is heard.
+func said(c *control, now time.Time, host string, status *wire.RunnerStatus) {
+	from := &source{}
+	if known := c.agents[host]; known != nil {
+		from = known.from
+	}
+	c.agentSaid(now, from, host, status)
+}
+
+// refuseStreams ends the streams that others open.
+type refuseStreams struct{}
+
+func (refuseStreams) ServeStream(_ context.Context, _ wire.Peer, stream *wire.Stream) {
+	stream.Cancel()
+}
+
+// permit has a status say that the runner may hold the test's model.
+func permit(status *wire.RunnerStatus, place int) {
+	models := slices.Clone(status.Models)
+	if len(models) == 0 {
+		models = []wire.RunnerModel{{Name: testModel}}
+	}
+	models[0].Permit = place
+	status.Models = models
+}
+
 // statusOf is a status with one model.
 func statusOf(running int, model wire.RunnerModel) *wire.RunnerStatus {
 	model.Name = testModel
--- a/pkg/gateway/moving.go
+++ b/pkg/gateway/moving.go
@@ -85,7 +85,7 @@
 	if at < 0 || !sel.isOpen(servers[at]) {
 		return true
 	}
-	here := newCandidate(sel.now, sel.view, servers[at], sel.key())
+	here := newCandidate(sel.now, servers[at], sel.model)
 	if here.place == readyNow {
 		return false
 	}
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -115,9 +115,7 @@
 		host.Inner = node.Address()
 		c.siteChanged(siteChange{asOf: 10, hosts: []roster.Host{host}})
 	}
-	shown := telemetry.New(state.Identity{Program: "entry"})
-	t.Cleanup(func() { shown.Close() })
-	h := &handler{control: c, dialect: &recorder{}, tracker: backends.NewTracker(), gate: backpressure.NewGate(), observer: newObserver(quiet(), metrics.NewGateway(shown.Scope()))}
+	h := &handler{control: c, dialect: &recorder{}, tracker: backends.NewTracker(), gate: backpressure.NewGate(), observer: newObserver(quiet(), testMetrics(t))}
 	h.unsent, h.giveUpUnsent = context.WithCancel(t.Context())
 	h.node.Store(newNode(t, secret, "front-1", keys.RoleEntry, keys.RoleAgent, refuseStreams{}))
 	x := testExchange(&recorder{}, &fleet.Route{TargetLatency: target, Destinations: []fleet.Destination{{Service: testEngine, Weight: 1}}})
@@ -128,9 +126,16 @@
 	return x
 }
 
+func testMetrics(t *testing.T) *metrics.Gateway {
+	t.Helper()
+	shown := telemetry.New(state.Identity{Program: "entry"})
+	t.Cleanup(func() { shown.Close() })
+	return metrics.NewGateway(shown.Scope())
+}
+
 // loads tells that a runner has the model.
 func loads(c *control, id string) {
-	c.agentSaid(time.Now(), "host-"+id, &wire.RunnerStatus{BornMillis: 1, Slots: 10, Models: []wire.RunnerModel{{Name: testModel, State: wire.ModelLoaded}}})
+	said(c, time.Now(), "host-"+id, &wire.RunnerStatus{BornMillis: 1, Slots: 10, Models: []wire.RunnerModel{{Name: testModel, State: wire.ModelLoaded}}})
 	c.publish()
 }
 
--- /dev/null
+++ b/pkg/gateway/period.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+)
+
+// period is work that is switched on and off. The zero value is off; it is safe
+// for concurrent use.
+type period struct {
+	mu     sync.Mutex
+	on     bool
+	cancel context.CancelFunc
+	// changed is closed and replaced when on changes.
+	changed chan struct{}
+}
+
+// set switches the work on or off.
+func (p *period) set(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.on == on {
+		return
+	}
+	p.on = on
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
+	if !on && p.cancel != nil {
+		p.cancel()
+		p.cancel = nil
+	}
+}
+
+// isOn tells whether the work is switched on.
+func (p *period) isOn() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.on
+}
+
+// run calls work each time it is switched on, with a context that ends when it is
+// switched off, until ctx ends.
+func (p *period) run(ctx context.Context, work func(context.Context)) {
+	for ctx.Err() == nil {
+		on, changed, workCtx := p.enter(ctx)
+		if on {
+			work(workCtx)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func (p *period) enter(ctx context.Context) (on bool, changed <-chan struct{}, workCtx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.on {
+		if p.changed == nil {
+			p.changed = make(chan struct{})
+		}
+		return false, p.changed, nil
+	}
+	workCtx, p.cancel = context.WithCancel(ctx)
+	return true, nil, workCtx
+}
--- a/pkg/gateway/site.go
+++ b/pkg/gateway/site.go
@@ -17,16 +17,19 @@
 	placementKey = roster.Prefix + "placement"
 )
 
-// followSite keeps the site's own processes and decisions up to date until ctx
-// ends.
+// followSite keeps the site's own processes and decisions up to date while it is
+// on.
 func (s *sources) followSite(ctx context.Context) {
-	s.follow(ctx, s.siteStore, roster.Prefix, true, func(ctx context.Context, read reading) {
-		change := s.decodeSite(read)
-		s.control.loop.Do(func() { s.control.siteChanged(change) })
-		s.confirmSite(read.revision)
-		if len(read.events) > 0 {
-			backoff.Sleep(ctx, sitePace)
-		}
+	s.site.run(ctx, func(ctx context.Context) {
+		choose := func() keyvalue.Store { return s.siteStore }
+		s.follow(ctx, choose, roster.Prefix, true, func(ctx context.Context, read reading) {
+			change := s.decodeSite(read)
+			s.control.loop.Do(func() { s.control.siteChanged(change) })
+			s.confirmSite(read.revision)
+			if len(read.events) > 0 {
+				backoff.Sleep(ctx, sitePace)
+			}
+		})
 	})
 }
 
@@ -40,7 +43,7 @@
 }
 
 func (s *sources) decodeSite(read reading) siteChange {
-	change := siteChange{complete: read.complete, asOf: read.revision}
+	change := siteChange{complete: read.complete, listsAgents: true, asOf: read.revision}
 	if read.complete {
 		change.leader = &leaderKnown{at: read.revision}
 	}
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -47,15 +47,22 @@
 	codec     Codec
 	control   *control
 	logger    *slog.Logger
+	// registrations and site are on while this entry reads them itself, instead of
+	// hearing of them from a relay.
+	registrations period
+	site          period
 
 	mu sync.Mutex
+	// asked is the version of the configuration that was last asked for on a relay's
+	// word.
+	asked int64
 	// broken is closed and replaced when a call of the store fails, so that all
 	// watches are opened anew.
 	broken chan struct{}
 }
 
 func newSources(d Dependencies, c *control, logger *slog.Logger) *sources {
-	return &sources{
+	s := &sources{
 		store:     d.Store,
 		siteStore: d.SiteStore,
 		codec:     d.Codec,
@@ -63,6 +70,10 @@
 		logger:    logger,
 		broken:    make(chan struct{}),
 	}
+	// Until the site is known there is nobody to hear of it from.
+	s.registrations.set(true)
+	s.site.set(true)
+	return s
 }
 
 // breaks returns a channel that is closed when a call of the store fails.
@@ -80,21 +91,58 @@
 	s.broken = make(chan struct{})
 }
 
-// followConfiguration keeps the newest configuration in force until ctx ends.
+// followConfiguration keeps the newest configuration in force until ctx ends. An
+// entry that follows a relay is told of a new version, so that it can leave the
+// store longer without a question.
 func (s *sources) followConfiguration(ctx context.Context) {
-	s.follow(ctx, s.store, s.codec.ConfigurationKey, false, s.takeConfiguration)
+	choose := func() keyvalue.Store {
+		if s.registrations.isOn() {
+			return s.store
+		}
+		return s.siteStore
+	}
+	s.follow(ctx, choose, s.codec.ConfigurationKey, false, s.takeConfiguration)
 }
 
-// followRegistrations keeps the registered servers up to date until ctx ends.
+// configurationExists notes that a relay has a version of the configuration in
+// force. If it is newer than this entry's, the store is asked at once.
+func (s *sources) configurationExists(version int64) {
+	if table := s.control.current().table; table != nil && table.Configuration().Version >= version {
+		return
+	}
+	s.mu.Lock()
+	isNews := version > s.asked
+	s.asked = max(s.asked, version)
+	s.mu.Unlock()
+	if isNews {
+		s.noteBroken()
+	}
+}
+
+// followRegistrations keeps the registered servers up to date while it is on.
 func (s *sources) followRegistrations(ctx context.Context) {
-	s.follow(ctx, s.store, s.codec.RegistrationPrefix, true, func(ctx context.Context, read reading) {
-		s.takeRegistrations(read)
-		if !read.complete {
-			backoff.Sleep(ctx, registrationPace)
-		}
+	s.registrations.run(ctx, func(ctx context.Context) {
+		choose := func() keyvalue.Store { return s.store }
+		s.follow(ctx, choose, s.codec.RegistrationPrefix, true, func(ctx context.Context, read reading) {
+			s.takeRegistrations(read)
+			if !read.complete {
+				backoff.Sleep(ctx, registrationPace)
+			}
+		})
 	})
 }
 
+// readRegistrations switches on or off that this entry reads registrations itself.
+func (s *sources) readRegistrations(on bool) {
+	if s.registrations.isOn() == on {
+		return
+	}
+	s.registrations.set(on)
+	s.logger.Info("reading registrations", "belief", "registrations", "from_store", on)
+	// The configuration is watched with another wait from now on.
+	s.noteBroken()
+}
+
 // reading is what a read or a watch brought.
 type reading struct {
 	// complete tells that all present keys are there; else only changes are.
@@ -109,9 +157,9 @@
 
 // follow reads a key or prefix and then watches it, and starts anew after a
 // failure.
-func (s *sources) follow(ctx context.Context, store keyvalue.Store, key string, prefix bool, take func(context.Context, reading)) {
+func (s *sources) follow(ctx context.Context, choose func() keyvalue.Store, key string, prefix bool, take func(context.Context, reading)) {
 	for ctx.Err() == nil {
-		err := s.followOnce(ctx, store, key, prefix, take)
+		err := s.followOnce(ctx, choose(), key, prefix, take)
 		if ctx.Err() != nil {
 			return
 		}
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
+	"teaselgauge.example/teaselgauge/pkg/directory"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/packing"
@@ -11,9 +14,6 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// statusTTL is how long an agent's status counts after it was heard.
-const statusTTL = 1800 * time.Millisecond
-
 // server is a backend server with its agent, if it has one.
 type server struct {
 	*fleet.Backend
@@ -31,9 +31,7 @@
 }
 
 // hears tells whether the agent's status is recent.
-func (s *server) hears(now time.Time) bool {
-	return s.state != nil && s.state.connected && now.Sub(s.state.heard) < statusTTL
-}
+func (s *server) hears(now time.Time) bool { return s.state.hears(now) }
 
 // statusAge is the time since the agent's last status; below zero if there is
 // none.
@@ -41,7 +39,7 @@
 	if s.state == nil {
 		return -1
 	}
-	return now.Sub(s.state.heard)
+	return s.state.from.age(now)
 }
 
 // model returns what the agent last said of a model; nil if it is neither held
@@ -50,16 +48,20 @@
 	if s.state == nil {
 		return nil
 	}
-	for i := range s.state.status.Models {
-		if s.state.status.Models[i].Name == name {
-			return &s.state.status.Models[i]
-		}
+	at, ok := slices.BinarySearchFunc(s.state.Status.Models, name, func(m wire.RunnerModel, name string) int {
+		return strings.Compare(m.Name, name)
+	})
+	if !ok {
+		return nil
 	}
-	return nil
+	return &s.state.Status.Models[at]
 }
 
-// modelKey names a model of a service.
-type modelKey struct{ service, model string }
+// isPermitted tells whether the server's runner may hold a model.
+func (s *server) isPermitted(model string) bool {
+	known := s.model(model)
+	return known != nil && known.Permit > 0
+}
 
 // view is what request traffic reads of the control state. It is immutable.
 type view struct {
@@ -69,10 +71,14 @@
 	servers map[string][]*server
 	hosts   map[string]roster.Host
 	agents  map[string]*agentState
-	// placement is nil before the first.
+	// rows are those of agents.
+	rows map[string]*directory.Row
+	// informed tells that all agents that there are have been heard of.
+	informed bool
+	// placement is nil before the first, and at entries that follow a relay.
 	placement *packing.Placement
-	permits   map[modelKey][]packing.Permit
 	leader    leaderKnown
+	engines   map[string]*wire.Engine
 	asOf      int64
 }
 
@@ -81,46 +87,56 @@
 		table:     c.table,
 		servers:   make(map[string][]*server),
 		hosts:     c.hosts,
+		informed:  c.informed,
 		agents:    c.agents,
+		rows:      make(map[string]*directory.Row, len(c.agents)),
 		placement: c.placement,
-		permits:   c.permits,
 		leader:    c.leader,
+		engines:   c.engines,
 		asOf:      c.asOf,
 	}
-	agentOf := make(map[string]roster.Host)
-	for _, host := range v.hosts {
-		if host.Role == keys.RoleAgent {
-			agentOf[host.Runner] = host
-		}
+	c.agentsShared = true
+	for host, state := range c.agents {
+		v.rows[host] = state.Row
 	}
+	agentOf := agentsByRunner(v)
 	listed := c.registry.Backends()
 	for i := range listed {
 		s := &server{Backend: &listed[i]}
-		if host, ok := agentOf[s.Address]; ok {
-			s.agent = host.ID
-			s.inner = host.Inner
-			s.state = stateOf(v.agents[host.ID], s.Backend)
+		if agent, ok := agentOf[s.Address]; ok {
+			s.agent = agent.host
+			s.inner = agent.inner
+			s.state = stateOf(v.agents[agent.host], s.Backend)
 		}
 		v.servers[s.Service] = append(v.servers[s.Service], s)
 	}
 	return v
 }
 
-func permitsOf(placement *packing.Placement) map[modelKey][]packing.Permit {
-	permits := make(map[modelKey][]packing.Permit, len(placement.Models))
-	for _, placed := range placement.Models {
-		permits[modelKey{placed.Service, placed.Model}] = placed.Permits
+// agentAddress is where an agent is.
+type agentAddress struct{ host, inner string }
+
+// agentsByRunner lists the agents by the addresses of the runners beside them.
+func agentsByRunner(v *view) map[string]agentAddress {
+	agents := make(map[string]agentAddress, len(v.agents))
+	for host, state := range v.agents {
+		agents[state.Runner] = agentAddress{host, state.Inner}
+	}
+	for _, host := range v.hosts {
+		if host.Role == keys.RoleAgent {
+			agents[host.Runner] = agentAddress{host.ID, host.Inner}
+		}
 	}
-	return permits
+	return agents
 }
 
 // stateOf returns what an agent said of a server, or nil if it speaks of another
 // incarnation.
 func stateOf(state *agentState, backend *fleet.Backend) *agentState {
-	if state == nil || state.status == nil {
+	if state == nil || state.Status == nil {
 		return nil
 	}
-	if backend.BornMillis != 0 && state.status.BornMillis != 0 && backend.BornMillis != state.status.BornMillis {
+	if backend.BornMillis != 0 && state.Status.BornMillis != 0 && backend.BornMillis != state.Status.BornMillis {
 		return nil
 	}
 	return state
@@ -154,57 +170,63 @@
 }
 
 func (v *view) plan(service *fleet.Service, s *server) *wire.RunnerPlan {
-	engine := service.Engine
 	plan := &wire.RunnerPlan{
-		AsOf:         v.asOf,
-		Instance:     s.ID,
-		BornMillis:   s.BornMillis,
-		Slots:        engine.Slots,
-		MiB:          engine.MiB,
-		AdapterSlots: engine.AdapterSlots,
+		AsOf:       v.asOf,
+		Instance:   s.ID,
+		BornMillis: s.BornMillis,
+		Engine:     v.engines[service.Name],
 	}
-	if v.placement != nil {
-		plan.Revision = v.placement.Revision
-	}
-	placed := v.placed(service.Name)
-	for i := range engine.Models {
-		plan.Models = append(plan.Models, planned(&engine.Models[i], placed[engine.Models[i].Name], s.agent))
-	}
-	return plan
-}
-
-func (v *view) placed(service string) map[string]*packing.Placed {
-	placed := make(map[string]*packing.Placed)
 	if v.placement == nil {
-		return placed
+		return plan
 	}
+	plan.Revision = v.placement.Revision
 	for i := range v.placement.Models {
-		if v.placement.Models[i].Service == service {
-			placed[v.placement.Models[i].Model] = &v.placement.Models[i]
+		placed := &v.placement.Models[i]
+		if placed.Service != service.Name {
+			continue
+		}
+		if permit, ok := permitOf(placed, s.agent); ok {
+			plan.Permits = append(plan.Permits, permit)
 		}
 	}
-	return placed
+	return plan
 }
 
-func planned(model *fleet.Model, placed *packing.Placed, host string) wire.PlannedModel {
-	p := wire.PlannedModel{
-		Name:             model.Name,
-		MiB:              model.MiB,
-		AdapterMiB:       model.AdapterMiB,
-		RemoteLoadMillis: uint32(model.RemoteLoad.Milliseconds()),
-		DiskLoadMillis:   uint32(model.DiskLoad.Milliseconds()),
-		MemoryLoadMillis: uint32(model.MemoryLoad.Milliseconds()),
-	}
-	if placed == nil {
-		return p
-	}
-	p.Interactive = placed.Interactive
-	for _, permit := range placed.Permits {
+// permitOf returns a host's permit for a model, if it has one.
+func permitOf(placed *packing.Placed, host string) (wire.ModelPermit, bool) {
+	for i, permit := range placed.Permits {
 		if permit.Host == host {
-			p.Permitted = true
-			p.Keep = permit.Keep
-			p.Copy = permit.Copy
+			return wire.ModelPermit{
+				Model:       placed.Model,
+				Place:       i + 1,
+				Keep:        permit.Keep,
+				Interactive: placed.Interactive,
+				Copy:        permit.Copy,
+			}, true
 		}
 	}
-	return p
+	return wire.ModelPermit{}, false
+}
+
+// engineOf is what agents are told of a service's engine.
+func engineOf(version int64, engine *fleet.Engine) *wire.Engine {
+	described := &wire.Engine{
+		Version:      version,
+		Slots:        engine.Slots,
+		MiB:          engine.MiB,
+		AdapterSlots: engine.AdapterSlots,
+		Models:       make([]wire.EngineModel, 0, len(engine.Models)),
+	}
+	for i := range engine.Models {
+		model := &engine.Models[i]
+		described.Models = append(described.Models, wire.EngineModel{
+			Name:             model.Name,
+			MiB:              model.MiB,
+			AdapterMiB:       model.AdapterMiB,
+			RemoteLoadMillis: uint32(model.RemoteLoad.Milliseconds()),
+			DiskLoadMillis:   uint32(model.DiskLoad.Milliseconds()),
+			MemoryLoadMillis: uint32(model.MemoryLoad.Milliseconds()),
+		})
+	}
+	return described
 }
--- a/pkg/packing/placement.go
+++ b/pkg/packing/placement.go
@@ -67,6 +67,14 @@
 	})
 }
 
+// Kept counts the runners that are to keep a model.
+func (p *Placement) Kept(service, model string) int {
+	if placed := p.find(service, model); placed != nil {
+		return placed.kept()
+	}
+	return 0
+}
+
 // find returns a model's entry, or nil.
 func (p *Placement) find(service, model string) *Placed {
 	if p == nil {
--- a/pkg/residency/loads.go
+++ b/pkg/residency/loads.go
@@ -42,7 +42,7 @@
 func (m *Manager) orderCopy(now time.Time) bool {
 	var wanted []*model
 	for _, known := range m.models {
-		if known.Copy && known.Permitted && known.tier == wire.CacheRemote && !known.held {
+		if known.Copy && known.isPermitted() && known.tier == wire.CacheRemote && !known.held {
 			wanted = append(wanted, known)
 		}
 	}
@@ -57,7 +57,7 @@
 func (m *Manager) orderKept(now time.Time) bool {
 	var kept []*model
 	for _, known := range m.models {
-		if known.Keep && !known.held && known.Permitted {
+		if known.Keep && !known.held && known.isPermitted() {
 			kept = append(kept, known)
 		}
 	}
@@ -74,7 +74,7 @@
 func (m *Manager) orderWaitedFor(now time.Time) bool {
 	var waited []*model
 	for _, known := range m.models {
-		if known.isWanted(now) && !known.held && known.Permitted {
+		if known.isWanted(now) && !known.held && known.isPermitted() {
 			waited = append(waited, known)
 		}
 	}
@@ -170,7 +170,7 @@
 func (m *Manager) unloadUnpermitted() bool {
 	var revoked []string
 	for name, known := range m.models {
-		if known.held && !known.Permitted && known.running == 0 {
+		if known.held && !known.isPermitted() && known.running == 0 {
 			revoked = append(revoked, name)
 		}
 	}
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -27,7 +27,7 @@
 
 // model is the state of one model at the runner.
 type model struct {
-	wire.PlannedModel
+	PlannedModel
 	// held tells that the runner's last report names the model.
 	held    bool
 	version int
@@ -86,7 +86,7 @@
 	instance string
 	// instanceBorn is the incarnation that instance belongs to, if known.
 	instanceBorn int64
-	plan         *wire.RunnerPlan
+	plan         *Plan
 	report       *modelrunner.Report
 	reportedAt   time.Time
 	ledger       *ledger.Ledger
@@ -152,7 +152,7 @@
 
 // Planned takes in the runner's part of a placement, unless a newer one is
 // known.
-func (m *Manager) Planned(now time.Time, plan *wire.RunnerPlan) []Action {
+func (m *Manager) Planned(now time.Time, plan *Plan) []Action {
 	if m.plan != nil && plan.Revision < m.plan.Revision {
 		return nil
 	}
@@ -165,7 +165,7 @@
 	}
 	for name, known := range m.models {
 		if !planned[name] {
-			known.Permitted = false
+			known.Permit = 0
 			known.Keep = false
 		}
 	}
@@ -187,7 +187,7 @@
 // StartGranted takes in the coordinator's leave to load a model from the weight
 // store.
 func (m *Manager) StartGranted(now time.Time, name string) []Action {
-	if known := m.models[name]; known != nil && known.Permitted {
+	if known := m.models[name]; known != nil && known.isPermitted() {
 		known.startUntil = now.Add(startTTL)
 	}
 	return m.advance(now)
@@ -214,7 +214,7 @@
 func (m *Manager) model(name string) *model {
 	known := m.models[name]
 	if known == nil {
-		known = &model{PlannedModel: wire.PlannedModel{Name: name}}
+		known = &model{PlannedModel: PlannedModel{EngineModel: wire.EngineModel{Name: name}}}
 		m.models[name] = known
 	}
 	return known
--- a/pkg/residency/manager_test.go
+++ b/pkg/residency/manager_test.go
@@ -47,13 +47,15 @@
 	return f
 }
 
-func testPlan(models ...string) *wire.RunnerPlan {
-	plan := &wire.RunnerPlan{Revision: 1, Slots: 2, MiB: testRunnerMiB, AdapterSlots: 1}
+func testPlan(models ...string) *Plan {
+	plan := &Plan{Revision: 1, Slots: 2, MiB: testRunnerMiB, AdapterSlots: 1}
 	for _, name := range models {
-		plan.Models = append(plan.Models, wire.PlannedModel{
-			Name: name, MiB: testModelMiB, AdapterMiB: 1,
-			RemoteLoadMillis: 6000, DiskLoadMillis: 1000, MemoryLoadMillis: 300,
-			Permitted: true,
+		plan.Models = append(plan.Models, PlannedModel{
+			EngineModel: wire.EngineModel{
+				Name: name, MiB: testModelMiB, AdapterMiB: 1,
+				RemoteLoadMillis: 6000, DiskLoadMillis: 1000, MemoryLoadMillis: 300,
+			},
+			Permit: 1,
 		})
 	}
 	return plan
@@ -326,7 +328,7 @@
 		{"when the permit goes", func(f *fixture) {
 			plan := testPlan("a")
 			plan.Revision = 2
-			plan.Models[0].Permitted = false
+			plan.Models[0].Permit = 0
 			f.do(f.manager.Planned(f.now, plan))
 		}, wire.ReasonNoPermit},
 	}
@@ -346,7 +348,7 @@
 	f := newFixture(t, "a")
 	newer := testPlan("a")
 	newer.Revision = 5
-	newer.Models[0].Permitted = false
+	newer.Models[0].Permit = 0
 	f.do(f.manager.Planned(f.now, newer))
 	f.do(f.manager.Planned(f.now, testPlan("a")))
 	f.acquire("1", "a", "")
--- /dev/null
+++ b/pkg/residency/plan.go
@@ -0,0 +1,62 @@
+package residency
+
+import "teaselgauge.example/teaselgauge/pkg/wire"
+
+// Plan is what a Manager goes by: what its runner can hold, and may.
+type Plan struct {
+	// Revision is the key-value service's modification revision of the placement.
+	Revision int64
+	// Slots is how many requests run at once.
+	Slots        int
+	MiB          int64
+	AdapterSlots int
+	// Models are all models of the engine, also those that the runner may not
+	// hold.
+	Models []PlannedModel
+}
+
+// PlannedModel is one of an engine's models with the runner's permit for it.
+type PlannedModel struct {
+	wire.EngineModel
+	// Permit is the runner's place among the permits of the model, from 1 on; zero
+	// if it has none.
+	Permit int
+	// Keep tells that the runner holds the model without requests.
+	Keep bool
+	// Interactive tells that the model is asked for by requests that can't wait
+	// for a load.
+	Interactive bool
+	// Copy tells that the runner loads the model once if it has no copy of the
+	// weights.
+	Copy bool
+}
+
+// isPermitted tells whether the runner may hold the model.
+func (p *PlannedModel) isPermitted() bool { return p.Permit > 0 }
+
+// NewPlan returns the plan that a placement's permits make for a runner of an
+// engine.
+func NewPlan(engine *wire.Engine, revision int64, permits []wire.ModelPermit) *Plan {
+	plan := &Plan{
+		Revision:     revision,
+		Slots:        engine.Slots,
+		MiB:          engine.MiB,
+		AdapterSlots: engine.AdapterSlots,
+		Models:       make([]PlannedModel, 0, len(engine.Models)),
+	}
+	permitted := make(map[string]*wire.ModelPermit, len(permits))
+	for i := range permits {
+		permitted[permits[i].Model] = &permits[i]
+	}
+	for _, model := range engine.Models {
+		planned := PlannedModel{EngineModel: model}
+		if permit := permitted[model.Name]; permit != nil {
+			planned.Permit = permit.Place
+			planned.Keep = permit.Keep
+			planned.Interactive = permit.Interactive
+			planned.Copy = permit.Copy
+		}
+		plan.Models = append(plan.Models, planned)
+	}
+	return plan
+}
--- a/pkg/residency/room.go
+++ b/pkg/residency/room.go
@@ -98,7 +98,7 @@
 // worth is the expected cost of a model's absence.
 func (m *Manager) worth(now time.Time, known *model) float64 {
 	cost := interactiveCost*known.interactive.current(now) + patientCost*known.patient.current(now)
-	if !known.Permitted {
+	if !known.isPermitted() {
 		return cost
 	}
 	if known.Keep && known.Interactive {
--- a/pkg/residency/runner_test.go
+++ b/pkg/residency/runner_test.go
@@ -9,7 +9,6 @@
 
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
-	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
 // lateOrder is an order that reached the runner, or will, although nobody got an
@@ -22,7 +21,7 @@
 // virtualRunner is a model runner as the platform describes it, in virtual time.
 type virtualRunner struct {
 	t    *rapid.T
-	plan *wire.RunnerPlan
+	plan *Plan
 	born int64
 
 	sequence int64
@@ -38,7 +37,7 @@
 	late      []lateOrder
 }
 
-func newVirtualRunner(t *rapid.T, plan *wire.RunnerPlan) *virtualRunner {
+func newVirtualRunner(t *rapid.T, plan *Plan) *virtualRunner {
 	r := &virtualRunner{t: t, plan: plan, disk: map[string]bool{}}
 	r.restart()
 	return r
@@ -56,14 +55,14 @@
 	r.busy = nil
 }
 
-func (r *virtualRunner) planned(model string) wire.PlannedModel {
+func (r *virtualRunner) planned(model string) PlannedModel {
 	for _, p := range r.plan.Models {
 		if p.Name == model {
 			return p
 		}
 	}
 	r.t.Fatalf("order for the unknown model %q", model)
-	return wire.PlannedModel{}
+	return PlannedModel{}
 }
 
 // take carries out or refuses an order that has arrived.
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -63,11 +63,10 @@
 		status.Slots = m.plan.Slots
 	}
 	for _, known := range m.models {
-		described := m.describe(now, known)
-		if described.State == wire.ModelAbsent && described.Tier == wire.CacheRemote && !known.Permitted {
+		if m.state(known) == wire.ModelAbsent && known.tier == wire.CacheRemote && !known.isPermitted() {
 			continue
 		}
-		status.Models = append(status.Models, described)
+		status.Models = append(status.Models, m.describe(now, known))
 	}
 	slices.SortFunc(status.Models, func(a, b wire.RunnerModel) int { return cmp.Compare(a.Name, b.Name) })
 	return status
@@ -87,6 +86,7 @@
 		FromStore:   state == wire.ModelLoading && m.changing.tier == wire.CacheRemote,
 		Wanted:      known.isWanted(now),
 		WaitMillis:  m.waitMillis(now, known),
+		Permit:      known.Permit,
 	}
 }
 
@@ -119,12 +119,12 @@
 // waitMillis is the expected time until a permitted model is loaded if it is
 // asked for now, behind those that are wanted already.
 func (m *Manager) waitMillis(now time.Time, known *model) uint32 {
-	if known.held || !known.Permitted {
+	if known.held || !known.isPermitted() {
 		return 0
 	}
 	wait := m.readyIn(now, known)
 	for _, other := range m.models {
-		if other != known && other.isWanted(now) && m.state(other) == wire.ModelAbsent && other.Permitted {
+		if other != known && other.isWanted(now) && m.state(other) == wire.ModelAbsent && other.isPermitted() {
 			wait += m.loadTime(other) + orderOverhead
 		}
 	}
@@ -156,7 +156,7 @@
 		return "unplanned"
 	}
 	text := fmt.Sprintf("model=%s tier=%s permitted=%t running=%d/%d waiting=%d prompts_in=%s",
-		m.state(known), known.tier, known.Permitted, m.queue.Running(), m.plan.Slots, m.queue.Len(),
+		m.state(known), known.tier, known.isPermitted(), m.queue.Running(), m.plan.Slots, m.queue.Len(),
 		max(m.prompts.opensAt().Sub(now), 0))
 	if m.changing != nil {
 		text += fmt.Sprintf(" changing=%s:%s", m.changing.order.Operation, m.changing.order.Model)
--- a/pkg/residency/uses.go
+++ b/pkg/residency/uses.go
@@ -65,7 +65,7 @@
 		return wire.ReasonLeaving, true
 	case m.plan == nil || known == nil || known.MiB == 0:
 		return wire.ReasonNotFound, true
-	case !known.Permitted:
+	case !known.isPermitted():
 		return wire.ReasonNoPermit, true
 	case known.held && known.isEmptying(now):
 		return wire.ReasonNoMemory, true
@@ -247,7 +247,7 @@
 
 func (m *Manager) refuseUnpermitted(now time.Time) {
 	m.refuseWaiting(func(u *use) (wire.Reason, bool) {
-		return wire.ReasonNoPermit, !m.models[u.Model].Permitted
+		return wire.ReasonNoPermit, !m.models[u.Model].isPermitted()
 	}, now)
 }
 
--- a/pkg/residency/world_test.go
+++ b/pkg/residency/world_test.go
@@ -26,7 +26,7 @@
 	now     time.Time
 	manager *Manager
 	runner  *virtualRunner
-	plan    *wire.RunnerPlan
+	plan    *Plan
 	fence   int64
 	// asked is the order that waits for its answer.
 	asked *modelrunner.Order
@@ -50,19 +50,21 @@
 	return w
 }
 
-func worldPlan(t *rapid.T) *wire.RunnerPlan {
-	plan := &wire.RunnerPlan{
+func worldPlan(t *rapid.T) *Plan {
+	plan := &Plan{
 		Revision: 1, Slots: worldSlots, MiB: 100,
 		AdapterSlots: rapid.IntRange(1, 3).Draw(t, "adapter slots"),
 	}
 	for i := range worldModels {
-		plan.Models = append(plan.Models, wire.PlannedModel{
-			Name:       fmt.Sprintf("m%d", i),
-			MiB:        rapid.Int64Range(15, 60).Draw(t, "MiB"),
-			AdapterMiB: rapid.Int64Range(1, 5).Draw(t, "adapter MiB"),
-			// A load takes some steps of the world.
-			RemoteLoadMillis: 2000, DiskLoadMillis: 600, MemoryLoadMillis: 200,
-			Permitted:   true,
+		plan.Models = append(plan.Models, PlannedModel{
+			EngineModel: wire.EngineModel{
+				Name:       fmt.Sprintf("m%d", i),
+				MiB:        rapid.Int64Range(15, 60).Draw(t, "MiB"),
+				AdapterMiB: rapid.Int64Range(1, 5).Draw(t, "adapter MiB"),
+				// A load takes some steps of the world.
+				RemoteLoadMillis: 2000, DiskLoadMillis: 600, MemoryLoadMillis: 200,
+			},
+			Permit:      1,
 			Keep:        rapid.Bool().Draw(t, "keep"),
 			Copy:        rapid.Bool().Draw(t, "copy"),
 			Interactive: rapid.Bool().Draw(t, "interactive"),
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -37,6 +37,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// Runner is the address of the model runner beside an agent.
 	Runner string `json:"runner,omitempty"`
+	// Processor is an entry's share of a processor core; zero if it isn't known.
+	Processor float64 `json:"processor,omitempty"`
 	// Revision is that of the registration; it is not part of the value.
 	Revision int64 `json:"-"`
 }
--- a/pkg/runneragent/agent_test.go
+++ b/pkg/runneragent/agent_test.go
@@ -162,8 +162,11 @@
 func (f *fixture) plan(asOf int64) {
 	f.t.Helper()
 	err := f.subscr.Send(&wire.Frame{RunnerPlan: &wire.RunnerPlan{
-		Revision: 5, AsOf: asOf, Instance: instance, BornMillis: born, Slots: 2, MiB: 100,
-		Models: []wire.PlannedModel{{Name: "m", MiB: 40, RemoteLoadMillis: 100, DiskLoadMillis: 20, MemoryLoadMillis: 10, Permitted: true}},
+		Revision: 5, AsOf: asOf, Instance: instance, BornMillis: born,
+		Permits: []wire.ModelPermit{{Model: "m", Place: 1}},
+		Engine: &wire.Engine{Version: 1, Slots: 2, MiB: 100, Models: []wire.EngineModel{
+			{Name: "m", MiB: 40, RemoteLoadMillis: 100, DiskLoadMillis: 20, MemoryLoadMillis: 10},
+		}},
 	}})
 	if err != nil {
 		f.t.Fatal(err)
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -46,6 +46,13 @@
 	reportedAt time.Time
 	// waking tells that a look at the manager is due.
 	waking bool
+	// engine is what the newest configuration says of the runner's service; nil
+	// before it is known.
+	engine *wire.Engine
+	// publishedAt is when the subscribers were last given a status, publishing
+	// tells that they are about to be.
+	publishedAt time.Time
+	publishing  bool
 
 	subscribers subscribers
 }
@@ -77,10 +84,30 @@
 		}
 	}
 	c.wakeAt(c.manager.Wake(time.Now()))
-	c.subscribers.publish(time.Now(), c.manager)
+	c.publish(time.Now())
 	c.worker.poll(c.manager.PollInterval())
 }
 
+// publish gives the subscribers the present status, at once or a moment after the
+// one before it, so that changes that come together are described once.
+func (c *controller) publish(now time.Time) {
+	if c.publishing {
+		return
+	}
+	if wait := c.publishedAt.Add(statusPause).Sub(now); wait > 0 {
+		c.publishing = true
+		time.AfterFunc(wait, func() { c.loop.Post(func() { c.publishNow(time.Now()) }) })
+		return
+	}
+	c.publishNow(now)
+}
+
+func (c *controller) publishNow(now time.Time) {
+	c.publishing = false
+	c.publishedAt = now
+	c.subscribers.publish(c.manager.Status(now))
+}
+
 // wakeAt has the manager look again at a time; the zero time asks for nothing.
 func (c *controller) wakeAt(at time.Time) {
 	if at.IsZero() || c.waking {
@@ -185,17 +212,20 @@
 // planned takes in a placement from a gateway. One that may be older than what
 // an earlier incarnation acted on is not used.
 func (c *controller) planned(now time.Time, plan *wire.RunnerPlan) {
+	if plan.Engine != nil && (c.engine == nil || plan.Engine.Version >= c.engine.Version) {
+		c.engine = plan.Engine
+	}
 	if plan.AsOf < c.minPlan {
 		return
 	}
 	if plan.Revision > c.manager.PlanRevision() {
-		c.logger.Info("plan in force", "belief", "placement", "revision", plan.Revision, "as_of", plan.AsOf, "instance", plan.Instance, "models", len(plan.Models))
+		c.logger.Info("plan in force", "belief", "placement", "revision", plan.Revision, "as_of", plan.AsOf, "instance", plan.Instance, "permits", len(plan.Permits))
 	}
 	c.asOf = max(c.asOf, plan.AsOf)
 	c.plannedAt = now
 	c.perform(c.manager.Identified(now, plan.Instance, plan.BornMillis))
-	if plan.Revision > 0 {
-		c.perform(c.manager.Planned(now, plan))
+	if plan.Revision > 0 && c.engine != nil {
+		c.perform(c.manager.Planned(now, residency.NewPlan(c.engine, plan.Revision, plan.Permits)))
 	}
 }
 
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/directory"
 	"teaselgauge.example/teaselgauge/pkg/residency"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -33,6 +34,9 @@
 		s.serveAcquire(ctx, stream, frame.Acquire)
 	case frame.Subscribe != nil:
 		s.serveSubscribe(ctx, stream, frame.Subscribe)
+	case frame.StartLoad != nil:
+		model := frame.StartLoad.Model
+		s.controller.loop.Do(func() { s.controller.startGranted(time.Now(), model) })
 	default:
 		s.controller.logger.Warn("unexpected frame", "peer", peer.Host)
 		stream.Cancel()
@@ -47,21 +51,41 @@
 		defer close(ended)
 		s.takePlans(stream)
 	}()
+	s.sendStatuses(ctx, stream, ended)
+	stream.Abort()
+	<-ended
+	s.controller.logger.Info("gateway left", "entry", subscribe.Entry)
+}
+
+// sendStatuses sends the first status as a whole and then what has changed of it,
+// until the subscription ends.
+func (s *server) sendStatuses(ctx context.Context, stream *wire.Stream, ended <-chan struct{}) {
 	wake, end := s.controller.subscribers.subscribe()
 	defer end()
+	var last *wire.RunnerStatus
 	for {
 		if status := s.controller.subscribers.status(); status != nil {
-			if err := stream.Send(&wire.Frame{RunnerStatus: status}); err != nil {
-				break
+			if err := stream.Send(&wire.Frame{RunnerStatus: news(last, status)}); err != nil {
+				return
 			}
+			last = status
 		}
 		if !awaitChange(ctx, wake, ended) {
-			break
+			return
 		}
 	}
-	stream.Abort()
-	<-ended
-	s.controller.logger.Info("gateway left", "entry", subscribe.Entry)
+}
+
+// news is what has changed since the last status, and a sign of life if nothing
+// has.
+func news(last, status *wire.RunnerStatus) *wire.RunnerStatus {
+	if change := directory.Difference(last, status); change != nil {
+		return change
+	}
+	alive := *status
+	alive.Partial = true
+	alive.Models = nil
+	return &alive
 }
 
 // awaitChange waits until the next status is due and returns false if the
@@ -76,7 +100,6 @@
 		return false
 	case <-timer.C:
 	case <-wake:
-		time.Sleep(statusPause)
 	}
 	return true
 }
@@ -88,13 +111,8 @@
 		if err != nil {
 			return
 		}
-		switch {
-		case frame.RunnerPlan != nil:
-			plan := frame.RunnerPlan
+		if plan := frame.RunnerPlan; plan != nil {
 			s.controller.loop.Do(func() { s.controller.planned(time.Now(), plan) })
-		case frame.StartLoad != nil:
-			model := frame.StartLoad.Model
-			s.controller.loop.Do(func() { s.controller.startGranted(time.Now(), model) })
 		}
 	}
 }
--- a/pkg/runneragent/subscribers.go
+++ b/pkg/runneragent/subscribers.go
@@ -3,9 +3,7 @@
 import (
 	"slices"
 	"sync"
-	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/residency"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -20,8 +18,7 @@
 
 // publish takes in the present status and wakes the subscribers if it differs in
 // more than counts.
-func (s *subscribers) publish(now time.Time, manager *residency.Manager) {
-	status := manager.Status(now)
+func (s *subscribers) publish(status *wire.RunnerStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.latest == nil || differs(status, s.latest)
@@ -47,7 +44,7 @@
 func sameModel(a, b wire.RunnerModel) bool {
 	return a.Name == b.Name && a.State == b.State && a.Tier == b.Tier &&
 		a.WantsStart == b.WantsStart && a.FromStore == b.FromStore &&
-		a.Wanted == b.Wanted && a.WaitMillis == b.WaitMillis
+		a.Wanted == b.Wanted && a.WaitMillis == b.WaitMillis && a.Permit == b.Permit
 }
 
 // subscribe returns a channel that holds a token after each change, and the end
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -35,6 +35,9 @@
 	// WeightStore states the limits of the weight store. The rate of starts comes
 	// with the operator's configuration.
 	WeightStore WeightStore `json:"weight_store"`
+	// ProcessorShare is the share of a processor core that the entry has. Entries
+	// with more of it take over what is done for others. Zero means unknown.
+	ProcessorShare float64 `json:"processor_share,omitempty" validate:"min=0,max=1000000"`
 	// DrainMillis is the time between SIGTERM and SIGKILL, in milliseconds.
 	// Default 8000.
 	DrainMillis int `json:"drain_ms,omitempty" validate:"min=0,max=600000"`
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -122,6 +122,7 @@
 		f.Sync != nil, f.Update != nil, f.LoadAsk != nil, f.LoadSlot != nil,
 		f.Resume != nil, f.Subscribe != nil, f.RunnerPlan != nil, f.StartLoad != nil,
 		f.RunnerStatus != nil, f.Acquire != nil, f.Granted != nil, f.Released != nil,
+		f.Follow != nil, f.SiteUpdate != nil,
 	} {
 		if set {
 			count++
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -30,6 +30,10 @@
 	Acquire      *Acquire      `cbor:"18,keyasint,omitempty"`
 	Granted      *Granted      `cbor:"19,keyasint,omitempty"`
 	Released     *Released     `cbor:"20,keyasint,omitempty"`
+
+	// The messages between gateways.
+	Follow     *Follow     `cbor:"21,keyasint,omitempty"`
+	SiteUpdate *SiteUpdate `cbor:"22,keyasint,omitempty"`
 }
 
 // Request carries one caller's request from an entry to an agent.
--- a/pkg/wire/runner.go
+++ b/pkg/wire/runner.go
@@ -1,15 +1,15 @@
 package wire
 
 // Subscribe opens a stream on which an agent tells a gateway of its runner, and
-// the gateway tells the agent of the placement.
+// the gateway tells the agent of the placement. The first status is whole, later
+// ones are partial.
 type Subscribe struct {
 	// Entry is the host ID of the gateway.
 	Entry string `cbor:"1,keyasint"`
 }
 
-// PlannedModel is one of an engine's models as a placement sees it for one
-// runner.
-type PlannedModel struct {
+// EngineModel is a model that an engine's runners may be allowed to hold.
+type EngineModel struct {
 	Name       string `cbor:"1,keyasint"`
 	MiB        int64  `cbor:"2,keyasint"`
 	AdapterMiB int64  `cbor:"3,keyasint,omitempty"`
@@ -18,36 +18,49 @@
 	RemoteLoadMillis uint32 `cbor:"4,keyasint"`
 	DiskLoadMillis   uint32 `cbor:"5,keyasint"`
 	MemoryLoadMillis uint32 `cbor:"6,keyasint"`
-	// Permitted tells that the runner may hold the model.
-	Permitted bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Engine is what the operator's configuration says of a runner's service.
+type Engine struct {
+	// Version is that of the configuration.
+	Version int64 `cbor:"1,keyasint"`
+	// Slots is how many requests run at once.
+	Slots        int           `cbor:"2,keyasint"`
+	MiB          int64         `cbor:"3,keyasint"`
+	AdapterSlots int           `cbor:"4,keyasint,omitempty"`
+	Models       []EngineModel `cbor:"5,keyasint,omitempty"`
+}
+
+// ModelPermit allows a runner to hold a model.
+type ModelPermit struct {
+	Model string `cbor:"1,keyasint"`
+	// Place is the runner's place among the permits of the model, from 1 on.
+	Place int `cbor:"2,keyasint"`
 	// Keep tells that the runner holds the model without requests.
-	Keep bool `cbor:"8,keyasint,omitempty"`
+	Keep bool `cbor:"3,keyasint,omitempty"`
 	// Interactive tells that the model is asked for by requests that can't wait
 	// for a load.
-	Interactive bool `cbor:"9,keyasint,omitempty"`
+	Interactive bool `cbor:"4,keyasint,omitempty"`
 	// Copy tells that the runner loads the model once if it has no copy of the
 	// weights.
-	Copy bool `cbor:"10,keyasint,omitempty"`
+	Copy bool `cbor:"5,keyasint,omitempty"`
 }
 
 // RunnerPlan is the part of a placement that concerns one runner.
 type RunnerPlan struct {
-	// Revision is the key-value service's modification revision of the placement.
-	Revision int64 `cbor:"1,keyasint"`
+	// Revision is the key-value service's modification revision of the placement;
+	// zero if there is none.
+	Revision int64 `cbor:"1,keyasint,omitempty"`
 	// AsOf is the revision up to which the sender knows that no newer placement
 	// was written.
 	AsOf int64 `cbor:"2,keyasint"`
 	// Instance and BornMillis are the runner's ID and incarnation as it
 	// registered itself.
-	Instance   string `cbor:"3,keyasint,omitempty"`
-	BornMillis int64  `cbor:"4,keyasint,omitempty"`
-	// Slots is how many requests run at once.
-	Slots        int   `cbor:"5,keyasint"`
-	MiB          int64 `cbor:"6,keyasint"`
-	AdapterSlots int   `cbor:"7,keyasint,omitempty"`
-	// Models are all models of the engine, also those that the runner may not
-	// hold.
-	Models []PlannedModel `cbor:"8,keyasint,omitempty"`
+	Instance   string        `cbor:"3,keyasint,omitempty"`
+	BornMillis int64         `cbor:"4,keyasint,omitempty"`
+	Permits    []ModelPermit `cbor:"5,keyasint,omitempty"`
+	// Engine is nil if it is the one that was sent last on the stream.
+	Engine *Engine `cbor:"6,keyasint,omitempty"`
 }
 
 // StartLoad is the coordinator's leave to load a model from the weight store.
@@ -77,6 +90,9 @@
 	// WaitMillis is the expected time until the model is loaded if it is asked for
 	// now, in milliseconds and coarsely; zero if it is loaded.
 	WaitMillis uint32 `cbor:"11,keyasint,omitempty"`
+	// Permit is the runner's place among the permits of the model, from 1 on; zero
+	// if it has none.
+	Permit int `cbor:"12,keyasint,omitempty"`
 }
 
 // RunnerStatus is what an agent says of its runner. Models that are neither held
@@ -95,6 +111,11 @@
 	Models  []RunnerModel `cbor:"9,keyasint,omitempty"`
 	// Failing tells that the runner fails at many of its requests.
 	Failing bool `cbor:"10,keyasint,omitempty"`
+	// Partial tells that Models holds only those that differ from the status before
+	// it on the stream, and Dropped the names of those that are left out from now
+	// on.
+	Partial bool     `cbor:"11,keyasint,omitempty"`
+	Dropped []string `cbor:"12,keyasint,omitempty"`
 }
 
 // Acquire asks for the use of a model, and of an adapter if it names one, for one
