Read the site's secret from stale reads, and pace what entries ask the store

All processes of a new site found no secret and tried to make one; each write of a host woke the watch of every entry; and followers began to read registrations themselves whenever their relay's watch was simply held back for 2 s without news.

Change: the secret is read by stale reads, which cost a tenth, and made after a short random pause; the watch of the site's keys is asked again after 300 ms; the watch of registrations is held back for 1.2 s, below the 2 s after which a relay counts as uninformed.

--- a/cmd/teaselgauge-agent/main.go
+++ b/cmd/teaselgauge-agent/main.go
@@ -59,10 +59,11 @@
 	runner := platform.NewRunner(config.Runner)
 	defer runner.Close()
 	return runneragent.Run(ctx, config, runneragent.Dependencies{
-		Store:     store,
-		Runner:    runner,
-		Telemetry: shown,
-		Metrics:   counted,
+		Store:      store,
+		StaleStore: store.WithStaleReads(),
+		Runner:     runner,
+		Telemetry:  shown,
+		Metrics:    counted,
 	}, environment.Logger)
 }
 
--- a/cmd/teaselgauge-entry/main.go
+++ b/cmd/teaselgauge-entry/main.go
@@ -55,6 +55,11 @@
 // how often a watch without news is renewed.
 const siteWatchWait = 10 * time.Second
 
+// registrationWatchWait is how long the store holds back a watch of the backend
+// servers' registrations. It bounds the time after which an entry sees that it no
+// longer hears of them.
+const registrationWatchWait = 1200 * time.Millisecond
+
 // runGateway connects the gateway to the platform's adapter.
 func runGateway(ctx context.Context, config settings.Gateway, environment command.Environment[settings.Gateway]) error {
 	shown := telemetry.New(state.Identity{Program: "teaselgauge-entry", Version: environment.Version, HostID: config.Host.ID})
@@ -63,8 +68,10 @@
 	store := platform.NewStore(config.Store.Address).WithObserver(counted.ObserveStore)
 	defer store.Close()
 	return gateway.Run(ctx, config, gateway.Dependencies{
-		Store:     store,
-		SiteStore: store.WithWatchWait(siteWatchWait),
+		Store:             store,
+		RegistrationStore: store.WithWatchWait(registrationWatchWait),
+		SiteStore:         store.WithWatchWait(siteWatchWait),
+		StaleStore:        store.WithStaleReads(),
 		Codec: gateway.Codec{
 			ConfigurationKey:    platform.ConfigurationKey,
 			RegistrationPrefix:  platform.RegistrationPrefix,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -42,11 +42,15 @@
 // Dependencies are the clients of the platform that a gateway works with.
 type Dependencies struct {
 	Store keyvalue.LeaseStore
+	// RegistrationStore is the same store with a shorter wait for news.
+	RegistrationStore keyvalue.Store
 	// SiteStore is the same store with a longer wait for news, for what the site's
 	// own processes write.
 	SiteStore keyvalue.Store
-	Codec     Codec
-	Dialect   forward.Dialect
+	// StaleStore is the same store with reads that may be seconds old.
+	StaleStore keyvalue.Store
+	Codec      Codec
+	Dialect    forward.Dialect
 	// ReadinessPath is where the balancer asks whether the entry is ready.
 	ReadinessPath string
 	// Telemetry serves Metrics and the state dump.
@@ -185,7 +189,7 @@
 // that another one decides meanwhile.
 func (g *Gateway) join(ctx, leading context.Context, d Dependencies) {
 	failed := func(err error) { g.logger.Warn("store lost", "error", err) }
-	secret, err := roster.Secret(ctx, d.Store, failed)
+	secret, err := roster.Secret(ctx, d.StaleStore, d.Store, failed)
 	if err != nil {
 		return
 	}
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -105,7 +105,8 @@
 // asks them.
 func moveFixture(t *testing.T, target time.Duration, c *control, agents map[string]*fakeAgent) *exchange {
 	t.Helper()
-	secret, err := roster.Secret(t.Context(), keyvaluetest.NewStore(1), func(err error) { t.Error(err) })
+	store := keyvaluetest.NewStore(1)
+	secret, err := roster.Secret(t.Context(), store, store, func(err error) { t.Error(err) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -23,7 +23,7 @@
 	registrationPace = 1100 * time.Millisecond
 	// sitePace is the least time between two calls for the site's own processes
 	// and decisions, so that changes that come together cost one call.
-	sitePace = 150 * time.Millisecond
+	sitePace = 300 * time.Millisecond
 	// expireInterval is the time between two looks at lapsed servers.
 	expireInterval = 250 * time.Millisecond
 )
@@ -41,6 +41,8 @@
 // sources follows the platform's store.
 type sources struct {
 	store keyvalue.Store
+	// registrationStore is the same store with a shorter wait for news.
+	registrationStore keyvalue.Store
 	// siteStore is the same store with a longer wait for news, for the site's own
 	// processes and decisions.
 	siteStore keyvalue.Store
@@ -63,12 +65,13 @@
 
 func newSources(d Dependencies, c *control, logger *slog.Logger) *sources {
 	s := &sources{
-		store:     d.Store,
-		siteStore: d.SiteStore,
-		codec:     d.Codec,
-		control:   c,
-		logger:    logger,
-		broken:    make(chan struct{}),
+		store:             d.Store,
+		registrationStore: d.RegistrationStore,
+		siteStore:         d.SiteStore,
+		codec:             d.Codec,
+		control:           c,
+		logger:            logger,
+		broken:            make(chan struct{}),
 	}
 	// Until the site is known there is nobody to hear of it from.
 	s.registrations.set(true)
@@ -122,7 +125,7 @@
 // followRegistrations keeps the registered servers up to date while it is on.
 func (s *sources) followRegistrations(ctx context.Context) {
 	s.registrations.run(ctx, func(ctx context.Context) {
-		choose := func() keyvalue.Store { return s.store }
+		choose := func() keyvalue.Store { return s.registrationStore }
 		s.follow(ctx, choose, s.codec.RegistrationPrefix, true, func(ctx context.Context, read reading) {
 			s.takeRegistrations(read)
 			if !read.complete {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -25,6 +26,8 @@
 	secretKey = Prefix + "secret"
 	// retryPause is the pause after a failed call of the store.
 	retryPause = 200 * time.Millisecond
+	// makeJitter spreads the tries to make the secret.
+	makeJitter = 400 * time.Millisecond
 )
 
 // Host is one of teaselgauge's processes.
@@ -83,11 +86,12 @@
 	}
 }
 
-// Secret returns the site's secret and makes it if there is none. It tries until
-// it has succeeded or ctx ends.
-func Secret(ctx context.Context, store keyvalue.Store, failed func(error)) ([]byte, error) {
+// Secret returns the site's secret and makes it if there is none. Reads of stale
+// may be seconds old, as the secret never changes. It tries until it has succeeded
+// or ctx ends.
+func Secret(ctx context.Context, stale, store keyvalue.Store, failed func(error)) ([]byte, error) {
 	for {
-		secret, err := readOrMakeSecret(ctx, store)
+		secret, err := readOrMakeSecret(ctx, stale, store)
 		if err == nil {
 			return secret, nil
 		}
@@ -99,14 +103,30 @@
 	}
 }
 
-func readOrMakeSecret(ctx context.Context, store keyvalue.Store) ([]byte, error) {
+func readOrMakeSecret(ctx context.Context, stale, store keyvalue.Store) ([]byte, error) {
+	if secret, err := readSecret(ctx, stale); err != nil || secret != nil {
+		return secret, err
+	}
+	// The processes of a new site start together; few of them have to try.
+	backoff.Sleep(ctx, rand.N(makeJitter))
+	if secret, err := readSecret(ctx, stale); err != nil || secret != nil {
+		return secret, err
+	}
+	return makeSecret(ctx, store)
+}
+
+// readSecret returns the secret, or nil if there is none.
+func readSecret(ctx context.Context, store keyvalue.Store) ([]byte, error) {
 	result, err := store.Range(ctx, secretKey, false)
-	if err != nil {
+	if err != nil || len(result.Values) == 0 {
 		return nil, err
 	}
-	if len(result.Values) > 0 {
-		return result.Values[0].Value, nil
-	}
+	return result.Values[0].Value, nil
+}
+
+// makeSecret makes the secret, or returns the one that another process has just
+// made.
+func makeSecret(ctx context.Context, store keyvalue.Store) ([]byte, error) {
 	secret, err := keys.NewSecret()
 	if err != nil {
 		return nil, err
--- a/pkg/runneragent/agent.go
+++ b/pkg/runneragent/agent.go
@@ -27,8 +27,10 @@
 
 // Dependencies are the clients of the platform that an agent works with.
 type Dependencies struct {
-	Store  keyvalue.Store
-	Runner modelrunner.Runner
+	Store keyvalue.Store
+	// StaleStore is the same store with reads that may be seconds old.
+	StaleStore keyvalue.Store
+	Runner     modelrunner.Runner
 	// Telemetry serves Metrics and the state dump.
 	Telemetry *telemetry.Telemetry
 	Metrics   *metrics.Runner
@@ -87,7 +89,7 @@
 // the host, which gives the fencing token of this incarnation.
 func (a *agent) join(ctx context.Context) (*wire.Node, error) {
 	failed := func(err error) { a.logger.Warn("store lost", "error", err) }
-	secret, err := roster.Secret(ctx, a.dependencies.Store, failed)
+	secret, err := roster.Secret(ctx, a.dependencies.StaleStore, a.dependencies.Store, failed)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/runneragent/agent_test.go
+++ b/pkg/runneragent/agent_test.go
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	shown := telemetry.New(state.Identity{Program: "agent"})
-	dependencies := Dependencies{Store: store, Runner: f.runner, Telemetry: shown, Metrics: metrics.NewRunner(shown.Scope())}
+	dependencies := Dependencies{Store: store, StaleStore: store, Runner: f.runner, Telemetry: shown, Metrics: metrics.NewRunner(shown.Scope())}
 	go func() { done <- Run(ctx, config, dependencies, logger) }()
 	t.Cleanup(func() {
 		defer shown.Close()
@@ -114,7 +114,7 @@
 // connect opens a gateway's node and subscribes.
 func (f *fixture) connect(store *keyvaluetest.Store, logger *slog.Logger) {
 	f.t.Helper()
-	secret, err := roster.Secret(f.t.Context(), store, func(error) {})
+	secret, err := roster.Secret(f.t.Context(), store, store, func(error) {})
 	if err != nil {
 		f.t.Fatal(err)
 	}
