Spread requests over replicas by fresher loads, and pace placements

Cause: on the large site the busiest runner had four times the mean load. Statuses told of loads once a second only, and all 68 entries chose the same least busy runner until the next one. Placements were written up to five times a second, and one took 65 ms to pack at 120 runners and 287 models.

Change: an agent tells of its load when it has changed by a step, at most each 200 ms; entries take the better of two ready runners drawn at random; a placement that differs in the demand only is written a second after the one before at the earliest.

--- a/pkg/directory/status.go
+++ b/pkg/directory/status.go
@@ -89,13 +89,23 @@
 // countSteps is into how many steps the load of a runner is divided in a summary.
 const countSteps = 6
 
+// inSteps rounds a count of requests up to a step of a runner's load.
+func inSteps(count, slots int) int {
+	step := max(slots/countSteps, 1)
+	return (count + step - 1) / step * step
+}
+
+// LoadDiffers tells whether the load of a runner has changed by a step.
+func LoadDiffers(a, b *wire.RunnerStatus) bool {
+	return inSteps(a.Running, a.Slots) != inSteps(b.Running, b.Slots) || inSteps(a.Waiting, a.Slots) != inSteps(b.Waiting, b.Slots)
+}
+
 // Summarize returns what an entry that decides no placement needs of a status: the
 // models that the runner holds, loads or may load, and its load in steps.
 func Summarize(status *wire.RunnerStatus) *wire.RunnerStatus {
 	summary := *status
-	step := max(status.Slots/countSteps, 1)
-	summary.Running = (status.Running + step - 1) / step * step
-	summary.Waiting = (status.Waiting + step - 1) / step * step
+	summary.Running = inSteps(status.Running, status.Slots)
+	summary.Waiting = inSteps(status.Waiting, status.Slots)
 	summary.Models = make([]wire.RunnerModel, 0, len(status.Models))
 	for _, model := range status.Models {
 		if model.State == wire.ModelAbsent && model.Permit == 0 {
--- /dev/null
+++ b/pkg/directory/status_test.go
@@ -0,0 +1,156 @@
+package directory
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+// drawStatus draws a status of a few models, ordered by name.
+func drawStatus(t *rapid.T) *wire.RunnerStatus {
+	status := &wire.RunnerStatus{
+		Instance:   rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "instance"),
+		BornMillis: rapid.Int64Range(1, 2).Draw(t, "born"),
+		Down:       rapid.Bool().Draw(t, "down"),
+		Slots:      12,
+		Running:    rapid.IntRange(0, 12).Draw(t, "running"),
+		Waiting:    rapid.IntRange(0, 3).Draw(t, "waiting"),
+	}
+	for i := range 5 {
+		if !rapid.Bool().Draw(t, "present") {
+			continue
+		}
+		status.Models = append(status.Models, wire.RunnerModel{
+			Name:        fmt.Sprintf("m%d", i),
+			State:       wire.ModelState(rapid.IntRange(0, 3).Draw(t, "state")),
+			Tier:        wire.CacheTier(rapid.IntRange(0, 2).Draw(t, "tier")),
+			Interactive: float64(rapid.IntRange(0, 2).Draw(t, "rate")),
+			Permit:      rapid.IntRange(0, 1).Draw(t, "permit"),
+		})
+	}
+	return status
+}
+
+func TestDifferenceLeadsFromOneStatusToAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := drawStatus(t), drawStatus(t)
+		change := Difference(before, after)
+		if change == nil {
+			if !reflect.DeepEqual(before, after) {
+				t.Fatalf("no difference between %+v and %+v", before, after)
+			}
+			return
+		}
+		merged := Merge(before, change)
+		if len(merged.Models) == 0 {
+			merged.Models = nil
+		}
+		if !reflect.DeepEqual(merged, after) {
+			t.Fatalf("%+v with %+v makes %+v, want %+v", before, change, merged, after)
+		}
+	})
+}
+
+func TestFirstStatusIsWhole(t *testing.T) {
+	status := &wire.RunnerStatus{Slots: 4, Models: []wire.RunnerModel{{Name: "m"}}}
+	if change := Difference(nil, status); change.Partial || len(change.Models) != 1 {
+		t.Errorf("change %+v", change)
+	}
+	same := *status
+	if change := Difference(status, &same); change != nil {
+		t.Errorf("change %+v between equal statuses", change)
+	}
+}
+
+// TestFollowersKnowWhatTheirRelayKnows plays random changes of agents and passes
+// them on at random moments.
+func TestFollowersKnowWhatTheirRelayKnows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rows := map[string]*Row{}
+		followers := map[string]map[string]*Row{"": {}, "z-1": {}}
+		cursors := map[string]*Cursor{"": NewCursor(""), "z-1": NewCursor("z-1")}
+		host := func() string { return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "host") }
+		domains := map[string]string{"a": "z-1", "b": "z-2", "c": "z-1"}
+		pass := func(domain string) {
+			updates, gone := cursors[domain].Next(rows)
+			for i := range updates {
+				followers[domain][updates[i].Host] = Apply(followers[domain][updates[i].Host], &updates[i])
+			}
+			for _, id := range gone {
+				delete(followers[domain], id)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"said": func(t *rapid.T) {
+				id := host()
+				row := &Row{Host: id, FailureDomain: domains[id], Connected: true}
+				if before := rows[id]; before != nil {
+					row = before
+				}
+				rows[id] = row.With(drawStatus(t))
+			},
+			"lost": func(*rapid.T) {
+				if before := rows[host()]; before != nil {
+					lost := *before
+					lost.Connected = false
+					rows[before.Host] = &lost
+				}
+			},
+			"gone": func(*rapid.T) { delete(rows, host()) },
+			"pass": func(t *rapid.T) { pass(rapid.SampledFrom([]string{"", "z-1"}).Draw(t, "to")) },
+		})
+		pass("")
+		pass("z-1")
+		checkFollower(t, rows, followers[""], "", func(r *Row) *wire.RunnerStatus { return r.Summary })
+		checkFollower(t, rows, followers["z-1"], "z-1", func(r *Row) *wire.RunnerStatus { return r.Status })
+	})
+}
+
+func checkFollower(t *rapid.T, rows, known map[string]*Row, domain string, told func(*Row) *wire.RunnerStatus) {
+	for _, id := range slices.Sorted(maps.Keys(rows)) {
+		row := rows[id]
+		if domain != "" && row.FailureDomain != domain {
+			if known[id] != nil {
+				t.Fatalf("%s is known in domain %s", id, domain)
+			}
+			continue
+		}
+		got := known[id]
+		if got == nil || got.Connected != row.Connected || Difference(got.Status, told(row)) != nil {
+			t.Fatalf("%s: known %+v, want %+v", id, got, row)
+		}
+	}
+	for id := range known {
+		if rows[id] == nil {
+			t.Fatalf("%s is known though it is gone", id)
+		}
+	}
+}
+
+func TestSummaryLeavesOutWhatFollowersDontNeed(t *testing.T) {
+	status := &wire.RunnerStatus{Slots: 12, Running: 5, Waiting: 1, Models: []wire.RunnerModel{
+		{Name: "held", State: wire.ModelLoaded, Running: 3, Interactive: 2},
+		{Name: "near", Tier: wire.CacheDisk},
+		{Name: "permitted", Tier: wire.CacheDisk, Permit: 2, WaitMillis: 500},
+	}}
+	got := Summarize(status)
+	want := []wire.RunnerModel{
+		{Name: "held", State: wire.ModelLoaded},
+		{Name: "permitted", Tier: wire.CacheDisk, Permit: 2, WaitMillis: 500},
+	}
+	if !slices.Equal(got.Models, want) || got.Running != 6 || got.Waiting != 2 {
+		t.Errorf("summary %+v", got)
+	}
+	row := (&Row{Host: "a"}).With(status)
+	busier := *status
+	busier.Running = 6
+	if next := row.With(&busier); next.Summary != row.Summary {
+		t.Error("the summary is another one though it says the same")
+	}
+}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -66,6 +66,8 @@
 	domain string
 	// tried holds the IDs of the servers that are out of the question.
 	tried []string
+	// random returns a random number below n.
+	random func(n int) int
 }
 
 // mayTry tells whether the request may go to a server at all, were the server
@@ -101,8 +103,8 @@
 	if sel.model == "" {
 		return sel.choosePlain()
 	}
-	if best := chooseRunner(sel); best != nil {
-		return best.server
+	if picked := pickRunner(sel); picked != nil {
+		return picked.server
 	}
 	return nil
 }
@@ -131,6 +133,39 @@
 
 // chooseRunner returns the best runner for a model, or nil.
 func chooseRunner(sel *selection) *candidate {
+	candidates := candidatesFor(sel)
+	if len(candidates) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(candidates, compareCandidates)
+	return &best
+}
+
+// pickRunner returns a runner for a request, or nil. Of several that are ready it
+// takes the better one of two that are drawn at random: all entries know the same
+// loads, which are some time old, and would all choose the best one.
+func pickRunner(sel *selection) *candidate {
+	candidates := candidatesFor(sel)
+	if len(candidates) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(candidates, compareCandidates)
+	if best.place != readyNow {
+		return &best
+	}
+	equals := slices.DeleteFunc(candidates, func(c candidate) bool {
+		return c.place != readyNow || c.trouble() != best.trouble()
+	})
+	first := equals[sel.random(len(equals))]
+	second := equals[sel.random(len(equals))]
+	if compareCandidates(second, first) < 0 {
+		return &second
+	}
+	return &first
+}
+
+// candidatesFor returns the runners that may serve a model.
+func candidatesFor(sel *selection) []candidate {
 	var candidates []candidate
 	for _, s := range sel.view.servers[sel.service] {
 		if !sel.mayTry(s) || !sel.isOpen(s) {
@@ -144,11 +179,7 @@
 		c.near = s.FailureDomain == sel.domain
 		candidates = append(candidates, c)
 	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	best := slices.MinFunc(candidates, compareCandidates)
-	return &best
+	return candidates
 }
 
 // shortage tells for the log why no server can take a request.
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -3,9 +3,9 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"log/slog"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,6 +22,9 @@
 	// before it decides, firstSettleTime the same before the first placement.
 	settleTime      = 1500 * time.Millisecond
 	firstSettleTime = 5 * time.Second
+	// placementPause is the least time between two placements that differ in the
+	// demand only.
+	placementPause = time.Second
 	// downTolerance is how long a runner that is down keeps its permits.
 	downTolerance = time.Second
 )
@@ -39,8 +42,9 @@
 
 	leaderRevision int64
 	since          time.Time
-	// decidedFor names the state that the last decision was made for.
-	decidedFor string
+	// decidedFor is what the last decision rested on, and decidedAt when it was made.
+	decidedFor basis
+	decidedAt  time.Time
 	// sizers follow the demand for each service's models, replicas is what they
 	// last said.
 	sizers   map[string]*packing.Sizer
@@ -58,7 +62,8 @@
 func (d *decider) begin(leaderRevision int64) {
 	d.leaderRevision = leaderRevision
 	d.since = time.Now()
-	d.decidedFor = ""
+	d.decidedFor = basis{}
+	d.decidedAt = time.Time{}
 	d.sizers = make(map[string]*packing.Sizer)
 	d.replicas = make(map[string]map[string]int)
 	d.downSince = make(map[string]time.Time)
@@ -76,13 +81,22 @@
 		return
 	}
 	d.size(now, current)
-	state := d.stateOf(now, current)
-	if state != d.decidedFor && d.place(ctx, now, current) {
-		d.decidedFor = state
+	if basis := d.basisOf(now, current); d.isDue(now, basis) && d.place(ctx, now, current) {
+		d.decidedFor = basis
+		d.decidedAt = now
 	}
 	d.startLoads(now, current)
 }
 
+// isDue tells whether a new decision is due: at once if runners have come or gone,
+// and a moment after the last one if the demand has changed.
+func (d *decider) isDue(now time.Time, present basis) bool {
+	if present.runners != d.decidedFor.runners {
+		return true
+	}
+	return present.demand != d.decidedFor.demand && now.Sub(d.decidedAt) >= placementPause
+}
+
 // isSettled tells whether all agents were heard and all their runners have
 // registered themselves, or had the time to.
 func (d *decider) isSettled(now time.Time, current *view) bool {
@@ -130,25 +144,34 @@
 	return down.IsZero() || now.Sub(down) < downTolerance
 }
 
-// stateOf names what the placement depends on.
-func (d *decider) stateOf(now time.Time, current *view) string {
-	var parts []string
+// basis names what a placement rests on.
+type basis struct {
+	// runners names the services, their models and their usable runners, demand the
+	// wanted replicas.
+	runners string
+	demand  string
+}
+
+// basisOf names what the placement rests on now.
+func (d *decider) basisOf(now time.Time, current *view) basis {
+	var runners, demand []string
 	for _, service := range current.table.Engines() {
-		parts = append(parts, service.Name)
+		runners = append(runners, service.Name)
 		for i := range service.Engine.Models {
-			parts = append(parts, service.Engine.Models[i].Name)
+			runners = append(runners, service.Engine.Models[i].Name)
 		}
 		for _, s := range current.servers[service.Name] {
 			if d.usable(now, s) {
-				parts = append(parts, s.agent)
+				runners = append(runners, s.agent)
 			}
 		}
 		for model, replicas := range d.replicas[service.Name] {
-			parts = append(parts, fmt.Sprintf("%s*%d", model, replicas))
+			demand = append(demand, model+"*"+strconv.Itoa(replicas))
 		}
 	}
-	slices.Sort(parts)
-	return strings.Join(parts, " ")
+	slices.Sort(runners)
+	slices.Sort(demand)
+	return basis{runners: strings.Join(runners, " "), demand: strings.Join(demand, " ")}
 }
 
 // size takes in the present demand for each service's models. Before the first
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -62,6 +62,7 @@
 		model:   x.caller.Model,
 		domain:  x.handler.domain,
 		tried:   x.tried,
+		random:  rand.IntN,
 	}
 }
 
--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -132,6 +132,7 @@
 		model:   testModel,
 		domain:  testZone,
 		tried:   tried,
+		random:  func(int) int { return 0 },
 	}
 }
 
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -41,7 +41,9 @@
 type bin struct {
 	*Runner
 	free int64
-	// urgent counts the kept models that interactive requests ask for.
+	// kept are the models that are kept here.
+	kept []*item
+	// urgent counts those that interactive requests ask for.
 	urgent int
 	// adapters tells that a kept model is in demand and has adapters. A load of
 	// another model would hold their loads up.
@@ -52,14 +54,26 @@
 	copies int
 }
 
+// ordered returns the kept models in the order in which they are placed.
+func (b *bin) ordered() []*item {
+	ordered := slices.Clone(b.kept)
+	slices.SortFunc(ordered, func(a, b *item) int { return cmp.Compare(a.position, b.position) })
+	return ordered
+}
+
 // item is a model while it is placed.
 type item struct {
 	model *fleet.Model
-	rank  class
+	// position is the model's place in the order in which models are placed.
+	position int
+	rank     class
 	// replicas is how many are to be kept.
 	replicas int
-	keep     []*bin
-	before   *Placed
+	// choices are the runners that may hold the model: those that have its weights
+	// near, or all if none has.
+	choices []*bin
+	keep    []*bin
+	before  *Placed
 	// held tells that the platform has placed the model itself, which is all that
 	// is known of its importance before there is a placement.
 	held bool
@@ -84,14 +98,19 @@
 type packer struct {
 	problem *Problem
 	bins    []*bin
+	byHost  map[string]*bin
 	items   []*item
+	// before indexes the placement in force by model.
+	before map[string]*Placed
 }
 
 func newPacker(problem *Problem) *packer {
-	p := &packer{problem: problem}
+	p := &packer{problem: problem, byHost: make(map[string]*bin, len(problem.Runners)), before: problem.Current.byModel(problem.Service)}
 	capacity := problem.Engine.MiB - adapterRoom(problem.Engine)
 	for i := range problem.Runners {
-		p.bins = append(p.bins, &bin{Runner: &problem.Runners[i], free: capacity})
+		b := &bin{Runner: &problem.Runners[i], free: capacity}
+		p.bins = append(p.bins, b)
+		p.byHost[b.Host] = b
 	}
 	for i := range problem.Engine.Models {
 		p.items = append(p.items, p.newItem(&problem.Engine.Models[i]))
@@ -101,6 +120,9 @@
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(order(!a.held), order(!b.held)),
 			cmp.Compare(a.model.MiB, b.model.MiB), cmp.Compare(a.model.Name, b.model.Name))
 	})
+	for i, it := range p.items {
+		it.position = i
+	}
 	return p
 }
 
@@ -117,9 +139,10 @@
 	it := &item{
 		model:    model,
 		rank:     patient,
-		before:   p.problem.Current.find(p.problem.Service, model.Name),
+		before:   p.before[model.Name],
 		replicas: 1,
 	}
+	it.choices = p.choicesFor(model.Name)
 	replicas := p.problem.Replicas[model.Name]
 	if p.problem.Current == nil {
 		// Before any demand is known, a model that the platform has placed on
@@ -140,6 +163,20 @@
 	return it
 }
 
+// choicesFor returns the runners that may hold a model.
+func (p *packer) choicesFor(model string) []*bin {
+	var near []*bin
+	for _, b := range p.bins {
+		if b.Near[model] != Remote {
+			near = append(near, b)
+		}
+	}
+	if len(near) == 0 {
+		return p.bins
+	}
+	return near
+}
+
 func (p *packer) heldBy(model string) int {
 	count := 0
 	for _, b := range p.bins {
@@ -152,20 +189,17 @@
 
 // retain keeps what the placement in force keeps, up to the wanted replicas.
 func (p *packer) retain(it *item) {
-	for _, b := range p.bins {
-		if len(it.keep) < it.replicas && it.wasKept(b.Host) && b.free >= it.model.MiB {
+	if it.before == nil {
+		return
+	}
+	for _, permit := range it.before.Permits {
+		b := p.byHost[permit.Host]
+		if permit.Keep && b != nil && len(it.keep) < it.replicas && b.free >= it.model.MiB {
 			p.keep(it, b)
 		}
 	}
 }
 
-// wasKept tells whether the placement in force keeps the model on a host.
-func (it *item) wasKept(host string) bool {
-	return it.before != nil && slices.ContainsFunc(it.before.Permits, func(permit Permit) bool {
-		return permit.Host == host && permit.Keep
-	})
-}
-
 // provide keeps one more replica of a model, and moves or drops others for it if
 // it must.
 func (p *packer) provide(it *item) bool {
@@ -193,21 +227,12 @@
 	return true
 }
 
-// mayHold tells whether a runner is a choice for a model: it has the weights
-// near, or no runner has.
-func (p *packer) mayHold(it *item, b *bin) bool {
-	if b.Near[it.model.Name] != Remote {
-		return true
-	}
-	return !slices.ContainsFunc(p.bins, func(other *bin) bool { return other.Near[it.model.Name] != Remote })
-}
-
 // best returns the most suitable runner without a replica of the model, or nil.
 func (p *packer) best(it *item, fits func(*bin) bool) *bin {
 	var best *bin
 	var bestRank binRank
-	for _, b := range p.bins {
-		if slices.Contains(it.keep, b) || !fits(b) || !p.mayHold(it, b) {
+	for _, b := range it.choices {
+		if slices.Contains(it.keep, b) || !fits(b) {
 			continue
 		}
 		rank := rankOf(it, b)
@@ -221,6 +246,7 @@
 
 func (p *packer) keep(it *item, b *bin) {
 	it.keep = append(it.keep, b)
+	b.kept = append(b.kept, it)
 	b.free -= it.model.MiB
 	if it.rank < patient {
 		b.urgent++
@@ -230,12 +256,13 @@
 
 func (p *packer) unkeep(it *item, b *bin) {
 	it.keep = slices.DeleteFunc(it.keep, func(kept *bin) bool { return kept == b })
+	b.kept = slices.DeleteFunc(b.kept, func(kept *item) bool { return kept == it })
 	b.free += it.model.MiB
 	if it.rank < patient {
 		b.urgent--
 	}
-	b.adapters = slices.ContainsFunc(p.items, func(other *item) bool {
-		return other.rank == hot && other.model.Adapters > 0 && slices.Contains(other.keep, b)
+	b.adapters = slices.ContainsFunc(b.kept, func(other *item) bool {
+		return other.rank == hot && other.model.Adapters > 0
 	})
 }
 
@@ -247,12 +274,12 @@
 	}
 	it.moving = true
 	defer func() { it.moving = false }()
-	for _, b := range p.bins {
-		if slices.Contains(it.keep, b) || !p.mayHold(it, b) {
+	for _, b := range it.choices {
+		if slices.Contains(it.keep, b) {
 			continue
 		}
-		for _, other := range p.items {
-			if other.moving || other.rank < it.rank || !slices.Contains(other.keep, b) || b.free+other.model.MiB < it.model.MiB {
+		for _, other := range b.ordered() {
+			if other.moving || other.rank < it.rank || b.free+other.model.MiB < it.model.MiB {
 				continue
 			}
 			p.unkeep(other, b)
@@ -283,8 +310,8 @@
 	var best *bin
 	var bestRank binRank
 	var bestDropped []*item
-	for _, b := range p.bins {
-		if slices.Contains(it.keep, b) || !p.mayHold(it, b) {
+	for _, b := range it.choices {
+		if slices.Contains(it.keep, b) {
 			continue
 		}
 		dropped, ok := p.dropsFor(it, b)
@@ -313,11 +340,11 @@
 func (p *packer) dropsFor(it *item, b *bin) ([]*item, bool) {
 	var dropped []*item
 	free := b.free
-	for _, other := range slices.Backward(p.items) {
+	for _, other := range slices.Backward(b.ordered()) {
 		if free >= it.model.MiB {
 			break
 		}
-		if other.rank == patient && slices.Contains(other.keep, b) {
+		if other.rank == patient {
 			dropped = append(dropped, other)
 			free += other.model.MiB
 		}
--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -46,6 +46,9 @@
 			others = append(others, b)
 		}
 	}
+	if missing <= 0 {
+		return nil
+	}
 	slices.SortFunc(others, func(a, b *bin) int {
 		return cmp.Or(
 			it.compareUnkept(a, b),
@@ -54,7 +57,7 @@
 			cmp.Compare(a.Host, b.Host),
 		)
 	})
-	chosen := others[:min(max(missing, 0), len(others))]
+	chosen := others[:min(missing, len(others))]
 	for _, b := range chosen {
 		b.copies++
 	}
@@ -68,8 +71,8 @@
 		return nil
 	}
 	var spares []*bin
-	for _, b := range p.bins {
-		if p.mayHold(it, b) && !slices.Contains(it.keep, b) && !slices.Contains(copies, b) {
+	for _, b := range it.choices {
+		if !slices.Contains(it.keep, b) && !slices.Contains(copies, b) {
 			spares = append(spares, b)
 		}
 	}
--- a/pkg/packing/placement.go
+++ b/pkg/packing/placement.go
@@ -75,6 +75,20 @@
 	return 0
 }
 
+// byModel indexes the entries of a service's models. It may be called on nil.
+func (p *Placement) byModel(service string) map[string]*Placed {
+	if p == nil {
+		return nil
+	}
+	indexed := make(map[string]*Placed, len(p.Models))
+	for i := range p.Models {
+		if p.Models[i].Service == service {
+			indexed[p.Models[i].Model] = &p.Models[i]
+		}
+	}
+	return indexed
+}
+
 // find returns a model's entry, or nil.
 func (p *Placement) find(service, model string) *Placed {
 	if p == nil {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -61,7 +61,7 @@
 	secrets := make(chan []byte, 8)
 	for range cap(secrets) {
 		go func() {
-			secret, err := Secret(t.Context(), store, ignore)
+			secret, err := Secret(t.Context(), store, store, ignore)
 			if err != nil {
 				t.Error(err)
 			}
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -105,7 +105,7 @@
 func (c *controller) publishNow(now time.Time) {
 	c.publishing = false
 	c.publishedAt = now
-	c.subscribers.publish(c.manager.Status(now))
+	c.subscribers.publish(now, c.manager.Status(now))
 }
 
 // wakeAt has the manager look again at a time; the zero time asks for nothing.
--- a/pkg/runneragent/subscribers.go
+++ b/pkg/runneragent/subscribers.go
@@ -3,7 +3,9 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/directory"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -12,20 +14,30 @@
 type subscribers struct {
 	mu     sync.Mutex
 	latest *wire.RunnerStatus
+	// woken is the status that the subscribers were woken for last, and at when.
+	woken   *wire.RunnerStatus
+	wokenAt time.Time
 	// wakes hold a token for each subscriber that has not seen a change.
 	wakes map[chan struct{}]struct{}
 }
 
+// loadPause is the least time between two statuses that differ in the load only.
+const loadPause = 200 * time.Millisecond
+
 // publish takes in the present status and wakes the subscribers if it differs in
-// more than counts.
-func (s *subscribers) publish(status *wire.RunnerStatus) {
+// more than counts, or if the load has changed by a step and the last status is a
+// moment old.
+func (s *subscribers) publish(now time.Time, status *wire.RunnerStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := s.latest == nil || differs(status, s.latest)
 	s.latest = status
-	if !changed {
+	isNews := s.woken == nil || differs(status, s.woken) ||
+		(now.Sub(s.wokenAt) >= loadPause && directory.LoadDiffers(status, s.woken))
+	if !isNews {
 		return
 	}
+	s.woken = status
+	s.wokenAt = now
 	for wake := range s.wakes {
 		select {
 		case wake <- struct{}{}:
