Learn how many loads the weight store serves, and start those worth most

Second replicas of interactive models went before models that nobody held any more. Runners with 12 slots had all of them taken while 1,376 of the 2,100 requests that waited longer than 250 ms waited there: replicas were counted by rate only, as for runners with 32 slots and more. 1,280 requests were refused after all four agents of a model without a copy had been asked in turn.

Change: `packing.Throughput` learns from the time that loads take beside others how many run at full speed, beginning at three, unless the settings say it. Loads compete by what requests are worth, as nobody can wait for one: a patient request, which is for a whole report, counts for eight interactive ones; a model that is being loaded elsewhere comes after one that isn't. Replicas also follow the slots that a model's requests take. Runners for a model that nobody has near are those with the fewest others near; hot models go to the runners with the least load of interactive requests. A request that an agent has refused isn't sent to agents that would need longer than it can wait.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -99,18 +99,15 @@
 }
 
 // choose returns the best server for the request, or nil.
-func (sel *selection) choose() *server {
+func (sel *selection) choose() *candidate {
 	if sel.model == "" {
 		return sel.choosePlain()
 	}
-	if picked := pickRunner(sel); picked != nil {
-		return picked.server
-	}
-	return nil
+	return pickRunner(sel)
 }
 
 // choosePlain returns the best server of a plain service, or nil.
-func (sel *selection) choosePlain() *server {
+func (sel *selection) choosePlain() *candidate {
 	var choices []backends.Choice
 	var servers []*server
 	for _, s := range sel.view.servers[sel.service] {
@@ -128,7 +125,7 @@
 	if best < 0 {
 		return nil
 	}
-	return servers[best]
+	return &candidate{server: servers[best]}
 }
 
 // chooseRunner returns the best runner for a model, or nil.
@@ -272,6 +269,12 @@
 	)
 }
 
+// comesTooLate tells whether the runner is expected to have the model only after a
+// request must have started.
+func (c *candidate) comesTooLate(now, startBy time.Time) bool {
+	return c.place == readyAfterLoad && now.Add(c.wait).After(startBy)
+}
+
 func (c *candidate) trouble() int {
 	switch {
 	case c.health.Silent:
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -181,13 +181,16 @@
 		return
 	}
 	for _, service := range current.table.Engines() {
-		rates := make(map[string]float64)
+		loads := make(map[string]packing.ModelLoad)
 		for _, s := range current.servers[service.Name] {
 			if s.state == nil {
 				continue
 			}
 			for _, model := range s.state.Status.Models {
-				rates[model.Name] += model.Interactive
+				load := loads[model.Name]
+				load.Rate += model.Interactive
+				load.Busy += model.Running + model.Waiting
+				loads[model.Name] = load
 			}
 		}
 		sizer := d.sizers[service.Name]
@@ -195,7 +198,7 @@
 			sizer = packing.NewSizer(current.placement)
 			d.sizers[service.Name] = sizer
 		}
-		d.replicas[service.Name] = sizer.Update(now, rates)
+		d.replicas[service.Name] = sizer.Update(now, service.Engine.Slots, loads)
 	}
 }
 
@@ -243,6 +246,9 @@
 		Replicas: d.replicas[service.Name],
 		Current:  current.placement,
 	}
+	if sizer := d.sizers[service.Name]; sizer != nil {
+		problem.Busy = sizer.Busy()
+	}
 	for _, s := range current.servers[service.Name] {
 		if !d.usable(now, s) {
 			continue
@@ -275,6 +281,7 @@
 // serves at full speed.
 func (d *decider) startLoads(now time.Time, current *view) {
 	demand := demandOf(now, current)
+	remote := remoteLoads(current)
 	var statuses []packing.LoadStatus
 	for host, state := range current.agents {
 		if !state.hears(now) || state.Status == nil {
@@ -285,10 +292,11 @@
 				continue
 			}
 			statuses = append(statuses, packing.LoadStatus{
-				Load:    packing.Load{Host: host, Model: model.Name},
-				Running: model.FromStore,
-				Demand:  demand[model.Name],
-				Waiting: model.Waiting,
+				Load:     packing.Load{Host: host, Model: model.Name},
+				Running:  model.FromStore,
+				Expected: remote[model.Name],
+				Demand:   demand[model.Name],
+				Waiting:  model.Waiting,
 			})
 		}
 	}
@@ -298,6 +306,17 @@
 	}
 }
 
+// remoteLoads are the durations of loads from the weight store while it isn't busy.
+func remoteLoads(current *view) map[string]time.Duration {
+	durations := make(map[string]time.Duration)
+	for _, service := range current.table.Engines() {
+		for i := range service.Engine.Models {
+			durations[service.Engine.Models[i].Name] = service.Engine.Models[i].RemoteLoad
+		}
+	}
+	return durations
+}
+
 // demandOf adds up what the agents say of each model.
 func demandOf(now time.Time, current *view) map[string]packing.Demand {
 	demand := make(map[string]packing.Demand)
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -21,13 +21,17 @@
 func (x *exchange) next(ctx context.Context) (*server, *lease, bool) {
 	for ctx.Err() == nil && x.handler.unsent.Err() == nil {
 		sel := x.selection(time.Now())
-		s := sel.choose()
-		if s == nil {
+		best := sel.choose()
+		if best == nil {
 			if !x.awaitServer(ctx, sel) {
 				return nil, nil, false
 			}
 			continue
 		}
+		if x.counted && best.comesTooLate(sel.now, x.startBy()) {
+			return nil, nil, false
+		}
+		s := best.server
 		if s.agent == "" || !s.hears(sel.now) || x.handler.node.Load() == nil {
 			return s, nil, true
 		}
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -54,6 +54,8 @@
 // when they end.
 type fakeAgent struct {
 	grants bool
+	// refuses is its answer to all uses if it isn't nil.
+	refuses *wire.Refusal
 	// before is called before it answers.
 	before func()
 	asked  chan struct{}
@@ -77,6 +79,10 @@
 	if a.grants {
 		answer = &wire.Frame{Granted: &wire.Granted{}}
 	}
+	if a.refuses != nil {
+		_ = stream.Send(&wire.Frame{Refusal: a.refuses})
+		return
+	}
 	if stream.Send(answer) == nil {
 		_, _ = stream.Receive()
 	}
@@ -207,3 +213,24 @@
 		})
 	}
 }
+
+// TestHopelessRequestIsRefusedAtOnce has one agent refuse a request, while the others
+// would have to load the model for longer than it can wait. They aren't asked.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	const loads = 15000
+	slow := wire.RunnerModel{WaitMillis: loads}
+	c := fixture(time.Now(),
+		testRunner{id: "a", permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: loads - 1})},
+		testRunner{id: "b", permits: true, status: statusOf(0, slow)},
+		testRunner{id: "c", permits: true, status: statusOf(0, slow)})
+	asked := newFakeAgent(false)
+	asked.refuses = &wire.Refusal{Reason: wire.ReasonDeadline, RetryAfterMillis: loads}
+	others := newFakeAgent(true)
+	x := moveFixture(t, 0, c, map[string]*fakeAgent{"a": asked, "b": others, "c": others})
+	if _, _, ok := x.next(t.Context()); ok {
+		t.Fatal("the request was let in")
+	}
+	if len(others.asked) > 0 || x.retryAfter != loads*time.Millisecond {
+		t.Errorf("%d others were asked; come back after %s", len(others.asked), x.retryAfter)
+	}
+}
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -43,8 +43,10 @@
 	free int64
 	// kept are the models that are kept here.
 	kept []*item
-	// urgent counts those that interactive requests ask for.
+	// urgent counts those that interactive requests ask for, and busy is the number
+	// of their requests that are expected to run here.
 	urgent int
+	busy   float64
 	// adapters tells that a kept model is in demand and has adapters. A load of
 	// another model would hold their loads up.
 	adapters bool
@@ -54,6 +56,12 @@
 	copies int
 }
 
+// busyStep is the difference in busy slots from which one runner counts as busier
+// than another.
+const busyStep = 2.0
+
+func (b *bin) busySteps() int { return int(b.busy / busyStep) }
+
 // ordered returns the kept models in the order in which they are placed.
 func (b *bin) ordered() []*item {
 	ordered := slices.Clone(b.kept)
@@ -69,6 +77,8 @@
 	rank     class
 	// replicas is how many are to be kept.
 	replicas int
+	// busy is the number of requests that are expected to run at each replica.
+	busy float64
 	// choices are the runners that may hold the model: those that have its weights
 	// near, or all if none has.
 	choices []*bin
@@ -160,6 +170,7 @@
 	case it.before != nil && it.before.Interactive:
 		it.rank = urgent
 	}
+	it.busy = p.problem.Busy[model.Name] / float64(max(it.replicas, 1))
 	return it
 }
 
@@ -250,6 +261,7 @@
 	b.free -= it.model.MiB
 	if it.rank < patient {
 		b.urgent++
+		b.busy += it.busy
 	}
 	b.adapters = b.adapters || (it.rank == hot && it.model.Adapters > 0)
 }
@@ -260,6 +272,7 @@
 	b.free += it.model.MiB
 	if it.rank < patient {
 		b.urgent--
+		b.busy -= it.busy
 	}
 	b.adapters = slices.ContainsFunc(b.kept, func(other *item) bool {
 		return other.rank == hot && other.model.Adapters > 0
@@ -361,10 +374,14 @@
 	blocked int
 	// moved: the runner doesn't hold the model now.
 	moved int
-	// crowded counts the runner's models for interactive requests, if this is
-	// one.
+	// busy is the load that interactive requests put on the runner, in steps of
+	// slots, and crowded counts their models, if the model is one of them.
+	busy     int
 	crowded  int
 	distance int
+	// others counts the models that the runner has near, if it would be busy with a
+	// long load of this one.
+	others int
 	// left is the memory that stays free.
 	left int64
 	host string
@@ -378,8 +395,10 @@
 	}
 	if near == Remote {
 		rank.blocked = order(b.adapters)
+		rank.others = len(b.Near)
 	}
 	if it.rank < patient {
+		rank.busy = b.busySteps()
 		rank.crowded = b.urgent
 	}
 	for _, other := range it.keep {
@@ -394,6 +413,8 @@
 	return cmp.Or(
 		cmp.Compare(a.sharedDomain, b.sharedDomain),
 		cmp.Compare(a.blocked, b.blocked),
+		cmp.Compare(a.others, b.others),
+		cmp.Compare(a.busy, b.busy),
 		cmp.Compare(a.moved, b.moved),
 		cmp.Compare(a.crowded, b.crowded),
 		cmp.Compare(a.distance, b.distance),
--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -52,6 +52,7 @@
 	slices.SortFunc(others, func(a, b *bin) int {
 		return cmp.Or(
 			it.compareUnkept(a, b),
+			cmp.Compare(len(a.Near), len(b.Near)),
 			cmp.Compare(a.copies, b.copies),
 			cmp.Compare(b.free, a.free),
 			cmp.Compare(a.Host, b.Host),
@@ -79,6 +80,7 @@
 	slices.SortFunc(spares, func(a, b *bin) int {
 		return cmp.Or(
 			it.compareUnkept(a, b),
+			cmp.Compare(it.othersAt(a), it.othersAt(b)),
 			cmp.Compare(a.spares, b.spares),
 			cmp.Compare(a.urgent, b.urgent),
 			cmp.Compare(a.Host, b.Host),
@@ -97,6 +99,15 @@
 	)
 }
 
+// othersAt counts the models that a runner has near, if it would be busy with a
+// long load of this one.
+func (it *item) othersAt(b *bin) int {
+	if b.Near[it.model.Name] != Remote {
+		return 0
+	}
+	return len(b.Near)
+}
+
 // permitBefore is the place of a host's permit in the placement in force.
 func (it *item) permitBefore(host string) int {
 	if it.before != nil {
--- a/pkg/packing/problem.go
+++ b/pkg/packing/problem.go
@@ -34,6 +34,8 @@
 	// Replicas are the wanted replicas of the models that interactive requests ask
 	// for now.
 	Replicas map[string]int
+	// Busy is the mean number of requests that run or wait, of these models.
+	Busy map[string]float64
 	// Current is the placement in force, or nil.
 	Current *Placement
 }
--- a/pkg/packing/starts.go
+++ b/pkg/packing/starts.go
@@ -11,13 +11,14 @@
 const (
 	// startTTL is how long a granted start counts before the agent's status shows
 	// the load.
-	startTTL = time.Second
+	startTTL = 1500 * time.Millisecond
 	// startBurst is how many starts may follow each other at once, beside the rate
 	// that the weight store allows.
 	startBurst = 2
-	// maxStartsPerModel bounds the loads of one model that run at once: a second
-	// one only helps if the first runner is lost.
-	maxStartsPerModel = 2
+	// patientWorth is what a patient request is worth in interactive ones, when loads
+	// compete for the weight store. A load takes longer than either can wait, and
+	// patient requests are for whole reports.
+	patientWorth = 8
 )
 
 // Load is a load from the weight store at one runner.
@@ -31,6 +32,8 @@
 	Load
 	// Running tells that it is under way; else it waits for its start.
 	Running bool
+	// Expected is the time of the load while the weight store isn't busy.
+	Expected time.Duration
 	// Demand is what the whole site asks of the model.
 	Demand Demand
 	// Waiting counts the requests that wait for the load.
@@ -46,18 +49,15 @@
 	Loaded      int
 }
 
-// interactiveWeight is what an interactive request is worth in patient ones, when
-// loads compete for the weight store.
-const interactiveWeight = 20
-
-// gain is what one more runner that holds the model is worth.
-func (d Demand) gain() float64 {
-	return (interactiveWeight*d.Interactive + d.Patient) / float64(1+d.Loaded)
+// gain is what one more runner that holds the model is worth, if some load it
+// already.
+func (d Demand) gain(loading int) float64 {
+	return (d.Interactive + patientWorth*d.Patient) / float64(1+d.Loaded+loading)
 }
 
 // StartLimits are the limits of the weight store.
 type StartLimits struct {
-	// AtOnce is how many loads run at full speed.
+	// AtOnce is how many loads run at full speed; zero has it learned.
 	AtOnce int
 	// PerSecond is how many loads may begin in a second; zero means no limit.
 	PerSecond float64
@@ -67,8 +67,9 @@
 // a new leader learns the loads under way from the agents. Use NewStarts.
 type Starts struct {
 	// granted holds the starts that no status shows yet.
-	granted map[Load]time.Time
-	pace    *rate.Limiter
+	granted    map[Load]time.Time
+	pace       *rate.Limiter
+	throughput *Throughput
 }
 
 // NewStarts returns a value without granted starts. As a leader before it may
@@ -77,7 +78,7 @@
 	const notYet = 0
 	pace := rate.NewLimiter(notYet, startBurst)
 	pace.AllowN(now, startBurst)
-	return &Starts{granted: make(map[Load]time.Time), pace: pace}
+	return &Starts{granted: make(map[Load]time.Time), pace: pace, throughput: NewThroughput()}
 }
 
 // setPace sets the rate of starts; zero means no limit.
@@ -91,52 +92,61 @@
 	}
 }
 
-// Next returns the loads that may start now within the limits, the most wanted
-// first.
+// Next returns the loads that may start now within the limits, those first that the
+// site gains most by.
 func (s *Starts) Next(now time.Time, statuses []LoadStatus, limits StartLimits) []Load {
 	s.setPace(now, limits.PerSecond)
-	perModel := make(map[string]int)
-	running := 0
-	var waiting []LoadStatus
+	loading, running, waiting := s.sort(now, statuses)
+	atOnce := limits.AtOnce
+	if atOnce == 0 {
+		atOnce = s.throughput.AtOnce()
+	}
+	var started []Load
+	for len(waiting) > 0 && running < atOnce && s.pace.AllowN(now, 1) {
+		best := slices.MinFunc(waiting, func(a, b LoadStatus) int { return compareWaiting(loading, a, b) })
+		waiting = slices.DeleteFunc(waiting, func(l LoadStatus) bool { return l.Load == best.Load })
+		running++
+		loading[best.Model]++
+		s.granted[best.Load] = now
+		started = append(started, best.Load)
+	}
+	return started
+}
+
+// sort counts the loads that run or were granted, by model and together, and
+// returns those that wait.
+func (s *Starts) sort(now time.Time, statuses []LoadStatus) (loading map[string]int, running int, waiting []LoadStatus) {
+	loading = make(map[string]int)
+	transfers := make(map[Load]time.Duration)
 	for _, status := range statuses {
 		switch {
 		case status.Running:
 			running++
-			perModel[status.Model]++
+			loading[status.Model]++
+			transfers[status.Load] = status.Expected
 			delete(s.granted, status.Load)
 		case s.granted[status.Load].IsZero():
 			waiting = append(waiting, status)
 		}
 	}
+	s.throughput.Observe(now, transfers)
 	for load, at := range s.granted {
 		if now.Sub(at) > startTTL {
 			delete(s.granted, load)
 			continue
 		}
 		running++
-		perModel[load.Model]++
+		loading[load.Model]++
 	}
-	slices.SortFunc(waiting, compareWaiting)
-	var started []Load
-	for _, status := range waiting {
-		if perModel[status.Model] >= maxStartsPerModel {
-			continue
-		}
-		if running >= limits.AtOnce || !s.pace.AllowN(now, 1) {
-			break
-		}
-		running++
-		perModel[status.Model]++
-		s.granted[status.Load] = now
-		started = append(started, status.Load)
-	}
-	return started
+	return loading, running, waiting
 }
 
-// compareWaiting puts the loads first that the site gains most by.
-func compareWaiting(a, b LoadStatus) int {
+// compareWaiting puts the loads first that the site gains most by; loading counts
+// the loads that run, by model.
+func compareWaiting(loading map[string]int, a, b LoadStatus) int {
 	return cmp.Or(
-		cmp.Compare(b.Demand.gain(), a.Demand.gain()),
+		cmp.Compare(b.Demand.gain(loading[b.Model]), a.Demand.gain(loading[a.Model])),
+		cmp.Compare(loading[a.Model], loading[b.Model]),
 		cmp.Compare(b.Waiting, a.Waiting),
 		cmp.Compare(a.Model, b.Model),
 		cmp.Compare(a.Host, b.Host),
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -19,7 +19,7 @@
 	downAfter = 600 * time.Millisecond
 	// startTTL is how long a leave to load from the weight store lasts, so that
 	// loads that were held up don't begin together.
-	startTTL = 3 * time.Second
+	startTTL = time.Second
 	// comeBackSoon is when to come back after a refusal that another runner or a
 	// moment may undo.
 	comeBackSoon = 500 * time.Millisecond
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -33,7 +33,8 @@
 	Store   MetadataStore `json:"store"`
 	Retries Retries       `json:"retries"`
 	// WeightStore states the limits of the weight store. The rate of starts comes
-	// with the operator's configuration.
+	// with the operator's configuration. The loads at once are learned if they
+	// aren't given.
 	WeightStore WeightStore `json:"weight_store"`
 	// ProcessorShare is the share of a processor core that the entry has. Entries
 	// with more of it take over what is done for others. Zero means unknown.
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -115,7 +115,6 @@
 
 func (g *Gateway) fillDefaults() {
 	setDefault(&g.DrainMillis, millis(DefaultGatewayDrain))
-	g.WeightStore.fillDefaults()
 	setDefault(&g.Retries.Ratio, DefaultRetryRatio)
 	setDefault(&g.Retries.Slack, DefaultRetrySlack)
 	setDefault(&g.Retries.WindowSeconds, DefaultRetryWindow.Seconds())
