Let entries without a relay inform themselves meanwhile

A refusal for want of a configuration told callers to come back after 500 ms, though the balancer would have brought them to another entry at once.

Change: an entry that hears no relay for 400 ms follows agents, relays of other domains and the store itself until it hears one, and answers others. A relay that is heard is kept although another one would be preferred. Failed calls of the store are repeated after up to a second. A caller that comes before the configuration is told to come back after 50 ms.

--- a/pkg/directory/topology.go
+++ b/pkg/directory/topology.go
@@ -27,9 +27,9 @@
 	Relay bool
 	// Upstream is the relay that it follows otherwise.
 	Upstream string
-	// Domains names, for each other failure domain with agents, the relay to follow
-	// there; it is set for relays only. An empty name means that there is none, and
-	// that the domain's agents are to be followed directly.
+	// Domains names, for each other failure domain with agents, the relay that a
+	// relay follows there. An empty name means that there is none, and that the
+	// domain's agents are to be followed directly.
 	Domains map[string]string
 }
 
@@ -80,17 +80,20 @@
 		}
 	}
 	own := relays(entries[domain])
-	isRelay := len(own) == 0 || slices.ContainsFunc(own, func(h roster.Host) bool { return h.ID == t.self })
-	if _, listed := hosts[t.self]; !listed || isRelay {
-		plan := Plan{Relay: true, Domains: make(map[string]string)}
-		for other := range domains {
-			if other != domain {
-				plan.Domains[other] = t.pick(relays(entries[other]))
-			}
+	plan := Plan{Domains: make(map[string]string)}
+	for other := range domains {
+		if other != domain {
+			plan.Domains[other] = t.pick(relays(entries[other]))
 		}
+	}
+	_, listed := hosts[t.self]
+	isRelay := slices.ContainsFunc(own, func(h roster.Host) bool { return h.ID == t.self })
+	if len(own) == 0 || !listed || isRelay {
+		plan.Relay = true
 		return plan
 	}
-	return Plan{Upstream: t.pick(own)}
+	plan.Upstream = t.pick(own)
+	return plan
 }
 
 // relays returns the entries of a failure domain that relay: those with the most
--- a/pkg/gateway/following.go
+++ b/pkg/gateway/following.go
@@ -18,6 +18,9 @@
 	// listedPatience is how long a new entry waits until it stands in the site's list
 	// itself, so that it doesn't take itself for the only one.
 	listedPatience = time.Second
+	// orphanPatience is how long an entry that hears no relay waits for one before it
+	// informs itself meanwhile.
+	orphanPatience = 400 * time.Millisecond
 	// maxStoreAge is how long ago a relay may have heard from the store for its word
 	// on backend servers to be enough.
 	maxStoreAge = 2 * time.Second
@@ -42,7 +45,9 @@
 	// follows as one, by failure domain.
 	upstream *upstream
 	domains  map[string]*upstream
-	wait     sync.WaitGroup
+	// orphanSince is since when the entry hears no relay.
+	orphanSince time.Time
+	wait        sync.WaitGroup
 }
 
 func newFollowing(self, domain string, node *wire.Node, c *control, s *sources, logger *slog.Logger) *following {
@@ -89,19 +94,38 @@
 	f.control.loop.Post(func() { f.control.expireAgents(time.Now()) })
 	hosts := f.control.current().hosts
 	plan := f.topology.Plan(now, hosts, f.domain)
-	if f.control.setRelaying(now, plan.Relay) {
-		f.logger.Info("relay", "belief", "relay", "relays", plan.Relay, "upstream", plan.Upstream)
-	}
 	if plan.Relay {
-		f.relay(ctx, plan, hosts)
+		f.upstream = f.upstream.end()
+	} else {
+		f.upstream = f.replace(ctx, f.upstream, hosts[plan.Upstream], "")
+	}
+	isOrphan := f.noteOrphan(now)
+	informsItself := plan.Relay || isOrphan
+	if f.control.setRelaying(now, informsItself) {
+		f.logger.Info("relay", "belief", "relay", "relays", informsItself, "upstream", plan.Upstream, "upstream_lost", isOrphan)
+	}
+	if informsItself {
+		f.informItself(ctx, plan, hosts)
 		return
 	}
-	f.follow(ctx, now, plan.Upstream, hosts)
+	f.beInformed(ctx, now)
 }
 
-// relay follows agents, other relays and the store.
-func (f *following) relay(ctx context.Context, plan directory.Plan, hosts map[string]roster.Host) {
-	f.upstream = f.upstream.end()
+// noteOrphan tells whether no relay that the entry should follow has been heard for
+// a while.
+func (f *following) noteOrphan(now time.Time) bool {
+	if f.upstream.isHeard() {
+		f.orphanSince = time.Time{}
+		return false
+	}
+	if f.orphanSince.IsZero() {
+		f.orphanSince = now
+	}
+	return now.Sub(f.orphanSince) >= orphanPatience
+}
+
+// informItself follows agents, other relays and the store.
+func (f *following) informItself(ctx context.Context, plan directory.Plan, hosts map[string]roster.Host) {
 	f.sources.readRegistrations(true)
 	f.sources.site.set(true)
 	f.links.follow(ctx, f.agentsToFollow(plan, hosts))
@@ -109,13 +133,29 @@
 		f.domains[domain] = f.replace(ctx, f.domains[domain], hosts[host], domain)
 	}
 	for domain, followed := range f.domains {
-		if plan.Domains[domain] == "" {
+		if _, ok := plan.Domains[domain]; !ok || followed == nil {
 			followed.end()
 			delete(f.domains, domain)
 		}
 	}
 }
 
+// beInformed leaves to the relay what the entry has done itself, once it hears the
+// relay.
+func (f *following) beInformed(ctx context.Context, now time.Time) {
+	age := f.upstream.storeAge(now)
+	f.sources.readRegistrations(age < 0 || age > maxStoreAge)
+	if !f.upstream.isHeard() {
+		return
+	}
+	f.sources.site.set(false)
+	f.links.follow(ctx, nil)
+	for domain, followed := range f.domains {
+		followed.end()
+		delete(f.domains, domain)
+	}
+}
+
 // agentsToFollow are the agents that a relay follows itself: those of its own
 // failure domain, of domains without a relay, and of domains whose relay isn't heard
 // yet if it has followed them until now.
@@ -133,25 +173,10 @@
 	return agents
 }
 
-// follow follows a relay. What the entry does itself ends once it hears the relay.
-func (f *following) follow(ctx context.Context, now time.Time, host string, hosts map[string]roster.Host) {
-	f.upstream = f.replace(ctx, f.upstream, hosts[host], "")
-	age := f.upstream.storeAge(now)
-	f.sources.readRegistrations(age < 0 || age > maxStoreAge)
-	if !f.upstream.isHeard() {
-		return
-	}
-	f.sources.site.set(false)
-	f.links.follow(ctx, nil)
-	for domain, followed := range f.domains {
-		followed.end()
-		delete(f.domains, domain)
-	}
-}
-
-// replace follows a host instead of the one before, unless that is the same.
+// replace follows a host instead of the one before, unless that is the same or is
+// heard.
 func (f *following) replace(ctx context.Context, before *upstream, host roster.Host, domain string) *upstream {
-	if before != nil && before.host.ID == host.ID && before.host.Revision == host.Revision {
+	if before.isHeard() || (before != nil && before.host.ID == host.ID && before.host.Revision == host.Revision) {
 		return before
 	}
 	before.end()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -27,8 +27,9 @@
 	// configurationShare is the part of its time that a request waits at most.
 	configurationPatience = 500 * time.Millisecond
 	configurationShare    = 8
-	// unconfiguredRetry is when to come back to an entry without configuration.
-	unconfiguredRetry = 500 * time.Millisecond
+	// unconfiguredRetry is when to come back after a refusal of an entry that has no
+	// configuration; the balancer sends the caller to another one.
+	unconfiguredRetry = 50 * time.Millisecond
 )
 
 // handler serves callers.
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -16,8 +17,10 @@
 )
 
 const (
-	// storeRetry is the pause after a failed call of the store.
-	storeRetry = 300 * time.Millisecond
+	// storeRetry is the pause after a failed call of the store. It doubles up to
+	// maxStoreRetry while calls fail.
+	storeRetry    = 300 * time.Millisecond
+	maxStoreRetry = time.Second
 	// registrationPace is the least time between two calls for registrations.
 	// Heartbeats would answer each call at once.
 	registrationPace = 1100 * time.Millisecond
@@ -161,7 +164,9 @@
 // follow reads a key or prefix and then watches it, and starts anew after a
 // failure.
 func (s *sources) follow(ctx context.Context, choose func() keyvalue.Store, key string, prefix bool, take func(context.Context, reading)) {
+	pause := storeRetry
 	for ctx.Err() == nil {
+		started := time.Now()
 		err := s.followOnce(ctx, choose(), key, prefix, take)
 		if ctx.Err() != nil {
 			return
@@ -172,7 +177,11 @@
 		}
 		s.control.loop.Post(func() { s.control.storeUnstable(time.Now()) })
 		s.noteBroken()
-		backoff.Sleep(ctx, storeRetry)
+		if time.Since(started) > maxStoreRetry {
+			pause = storeRetry
+		}
+		backoff.Sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, maxStoreRetry)
 	}
 }
 
--- a/pkg/gateway/upstream.go
+++ b/pkg/gateway/upstream.go
@@ -16,7 +16,9 @@
 const (
 	// firstUpdatePatience bounds the wait for the first update of a relay, which may
 	// not know yet that it is one.
-	firstUpdatePatience = 2500 * time.Millisecond
+	firstUpdatePatience = 2 * time.Second
+	// relayTimeout bounds the opening of the stream.
+	relayTimeout = 500 * time.Millisecond
 	// relaySilence is the time without an update after which a relay is given up.
 	relaySilence = 700 * time.Millisecond
 )
@@ -79,7 +81,7 @@
 
 func (u *upstream) follow(ctx context.Context) error {
 	f := u.following
-	openCtx, cancel := context.WithTimeout(ctx, linkTimeout)
+	openCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	stream, err := f.node.Open(openCtx, u.host.ID, u.host.Inner)
 	cancel()
 	if err != nil {
