Count an agent as heard that spoke while a decision was under way

Cause: the leader granted more loads from the weight store than were to run at once whenever it had just written a placement.

Change: an age isn't below zero. The log of a grant tells what it rested on.

Ruled out: the learned number (3 as intended), lost partial statuses (the test of the directory plays them).

Test: TestAgentHeardDuringADecisionIsHeard, red without the change.

--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -301,7 +301,8 @@
 		}
 	}
 	for _, load := range d.starts.Next(now, statuses, d.startLimits(current)) {
-		d.logger.Info("load from the weight store granted", "agent", load.Host, "model", load.Model)
+		running, atOnce := d.starts.Basis()
+		d.logger.Info("load from the weight store granted", "agent", load.Host, "model", load.Model, "running", running, "at_once", atOnce)
 		d.startLoad(load.Host, current.agents[load.Host].Inner, load.Model)
 	}
 }
--- a/pkg/gateway/source.go
+++ b/pkg/gateway/source.go
@@ -14,11 +14,12 @@
 // hear notes a frame.
 func (s *source) hear(now time.Time) { s.heardAt.Store(&now) }
 
-// age is the time since the last frame, or neverConfirmed.
+// age is the time since the last frame, or neverConfirmed. A frame that came after
+// now, which a decision may have fixed some time ago, is no time old.
 func (s *source) age(now time.Time) time.Duration {
 	at := s.heardAt.Load()
 	if at == nil {
 		return neverConfirmed
 	}
-	return now.Sub(*at)
+	return max(now.Sub(*at), 0)
 }
--- a/pkg/packing/starts.go
+++ b/pkg/packing/starts.go
@@ -70,6 +70,9 @@
 	granted    map[Load]time.Time
 	pace       *rate.Limiter
 	throughput *Throughput
+	// running and atOnce are what the last decision rested on.
+	running int
+	atOnce  int
 }
 
 // NewStarts returns a value without granted starts. As a leader before it may
@@ -101,6 +104,7 @@
 	if atOnce == 0 {
 		atOnce = s.throughput.AtOnce()
 	}
+	s.running, s.atOnce = running, atOnce
 	var started []Load
 	for len(waiting) > 0 && running < atOnce && s.pace.AllowN(now, 1) {
 		best := slices.MinFunc(waiting, func(a, b LoadStatus) int { return compareWaiting(loading, a, b) })
@@ -113,6 +117,10 @@
 	return started
 }
 
+// Basis tells for the log what the last decision rested on: the loads that ran or
+// were granted, and how many may.
+func (s *Starts) Basis() (running, atOnce int) { return s.running, s.atOnce }
+
 // sort counts the loads that run or were granted, by model and together, and
 // returns those that wait.
 func (s *Starts) sort(now time.Time, statuses []LoadStatus) (loading map[string]int, running int, waiting []LoadStatus) {
