Fix which runner a test's request asks first

Cause: TestGrantAtAClosedRunner waited for ever in one run of all tests: since entries draw two ready runners at random, the runner that closes wasn't always asked.

Change: only that runner has the model loaded.

--- a/pkg/gateway/closed_test.go
+++ b/pkg/gateway/closed_test.go
@@ -42,7 +42,8 @@
 // TestGrantAtAClosedRunner has a runner say that it leaves while a request waits
 // for its use.
 func TestGrantAtAClosedRunner(t *testing.T) {
-	c := fixture(time.Now(), loadedRunner("a"), loadedRunner("b"))
+	c := fixture(time.Now(), loadedRunner("a"),
+		testRunner{id: "b", permits: true, status: statusOf(0, wire.RunnerModel{State: wire.ModelLoading})})
 	leaves, stays := newFakeAgent(true), newFakeAgent(true)
 	x := moveFixture(t, 0, c, map[string]*fakeAgent{"a": leaves, "b": stays})
 	leaves.before = func() {
