Ask for registrations again at once when the store had no news

Change: the pause follows news only, and the configuration is watched anew only when nobody is left who tells of a new one.

--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -131,7 +131,7 @@
 		choose := func() keyvalue.Store { return s.registrationStore }
 		s.follow(ctx, choose, s.codec.RegistrationPrefix, true, func(ctx context.Context, read reading) {
 			s.takeRegistrations(read)
-			if !read.complete {
+			if !read.complete && len(read.events) > 0 {
 				backoff.Sleep(ctx, registrationPace)
 			}
 		})
@@ -145,8 +145,11 @@
 	}
 	s.registrations.set(on)
 	s.logger.Info("reading registrations", "belief", "registrations", "from_store", on)
-	// The configuration is watched with another wait from now on.
-	s.noteBroken()
+	if on {
+		// Nobody tells of a new configuration now, so it is watched with a shorter
+		// wait.
+		s.noteBroken()
+	}
 }
 
 // reading is what a read or a watch brought.
