Pace prompts and count replicas by how fast a runner reads

Loads of runners with 64 slots looked equal until tens of requests ran, so the nearest and then the first was always chosen.

Change: entries tell agents when the first event came, and an agent learns from it how long its runner takes to read a token (`promptReader`: a low quantile over long prompts, less the overhead that short ones show). Prompts are spaced to take half of the runner's time. A runner's load is the greater of its slots and its reading; entries choose by it, and equals are drawn. Replicas follow the mean reading and the mean busy slots. A hot model whose runners are overloaded and that nobody else has near gets a further replica by a load from the weight store, as many at a time as the store serves.

Tests: TestReaderLearnsTheSpeedOfARunner (four speeds, half of the prompts waiting), TestReadingCountsAsLoad, TestSizerAddsReplicasForBusySlots, TestOverloadedModelGetsARemoteReplica.

--- a/pkg/directory/status.go
+++ b/pkg/directory/status.go
@@ -45,7 +45,7 @@
 func sameHead(a, b *wire.RunnerStatus) bool {
 	return a.Instance == b.Instance && a.BornMillis == b.BornMillis && a.PlanRevision == b.PlanRevision &&
 		a.Leaving == b.Leaving && a.Down == b.Down && a.Slots == b.Slots && a.Running == b.Running &&
-		a.Waiting == b.Waiting && a.Failing == b.Failing
+		a.Waiting == b.Waiting && a.Failing == b.Failing && a.LoadPercent == b.LoadPercent
 }
 
 // Merge returns the status that a change makes of the one before it. Neither is
@@ -86,26 +86,23 @@
 	}
 }
 
-// countSteps is into how many steps the load of a runner is divided in a summary.
-const countSteps = 6
+// loadStep is the resolution, in percent, of the load that entries get to know.
+const loadStep = 10
 
-// inSteps rounds a count of requests up to a step of a runner's load.
-func inSteps(count, slots int) int {
-	step := max(slots/countSteps, 1)
-	return (count + step - 1) / step * step
-}
+func inSteps(percent int) int { return (percent + loadStep/2) / loadStep * loadStep }
 
 // LoadDiffers tells whether the load of a runner has changed by a step.
 func LoadDiffers(a, b *wire.RunnerStatus) bool {
-	return inSteps(a.Running, a.Slots) != inSteps(b.Running, b.Slots) || inSteps(a.Waiting, a.Slots) != inSteps(b.Waiting, b.Slots)
+	return inSteps(a.LoadPercent) != inSteps(b.LoadPercent)
 }
 
 // Summarize returns what an entry that decides no placement needs of a status: the
 // models that the runner holds, loads or may load, and its load in steps.
 func Summarize(status *wire.RunnerStatus) *wire.RunnerStatus {
 	summary := *status
-	summary.Running = inSteps(status.Running, status.Slots)
-	summary.Waiting = inSteps(status.Waiting, status.Slots)
+	summary.Running = 0
+	summary.Waiting = 0
+	summary.LoadPercent = inSteps(status.LoadPercent)
 	summary.Models = make([]wire.RunnerModel, 0, len(status.Models))
 	for _, model := range status.Models {
 		if model.State == wire.ModelAbsent && model.Permit == 0 {
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -12,10 +12,13 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// busyShare is the part of its slots from which a runner counts as busy, so that
-// a runner that would have to load the model first may go before it.
+// busyShare is the load from which a runner counts as busy, so that a runner that
+// would have to load the model first may go before it.
 const busyShare = 0.8
 
+// percent is a hundredfold.
+const percent = 100
+
 // soonMillis is the longest expected wait, in milliseconds, for which a runner
 // where a model is wanted already goes before those that don't load it yet.
 const soonMillis = 1500
@@ -25,8 +28,7 @@
 	*server
 	// place orders by what must happen before the model can be used.
 	place readiness
-	// load is the share of the runner's slots that is taken, waiting uses
-	// included.
+	// load is that of the runner as a part of what it can serve well.
 	load   float64
 	health backends.Health
 	// failing: the agent says that the runner fails at many requests.
@@ -155,7 +157,7 @@
 	})
 	first := equals[sel.random(len(equals))]
 	second := equals[sel.random(len(equals))]
-	if compareCandidates(second, first) < 0 {
+	if second.rank() < first.rank() {
 		return &second
 	}
 	return &first
@@ -216,9 +218,7 @@
 		return c
 	}
 	c.failing = status.Failing
-	if status.Slots > 0 {
-		c.load = float64(status.Running+status.Waiting) / float64(status.Slots)
-	}
+	c.load = float64(status.LoadPercent) / percent
 	known := s.model(model)
 	if known != nil {
 		c.wait = time.Duration(known.WaitMillis) * time.Millisecond
@@ -286,8 +286,8 @@
 	}
 }
 
-// farLoad is how much more of its slots a nearby runner may have taken than a far
-// one and still be preferred.
+// farLoad is how much more load a nearby runner may have than a far one and still be
+// preferred.
 const farLoad = 0.1
 
 // rank compares runners that are equally ready: by load, where loads count, with
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -189,6 +189,7 @@
 			for _, model := range s.state.Status.Models {
 				load := loads[model.Name]
 				load.Rate += model.Interactive
+				load.Reading += model.Reading
 				load.Busy += model.Running + model.Waiting
 				loads[model.Name] = load
 			}
@@ -245,9 +246,11 @@
 		Engine:   service.Engine,
 		Replicas: d.replicas[service.Name],
 		Current:  current.placement,
+		// As many as the weight store can be asked for at once.
+		RemoteReplicas: d.starts.AtOnce(d.startLimits(current)),
 	}
 	if sizer := d.sizers[service.Name]; sizer != nil {
-		problem.Busy = sizer.Busy()
+		problem.Loads = sizer.Means()
 	}
 	for _, s := range current.servers[service.Name] {
 		if !d.usable(now, s) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -45,6 +45,9 @@
 	declined bool
 	// counted tells that an agent has counted the request as demand.
 	counted bool
+	// headAfter is the time from the last send to the head of its answer; zero if
+	// none came.
+	headAfter time.Duration
 	// server is the one that it was sent to last.
 	server string
 	// retryAfter is the last advice of an agent when to come back.
@@ -131,7 +134,7 @@
 			event = x.deliver(ctx, target, response)
 			response = nil
 		}
-		held.release(event != nil && event.IsFailure() && !x.callerLeft())
+		held.release(event != nil && event.IsFailure() && !x.callerLeft(), x.headAfter)
 		if event == nil || x.conclude(ctx, target, *event, response) {
 			return
 		}
--- a/pkg/gateway/leases.go
+++ b/pkg/gateway/leases.go
@@ -20,13 +20,14 @@
 }
 
 // release ends the lease and tells the agent whether the runner failed at the
-// request. nil leases, of servers without agents, are ignored.
-func (l *lease) release(failed bool) {
+// request, and the time from its sending to the first event of the answer, zero if
+// there was none. nil leases, of servers without agents, are ignored.
+func (l *lease) release(failed bool, first time.Duration) {
 	if l == nil {
 		return
 	}
 	// An agent that doesn't get the frame notices the end of the stream.
-	_ = l.stream.Send(&wire.Frame{Released: &wire.Released{Failed: failed}})
+	_ = l.stream.Send(&wire.Frame{Released: &wire.Released{Failed: failed, FirstMillis: uint32(first.Milliseconds())}})
 	l.stream.Close()
 }
 
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -40,7 +40,7 @@
 		case leaseHeld:
 			if !x.handler.gate.IsOpen(time.Now(), s.incarnation()) {
 				// The server closed while the request waited.
-				held.release(false)
+				held.release(false, 0)
 				continue
 			}
 			return s, held, true
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -20,6 +20,7 @@
 	x.machine.Sent(now)
 	x.server = backend.ID
 	x.sendError = nil
+	x.headAfter = 0
 	tracker.Began(now, backend.ID)
 	response, err := x.handler.pool.Send(ctx, backend.Address, x.outgoing(now, backend), false)
 	if err != nil {
@@ -34,7 +35,8 @@
 		return event, response
 	}
 	x.handler.observer.metrics.Send(sendAnswered)
-	tracker.Answered(time.Now(), backend.ID, time.Since(now), false)
+	x.headAfter = time.Since(now)
+	tracker.Answered(time.Now(), backend.ID, x.headAfter, false)
 	return nil, response
 }
 
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -29,6 +29,7 @@
 			continue
 		}
 	}
+	p.provideRemote()
 	placed := make([]Placed, 0, len(p.items))
 	for _, it := range p.items {
 		placed = append(placed, p.place(it))
@@ -77,7 +78,9 @@
 	rank     class
 	// replicas is how many are to be kept.
 	replicas int
-	// busy is the number of requests that are expected to run at each replica.
+	// load is the mean load of a hot model, and busy the number of requests that are
+	// expected to run at each replica.
+	load MeanLoad
 	busy float64
 	// choices are the runners that may hold the model: those that have its weights
 	// near, or all if none has.
@@ -170,7 +173,8 @@
 	case it.before != nil && it.before.Interactive:
 		it.rank = urgent
 	}
-	it.busy = p.problem.Busy[model.Name] / float64(max(it.replicas, 1))
+	it.load = p.problem.Loads[model.Name]
+	it.busy = it.load.Busy / float64(max(it.replicas, 1))
 	return it
 }
 
--- a/pkg/packing/problem.go
+++ b/pkg/packing/problem.go
@@ -34,8 +34,11 @@
 	// Replicas are the wanted replicas of the models that interactive requests ask
 	// for now.
 	Replicas map[string]int
-	// Busy is the mean number of requests that run or wait, of these models.
-	Busy map[string]float64
+	// Loads are the mean loads of these models.
+	Loads map[string]MeanLoad
+	// RemoteReplicas is how many replicas may wait for a load from the weight store
+	// because the runners that have a model's weights near are overloaded.
+	RemoteReplicas int
 	// Current is the placement in force, or nil.
 	Current *Placement
 }
--- /dev/null
+++ b/pkg/packing/remote_test.go
@@ -0,0 +1,58 @@
+package packing
+
+import (
+	"testing"
+
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+)
+
+// TestOverloadedModelGetsARemoteReplica has one runner with the weights of a hot
+// model, and others that would have to load it from the weight store.
+func TestOverloadedModelGetsARemoteReplica(t *testing.T) {
+	tests := []struct {
+		name   string
+		load   MeanLoad
+		remote int
+		// room tells that the other runners keep nothing.
+		room bool
+		want int
+	}{
+		{"it reads prompts most of its time", MeanLoad{Reading: 2 * overloadedReading}, 1, true, 2},
+		{"its slots are taken", MeanLoad{Busy: 30}, 1, true, 2},
+		{"in the place of patient models", MeanLoad{Reading: 2 * overloadedReading}, 1, false, 2},
+		{"it is busy as it should be", MeanLoad{Reading: overloadedReading / 2, Busy: 10}, 1, true, 1},
+		{"the weight store is busy", MeanLoad{Reading: 2 * overloadedReading}, 0, true, 1},
+		{"it needs more than the weight store gives", MeanLoad{Reading: 8 * overloadedReading}, 1, true, 2},
+		{"it needs more, and gets it", MeanLoad{Reading: 8 * overloadedReading}, 2, true, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			problem := &Problem{
+				Service:        testService,
+				Engine:         &fleet.Engine{Slots: testSlots, MiB: 100, Models: []fleet.Model{{Name: "hot", MiB: 60}, {Name: "p1", MiB: 60}, {Name: "p2", MiB: 60}}},
+				Replicas:       map[string]int{"hot": 3},
+				Loads:          map[string]MeanLoad{"hot": test.load},
+				RemoteReplicas: test.remote,
+				Runners: []Runner{
+					{Host: "h1", FailureDomain: "z1", Near: map[string]Nearness{"hot": Held}},
+					{Host: "h2", FailureDomain: "z2", Near: map[string]Nearness{}},
+					{Host: "h3", FailureDomain: "z3", Near: map[string]Nearness{}},
+				},
+			}
+			if !test.room {
+				problem.Runners[1].Near["p1"] = Held
+				problem.Runners[2].Near["p2"] = Held
+			}
+			placed := Pack(problem)
+			if kept := keptHosts(placed, "hot"); len(kept) != test.want {
+				t.Errorf("kept on %v, want %d runners", kept, test.want)
+			}
+			// What was decided stays while it waits for its load, and isn't decided again.
+			again := *problem
+			again.Current = &Placement{Models: placed}
+			if kept := keptHosts(Pack(&again), "hot"); len(kept) != test.want {
+				t.Errorf("then on %v, want %d runners", kept, test.want)
+			}
+		})
+	}
+}
--- a/pkg/packing/sizer.go
+++ b/pkg/packing/sizer.go
@@ -11,16 +11,16 @@
 	// counts as hot, coolRate the one below which it no longer does.
 	hotRate  = 0.3
 	coolRate = 0.03
-	// replicaRate is the rate of interactive requests a second for which one
-	// replica is kept. Prompts are read between the steps of running streams, so
+	// replicaReading is the part of its time that one replica's runner should read
+	// prompts for the model. They are read between the steps of running streams, so
 	// more of them make these uneven long before the slots are taken.
-	replicaRate = 7.0
+	replicaReading = 0.1
 	// replicaBusy is the part of a runner's slots that one replica's requests should
 	// take on average, so that most find a free one at once.
 	replicaBusy = 0.4
-	// busyMemory is the time in which the mean of the busy slots forgets two thirds
-	// of what was.
-	busyMemory = 2 * time.Second
+	// loadMemory is the time in which the means of the load forget two thirds of what
+	// was.
+	loadMemory = 2 * time.Second
 	// minHotReplicas is the least number of replicas of a hot model, so that the
 	// loss of one runner doesn't hold its requests up.
 	minHotReplicas = 2
@@ -33,6 +33,8 @@
 type ModelLoad struct {
 	// Rate is in requests a second.
 	Rate float64
+	// Reading is the time that runners spend reading the prompts, in seconds a second.
+	Reading float64
 	// Busy is the number of requests that run or wait.
 	Busy int
 }
@@ -47,8 +49,9 @@
 // size is what a Sizer knows of a hot model.
 type size struct {
 	replicas int
-	// busy is the mean number of requests that run or wait.
-	busy float64
+	// busy and reading are the means of a ModelLoad.
+	busy    float64
+	reading float64
 	// lowSince is since when fewer replicas would do; zero if they wouldn't.
 	lowSince time.Time
 }
@@ -84,7 +87,7 @@
 func (s *Sizer) Update(now time.Time, slots int, loads map[string]ModelLoad) map[string]int {
 	for model, load := range loads {
 		if s.sizes[model] == nil && load.Rate >= hotRate {
-			s.sizes[model] = &size{busy: float64(load.Busy)}
+			s.sizes[model] = &size{busy: float64(load.Busy), reading: load.Reading}
 		}
 	}
 	elapsed := now.Sub(s.at)
@@ -94,7 +97,7 @@
 	s.at = now
 	wanted := make(map[string]int, len(s.sizes))
 	for model, known := range maps.All(s.sizes) {
-		known.follow(elapsed, loads[model].Busy)
+		known.follow(elapsed, loads[model])
 		if known.update(now, slots, loads[model].Rate) == 0 {
 			delete(s.sizes, model)
 			continue
@@ -104,27 +107,34 @@
 	return wanted
 }
 
-// Busy returns the mean number of requests that run or wait, by hot model.
-func (s *Sizer) Busy() map[string]float64 {
-	busy := make(map[string]float64, len(s.sizes))
+// MeanLoad is the mean of a ModelLoad over the last seconds.
+type MeanLoad struct {
+	Reading float64
+	Busy    float64
+}
+
+// Means returns the mean loads of the hot models.
+func (s *Sizer) Means() map[string]MeanLoad {
+	means := make(map[string]MeanLoad, len(s.sizes))
 	for model, known := range s.sizes {
-		busy[model] = known.busy
+		means[model] = MeanLoad{Reading: known.reading, Busy: known.busy}
 	}
-	return busy
+	return means
 }
 
-// follow brings the mean of the busy slots up to date.
-func (s *size) follow(elapsed time.Duration, busy int) {
-	gain := 1 - math.Exp(-elapsed.Seconds()/busyMemory.Seconds())
-	s.busy += gain * (float64(busy) - s.busy)
+// follow brings the means up to date.
+func (s *size) follow(elapsed time.Duration, load ModelLoad) {
+	gain := 1 - math.Exp(-elapsed.Seconds()/loadMemory.Seconds())
+	s.busy += gain * (float64(load.Busy) - s.busy)
+	s.reading += gain * (load.Reading - s.reading)
 }
 
 func (s *size) update(now time.Time, slots int, rate float64) int {
 	wanted := 0
 	if rate >= coolRate {
-		byRate := int(math.Ceil(rate / replicaRate))
+		byReading := int(math.Ceil(s.reading / replicaReading))
 		byBusy := int(math.Ceil(s.busy / (replicaBusy * float64(max(slots, 1)))))
-		wanted = max(byRate, byBusy, minHotReplicas)
+		wanted = max(byReading, byBusy, minHotReplicas)
 	}
 	switch {
 	case wanted >= s.replicas:
--- a/pkg/packing/starts.go
+++ b/pkg/packing/starts.go
@@ -95,15 +95,20 @@
 	}
 }
 
+// AtOnce is how many loads may run at once.
+func (s *Starts) AtOnce(limits StartLimits) int {
+	if limits.AtOnce > 0 {
+		return limits.AtOnce
+	}
+	return s.throughput.AtOnce()
+}
+
 // Next returns the loads that may start now within the limits, those first that the
 // site gains most by.
 func (s *Starts) Next(now time.Time, statuses []LoadStatus, limits StartLimits) []Load {
 	s.setPace(now, limits.PerSecond)
 	loading, running, waiting := s.sort(now, statuses)
-	atOnce := limits.AtOnce
-	if atOnce == 0 {
-		atOnce = s.throughput.AtOnce()
-	}
+	atOnce := s.AtOnce(limits)
 	s.running, s.atOnce = running, atOnce
 	var started []Load
 	for len(waiting) > 0 && running < atOnce && s.pace.AllowN(now, 1) {
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -37,7 +37,9 @@
 	running     int
 	interactive rate
 	patient     rate
-	lastUsed    time.Time
+	// reading is the part of its time that the runner reads prompts for the model.
+	reading  readingShare
+	lastUsed time.Time
 	// startUntil is how long the model may begin to load from the weight store.
 	startUntil time.Time
 	// wantedSince is since when the model has been wanted; zero after it was loaded.
@@ -95,7 +97,10 @@
 	adapters     map[adapterID]*adapter
 	uses         map[string]*use
 	prompts      promptPacer
-	failures     backends.Failures
+	reader       promptReader
+	// reading is the part of its time that the runner reads prompts.
+	reading  readingShare
+	failures backends.Failures
 	// used tells that a use has come.
 	used bool
 	// calling is the order whose answer is awaited.
@@ -138,6 +143,7 @@
 		models:   make(map[string]*model),
 		adapters: make(map[adapterID]*adapter),
 		uses:     make(map[string]*use),
+		reader:   newPromptReader(),
 	}
 }
 
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -55,6 +55,7 @@
 		Waiting:  m.queue.Len(),
 		Failing:  m.failures.Avoided(now),
 	}
+	status.LoadPercent = m.loadPercent(now)
 	if m.report != nil {
 		status.BornMillis = m.report.BornMillis
 	}
@@ -72,6 +73,19 @@
 	return status
 }
 
+// loadPercent is the load of the runner: the slots that are taken, or the reading of
+// prompts as a part of what it should take, whichever is more.
+func (m *Manager) loadPercent(now time.Time) int {
+	load := m.reading.current(now) / promptShare
+	if m.plan != nil && m.plan.Slots > 0 {
+		load = max(load, float64(m.queue.Running()+m.queue.Len())/float64(m.plan.Slots))
+	}
+	return int(percent * load)
+}
+
+// percent is a hundredfold.
+const percent = 100
+
 func (m *Manager) describe(now time.Time, known *model) wire.RunnerModel {
 	state := m.state(known)
 	return wire.RunnerModel{
@@ -87,6 +101,7 @@
 		Wanted:      known.isWanted(now),
 		WaitMillis:  m.waitMillis(now, known),
 		Permit:      known.Permit,
+		Reading:     known.reading.current(now),
 	}
 }
 
--- a/pkg/residency/uses.go
+++ b/pkg/residency/uses.go
@@ -148,8 +148,14 @@
 
 func millis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// Ended takes in how a granted use's request ended.
-func (m *Manager) Ended(now time.Time, failed bool) { m.failures.Note(now, failed) }
+// Ended takes in how a granted use's request ended, and how long it took from the
+// sending to the first event; zero if there was none.
+func (m *Manager) Ended(now time.Time, id string, failed bool, first time.Duration) {
+	m.failures.Note(now, failed)
+	if u := m.uses[id]; u != nil && u.granted {
+		m.reader.observe(u.PromptTokens, first)
+	}
+}
 
 // Release ends a use, granted or not.
 func (m *Manager) Release(now time.Time, id string) []Action {
@@ -195,8 +201,11 @@
 		m.leftQueue(u)
 		u.granted = true
 		u.grantedAt = now
-		m.prompts.admit(now, u.PromptTokens, m.queue.Len())
 		known := m.models[u.Model]
+		reading := m.reader.reading(u.PromptTokens)
+		m.prompts.admit(now, reading, m.queue.Len())
+		m.reading.note(now, reading)
+		known.reading.note(now, reading)
 		known.running++
 		known.lastUsed = now
 		if u.Adapter != "" {
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -127,7 +127,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		s.takeRelease(stream)
+		s.takeRelease(stream, acquire.RequestID)
 	}()
 	granted := s.await(ctx, stream, acquire, arrived, result, ended)
 	if granted {
@@ -143,13 +143,14 @@
 }
 
 // takeRelease waits for the end of a use.
-func (s *server) takeRelease(stream *wire.Stream) {
+func (s *server) takeRelease(stream *wire.Stream, id string) {
 	frame, err := stream.Receive()
 	if err != nil || frame.Released == nil {
 		// The gateway gave the use up without a word on the request.
 		return
 	}
-	s.controller.loop.Do(func() { s.controller.manager.Ended(time.Now(), frame.Released.Failed) })
+	first := time.Duration(frame.Released.FirstMillis) * time.Millisecond
+	s.controller.loop.Do(func() { s.controller.manager.Ended(time.Now(), id, frame.Released.Failed, first) })
 }
 
 // await answers an Acquire and tells whether it was granted.
--- a/pkg/wire/runner.go
+++ b/pkg/wire/runner.go
@@ -93,6 +93,8 @@
 	// Permit is the runner's place among the permits of the model, from 1 on; zero
 	// if it has none.
 	Permit int `cbor:"12,keyasint,omitempty"`
+	// Reading is the part of its time that the runner reads prompts for the model.
+	Reading float64 `cbor:"13,keyasint,omitempty"`
 }
 
 // RunnerStatus is what an agent says of its runner. Models that are neither held
@@ -116,6 +118,9 @@
 	// on.
 	Partial bool     `cbor:"11,keyasint,omitempty"`
 	Dropped []string `cbor:"12,keyasint,omitempty"`
+	// LoadPercent is the load of the runner, by its slots or by the prompts that it
+	// reads, whichever is more; 100 is what it can serve well.
+	LoadPercent int `cbor:"13,keyasint,omitempty"`
 }
 
 // Acquire asks for the use of a model, and of an adapter if it names one, for one
@@ -148,6 +153,9 @@
 	// Failed tells that the runner failed at the request: its answer was lost, cut
 	// or no answer at all.
 	Failed bool `cbor:"1,keyasint,omitempty"`
+	// FirstMillis is the time from the sending of the request to the first event of
+	// its answer; zero if there was none.
+	FirstMillis uint32 `cbor:"2,keyasint,omitempty"`
 }
 
 // Granted tells that the request may be sent to the runner now.
