Count models that fell silent as patient

Cause: a model that interactive requests had ever asked for kept the rank of an urgent one for good.

Change: a model whose demand has been gone for as long as its replicas are kept (10 s) is a patient one again.

--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -44,10 +44,10 @@
 	free int64
 	// kept are the models that are kept here.
 	kept []*item
-	// urgent counts those that interactive requests ask for, and busy is the number
-	// of their requests that are expected to run here.
-	urgent int
-	busy   float64
+	// hot counts those that interactive requests ask for, and busy is the number of
+	// their requests that are expected to run here.
+	hot  int
+	busy float64
 	// adapters tells that a kept model is in demand and has adapters. A load of
 	// another model would hold their loads up.
 	adapters bool
@@ -101,9 +101,7 @@
 const (
 	// hot models are asked for by interactive requests now.
 	hot class = iota
-	// urgent models have been asked for by interactive requests.
-	urgent
-	// patient models can wait for a load.
+	// patient models aren't, so that they can wait for a load.
 	patient
 )
 
@@ -166,12 +164,9 @@
 			replicas = max(replicas, held)
 		}
 	}
-	switch {
-	case replicas > 0:
+	if replicas > 0 {
 		it.rank = hot
 		it.replicas = min(replicas, len(p.bins))
-	case it.before != nil && it.before.Interactive:
-		it.rank = urgent
 	}
 	it.load = p.problem.Loads[model.Name]
 	it.busy = it.load.Busy / float64(max(it.replicas, 1))
@@ -228,7 +223,7 @@
 	if p.keepByMoving(it, moves) {
 		return true
 	}
-	return it.rank < patient && p.keepByDropping(it)
+	return it.rank == hot && p.keepByDropping(it)
 }
 
 // keepOne keeps a replica on the best runner that has room, and has the weights
@@ -263,8 +258,8 @@
 	it.keep = append(it.keep, b)
 	b.kept = append(b.kept, it)
 	b.free -= it.model.MiB
-	if it.rank < patient {
-		b.urgent++
+	if it.rank == hot {
+		b.hot++
 		b.busy += it.busy
 	}
 	b.adapters = b.adapters || (it.rank == hot && it.model.Adapters > 0)
@@ -274,8 +269,8 @@
 	it.keep = slices.DeleteFunc(it.keep, func(kept *bin) bool { return kept == b })
 	b.kept = slices.DeleteFunc(b.kept, func(kept *item) bool { return kept == it })
 	b.free += it.model.MiB
-	if it.rank < patient {
-		b.urgent--
+	if it.rank == hot {
+		b.hot--
 		b.busy -= it.busy
 	}
 	b.adapters = slices.ContainsFunc(b.kept, func(other *item) bool {
@@ -401,9 +396,9 @@
 		rank.blocked = order(b.adapters)
 		rank.others = len(b.Near)
 	}
-	if it.rank < patient {
+	if it.rank == hot {
 		rank.busy = b.busySteps()
-		rank.crowded = b.urgent
+		rank.crowded = b.hot
 	}
 	for _, other := range it.keep {
 		if other.FailureDomain == b.FailureDomain {
--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -8,7 +8,7 @@
 // place lists a model's permits: the kept replicas, then runners that may load it
 // when it is asked for.
 func (p *packer) place(it *item) Placed {
-	placed := Placed{Service: p.problem.Service, Model: it.model.Name, Interactive: it.rank < patient}
+	placed := Placed{Service: p.problem.Service, Model: it.model.Name, Interactive: it.rank == hot}
 	slices.SortFunc(it.keep, func(a, b *bin) int { return cmp.Compare(a.Host, b.Host) })
 	for _, b := range it.keep {
 		placed.Permits = append(placed.Permits, Permit{Host: b.Host, Keep: true})
@@ -82,7 +82,7 @@
 			it.compareUnkept(a, b),
 			cmp.Compare(it.othersAt(a), it.othersAt(b)),
 			cmp.Compare(a.spares, b.spares),
-			cmp.Compare(a.urgent, b.urgent),
+			cmp.Compare(a.hot, b.hot),
 			cmp.Compare(a.Host, b.Host),
 		)
 	})
