Keep in the placement what agents need after a restart

Cause: an agent that starts anew knows neither which of its models are asked for nor how fast its runner reads.

Change: the placement bears the rate of each hot model when it was decided, and the median of what agents have learned of the reading of prompts. Neither is part of the decision, so neither alone makes a new placement. Agents load kept models of equal worth by that rate.

Tests: TestHottestModelIsLoadedFirstAfterARestart, TestNewReaderAssumesWhatOthersHaveShown.

--- a/pkg/directory/status.go
+++ b/pkg/directory/status.go
@@ -103,6 +103,8 @@
 	summary.Running = 0
 	summary.Waiting = 0
 	summary.LoadPercent = inSteps(status.LoadPercent)
+	summary.PlanRevision = 0
+	summary.TokenNanos = 0
 	summary.Models = make([]wire.RunnerModel, 0, len(status.Models))
 	for _, model := range status.Models {
 		if model.State == wire.ModelAbsent && model.Permit == 0 {
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -206,7 +206,7 @@
 // place decides the placement and writes it if it differs. It returns false if
 // the decision has to be made again.
 func (d *decider) place(ctx context.Context, now time.Time, current *view) bool {
-	next := &packing.Placement{}
+	next := &packing.Placement{TokenNanos: readingSpeed(current)}
 	for _, service := range current.table.Engines() {
 		next.Models = append(next.Models, packing.Pack(d.problem(now, current, service))...)
 	}
@@ -240,6 +240,25 @@
 	return true
 }
 
+// readingSpeed is the median of the times that runners take to read a token, or what
+// the placement in force says if no agent has learned it.
+func readingSpeed(current *view) int64 {
+	var learned []int64
+	for _, state := range current.agents {
+		if state.Status != nil && state.Status.TokenNanos > 0 {
+			learned = append(learned, state.Status.TokenNanos)
+		}
+	}
+	if len(learned) > 0 {
+		slices.Sort(learned)
+		return learned[len(learned)/2]
+	}
+	if current.placement != nil {
+		return current.placement.TokenNanos
+	}
+	return 0
+}
+
 func (d *decider) problem(now time.Time, current *view, service *fleet.Service) *packing.Problem {
 	problem := &packing.Problem{
 		Service:  service.Name,
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -163,13 +163,19 @@
 		return true
 	}
 	if plan.Instance != last.Instance || plan.BornMillis != last.BornMillis || plan.Engine != last.Engine ||
-		(plan.Revision > 0) != (last.Revision > 0) || !slices.Equal(plan.Permits, last.Permits) {
+		(plan.Revision > 0) != (last.Revision > 0) || !slices.EqualFunc(plan.Permits, last.Permits, samePermit) {
 		return true
 	}
 	ignored := state != nil && state.Status != nil && state.Status.PlanRevision < last.Revision
 	return ignored && plan.AsOf > last.AsOf
 }
 
+// samePermit tells whether two permits differ at most in the demand that they tell.
+func samePermit(a, b wire.ModelPermit) bool {
+	a.Rate, b.Rate = 0, 0
+	return a == b
+}
+
 // startLoad gives an agent leave to load a model from the weight store.
 func (l *links) startLoad(ctx context.Context, host, inner, model string) {
 	l.wait.Go(func() {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -180,6 +180,7 @@
 		return plan
 	}
 	plan.Revision = v.placement.Revision
+	plan.TokenNanos = v.placement.TokenNanos
 	for i := range v.placement.Models {
 		placed := &v.placement.Models[i]
 		if placed.Service != service.Name {
@@ -202,6 +203,7 @@
 				Keep:        permit.Keep,
 				Interactive: placed.Interactive,
 				Copy:        permit.Copy,
+				Rate:        placed.Rate,
 			}, true
 		}
 	}
--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -2,13 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
 // place lists a model's permits: the kept replicas, then runners that may load it
 // when it is asked for.
 func (p *packer) place(it *item) Placed {
-	placed := Placed{Service: p.problem.Service, Model: it.model.Name, Interactive: it.rank == hot}
+	placed := Placed{Service: p.problem.Service, Model: it.model.Name, Interactive: it.rank == hot, Rate: rounded(it.load.Rate)}
 	slices.SortFunc(it.keep, func(a, b *bin) int { return cmp.Compare(a.Host, b.Host) })
 	for _, b := range it.keep {
 		placed.Permits = append(placed.Permits, Permit{Host: b.Host, Keep: true})
@@ -30,6 +31,9 @@
 	return placed
 }
 
+// rounded keeps the digits of a rate that matter for an order.
+func rounded(rate float64) float64 { return math.Round(10*rate) / 10 }
+
 // minCopies is the number of runners that should have a model's weights near.
 const minCopies = 2
 
--- a/pkg/packing/placement.go
+++ b/pkg/packing/placement.go
@@ -29,6 +29,9 @@
 	// Interactive tells that the model is asked for by requests that can't wait
 	// for a load.
 	Interactive bool `json:"interactive,omitempty"`
+	// Rate is in such requests a second, as it was when the placement was decided. It
+	// is no part of what is decided.
+	Rate float64 `json:"rate,omitempty"`
 }
 
 // Placement is the decided placement of all models.
@@ -36,6 +39,10 @@
 	// Revision is the key-value service's; it is not part of the value.
 	Revision int64    `json:"-"`
 	Models   []Placed `json:"models"`
+	// TokenNanos is how long a runner takes to read a token of a prompt, in
+	// nanoseconds, as the agents have learned it; zero if they haven't. It is kept for
+	// agents that start anew, and is no part of what is decided.
+	TokenNanos int64 `json:"token_ns,omitempty"`
 }
 
 // ErrMalformed tells that a stored placement can't be read.
--- a/pkg/packing/sizer.go
+++ b/pkg/packing/sizer.go
@@ -49,7 +49,8 @@
 // size is what a Sizer knows of a hot model.
 type size struct {
 	replicas int
-	// busy and reading are the means of a ModelLoad.
+	// rate, busy and reading are the means of a ModelLoad.
+	rate    float64
 	busy    float64
 	reading float64
 	// lowSince is since when fewer replicas would do; zero if they wouldn't.
@@ -87,7 +88,7 @@
 func (s *Sizer) Update(now time.Time, slots int, loads map[string]ModelLoad) map[string]int {
 	for model, load := range loads {
 		if s.sizes[model] == nil && load.Rate >= hotRate {
-			s.sizes[model] = &size{busy: float64(load.Busy), reading: load.Reading}
+			s.sizes[model] = &size{rate: load.Rate, busy: float64(load.Busy), reading: load.Reading}
 		}
 	}
 	elapsed := now.Sub(s.at)
@@ -109,6 +110,7 @@
 
 // MeanLoad is the mean of a ModelLoad over the last seconds.
 type MeanLoad struct {
+	Rate    float64
 	Reading float64
 	Busy    float64
 }
@@ -117,7 +119,7 @@
 func (s *Sizer) Means() map[string]MeanLoad {
 	means := make(map[string]MeanLoad, len(s.sizes))
 	for model, known := range s.sizes {
-		means[model] = MeanLoad{Reading: known.reading, Busy: known.busy}
+		means[model] = MeanLoad{Rate: known.rate, Reading: known.reading, Busy: known.busy}
 	}
 	return means
 }
@@ -127,6 +129,7 @@
 	gain := 1 - math.Exp(-elapsed.Seconds()/loadMemory.Seconds())
 	s.busy += gain * (float64(load.Busy) - s.busy)
 	s.reading += gain * (load.Reading - s.reading)
+	s.rate += gain * (load.Rate - s.rate)
 }
 
 func (s *size) update(now time.Time, slots int, rate float64) int {
--- a/pkg/residency/loads.go
+++ b/pkg/residency/loads.go
@@ -62,7 +62,11 @@
 		}
 	}
 	slices.SortFunc(kept, func(a, b *model) int {
-		return cmp.Or(cmp.Compare(m.worth(now, b), m.worth(now, a)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(
+			cmp.Compare(m.worth(now, b), m.worth(now, a)),
+			cmp.Compare(b.Rate, a.Rate),
+			cmp.Compare(a.Name, b.Name),
+		)
 	})
 	return slices.ContainsFunc(kept, func(known *model) bool {
 		return m.orderLoad(now, known, m.roomWorth(now, known, m.worth(now, known)-keepGain))
--- a/pkg/residency/loads_test.go
+++ b/pkg/residency/loads_test.go
@@ -141,3 +141,22 @@
 		t.Errorf("ordered %+v, want the idle model out", unload)
 	}
 }
+
+// TestHottestModelIsLoadedFirstAfterARestart has an agent and its runner start anew,
+// with a plan that keeps several models.
+func TestHottestModelIsLoadedFirstAfterARestart(t *testing.T) {
+	f := newFixture(t)
+	f.report.OnDisk = []string{"a", "b", "c"}
+	plan := testPlan("a", "b", "c")
+	plan.Revision = 2
+	for i, rate := range []float64{0.2, 0, 3} {
+		plan.Models[i].Keep = true
+		plan.Models[i].Interactive = rate > 0
+		plan.Models[i].Rate = rate
+	}
+	f.send()
+	f.do(f.manager.Planned(f.now, plan))
+	if got := f.lastOrder().Model; got != "c" {
+		t.Errorf("%s is loaded first", got)
+	}
+}
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -163,6 +163,7 @@
 		return nil
 	}
 	m.plan = plan
+	m.reader.assume(plan.TokenNanos)
 	m.queue.SetLimits(admission.Limits{MaxQueued: maxQueued, Slots: plan.Slots})
 	planned := make(map[string]bool, len(plan.Models))
 	for _, p := range plan.Models {
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -10,6 +10,9 @@
 	Slots        int
 	MiB          int64
 	AdapterSlots int
+	// TokenNanos is how long a runner of the site takes to read a token of a prompt, in
+	// nanoseconds; zero if nobody has learned it.
+	TokenNanos int64
 	// Models are all models of the engine, also those that the runner may not
 	// hold.
 	Models []PlannedModel
@@ -29,6 +32,9 @@
 	// Copy tells that the runner loads the model once if it has no copy of the
 	// weights.
 	Copy bool
+	// Rate is in interactive requests a second, as it was when the placement was
+	// decided.
+	Rate float64
 }
 
 // isPermitted tells whether the runner may hold the model.
@@ -36,17 +42,18 @@
 
 // NewPlan returns the plan that a placement's permits make for a runner of an
 // engine.
-func NewPlan(engine *wire.Engine, revision int64, permits []wire.ModelPermit) *Plan {
+func NewPlan(engine *wire.Engine, placed *wire.RunnerPlan) *Plan {
 	plan := &Plan{
-		Revision:     revision,
+		Revision:     placed.Revision,
+		TokenNanos:   placed.TokenNanos,
 		Slots:        engine.Slots,
 		MiB:          engine.MiB,
 		AdapterSlots: engine.AdapterSlots,
 		Models:       make([]PlannedModel, 0, len(engine.Models)),
 	}
-	permitted := make(map[string]*wire.ModelPermit, len(permits))
-	for i := range permits {
-		permitted[permits[i].Model] = &permits[i]
+	permitted := make(map[string]*wire.ModelPermit, len(placed.Permits))
+	for i := range placed.Permits {
+		permitted[placed.Permits[i].Model] = &placed.Permits[i]
 	}
 	for _, model := range engine.Models {
 		planned := PlannedModel{EngineModel: model}
@@ -55,6 +62,7 @@
 			planned.Keep = permit.Keep
 			planned.Interactive = permit.Interactive
 			planned.Copy = permit.Copy
+			planned.Rate = permit.Rate
 		}
 		plan.Models = append(plan.Models, planned)
 	}
--- a/pkg/residency/prefill.go
+++ b/pkg/residency/prefill.go
@@ -75,6 +75,26 @@
 	return promptReader{perToken: assumedPerToken.Seconds(), overhead: assumedOverhead.Seconds()}
 }
 
+// assume takes in what other runners of the site have shown, which counts until this
+// one has shown it itself.
+func (r *promptReader) assume(tokenNanos int64) {
+	if tokenNanos > 0 && !r.isLearned() {
+		r.set(time.Duration(tokenNanos).Seconds())
+	}
+}
+
+// isLearned tells whether the runner itself has shown how fast it reads.
+func (r *promptReader) isLearned() bool { return len(r.first) >= readingSamples }
+
+// tokenNanos is the time to read a token in nanoseconds, or zero if the runner hasn't
+// shown it.
+func (r *promptReader) tokenNanos() int64 {
+	if !r.isLearned() {
+		return 0
+	}
+	return int64(r.perToken * float64(time.Second))
+}
+
 // reading is the time that a prompt of a number of tokens takes.
 func (r *promptReader) reading(tokens int64) time.Duration {
 	return time.Duration(float64(tokens) * r.perToken * float64(time.Second))
@@ -98,9 +118,9 @@
 
 // learn follows a quantile of the time per token.
 func (r *promptReader) learn(sample float64) {
-	if len(r.first) < readingSamples {
+	if !r.isLearned() {
 		r.first = append(r.first, sample)
-		if len(r.first) == readingSamples {
+		if r.isLearned() {
 			slices.Sort(r.first)
 			r.set(r.first[int(readingQuantile*readingSamples)])
 		}
--- a/pkg/residency/prefill_test.go
+++ b/pkg/residency/prefill_test.go
@@ -36,6 +36,22 @@
 	}
 }
 
+// TestNewReaderAssumesWhatOthersHaveShown has an agent start anew.
+func TestNewReaderAssumesWhatOthersHaveShown(t *testing.T) {
+	r := newPromptReader()
+	r.assume(52_000)
+	if got := r.reading(1000); got != 52*time.Millisecond || r.tokenNanos() != 0 {
+		t.Errorf("1000 tokens take %s, learned %d", got, r.tokenNanos())
+	}
+	for range readingSamples {
+		r.observe(1000, assumedOverhead+100*time.Millisecond)
+	}
+	r.assume(52_000)
+	if got := r.tokenNanos(); got != 100_000 {
+		t.Errorf("learned %d ns a token", got)
+	}
+}
+
 func TestReaderIsBounded(t *testing.T) {
 	for _, first := range []time.Duration{0, -time.Second, time.Nanosecond, time.Hour} {
 		r := newPromptReader()
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -56,6 +56,7 @@
 		Failing:  m.failures.Avoided(now),
 	}
 	status.LoadPercent = m.loadPercent(now)
+	status.TokenNanos = m.reader.tokenNanos()
 	if m.report != nil {
 		status.BornMillis = m.report.BornMillis
 	}
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -225,7 +225,7 @@
 	c.plannedAt = now
 	c.perform(c.manager.Identified(now, plan.Instance, plan.BornMillis))
 	if plan.Revision > 0 && c.engine != nil {
-		c.perform(c.manager.Planned(now, residency.NewPlan(c.engine, plan.Revision, plan.Permits)))
+		c.perform(c.manager.Planned(now, residency.NewPlan(c.engine, plan)))
 	}
 }
 
--- a/pkg/wire/runner.go
+++ b/pkg/wire/runner.go
@@ -44,6 +44,9 @@
 	// Copy tells that the runner loads the model once if it has no copy of the
 	// weights.
 	Copy bool `cbor:"5,keyasint,omitempty"`
+	// Rate is in interactive requests a second, as it was when the placement was
+	// decided.
+	Rate float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // RunnerPlan is the part of a placement that concerns one runner.
@@ -61,6 +64,9 @@
 	Permits    []ModelPermit `cbor:"5,keyasint,omitempty"`
 	// Engine is nil if it is the one that was sent last on the stream.
 	Engine *Engine `cbor:"6,keyasint,omitempty"`
+	// TokenNanos is how long a runner of the site takes to read a token of a prompt, in
+	// nanoseconds; zero if nobody has learned it.
+	TokenNanos int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // StartLoad is the coordinator's leave to load a model from the weight store.
@@ -121,6 +127,9 @@
 	// LoadPercent is the load of the runner, by its slots or by the prompts that it
 	// reads, whichever is more; 100 is what it can serve well.
 	LoadPercent int `cbor:"13,keyasint,omitempty"`
+	// TokenNanos is how long the runner takes to read a token of a prompt, in
+	// nanoseconds; zero while it isn't known.
+	TokenNanos int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Acquire asks for the use of a model, and of an adapter if it names one, for one
