Refuse streams of a node that is closing

A goroutine of the entry that still opened a stream while the node closed started a dial, that is wait.Go, when the counter had come to nought and Wait was about to return. Any planned stop could end so.

Change: a closed node refuses at once with ErrClosed (not sent); the flag is set under the lock under which dials start. The same shape in the gateway's links (leave to load, sent while the streams are awaited) goes to the gateway's own group, where the decider that asks is itself counted. The other groups start goroutines from counted ones or before the stop only.

Ruled out: a longer drain (the dial comes from the probes and the decider, which end with the work's context, after the drain).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -201,7 +201,9 @@
 	defer node.Close()
 	self := g.config.Host.ID
 	f := newFollowing(self, g.config.Host.FailureDomain, node, g.control, g.sources, g.logger)
-	g.decider.startLoad = func(host, inner, model string) { f.links.startLoad(ctx, host, inner, model) }
+	g.decider.startLoad = func(host, inner, model string) {
+		g.wait.Go(func() { f.links.startLoad(ctx, host, inner, model) })
+	}
 	leads := &leadership{self: self, store: d.Store, control: g.control, logger: g.logger, decider: g.decider}
 	g.handler.node.Store(node)
 	var wait sync.WaitGroup
--- a/pkg/gateway/links.go
+++ b/pkg/gateway/links.go
@@ -178,16 +178,14 @@
 
 // startLoad gives an agent leave to load a model from the weight store.
 func (l *links) startLoad(ctx context.Context, host, inner, model string) {
-	l.wait.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, linkTimeout)
-		defer cancel()
-		stream, err := l.node.Open(ctx, host, inner)
-		if err == nil {
-			err = stream.Send(&wire.Frame{StartLoad: &wire.StartLoad{Model: model}})
-			stream.Close()
-		}
-		if err != nil {
-			l.logger.Warn("leave to load not sent", "agent", host, "model", model, "error", err)
-		}
-	})
+	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+	defer cancel()
+	stream, err := l.node.Open(ctx, host, inner)
+	if err == nil {
+		err = stream.Send(&wire.Frame{StartLoad: &wire.StartLoad{Model: model}})
+		stream.Close()
+	}
+	if err != nil {
+		l.logger.Warn("leave to load not sent", "agent", host, "model", model, "error", err)
+	}
 }
--- a/pkg/wire/node.go
+++ b/pkg/wire/node.go
@@ -76,8 +76,10 @@
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
 
-	mu    sync.Mutex
-	conns map[string]*outbound
+	mu sync.Mutex
+	// closed is set once the node dials no more.
+	closed bool
+	conns  map[string]*outbound
 	// retired holds connections that take no new streams.
 	retired []*outbound
 }
@@ -152,11 +154,12 @@
 	return len(n.conns)
 }
 
-// Close ends all connections and waits for the handlers.
+// Close ends all connections and waits for the handlers. Later calls of Open fail.
 func (n *Node) Close() {
 	n.cancel()
 	_ = n.listener.Close()
 	n.mu.Lock()
+	n.closed = true
 	for _, out := range n.conns {
 		out.close("closing")
 	}
@@ -219,17 +222,10 @@
 // dial goes on in the background when its first caller gives up, since others
 // may wait for it too.
 func (n *Node) connect(ctx context.Context, host, address string) (*outbound, error) {
-	n.mu.Lock()
-	out := n.conns[host]
-	if out == nil || out.address != address || out.broken() {
-		out = &outbound{address: address, ready: make(chan struct{})}
-		n.conns[host] = out
-		n.wait.Go(func() { n.dial(host, out) })
+	out, err := n.use(host, address)
+	if err != nil {
+		return nil, err
 	}
-	out.streams++
-	out.lastUsed = time.Now()
-	n.mu.Unlock()
-
 	select {
 	case <-out.ready:
 	case <-ctx.Done():
@@ -243,6 +239,24 @@
 	return out, nil
 }
 
+// use counts one user of the connection to a host, which is dialled if need be.
+func (n *Node) use(host, address string) (*outbound, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, ErrClosed
+	}
+	out := n.conns[host]
+	if out == nil || out.address != address || out.broken() {
+		out = &outbound{address: address, ready: make(chan struct{})}
+		n.conns[host] = out
+		n.wait.Go(func() { n.dial(host, out) })
+	}
+	out.streams++
+	out.lastUsed = time.Now()
+	return out, nil
+}
+
 // broken tells whether the dial failed or the connection has ended.
 func (o *outbound) broken() bool {
 	select {
@@ -309,6 +323,9 @@
 	return conn, nil
 }
 
+// ErrClosed says that the node was closed before a stream was opened.
+var ErrClosed = errors.New("node closed")
+
 var errWrongHost = errors.New("wrong host")
 
 func (n *Node) forget(host string, out *outbound) {
