Let no kept model make way for a copy of weights

A copy of a model's weights was worth three kept models; the runner unloaded one of them and loaded it again at once, since it was then the kept model without a place. The copy wasn't loaded either, and its leave to load from the weight store lapsed unused: leave that another runner could have had.

Change: a copy is loaded where less than a kept model makes way.

Tests: TestKeptModelsDoNotMakeWayForACopy, red without the change; TestStreamsGrowWithHosts prints its counts, which docs/design/size.md gives.

--- a/pkg/directory/topology_test.go
+++ b/pkg/directory/topology_test.go
@@ -148,6 +148,7 @@
 			streams += own
 			most = max(most, own)
 		}
+		t.Logf("%d entries, %d agents: %d streams, at most %d at one entry", size.entries, size.agents, streams, most)
 		if bound := perHost * (size.entries + size.agents); streams > bound {
 			t.Errorf("%d streams for %d entries and %d agents, want at most %d", streams, size.entries, size.agents, bound)
 		}
--- a/pkg/residency/loads.go
+++ b/pkg/residency/loads.go
@@ -15,8 +15,8 @@
 	// loaded without a request.
 	keepGain = 0.5
 	// copyWorth is what a copy of a model's weights is worth in models that make
-	// way for its load.
-	copyWorth = 0.6
+	// way for its load: less than a kept one, which would take the room back.
+	copyWorth = keptCost / 2
 )
 
 // orderModel orders the load or unload of a model that matters most.
--- a/pkg/residency/loads_test.go
+++ b/pkg/residency/loads_test.go
@@ -160,3 +160,41 @@
 		t.Errorf("%s is loaded first", got)
 	}
 }
+
+// TestKeptModelsDoNotMakeWayForACopy has a runner that is full with two models, and
+// that should have a copy of a third one's weights.
+func TestKeptModelsDoNotMakeWayForACopy(t *testing.T) {
+	for _, keep := range []bool{true, false} {
+		f := newFixture(t, "a", "b", "new")
+		plan := testPlan("a", "b", "new")
+		plan.Revision = 2
+		plan.Models[0].Keep = true
+		plan.Models[1].Keep = keep
+		plan.Models[2].Copy = true
+		f.hold("a", "b")
+		f.do(f.manager.Planned(f.now, plan))
+		// The first request has come and gone, and with it the time for long loads.
+		f.acquire("1", "a", "")
+		f.do(f.manager.Release(f.now, "1"))
+		f.pass(10 * time.Second)
+		if got := f.wantsStart("new"); got == keep {
+			t.Errorf("leave is asked for: %v, with both models kept: %v", got, keep)
+		}
+		f.do(f.manager.StartGranted(f.now, "new"))
+		if keep {
+			if len(f.orders) != 0 {
+				t.Errorf("ordered %+v, want the kept models left", f.orders)
+			}
+			continue
+		}
+		if unload := f.lastOrder(); unload.Operation != modelrunner.Unload || unload.Model != "b" {
+			t.Errorf("ordered %+v, want b out", unload)
+		}
+		f.answer(modelrunner.Accepted)
+		f.report.Sequence++
+		f.hold("a")
+		if load := f.lastOrder(); load.Operation != modelrunner.Load || load.Model != "new" {
+			t.Errorf("ordered %+v, want the copy in", load)
+		}
+	}
+}
