Let requests leave a runner whose agent fell silent

Change: a request that waits for an agent that nobody hears goes to any runner whose agent is heard.

Ruled out: nothing was wrong with the notice itself; `agent lost` came 2.5 s after the freeze, and the relay passed it on at once.

Tests: four cases of TestBetterRunner; two of them red before.

--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -6,4 +6,10 @@
 // reads it, exchange.go leads it through its sends by the decisions of package
 // attempt, answer.go writes what comes back. sources.go follows the platform's
 // store, view.go holds what requests read of it.
+//
+// What the entry knows of agents comes from the agents themselves (links.go) or from
+// an entry that relays it (upstream.go); following.go decides which, by package
+// directory, and relay.go tells other entries. agents.go takes in what both say.
+// leader.go and decider.go decide the placement at the entry that leads, starts.go
+// which loads from the weight store begin.
 package gateway
--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -39,6 +39,8 @@
 	status   *wire.RunnerStatus
 	// unheard leaves the agent without a status.
 	unheard bool
+	// lost has the agent fall silent after its status.
+	lost    bool
 	permits bool
 	loaded  bool
 	// draining is what the runner has registered.
@@ -84,6 +86,9 @@
 			status.BornMillis = 1
 			said(c, now, host, &status)
 		}
+		if runner.lost {
+			c.agentLost(host, c.agents[host].from)
+		}
 	}
 	c.siteChanged(siteChange{placement: placement})
 	return c
--- a/pkg/gateway/moving.go
+++ b/pkg/gateway/moving.go
@@ -76,18 +76,33 @@
 // than the one where it waits: it has the model loaded and room for the request, or
 // is expected to have the model loaded earlier.
 func betterRunner(sel *selection, waitsAt string) bool {
+	servers := sel.view.servers[sel.service]
+	at := slices.IndexFunc(servers, func(s *server) bool { return s.ID == waitsAt })
+	if at < 0 || !sel.isOpen(servers[at]) || !servers[at].hears(sel.now) {
+		return sel.without(waitsAt).hasHeardRunner()
+	}
 	better := chooseRunner(sel)
 	if better == nil || better.ID == waitsAt || better.agent == "" || better.place == readyBusy || better.trouble() != 0 {
 		return false
 	}
-	servers := sel.view.servers[sel.service]
-	at := slices.IndexFunc(servers, func(s *server) bool { return s.ID == waitsAt })
-	if at < 0 || !sel.isOpen(servers[at]) {
-		return true
-	}
 	here := newCandidate(sel.now, servers[at], sel.model)
 	if here.place == readyNow {
 		return false
 	}
 	return better.place == readyNow || here.wait >= better.wait+moveGain
 }
+
+// hasHeardRunner tells whether a runner in good health may serve the model whose
+// agent is heard, and so can grant its use.
+func (sel *selection) hasHeardRunner() bool {
+	return slices.ContainsFunc(candidatesFor(sel), func(c candidate) bool {
+		return c.hears(sel.now) && c.trouble() == 0
+	})
+}
+
+// without returns the selection with one more server out of the question.
+func (sel *selection) without(server string) *selection {
+	narrowed := *sel
+	narrowed.tried = append(slices.Clone(sel.tried), server)
+	return &narrowed
+}
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -36,6 +36,10 @@
 		{name: "both have it", here: testRunner{status: statusOf(5, loaded)}, other: testRunner{status: statusOf(0, loaded)}},
 		{name: "this one is busy", here: testRunner{status: statusOf(9, loaded)}, other: testRunner{status: statusOf(0, loaded)}, want: true},
 		{name: "the other one was tried", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{status: statusOf(0, loaded)}, tried: []string{"other"}},
+		{name: "the agent here is silent and the other one would have to load it", here: testRunner{permits: true, lost: true, status: statusOf(0, waiting)}, other: testRunner{permits: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 4000})}, want: true},
+		{name: "the agent here is silent with the model and the other one is busy", here: testRunner{lost: true, status: statusOf(0, loaded)}, other: testRunner{status: statusOf(9, loaded)}, want: true},
+		{name: "both agents are silent", here: testRunner{lost: true, status: statusOf(0, loaded)}, other: testRunner{lost: true, status: statusOf(0, loaded)}},
+		{name: "the other agent is silent", here: testRunner{permits: true, status: statusOf(0, waiting)}, other: testRunner{lost: true, loaded: true, status: statusOf(0, loaded)}},
 		{name: "this one is gone", here: testRunner{draining: true}, other: testRunner{status: statusOf(0, loaded)}, want: true},
 	}
 	for _, test := range tests {
