Show that slow streams are served and stalled ones end

Cause: operators of similar systems saw slow but sound streams cut, and streams that stall while a byte drips now and then kept for ever. Nothing here played either.

Change: the stand-in of a backend server can stall within an event; two process tests. No product code: a gateway bounds a stream by the lesser of the caller's time and the route's timeout only, and passes whole events on, so neither happens.

Ruled out: a stream of ten events 1.1 s apart as the slow case; its 11 s exceed the 10 s that the caller gave, and it was cut there as it should be.

Conclusion: the tests stand; both green.

--- a/testkit/platformprocess/answers_test.go
+++ b/testkit/platformprocess/answers_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"teaselgauge.example/teaselgauge/testkit/platformsite"
 	"teaselgauge.example/teaselgauge/testkit/standin/backendserver"
@@ -108,3 +109,42 @@
 func hasLastEventID(runs []backendserver.Run) bool {
 	return slices.ContainsFunc(runs, func(run backendserver.Run) bool { return run.LastEventID != "" })
 }
+
+// TestSlowStreamsAreServed has runners pause for most of a second before each event,
+// which is slow and sound.
+func TestSlowStreamsAreServed(t *testing.T) {
+	s := start(t, nil)
+	entry := s.Entries[0]
+	eventuallyServe(t, s, entry, platformsite.AdvicePath, "m1")
+	for _, runner := range s.Runners {
+		runner.Backend.SetWork(800 * time.Millisecond)
+	}
+	mustServe(t, s, entry, s.NewRequest(platformsite.AdvicePath, "m1"))
+}
+
+// TestStalledStreamsEnd has runners stall within an event and go on sending bytes of
+// it. The request ends at its deadline, visibly broken, and the runner is told.
+func TestStalledStreamsEnd(t *testing.T) {
+	const budget = time.Second
+	s := start(t, nil)
+	entry := s.Entries[0]
+	eventuallyServe(t, s, entry, platformsite.AdvicePath, "m1")
+	setRunnerFaults(s, backendserver.Faults{Drip: 50 * time.Millisecond})
+	request := s.NewRequest(platformsite.AdvicePath, "m1")
+	request.Budget = budget
+	result := entry.Send(within(t), request)
+	if result.Err == nil && result.Status == http.StatusOK {
+		t.Errorf("%s, want a visible end", result)
+	}
+	if result.Total > budget+500*time.Millisecond {
+		t.Errorf("ended after %s of %s", result.Total, budget)
+	}
+	eventually(t, func() error {
+		runs := s.Runs(request.ID)
+		if len(runs) != 1 || !runs[0].Abandoned {
+			return errNotYet("the runner works on")
+		}
+		return nil
+	})
+	checkRules(t, s, request, result)
+}
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -155,7 +155,7 @@
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, id, body string) {
 	s.mu.Lock()
-	work, events, silent := s.options.Work, s.options.Events, s.faults.Silent
+	work, events, silent, drip := s.options.Work, s.options.Events, s.faults.Silent, s.faults.Drip
 	s.mu.Unlock()
 	if silent {
 		<-r.Context().Done()
@@ -176,6 +176,10 @@
 		return
 	}
 	cut := s.takes(func(f *Faults) *int { return &f.CutNext })
+	if strings.HasPrefix(r.URL.Path, StreamPath) && drip > 0 {
+		s.drip(w, r, drip)
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, StreamPath) {
 		s.stream(w, r, id, work, events, cut)
 		return
@@ -217,6 +221,19 @@
 	time.AfterFunc(time.Second, func() { _ = conn.Close() })
 }
 
+// drip sends the bytes of an event that never ends until the request is given up.
+func (s *Server) drip(w http.ResponseWriter, r *http.Request, pause time.Duration) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	text := "id: 1\ndata: "
+	for httpapi.Sleep(r.Context(), pause) {
+		_, _ = io.WriteString(w, text)
+		_ = flusher.Flush()
+		text = "x"
+	}
+}
+
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, work time.Duration, events int, cut bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -68,6 +68,9 @@
 	// DoubleNext is the number of requests that get their answer twice, so that
 	// the second one stands where the next answer is expected.
 	DoubleNext int
+	// Drip has streams stall within their first event, and send one more byte of it
+	// from time to time.
+	Drip time.Duration
 	// Silent leaves requests without an answer.
 	Silent bool
 	// TurnAwayFor makes the server refuse all requests for so long, from the first
