Keep a process alive when a stream's handler panics

Cause: operators of similar systems saw one malformed message end a whole process. A panic in the goroutine of an inner stream, on which any peer's frame arrives, ended the entry or the agent here: nothing recovered it. HTTP handlers were guarded by net/http.

Change: the node recovers it, logs the peer, the cause and the stack, and cancels the stream, so that its other end sees a break and not a complete answer.

Ruled out: guarding the control loop. Its state may be half changed after a panic, and a restart is the sound way then. Instead TestOddMessagesEndNothing feeds it, choice, sizing, packing and starts with statuses and updates of any value and with missing parts; none panicked.

Tests: TestPanickingHandlerEndsItsStreamOnly (the test process ends without the change), TestOddMessagesEndNothing.

--- a/pkg/wire/node.go
+++ b/pkg/wire/node.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -195,12 +196,22 @@
 		if err != nil {
 			return
 		}
-		n.wait.Go(func() {
-			n.config.Handler.ServeStream(n.ctx, peer, newStream(stream, peer.Host, nil))
-		})
+		n.wait.Go(func() { n.serveStream(peer, newStream(stream, peer.Host, nil)) })
 	}
 }
 
+// serveStream hands a stream to the handler. A panic there, which a message that
+// nobody foresaw may cause, ends the stream and not the process.
+func (n *Node) serveStream(peer Peer, stream *Stream) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			n.config.Logger.Error("stream handler panicked", "peer", peer.Host, "cause", cause, "stack", string(debug.Stack()))
+			stream.Cancel()
+		}
+	}()
+	n.config.Handler.ServeStream(n.ctx, peer, stream)
+}
+
 // Open opens a stream to a host. A failure is an *Error with NotSent set.
 func (n *Node) Open(ctx context.Context, host, address string) (*Stream, error) {
 	out, err := n.connect(ctx, host, address)
