Don't use runners by registrations from before a restart

After a loss of power 233 requests were refused within 1.5 s, each after up to three sends to runners that held nothing. Their agents had said so at once, but under a later start than the registered one, so that the agents' word was dropped and the old registration's list of models was believed.

Change: a server whose agent speaks of a later start than the registered one is replaced: it isn't used until it has registered itself, and requests whose model has no other place wait for that as long as they can be on time. An entry that isn't informed yet uses no runner whose agent it hasn't heard.

Ruled out: the second half alone; the same number of refusals, a few tenths of a second later, as the agents were heard by then.

Tests: TestRegistrationOfAnEarlierIncarnationDoesNotCount, TestNewEntryDoesNotTrustOldRegistrations (both red before), TestRequestWaitsForTheRegistrationOfARestartedRunner.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -170,6 +170,11 @@
 		if !sel.mayTry(s) || !sel.isOpen(s) {
 			continue
 		}
+		if !sel.view.informed && !s.hears(sel.now) {
+			// What its registration says may be older than a restart of the runner. Its
+			// agent is about to be heard.
+			continue
+		}
 		c := newCandidate(sel.now, s, sel.model)
 		if c.place == readyNever {
 			continue
@@ -208,6 +213,10 @@
 
 func newCandidate(now time.Time, s *server, model string) candidate {
 	c := candidate{server: s, permit: noPermit}
+	if s.replaced {
+		c.place = readyNever
+		return c
+	}
 	if !s.hears(now) {
 		c.place = readinessUnheard(s, model)
 		return c
--- a/pkg/gateway/choose_test.go
+++ b/pkg/gateway/choose_test.go
@@ -104,6 +104,17 @@
 	}
 }
 
+// TestRegistrationOfAnEarlierIncarnationDoesNotCount has an agent tell of a runner
+// that lost power, while the store still has its registration from before.
+func TestRegistrationOfAnEarlierIncarnationDoesNotCount(t *testing.T) {
+	c := fixture(testStart, testRunner{id: "a", loaded: true})
+	said(c, testStart, "host-a", &wire.RunnerStatus{BornMillis: 2})
+	c.publish()
+	if got := chosen(c, backends.NewTracker(), testStart); got != "" {
+		t.Errorf("chose %q by what it held before", got)
+	}
+}
+
 func TestOldStatusDoesNotCount(t *testing.T) {
 	c := fixture(testStart, testRunner{id: "a", permits: true})
 	if got := chosen(c, backends.NewTracker(), testStart); got != "a" {
--- a/pkg/gateway/informed_test.go
+++ b/pkg/gateway/informed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -31,6 +32,23 @@
 	wait.Wait()
 }
 
+// TestNewEntryDoesNotTrustOldRegistrations has a registration name a model that the
+// runner held before it lost power. An entry that has heard of no agent yet waits for
+// one instead of sending what would be turned away.
+func TestNewEntryDoesNotTrustOldRegistrations(t *testing.T) {
+	c := fixture(testStart, testRunner{id: "a", loaded: true, unheard: true})
+	c.informed = false
+	c.publish()
+	if got := selectionAt(testStart, c, backends.NewTracker()).choose(); got != nil {
+		t.Errorf("chose %s before an agent was heard", got.ID)
+	}
+	c.informed = true
+	c.publish()
+	if got := selectionAt(testStart, c, backends.NewTracker()).choose(); got == nil {
+		t.Error("a runner whose agent stays silent isn't used")
+	}
+}
+
 // TestRequestWaitsForTheConfiguration has the configuration come just after a
 // request, and not at all.
 func TestRequestWaitsForTheConfiguration(t *testing.T) {
--- a/pkg/gateway/leasing.go
+++ b/pkg/gateway/leasing.go
@@ -115,7 +115,7 @@
 // it in time, and if its model has a place or may have one that isn't known yet.
 func (x *exchange) mayAwaitRunner(sel *selection) bool {
 	isPlaced := (!sel.view.informed && sel.view.table.Model(x.route, sel.model) != nil) ||
-		slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool { return s.isPermitted(sel.model) })
+		slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool { return s.replaced || s.isPermitted(sel.model) })
 	return !x.declined && isPlaced && sel.now.Before(x.arrived.Add(x.route.TargetLatency))
 }
 
--- a/pkg/gateway/moving_test.go
+++ b/pkg/gateway/moving_test.go
@@ -218,6 +218,33 @@
 	}
 }
 
+// TestRequestWaitsForTheRegistrationOfARestartedRunner has an agent tell of its
+// runner's restart before the store does.
+func TestRequestWaitsForTheRegistrationOfARestartedRunner(t *testing.T) {
+	const target = 5 * time.Second
+	c := fixture(time.Now(), testRunner{id: "a", loaded: true})
+	status := statusOf(0, wire.RunnerModel{State: wire.ModelLoaded, Permit: 1})
+	status.BornMillis = 2
+	said(c, time.Now(), "host-a", status)
+	c.publish()
+	x := moveFixture(t, target, c, map[string]*fakeAgent{"a": newFakeAgent(true)})
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		time.Sleep(4 * runnerCheck)
+		restarted := c.registry.Backends()[0]
+		restarted.BornMillis = 2
+		c.registry.Put(time.Now(), restarted)
+		said(c, time.Now(), "host-a", status)
+		c.publish()
+	})
+	_, held, ok := x.next(t.Context())
+	if !ok {
+		t.Error("refused while the runner registers itself")
+	}
+	held.release(false, 0)
+	wait.Wait()
+}
+
 // TestHopelessRequestIsRefusedAtOnce has one agent refuse a request, while the others
 // would have to load the model for longer than it can wait. They aren't asked.
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -23,6 +23,9 @@
 	// state is what the agent last said; nil before it said anything of this
 	// incarnation.
 	state *agentState
+	// replaced tells that the agent speaks of a later start of the runner, so that the
+	// registration is that of one that is gone.
+	replaced bool
 }
 
 // incarnation names the present start of the server.
@@ -107,6 +110,7 @@
 			s.agent = agent.host
 			s.inner = agent.inner
 			s.state = stateOf(v.agents[agent.host], s.Backend)
+			s.replaced = isReplaced(v.agents[agent.host], s.Backend)
 		}
 		v.servers[s.Service] = append(v.servers[s.Service], s)
 	}
@@ -142,6 +146,12 @@
 	return state
 }
 
+// isReplaced tells whether an agent speaks of a later incarnation of a server than the
+// one that is registered.
+func isReplaced(state *agentState, backend *fleet.Backend) bool {
+	return state != nil && state.Status != nil && backend.BornMillis != 0 && state.Status.BornMillis > backend.BornMillis
+}
+
 // entries counts the site's entries.
 func (v *view) entries() int {
 	count := 0
