--- a/pkg/residency/doc.go
+++ b/pkg/residency/doc.go
@@ -7,6 +7,9 @@
 // unloads, and chooses what makes way. A model or adapter in use is never
 // unloaded.
 //
+// Prompts are let in one after the other, by how long the runner takes to read them.
+// It learns that from the times to first events.
+//
 // What the runner holds is taken from its own reports; the memory ledger is
 // rebuilt from each of them and from the orders under way. Orders are given one
 // at a time, each for the sequence that the last report named. An order whose
