Keep one copy of what stood twice in the work on size

Change, behaviour as before: - Registry.Drop had been written beside Unreadable, line for line the same; one is left. - The spacing of views in the gateway and of statuses in the agent were the same state machine; both use eventloop.Throttle. - Whether a relay knows the site well enough was asked in two places; control.isSettled. - Comparing names by hand, twice, and searching a model in ordered ones, twice: strings.Compare and wire.FindModel. - MeanLoad repeated ModelLoad with another type for one field, and its fields stood a third time in the sizer. - Runners' others were counted in rankOf and othersAt; the load's unit stood in both ends, and is the message's own now (Load, SetLoad). - The rows that relays send were built with each view, up to 40 times a second at every entry; they are built when a relay first asks a view for them. - readinessOf took what follows from its first argument; two copies before a write of the agents' map became one.

Ruled out: one conversion for ServerUpdate and Backend, EntryUpdate and Host. They go in opposite directions and share names of fields only.

TestUnreadableEntryNamesNoServer calls Drop, and one fixture sets Throttle.Pause; no assertion changed.

--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -122,8 +122,8 @@
 	return true
 }
 
-// Drop takes in that a server is gone, outage or not. It returns whether it was
-// usable.
+// Drop takes in that an entry names no server, outage or not: it is gone, or can't be
+// read. It returns whether the server was usable.
 func (r *Registry) Drop(now time.Time, id string) bool {
 	known := r.entries[id]
 	if known == nil || !known.usable {
@@ -133,16 +133,6 @@
 	return true
 }
 
-// Unreadable takes in an entry that can't be read, which names no server.
-func (r *Registry) Unreadable(now time.Time, id string) bool {
-	known := r.entries[id]
-	if known == nil || !known.usable {
-		return false
-	}
-	known.drop(now)
-	return true
-}
-
 func (e *entry) drop(now time.Time) {
 	e.usable = false
 	e.lapsedUntil = time.Time{}
--- a/pkg/backends/registry_test.go
+++ b/pkg/backends/registry_test.go
@@ -73,7 +73,7 @@
 func TestUnreadableEntryNamesNoServer(t *testing.T) {
 	r := NewRegistry()
 	r.Put(testStart, backend("a", "1", 1, 1))
-	if !r.Unreadable(testStart, "a") || r.Unreadable(testStart, "a") {
+	if !r.Drop(testStart, "a") || r.Drop(testStart, "a") {
 		t.Error("an overwritten entry isn't a change once")
 	}
 	expect(t, r)
--- a/pkg/directory/cursor.go
+++ b/pkg/directory/cursor.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -48,7 +49,7 @@
 			gone = append(gone, host)
 		}
 	}
-	slices.SortFunc(updates, func(a, b wire.AgentUpdate) int { return compareStrings(a.Host, b.Host) })
+	slices.SortFunc(updates, func(a, b wire.AgentUpdate) int { return strings.Compare(a.Host, b.Host) })
 	slices.Sort(gone)
 	return updates, gone
 }
@@ -78,14 +79,3 @@
 func sameAgent(a, b *Row) bool {
 	return a.Inner == b.Inner && a.FailureDomain == b.FailureDomain && a.Runner == b.Runner && a.Connected == b.Connected
 }
-
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/pkg/directory/status.go
+++ b/pkg/directory/status.go
@@ -65,7 +65,7 @@
 		}
 	}
 	for _, model := range change.Models {
-		at, known := slices.BinarySearchFunc(merged.Models, model.Name, compareName)
+		at, known := wire.FindModel(merged.Models, model.Name)
 		if known {
 			merged.Models[at] = model
 			continue
@@ -75,17 +75,6 @@
 	return &merged
 }
 
-func compareName(model wire.RunnerModel, name string) int {
-	switch {
-	case model.Name < name:
-		return -1
-	case model.Name > name:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // loadStep is the resolution, in percent, of the load that entries get to know.
 const loadStep = 10
 
--- a/pkg/gateway/agents.go
+++ b/pkg/gateway/agents.go
@@ -13,15 +13,16 @@
 func (c *control) agentSaid(now time.Time, from *source, host string, change *wire.RunnerStatus) {
 	from.hear(now)
 	listed := c.hosts[host]
+	before := c.agents[host]
 	row := &directory.Row{}
-	if before := c.agents[host]; before != nil {
+	if before != nil {
 		*row = *before.Row
 	}
 	row.Host = host
 	row.Inner = listed.Inner
 	row.FailureDomain = listed.FailureDomain
 	row.Runner = listed.Runner
-	if before := c.agents[host]; before == nil || before.from != from || !before.Connected {
+	if before == nil || before.from != from || !before.Connected {
 		c.logger.Info("agent heard", "belief", "agent:"+host, "agent", host, "plan", change.PlanRevision, "models", len(change.Models))
 	}
 	row = row.With(change)
@@ -46,23 +47,20 @@
 	return &agentState{Row: &row, from: a.from}
 }
 
-// setAgent replaces what is known of an agent. Views share the map, so it is
-// copied once for each of them.
-func (c *control) setAgent(host string, state *agentState) {
+// ownAgents returns the agents for a change. Views share the map, so it is copied
+// once for each of them.
+func (c *control) ownAgents() map[string]*agentState {
 	if c.agentsShared {
 		c.agents = maps.Clone(c.agents)
 		c.agentsShared = false
 	}
-	c.agents[host] = state
+	return c.agents
 }
 
-func (c *control) deleteAgent(host string) {
-	if c.agentsShared {
-		c.agents = maps.Clone(c.agents)
-		c.agentsShared = false
-	}
-	delete(c.agents, host)
-}
+// setAgent replaces what is known of an agent.
+func (c *control) setAgent(host string, state *agentState) { c.ownAgents()[host] = state }
+
+func (c *control) deleteAgent(host string) { delete(c.ownAgents(), host) }
 
 // statusTTL is how long an agent's status counts after its source was heard. It
 // covers the time in which another relay is found for one that is lost.
@@ -110,7 +108,7 @@
 
 // expireAgents notes which agents nobody hears any more.
 func (c *control) expireAgents(now time.Time) {
-	if since := c.relayingSince.Load(); since != nil && (now.Sub(*since) > relaySettle || c.current().isComplete(now)) {
+	if c.isSettled(now) {
 		c.informed = true
 	}
 	expired := false
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -16,9 +16,6 @@
 // would have to load the model first may go before it.
 const busyShare = 0.8
 
-// percent is a hundredfold.
-const percent = 100
-
 // soonMillis is the longest expected wait, in milliseconds, for which a runner
 // where a model is wanted already goes before those that don't load it yet.
 const soonMillis = 1500
@@ -227,7 +224,7 @@
 		return c
 	}
 	c.failing = status.Failing
-	c.load = float64(status.LoadPercent) / percent
+	c.load = status.Load()
 	known := s.model(model)
 	if known != nil {
 		c.wait = time.Duration(known.WaitMillis) * time.Millisecond
@@ -235,7 +232,7 @@
 			c.permit = known.Permit
 		}
 	}
-	c.place = readinessOf(known, c.load, c.permit != noPermit)
+	c.place = readinessOf(known, c.load)
 	return c
 }
 
@@ -252,15 +249,17 @@
 	return readyNever
 }
 
-func readinessOf(known *wire.RunnerModel, load float64, permitted bool) readiness {
+func readinessOf(known *wire.RunnerModel, load float64) readiness {
 	switch {
-	case known != nil && known.State == wire.ModelLoaded && load < busyShare:
+	case known == nil:
+		return readyNever
+	case known.State == wire.ModelLoaded && load < busyShare:
 		return readyNow
-	case known != nil && known.State == wire.ModelLoaded:
+	case known.State == wire.ModelLoaded:
 		return readyBusy
-	case known != nil && (known.State == wire.ModelLoading || (known.Wanted && known.WaitMillis <= soonMillis)):
+	case known.State == wire.ModelLoading || (known.Wanted && known.WaitMillis <= soonMillis):
 		return readySoon
-	case permitted:
+	case known.Permit > 0:
 		return readyAfterLoad
 	default:
 		return readyNever
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -63,11 +63,8 @@
 	beliefs beliefs
 
 	view atomic.Pointer[view]
-	// statusPause is the least time between two views that differ in statuses only;
-	// publishing tells that one is due.
-	statusPause time.Duration
-	publishedAt time.Time
-	publishing  bool
+	// statuses spaces views that differ in statuses only.
+	statuses eventloop.Throttle
 	// changed is closed and replaced when anything but statuses has changed.
 	mu      sync.Mutex
 	changed chan struct{}
@@ -116,21 +113,10 @@
 
 // publishStatuses makes changed statuses visible, at once or a moment after the
 // view before, so that statuses that come together cost one view.
-func (c *control) publishStatuses() {
-	if c.publishing {
-		return
-	}
-	if wait := time.Until(c.publishedAt.Add(c.statusPause)); wait > 0 {
-		c.publishing = true
-		time.AfterFunc(wait, func() { c.loop.Post(c.publishNow) })
-		return
-	}
-	c.publishNow()
-}
+func (c *control) publishStatuses() { c.statuses.Do(c.loop, time.Now(), c.publishNow) }
 
 func (c *control) publishNow() {
-	c.publishing = false
-	c.publishedAt = time.Now()
+	c.statuses.Ran(time.Now())
 	c.view.Store(newView(c))
 }
 
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -189,7 +189,7 @@
 				load := loads[model.Name]
 				load.Rate += model.Interactive
 				load.Reading += model.Reading
-				load.Busy += model.Running + model.Waiting
+				load.Busy += float64(model.Running + model.Waiting)
 				loads[model.Name] = load
 			}
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -118,7 +118,7 @@
 func (g *Gateway) provision(d Dependencies) {
 	g.observer = newObserver(g.logger, d.Metrics)
 	g.control = newControl(g.logger)
-	g.control.statusPause = statusPause
+	g.control.statuses.Pause = statusPause
 	g.sources = newSources(d, g.control, g.logger)
 	g.decider = &decider{store: d.Store, control: g.control, logger: g.logger}
 	g.decider.setLoadsAtOnce(g.config.WeightStore.LoadsAtOnce)
--- a/pkg/gateway/informed_test.go
+++ b/pkg/gateway/informed_test.go
@@ -62,7 +62,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := newControl(quiet())
-			c.statusPause = 0
+			c.statuses.Pause = 0
 			h := &handler{control: c, dialect: &recorder{}, observer: newObserver(quiet(), testMetrics(t))}
 			var wait sync.WaitGroup
 			if test.comes {
--- a/pkg/gateway/period.go
+++ b/pkg/gateway/period.go
@@ -15,12 +15,12 @@
 	changed chan struct{}
 }
 
-// set switches the work on or off.
-func (p *period) set(on bool) {
+// set switches the work on or off. It returns whether that is a change.
+func (p *period) set(on bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.on == on {
-		return
+		return false
 	}
 	p.on = on
 	if p.changed != nil {
@@ -31,6 +31,7 @@
 		p.cancel()
 		p.cancel = nil
 	}
+	return true
 }
 
 // isOn tells whether the work is switched on.
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -71,11 +71,11 @@
 	return true
 }
 
-// isSettled tells whether this entry knows the site well enough to say what isn't
-// there.
-func (s *relayServer) isSettled(now time.Time) bool {
-	since := s.control.relayingSince.Load()
-	return since != nil && (now.Sub(*since) > relaySettle || s.control.current().isComplete(now))
+// isSettled tells whether this entry relays and knows the site well enough to say
+// what isn't there. Any goroutine may call it.
+func (c *control) isSettled(now time.Time) bool {
+	since := c.relayingSince.Load()
+	return since != nil && (now.Sub(*since) > relaySettle || c.current().isComplete(now))
 }
 
 // isComplete tells whether backend servers are known and all agents of the site are
@@ -102,7 +102,7 @@
 	sentAt := time.Time{}
 	for s.control.isRelaying() {
 		now := time.Now()
-		becomesSettled := !isSettled && s.isSettled(now)
+		becomesSettled := !isSettled && s.control.isSettled(now)
 		if becomesSettled {
 			// From now on what isn't named is gone, so all is named once more.
 			isSettled = true
@@ -158,7 +158,7 @@
 // next returns what the follower must be told.
 func (c *siteCursor) next(current *view) *wire.SiteUpdate {
 	update := &wire.SiteUpdate{}
-	update.Agents, update.GoneAgents = c.agents.Next(current.rows)
+	update.Agents, update.GoneAgents = c.agents.Next(current.rows())
 	if c.domain != "" {
 		return update
 	}
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -140,10 +140,9 @@
 
 // readRegistrations switches on or off that this entry reads registrations itself.
 func (s *sources) readRegistrations(on bool) {
-	if s.registrations.isOn() == on {
+	if !s.registrations.set(on) {
 		return
 	}
-	s.registrations.set(on)
 	s.logger.Info("reading registrations", "belief", "registrations", "from_store", on)
 	if on {
 		// Nobody tells of a new configuration now, so it is watched with a shorter
@@ -289,7 +288,7 @@
 		case change.removed:
 			changed = registry.Remove(now, change.id) || changed
 		case change.unreadable:
-			changed = registry.Unreadable(now, change.id) || changed
+			changed = registry.Drop(now, change.id) || changed
 		default:
 			changed = registry.Put(now, change.backend) || changed
 			listed = append(listed, change.backend)
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -1,8 +1,7 @@
 package gateway
 
 import (
-	"slices"
-	"strings"
+	"sync"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
@@ -51,9 +50,7 @@
 	if s.state == nil {
 		return nil
 	}
-	at, ok := slices.BinarySearchFunc(s.state.Status.Models, name, func(m wire.RunnerModel, name string) int {
-		return strings.Compare(m.Name, name)
-	})
+	at, ok := wire.FindModel(s.state.Status.Models, name)
 	if !ok {
 		return nil
 	}
@@ -74,8 +71,8 @@
 	servers map[string][]*server
 	hosts   map[string]roster.Host
 	agents  map[string]*agentState
-	// rows are those of agents.
-	rows map[string]*directory.Row
+	// rows returns those of agents. Only entries that relay ask for them.
+	rows func() map[string]*directory.Row
 	// informed tells that all agents that there are have been heard of.
 	informed bool
 	// placement is nil before the first, and at entries that follow a relay.
@@ -86,22 +83,20 @@
 }
 
 func newView(c *control) *view {
+	agents := c.agents
 	v := &view{
 		table:     c.table,
 		servers:   make(map[string][]*server),
 		hosts:     c.hosts,
 		informed:  c.informed,
-		agents:    c.agents,
-		rows:      make(map[string]*directory.Row, len(c.agents)),
+		agents:    agents,
+		rows:      sync.OnceValue(func() map[string]*directory.Row { return rowsOf(agents) }),
 		placement: c.placement,
 		leader:    c.leader,
 		engines:   c.engines,
 		asOf:      c.asOf,
 	}
 	c.agentsShared = true
-	for host, state := range c.agents {
-		v.rows[host] = state.Row
-	}
 	agentOf := agentsByRunner(v)
 	listed := c.registry.Backends()
 	for i := range listed {
@@ -117,6 +112,14 @@
 	return v
 }
 
+func rowsOf(agents map[string]*agentState) map[string]*directory.Row {
+	rows := make(map[string]*directory.Row, len(agents))
+	for host, state := range agents {
+		rows[host] = state.Row
+	}
+	return rows
+}
+
 // agentAddress is where an agent is.
 type agentAddress struct{ host, inner string }
 
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -80,7 +80,7 @@
 	replicas int
 	// load is the mean load of a hot model, and busy the number of requests that are
 	// expected to run at each replica.
-	load MeanLoad
+	load ModelLoad
 	busy float64
 	// choices are the runners that may hold the model: those that have its weights
 	// near, or all if none has.
@@ -388,13 +388,12 @@
 
 func rankOf(it *item, b *bin) binRank {
 	near := b.Near[it.model.Name]
-	rank := binRank{distance: int(Held - near), left: b.free - it.model.MiB, host: b.Host}
+	rank := binRank{distance: int(Held - near), others: it.othersAt(b), left: b.free - it.model.MiB, host: b.Host}
 	if near != Held {
 		rank.moved = 1
 	}
 	if near == Remote {
 		rank.blocked = order(b.adapters)
-		rank.others = len(b.Near)
 	}
 	if it.rank == hot {
 		rank.busy = b.busySteps()
--- a/pkg/packing/problem.go
+++ b/pkg/packing/problem.go
@@ -35,7 +35,7 @@
 	// for now.
 	Replicas map[string]int
 	// Loads are the mean loads of these models.
-	Loads map[string]MeanLoad
+	Loads map[string]ModelLoad
 	// RemoteReplicas is how many replicas may wait for a load from the weight store
 	// because the runners that have a model's weights near are overloaded.
 	RemoteReplicas int
--- a/pkg/packing/remote_test.go
+++ b/pkg/packing/remote_test.go
@@ -11,19 +11,19 @@
 func TestOverloadedModelGetsARemoteReplica(t *testing.T) {
 	tests := []struct {
 		name   string
-		load   MeanLoad
+		load   ModelLoad
 		remote int
 		// room tells that the other runners keep nothing.
 		room bool
 		want int
 	}{
-		{"it reads prompts most of its time", MeanLoad{Reading: 2 * overloadedReading}, 1, true, 2},
-		{"its slots are taken", MeanLoad{Busy: 30}, 1, true, 2},
-		{"in the place of patient models", MeanLoad{Reading: 2 * overloadedReading}, 1, false, 2},
-		{"it is busy as it should be", MeanLoad{Reading: overloadedReading / 2, Busy: 10}, 1, true, 1},
-		{"the weight store is busy", MeanLoad{Reading: 2 * overloadedReading}, 0, true, 1},
-		{"it needs more than the weight store gives", MeanLoad{Reading: 8 * overloadedReading}, 1, true, 2},
-		{"it needs more, and gets it", MeanLoad{Reading: 8 * overloadedReading}, 2, true, 3},
+		{"it reads prompts most of its time", ModelLoad{Reading: 2 * overloadedReading}, 1, true, 2},
+		{"its slots are taken", ModelLoad{Busy: 30}, 1, true, 2},
+		{"in the place of patient models", ModelLoad{Reading: 2 * overloadedReading}, 1, false, 2},
+		{"it is busy as it should be", ModelLoad{Reading: overloadedReading / 2, Busy: 10}, 1, true, 1},
+		{"the weight store is busy", ModelLoad{Reading: 2 * overloadedReading}, 0, true, 1},
+		{"it needs more than the weight store gives", ModelLoad{Reading: 8 * overloadedReading}, 1, true, 2},
+		{"it needs more, and gets it", ModelLoad{Reading: 8 * overloadedReading}, 2, true, 3},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -31,7 +31,7 @@
 				Service:        testService,
 				Engine:         &fleet.Engine{Slots: testSlots, MiB: 100, Models: []fleet.Model{{Name: "hot", MiB: 60}, {Name: "p1", MiB: 60}, {Name: "p2", MiB: 60}}},
 				Replicas:       map[string]int{"hot": 3},
-				Loads:          map[string]MeanLoad{"hot": test.load},
+				Loads:          map[string]ModelLoad{"hot": test.load},
 				RemoteReplicas: test.remote,
 				Runners: []Runner{
 					{Host: "h1", FailureDomain: "z1", Near: map[string]Nearness{"hot": Held}},
--- a/pkg/packing/sizer.go
+++ b/pkg/packing/sizer.go
@@ -29,14 +29,14 @@
 	sizeDelay = 10 * time.Second
 )
 
-// ModelLoad is what requests ask of one model now.
+// ModelLoad is what requests ask of one model, now or on average.
 type ModelLoad struct {
 	// Rate is in requests a second.
 	Rate float64
 	// Reading is the time that runners spend reading the prompts, in seconds a second.
 	Reading float64
 	// Busy is the number of requests that run or wait.
-	Busy int
+	Busy float64
 }
 
 // Sizer follows the demand for models and says how many replicas of the hot ones
@@ -49,10 +49,8 @@
 // size is what a Sizer knows of a hot model.
 type size struct {
 	replicas int
-	// rate, busy and reading are the means of a ModelLoad.
-	rate    float64
-	busy    float64
-	reading float64
+	// mean is the load over the last seconds.
+	mean ModelLoad
 	// lowSince is since when fewer replicas would do; zero if they wouldn't.
 	lowSince time.Time
 }
@@ -88,7 +86,7 @@
 func (s *Sizer) Update(now time.Time, slots int, loads map[string]ModelLoad) map[string]int {
 	for model, load := range loads {
 		if s.sizes[model] == nil && load.Rate >= hotRate {
-			s.sizes[model] = &size{rate: load.Rate, busy: float64(load.Busy), reading: load.Reading}
+			s.sizes[model] = &size{mean: load}
 		}
 	}
 	elapsed := now.Sub(s.at)
@@ -108,35 +106,28 @@
 	return wanted
 }
 
-// MeanLoad is the mean of a ModelLoad over the last seconds.
-type MeanLoad struct {
-	Rate    float64
-	Reading float64
-	Busy    float64
-}
-
 // Means returns the mean loads of the hot models.
-func (s *Sizer) Means() map[string]MeanLoad {
-	means := make(map[string]MeanLoad, len(s.sizes))
+func (s *Sizer) Means() map[string]ModelLoad {
+	means := make(map[string]ModelLoad, len(s.sizes))
 	for model, known := range s.sizes {
-		means[model] = MeanLoad{Rate: known.rate, Reading: known.reading, Busy: known.busy}
+		means[model] = known.mean
 	}
 	return means
 }
 
-// follow brings the means up to date.
+// follow brings the mean up to date.
 func (s *size) follow(elapsed time.Duration, load ModelLoad) {
 	gain := 1 - math.Exp(-elapsed.Seconds()/loadMemory.Seconds())
-	s.busy += gain * (float64(load.Busy) - s.busy)
-	s.reading += gain * (load.Reading - s.reading)
-	s.rate += gain * (load.Rate - s.rate)
+	s.mean.Busy += gain * (load.Busy - s.mean.Busy)
+	s.mean.Reading += gain * (load.Reading - s.mean.Reading)
+	s.mean.Rate += gain * (load.Rate - s.mean.Rate)
 }
 
 func (s *size) update(now time.Time, slots int, rate float64) int {
 	wanted := 0
 	if rate >= coolRate {
-		byReading := int(math.Ceil(s.reading / replicaReading))
-		byBusy := int(math.Ceil(s.busy / (replicaBusy * float64(max(slots, 1)))))
+		byReading := int(math.Ceil(s.mean.Reading / replicaReading))
+		byBusy := int(math.Ceil(s.mean.Busy / (replicaBusy * float64(max(slots, 1)))))
 		wanted = max(byReading, byBusy, minHotReplicas)
 	}
 	switch {
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -55,7 +55,7 @@
 		Waiting:  m.queue.Len(),
 		Failing:  m.failures.Avoided(now),
 	}
-	status.LoadPercent = m.loadPercent(now)
+	status.SetLoad(m.load(now))
 	status.TokenNanos = m.reader.tokenNanos()
 	if m.report != nil {
 		status.BornMillis = m.report.BornMillis
@@ -74,19 +74,16 @@
 	return status
 }
 
-// loadPercent is the load of the runner: the slots that are taken, or the reading of
-// prompts as a part of what it should take, whichever is more.
-func (m *Manager) loadPercent(now time.Time) int {
+// load is the load of the runner: the slots that are taken, or the reading of prompts
+// as a part of what it should take, whichever is more.
+func (m *Manager) load(now time.Time) float64 {
 	load := m.reading.current(now) / promptShare
 	if m.plan != nil && m.plan.Slots > 0 {
 		load = max(load, float64(m.queue.Running()+m.queue.Len())/float64(m.plan.Slots))
 	}
-	return int(percent * load)
+	return load
 }
 
-// percent is a hundredfold.
-const percent = 100
-
 func (m *Manager) describe(now time.Time, known *model) wire.RunnerModel {
 	state := m.state(known)
 	return wire.RunnerModel{
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -49,22 +49,20 @@
 	// engine is what the newest configuration says of the runner's service; nil
 	// before it is known.
 	engine *wire.Engine
-	// publishedAt is when the subscribers were last given a status, publishing
-	// tells that they are about to be.
-	publishedAt time.Time
-	publishing  bool
-
+	// statuses spaces the statuses that subscribers are given.
+	statuses    eventloop.Throttle
 	subscribers subscribers
 }
 
 func newController(manager *residency.Manager, counted *metrics.Runner, logger *slog.Logger) *controller {
 	return &controller{
-		loop:    eventloop.New(),
-		logger:  logger,
-		manager: manager,
-		metrics: counted,
-		grants:  logging.NewSampler(grantsPerSecond),
-		waiting: make(map[string]waitingUse),
+		loop:     eventloop.New(),
+		logger:   logger,
+		manager:  manager,
+		metrics:  counted,
+		grants:   logging.NewSampler(grantsPerSecond),
+		waiting:  make(map[string]waitingUse),
+		statuses: eventloop.Throttle{Pause: statusPause},
 	}
 }
 
@@ -90,21 +88,11 @@
 
 // publish gives the subscribers the present status, at once or a moment after the
 // one before it, so that changes that come together are described once.
-func (c *controller) publish(now time.Time) {
-	if c.publishing {
-		return
-	}
-	if wait := c.publishedAt.Add(statusPause).Sub(now); wait > 0 {
-		c.publishing = true
-		time.AfterFunc(wait, func() { c.loop.Post(func() { c.publishNow(time.Now()) }) })
-		return
-	}
-	c.publishNow(now)
-}
+func (c *controller) publish(now time.Time) { c.statuses.Do(c.loop, now, c.publishNow) }
 
-func (c *controller) publishNow(now time.Time) {
-	c.publishing = false
-	c.publishedAt = now
+func (c *controller) publishNow() {
+	now := time.Now()
+	c.statuses.Ran(now)
 	c.subscribers.publish(now, c.manager.Status(now))
 }
 
--- a/pkg/wire/runner.go
+++ b/pkg/wire/runner.go
@@ -1,5 +1,10 @@
 package wire
 
+import (
+	"slices"
+	"strings"
+)
+
 // Subscribe opens a stream on which an agent tells a gateway of its runner, and
 // the gateway tells the agent of the placement. The first status is whole, later
 // ones are partial.
@@ -132,6 +137,23 @@
 	TokenNanos int64 `cbor:"14,keyasint,omitempty"`
 }
 
+// FindModel returns the place of a model among models that are ordered by name, or
+// where it would stand.
+func FindModel(models []RunnerModel, name string) (at int, found bool) {
+	return slices.BinarySearchFunc(models, name, func(m RunnerModel, name string) int {
+		return strings.Compare(m.Name, name)
+	})
+}
+
+// loadUnit is the LoadPercent of a runner with as much load as it can serve well.
+const loadUnit = 100
+
+// Load is LoadPercent as a part of what the runner can serve well.
+func (s *RunnerStatus) Load() float64 { return float64(s.LoadPercent) / loadUnit }
+
+// SetLoad sets LoadPercent by a part of what the runner can serve well.
+func (s *RunnerStatus) SetLoad(load float64) { s.LoadPercent = int(loadUnit * load) }
+
 // Acquire asks for the use of a model, and of an adapter if it names one, for one
 // request. Granted or Refusal answers it, possibly after a wait. The use lasts
 // until the stream ends.
