Show the rate limits that backend servers name

The header is decoded once, kept by incarnation (package ratelimit) in an order that late responses can't upset, logged when it changes, counted, and shown in the state dump. Nothing acts on it yet.

--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 )
 
 // RequestInfo is the information in the headers of a caller's request.
@@ -56,6 +58,11 @@
 	RetryAfter time.Duration
 	// Load is nil if the server did not report it.
 	Load *Load
+	// Limit is the rate limit that the server names.
+	Limit ratelimit.Limit
+	// InvalidLimit is the server's rate limit if it can't be read; it says nothing
+	// about the limit in force.
+	InvalidLimit string
 }
 
 // HeaderCodec reads and writes the platform's headers.
--- a/pkg/gateway/dump.go
+++ b/pkg/gateway/dump.go
@@ -49,6 +49,8 @@
 	Slots           int    `json:"slots"`
 	Avoided         bool   `json:"avoided"`
 	Unresponsive    bool   `json:"silent"`
+	// LimitPerSecond is the rate limit that the server names; nil if it names none.
+	LimitPerSecond *float64 `json:"limit_per_s,omitempty"`
 }
 
 // ModelDump counts a model's replicas and the requests for it.
@@ -86,7 +88,11 @@
 	d.Configuration = current.table.Configuration().Version
 	for _, servers := range current.servers {
 		for _, s := range servers {
-			d.Servers = append(d.Servers, dumpServer(now, s, g.handler.tracker))
+			dumped := dumpServer(now, s, g.handler.tracker)
+			if limit, _ := g.handler.limits.Known(s.incarnation()); limit.Named {
+				dumped.LimitPerSecond = &limit.PerSecond
+			}
+			d.Servers = append(d.Servers, dumped)
 		}
 	}
 	slices.SortFunc(d.Servers, func(a, b ServerDump) int {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/settings"
 	"teaselgauge.example/teaselgauge/pkg/telemetry"
@@ -130,6 +131,7 @@
 		pool:        g.pool,
 		tracker:     backends.NewTracker(),
 		gate:        backpressure.NewGate(),
+		limits:      ratelimit.NewRegistry(),
 		budget:      attempt.NewBudget(time.Now(), budgetLimits(g.config.Retries), assumedEntries),
 		domain:      g.config.Host.FailureDomain,
 		observer:    g.observer,
@@ -181,6 +183,7 @@
 		}
 	}
 	g.observer.metrics.State(int(g.handler.inFlight.Load()), usable, connected, current.leader.host == g.config.Host.ID)
+	g.observer.metrics.LimitedServers(g.handler.limits.Limited())
 	g.control.freshness.updateGauges(now, g.observer.metrics)
 	g.observer.logSkipped()
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -14,6 +14,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -41,6 +42,8 @@
 	tracker     *backends.Tracker
 	// gate records which servers currently accept no requests from this host.
 	gate *backpressure.Gate
+	// limits holds the rate limits that servers name to this host.
+	limits *ratelimit.Registry
 	// node is nil until the site's secret is known.
 	node     atomic.Pointer[wire.Node]
 	budget   *attempt.Budget
--- a/pkg/gateway/request_path.go
+++ b/pkg/gateway/request_path.go
@@ -41,6 +41,8 @@
 		}
 	}
 	g.handler.tracker.Prune(func(id string) bool { return ids[id] })
-	g.handler.gate.Sweep(time.Now())
+	now := time.Now()
+	g.handler.gate.Sweep(now)
+	g.handler.limits.Sweep(now)
 	return addresses
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -7,6 +7,7 @@
 
 	"teaselgauge.example/teaselgauge/pkg/attempt"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 )
 
 // sendCompleted is the metric's result of a send whose response is forwarded.
@@ -28,6 +29,7 @@
 		return x.sendFailed(ctx, backend, err), nil
 	}
 	x.recordBackpressure(backend, response)
+	x.recordLimit(now, backend, response)
 	if event := x.classify(response); event != nil {
 		x.handler.observer.metrics.Send(event.String())
 		tracker.ResponseStarted(time.Now(), backend.ID, time.Since(now), *event == attempt.Failed)
@@ -55,6 +57,24 @@
 	}
 }
 
+// recordLimit records the rate limit that a response names. It is called for every
+// response, whatever its status. sentAt is when the request was sent.
+func (x *exchange) recordLimit(sentAt time.Time, backend *server, response *forward.Response) {
+	if invalid := response.Info.InvalidLimit; invalid != "" {
+		x.logger.Warn("rate limit of backend server unreadable, ignoring it", "backend", backend.ID, "value", invalid)
+		return
+	}
+	observed := ratelimit.Observation{Limit: response.Info.Limit, SentAt: sentAt, ReceivedAt: time.Now()}
+	before, after := x.handler.limits.Observe(backend.incarnation(), observed)
+	if before.Named || after.Named {
+		x.handler.observer.metrics.LimitedSend()
+	}
+	if before != after {
+		x.logger.Info("rate limit of backend server changed", "belief", "limit:"+backend.ID, "backend", backend.ID,
+			"limited", after.Named, "limit_per_s", after.PerSecond, "limited_before", before.Named, "limit_before_per_s", before.PerSecond)
+	}
+}
+
 func (x *exchange) sendFailed(ctx context.Context, backend *server, err error) *attempt.Event {
 	event := attempt.Lost
 	if forward.IsNotSent(err) {
--- a/pkg/gateway/switching_test.go
+++ b/pkg/gateway/switching_test.go
@@ -13,6 +13,7 @@
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/state"
 	"teaselgauge.example/teaselgauge/pkg/telemetry"
@@ -126,7 +127,7 @@
 		host.InternalAddress = node.Address()
 		c.applySiteChange(siteChange{asOf: 10, hosts: []roster.Host{host}})
 	}
-	h := &handler{control: c, headerCodec: &recorder{}, tracker: backends.NewTracker(), gate: backpressure.NewGate(), observer: newObserver(discardLogger(), testMetrics(t))}
+	h := &handler{control: c, headerCodec: &recorder{}, tracker: backends.NewTracker(), gate: backpressure.NewGate(), limits: ratelimit.NewRegistry(), observer: newObserver(discardLogger(), testMetrics(t))}
 	h.queued, h.cancelQueued = context.WithCancel(t.Context())
 	h.node.Store(newNode(t, secret, "front-1", keys.RoleEntry, keys.RoleAgent, rejectStreams{}))
 	x := testExchange(&recorder{}, &fleet.Route{TargetLatency: target, Destinations: []fleet.Destination{{Service: testEngine, Weight: 1}}})
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -75,6 +75,8 @@
 	agents             tally.Gauge
 	leading            tally.Gauge
 	retryAfters        tally.Counter
+	limitedServers     tally.Gauge
+	limitedSends       tally.Counter
 	responsesNotLogged tally.Counter
 }
 
@@ -96,6 +98,8 @@
 		agents:             gateway.Gauge("agents_connected"),
 		leading:            gateway.Gauge("leading"),
 		retryAfters:        gateway.Counter("turned_away_total"),
+		limitedServers:     gateway.Gauge("limited_backends"),
+		limitedSends:       gateway.Counter("limited_sends_total"),
 		responsesNotLogged: gateway.Counter("answers_not_logged_total"),
 	}
 }
@@ -140,6 +144,12 @@
 // some time.
 func (g *Gateway) RetryAfterReceived() { g.retryAfters.Inc(1) }
 
+// LimitedServers sets the number of backend servers that name a rate limit.
+func (g *Gateway) LimitedServers(count int) { g.limitedServers.Update(float64(count)) }
+
+// LimitedSend counts a request sent to a backend server that names a rate limit.
+func (g *Gateway) LimitedSend() { g.limitedSends.Inc(1) }
+
 // ResponseNotLogged counts a response that was omitted from the log.
 func (g *Gateway) ResponseNotLogged() { g.responsesNotLogged.Inc(1) }
 
--- a/pkg/modelrunner/modelrunner.go
+++ b/pkg/modelrunner/modelrunner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 )
 
 // LoadedModel is a model in a runner's memory.
@@ -40,6 +41,10 @@
 	// capacity in tokens.
 	KVUsed  int
 	KVTotal int
+	// Limit is the rate limit that the runner names, InvalidLimit its value if it
+	// can't be read.
+	Limit        ratelimit.Limit
+	InvalidLimit string
 }
 
 // Operation is the operation of an order.
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -8,6 +8,7 @@
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/ledger"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -104,6 +105,8 @@
 	// prefill is the share of the runner's time spent on prefill.
 	prefill  prefillShare
 	failures backends.FailureRate
+	// reportedLimit is the rate limit that the runner names in its reports.
+	reportedLimit ratelimit.Record
 	// leased is set once the first lease was requested.
 	leased bool
 	// pendingOrder is the order whose response is outstanding.
--- a/pkg/residency/reports.go
+++ b/pkg/residency/reports.go
@@ -6,6 +6,7 @@
 
 	"teaselgauge.example/teaselgauge/pkg/engine"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -30,6 +31,10 @@
 	m.reportedAt = now
 	m.updateModels(now, report)
 	m.updateAdapters(report)
+	if report.InvalidLimit == "" {
+		// Reports are requested one after the other.
+		m.reportedLimit.Observe(ratelimit.Observation{Limit: report.Limit, SentAt: now, ReceivedAt: now})
+	}
 	if !report.Busy {
 		m.completeChange(now)
 	}
@@ -57,6 +62,7 @@
 
 // resetRunnerState discards what an earlier incarnation of the runner loaded.
 func (m *Manager) resetRunnerState() {
+	m.reportedLimit = ratelimit.Record{}
 	m.activeChange = nil
 	m.uncertain = nil
 	for _, known := range m.models {
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -158,6 +159,9 @@
 	return m.placement.Revision
 }
 
+// Limit returns the rate limit of the runner.
+func (m *Manager) Limit() ratelimit.Limit { return m.reportedLimit.Limit() }
+
 // Waiting returns the number of waiting leases.
 func (m *Manager) Waiting() int { return m.queue.Len() }
 
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -8,6 +8,7 @@
 	"teaselgauge.example/teaselgauge/pkg/logging"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/residency"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -50,6 +51,8 @@
 	// engine is the engine description from the newest configuration; nil before
 	// it is known.
 	engine *wire.Engine
+	// limit is the runner's rate limit as last logged.
+	limit ratelimit.Limit
 	// statusThrottle limits the rate of statuses given to subscribers.
 	statusThrottle eventloop.Throttle
 	subscribers    subscribers
@@ -189,7 +192,23 @@
 
 func (c *controller) reportReceived(now time.Time, report modelrunner.Report) {
 	c.reportedAt = now
+	if report.InvalidLimit != "" {
+		c.logger.Warn("rate limit of runner unreadable, ignoring it", "value", report.InvalidLimit)
+	}
 	c.perform(c.manager.ReportReceived(now, report))
+	c.recordLimit("report")
+}
+
+// recordLimit logs a change of the runner's rate limit. source is where it was
+// named.
+func (c *controller) recordLimit(source string) {
+	before, after := c.limit, c.manager.Limit()
+	if before == after {
+		return
+	}
+	c.limit = after
+	c.logger.Info("rate limit of runner changed", "belief", "limit", "source", source,
+		"limited", after.Named, "limit_per_s", after.PerSecond, "limited_before", before.Named, "limit_before_per_s", before.PerSecond)
 }
 
 func (c *controller) reportFailed(now time.Time) { c.perform(c.manager.ReportFailed(now)) }
