--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -24,6 +24,7 @@
 	HeaderInstance  = "Teaselgauge-Expect-Instance"
 	HeaderPriority  = "Teaselgauge-Request-Priority"
 	HeaderLeaving   = "Server-Leaving"
+	HeaderLimit     = "Server-Limit"
 )
 
 // StreamPath is the prefix of the paths that are answered with a stream.
@@ -57,6 +58,9 @@
 
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(HeaderRequestID)
+	if limit := s.limitValue(); limit != "" {
+		w.Header().Set(HeaderLimit, limit)
+	}
 	body, err := httpapi.ReadBody(w, r)
 	if err != nil || id == "" {
 		s.refuse(w, id, http.StatusBadRequest)
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -95,6 +95,8 @@
 	draining bool
 	// leaving is announced in all responses.
 	leaving bool
+	// limit is the rate limit named in the responses to requests; empty for none.
+	limit string
 	// rejectUntil is the time until which all requests are rejected.
 	rejectUntil time.Time
 	engine      *engine
@@ -175,6 +177,20 @@
 	s.faults = faults
 }
 
+// SetLimit makes the server name a rate limit in its responses to requests, but not
+// in its reports; an empty value ends it. The server doesn't enforce it.
+func (s *Server) SetLimit(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = value
+}
+
+func (s *Server) limitValue() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit
+}
+
 // SetWork changes the processing time of a request, or of each event of a stream.
 func (s *Server) SetWork(work time.Duration) {
 	s.mu.Lock()
