Count the requests to a server with a rate limit in one place

Cause: nobody read the limit, and every other limit of an entry is either its own or a share of the whole.

Change: each limited server has one place that counts. For a model runner it is the agent beside it, which sees every lease: it grants leases at the limit and refuses at once those whose turn comes too late, each with a later time to return. Responses report the limit to the place that counts, and agents report it to all entries with their status. Other replicas go first.

Why it works: a rate counted in one place has no sum to exceed, whatever the number of entries, and losing that place loses no count that matters, as a new one starts without tokens.

--- a/pkg/backends/pick.go
+++ b/pkg/backends/pick.go
@@ -14,6 +14,9 @@
 	otherDomainPenalty = 8 * time.Millisecond
 	// coldPenalty is added for a server that reports that it is still warming up.
 	coldPenalty = 20 * time.Millisecond
+	// limitedPenalty is added for a server that names a rate limit. Others go first
+	// until their expected latency is that much higher.
+	limitedPenalty = 50 * time.Millisecond
 )
 
 // Candidate is a server that may receive a request.
@@ -22,6 +25,8 @@
 	Health  Health
 	// SameDomain is set if the server is in this process's failure domain.
 	SameDomain bool
+	// Limited is set if the server has named a rate limit lately.
+	Limited bool
 }
 
 // Pick returns the index of the best candidate, or -1 if there is none. Servers to
@@ -84,5 +89,8 @@
 	if c.Backend.WarmupRemaining > 0 {
 		expected += coldPenalty
 	}
+	if c.Limited {
+		expected += limitedPenalty
+	}
 	return expected
 }
--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -32,10 +32,7 @@
 			return nil, nil, false
 		}
 		s := best.server
-		if s.agent == "" || !s.hasFreshStatus(sel.now) || x.handler.node.Load() == nil {
-			return s, nil, true
-		}
-		granted, result := x.acquireLease(ctx, s)
+		granted, result := x.acquireAccess(ctx, s)
 		switch result {
 		case leaseAcquired:
 			if !x.handler.gate.AcceptsRequests(time.Now(), s.incarnation()) {
@@ -46,6 +43,7 @@
 			return s, granted, true
 		case leaseSwitched:
 			x.switches++
+		case leaseDelayed:
 		default:
 			x.excluded = append(x.excluded, s.ID)
 		}
@@ -53,6 +51,16 @@
 	return nil, nil, false
 }
 
+// acquireAccess acquires the lease or the rate token that a server requires, if it
+// requires one.
+func (x *exchange) acquireAccess(ctx context.Context, s *server) (*lease, leaseResult) {
+	hasAgent := s.agent != "" && s.hasFreshStatus(time.Now()) && x.handler.node.Load() != nil
+	if hasAgent {
+		return x.acquireLease(ctx, s)
+	}
+	return x.acquireRateToken(ctx, s)
+}
+
 // selection returns the inputs for choosing a server now.
 func (x *exchange) selection(now time.Time) *selection {
 	current := x.handler.control.current()
@@ -62,6 +70,7 @@
 		view:     current,
 		tracker:  x.handler.tracker,
 		gate:     x.handler.gate,
+		limits:   x.handler.limits,
 		service:  x.service,
 		model:    x.caller.Model,
 		domain:   x.handler.domain,
@@ -141,6 +150,8 @@
 	leaseAcquired
 	// leaseSwitched: another runner can serve the request sooner.
 	leaseSwitched
+	// leaseDelayed: the server's rate limit allows no request from this host yet.
+	leaseDelayed
 )
 
 // acquireLease acquires a lease of the request's model. If the agent does not
@@ -171,7 +182,7 @@
 			"waited_ms", waited.Milliseconds(), "error", err)
 		known := s.model(x.caller.Model)
 		if runnerAlive && known != nil && known.State == wire.ModelLoaded {
-			return nil, leaseAcquired
+			return x.acquireRateToken(ctx, s)
 		}
 		return nil, leaseUnavailable
 	case refusal != nil:
@@ -194,7 +205,7 @@
 // request in time, rather than that it is out of service.
 func isDeclined(reason wire.Reason) bool {
 	switch reason {
-	case wire.ReasonDeadline, wire.ReasonNoMemory, wire.ReasonQueueFull:
+	case wire.ReasonDeadline, wire.ReasonNoMemory, wire.ReasonQueueFull, wire.ReasonRate:
 		return true
 	default:
 		return false
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -9,6 +9,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -59,6 +60,7 @@
 	view    *view
 	tracker *backends.Tracker
 	gate    *backpressure.Gate
+	limits  *ratelimit.Registry
 	service string
 	// model is empty for plain services.
 	model string
@@ -82,6 +84,17 @@
 	return sel.gate.AcceptsRequests(sel.now, s.incarnation())
 }
 
+// limitRecheckInterval is the time after which a server that has named a rate limit
+// is chosen like the others again. A request with a rate token then finds out whether
+// the limit still holds.
+const limitRecheckInterval = 5 * time.Second
+
+// isLimited reports whether a server has named a rate limit lately.
+func (sel *selection) isLimited(s *server) bool {
+	limit, namedAt := sel.limits.Known(s.incarnation())
+	return limit.Named && sel.now.Sub(namedAt) < limitRecheckInterval
+}
+
 // availableAt is the earliest time at which a server under backpressure accepts
 // requests again, or the zero time if there is none.
 func (sel *selection) availableAt() time.Time {
@@ -122,6 +135,7 @@
 			Backend:    s.Backend,
 			Health:     sel.tracker.Health(sel.now, s.ID),
 			SameDomain: s.FailureDomain == sel.domain,
+			Limited:    sel.isLimited(s),
 		})
 	}
 	best := backends.Pick(candidates)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -132,6 +132,9 @@
 			return
 		}
 		event, response := x.send(ctx, target)
+		if response != nil {
+			x.reportLimit(target, granted, response)
+		}
 		if response != nil && event == nil {
 			event = x.forwardResponse(ctx, target, response)
 			response = nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -136,6 +136,7 @@
 		domain:      g.config.Host.FailureDomain,
 		observer:    g.observer,
 	}
+	g.handler.limiters = newLimiterClient(g.config.Host.ID, g.control)
 	d.Telemetry.Register(DumpName, g.dump)
 	g.handler.queued, g.handler.cancelQueued = context.WithCancel(context.Background())
 }
@@ -237,7 +238,7 @@
 		ServerTLS: ephemeral.ServerConfig(keys.RoleAgent, keys.RoleEntry),
 		ClientTLS: ephemeral.ClientConfig(keys.RoleAgent, keys.RoleEntry),
 		Identify:  keys.Identify,
-		Handler:   &relayServer{control: g.control},
+		Handler:   &peerServer{relay: &relayServer{control: g.control}, limiter: g.handler.limiters.server, logger: g.logger},
 		ResetKey:  ephemeral.ResetKey(),
 		Logger:    g.logger,
 	})
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -44,6 +44,8 @@
 	gate *backpressure.Gate
 	// limits holds the rate limits that servers name to this host.
 	limits *ratelimit.Registry
+	// limiters requests the rate tokens for servers with a limit.
+	limiters *limiterClient
 	// node is nil until the site's secret is known.
 	node     atomic.Pointer[wire.Node]
 	budget   *attempt.Budget
--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -15,6 +15,7 @@
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/packing"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -133,6 +134,7 @@
 		view:     c.current(),
 		tracker:  tracker,
 		gate:     backpressure.NewGate(),
+		limits:   ratelimit.NewRegistry(),
 		service:  testEngine,
 		model:    testModel,
 		domain:   testZone,
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -32,30 +32,19 @@
 	relayCheckInterval = 50 * time.Millisecond
 )
 
-// relayServer serves the subscriptions of other entries.
+// relayServer serves the subscriptions of other entries to this entry's state.
 type relayServer struct {
 	control *control
 }
 
-var _ wire.Handler = (*relayServer)(nil)
-
-// ServeStream implements wire.Handler.
-func (s *relayServer) ServeStream(ctx context.Context, peer wire.Peer, stream *wire.Stream) {
-	defer stream.Cancel()
-	frame, err := stream.ReceiveFirst()
-	if err != nil {
-		return
-	}
-	if frame.Follow == nil || peer.Role != keys.RoleEntry {
-		s.control.logger.Warn("unexpected frame received from a peer", "peer", peer.Host)
-		return
-	}
+// serve sends updates to an entry that subscribed.
+func (s *relayServer) serve(ctx context.Context, stream *wire.Stream, follow *wire.Follow) {
 	if !s.awaitRelaying(ctx, stream) {
 		return
 	}
-	s.control.logger.Info("entry subscribed", "entry", frame.Follow.Entry, "domain", frame.Follow.FailureDomain)
-	s.sendUpdates(ctx, stream, frame.Follow.FailureDomain)
-	s.control.logger.Info("entry subscription ended", "entry", frame.Follow.Entry, "domain", frame.Follow.FailureDomain)
+	s.control.logger.Info("entry subscribed", "entry", follow.Entry, "domain", follow.FailureDomain)
+	s.sendUpdates(ctx, stream, follow.FailureDomain)
+	s.control.logger.Info("entry subscription ended", "entry", follow.Entry, "domain", follow.FailureDomain)
 }
 
 // awaitRelaying waits until this entry relays, and returns false if it doesn't
--- a/pkg/gateway/request_path.go
+++ b/pkg/gateway/request_path.go
@@ -44,5 +44,6 @@
 	now := time.Now()
 	g.handler.gate.Sweep(now)
 	g.handler.limits.Sweep(now)
+	g.handler.limiters.server.limiter.Sweep(now)
 	return addresses
 }
--- a/pkg/gateway/switching_test.go
+++ b/pkg/gateway/switching_test.go
@@ -128,6 +128,7 @@
 		c.applySiteChange(siteChange{asOf: 10, hosts: []roster.Host{host}})
 	}
 	h := &handler{control: c, headerCodec: &recorder{}, tracker: backends.NewTracker(), gate: backpressure.NewGate(), limits: ratelimit.NewRegistry(), observer: newObserver(discardLogger(), testMetrics(t))}
+	h.limiters = newLimiterClient("front-1", c)
 	h.queued, h.cancelQueued = context.WithCancel(t.Context())
 	h.node.Store(newNode(t, secret, "front-1", keys.RoleEntry, keys.RoleAgent, rejectStreams{}))
 	x := testExchange(&recorder{}, &fleet.Route{TargetLatency: target, Destinations: []fleet.Destination{{Service: testEngine, Weight: 1}}})
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -9,6 +9,7 @@
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/packing"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -43,6 +44,14 @@
 	return s.state.source.age(now)
 }
 
+// reportedLimit returns the rate limit that the agent reports.
+func (s *server) reportedLimit() ratelimit.Limit {
+	if s.state == nil {
+		return ratelimit.Limit{}
+	}
+	return ratelimit.Limit{Named: s.state.Status.Limited, PerSecond: s.state.Status.LimitPerSecond}
+}
+
 // model returns the last reported status of a model; nil if the agent doesn't
 // report it, as for models of which the runner's host has no copy.
 func (s *server) model(name string) *wire.RunnerModel {
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -77,6 +77,7 @@
 	retryAfters        tally.Counter
 	limitedServers     tally.Gauge
 	limitedSends       tally.Counter
+	rateTokens         *vector[tally.Counter]
 	responsesNotLogged tally.Counter
 }
 
@@ -100,6 +101,7 @@
 		retryAfters:        gateway.Counter("turned_away_total"),
 		limitedServers:     gateway.Gauge("limited_backends"),
 		limitedSends:       gateway.Counter("limited_sends_total"),
+		rateTokens:         newCounters(gateway, "rate_tokens_total", "outcome"),
 		responsesNotLogged: gateway.Counter("answers_not_logged_total"),
 	}
 }
@@ -150,6 +152,10 @@
 // LimitedSend counts a request sent to a backend server that names a rate limit.
 func (g *Gateway) LimitedSend() { g.limitedSends.Inc(1) }
 
+// RateToken counts a request for a rate token of a server with a rate limit. The outcome is
+// "granted", "refused", or "silent" if an entry that issues tokens didn't respond.
+func (g *Gateway) RateToken(outcome string) { g.rateTokens.with(labels{outcome}).Inc(1) }
+
 // ResponseNotLogged counts a response that was omitted from the log.
 func (g *Gateway) ResponseNotLogged() { g.responsesNotLogged.Inc(1) }
 
--- a/pkg/ratelimit/record.go
+++ b/pkg/ratelimit/record.go
@@ -52,6 +52,9 @@
 // Limit returns the limit in force.
 func (r *Record) Limit() Limit { return r.limit }
 
+// NamedAt returns when the limit was last named; zero if it never was.
+func (r *Record) NamedAt() time.Time { return r.namedAt }
+
 // ConfirmedAt returns when the last response arrived; zero if there was none.
 func (r *Record) ConfirmedAt() time.Time { return r.confirmedAt }
 
@@ -70,7 +73,7 @@
 }
 
 func (r *Record) observeNamed(o Observation) {
-	if !o.ReceivedAt.After(r.endedAsOf) {
+	if o.ReceivedAt.Before(r.endedAsOf) {
 		// A request that was sent later has found that the limit has ended.
 		return
 	}
--- a/pkg/ratelimit/record_test.go
+++ b/pkg/ratelimit/record_test.go
@@ -47,8 +47,8 @@
 	before := backpressure.Incarnation{ID: "a", StartedAtMillis: 1}
 	after := backpressure.Incarnation{ID: "a", StartedAtMillis: 2}
 	r.Observe(before, Observation{PerSecond(2), at(0), at(10)})
-	if limit, confirmedAt := r.Known(before); limit != PerSecond(2) || !confirmedAt.Equal(at(10)) {
-		t.Errorf("limit %+v confirmed at %s", limit, confirmedAt)
+	if limit, namedAt := r.Known(before); limit != PerSecond(2) || !namedAt.Equal(at(10)) {
+		t.Errorf("limit %+v named at %s", limit, namedAt)
 	}
 	if limit, _ := r.Known(after); limit.Named {
 		t.Errorf("the next incarnation has the limit %+v", limit)
--- a/pkg/ratelimit/registry.go
+++ b/pkg/ratelimit/registry.go
@@ -41,15 +41,15 @@
 	return before, record.Limit()
 }
 
-// Known returns a server's limit and when it was last confirmed.
-func (r *Registry) Known(server backpressure.Incarnation) (limit Limit, confirmedAt time.Time) {
+// Known returns a server's limit and when it was last named.
+func (r *Registry) Known(server backpressure.Incarnation) (limit Limit, namedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	record := r.records[server]
 	if record == nil {
 		return Limit{}, time.Time{}
 	}
-	return record.Limit(), record.ConfirmedAt()
+	return record.Limit(), record.NamedAt()
 }
 
 // Limited returns the number of servers with a limit.
--- a/pkg/residency/leases.go
+++ b/pkg/residency/leases.go
@@ -30,8 +30,14 @@
 		return []Action{Refuse{ID: wanted.ID, Reason: reason, RetryAfter: defaultRetryAfter}}
 	}
 	m.leased = true
+	m.arrivals.record(now)
 	known := m.models[wanted.Model]
 	m.recordDemand(now, known, wanted)
+	if retryAfter, late := m.isTooLateForLimit(now, wanted); late {
+		known.markWanted(now)
+		known.wantedUntil = now.Add(retryWindow)
+		return []Action{Refuse{ID: wanted.ID, Reason: wire.ReasonRate, RetryAfter: retryAfter}}
+	}
 	estimate := admission.Estimate{ReadyIn: m.readyIn(now, known)}
 	if refused := m.queue.Offer(now, item(wanted), estimate); refused != nil {
 		known.markWanted(now)
@@ -192,11 +198,12 @@
 
 // grantReady grants the leases that can start.
 func (m *Manager) grantReady(now time.Time) {
-	for !now.Before(m.pacer.nextAdmission()) {
+	for !now.Before(m.pacer.nextAdmission()) && m.bucket.Wait(now, m.Limit(), 0) == 0 {
 		next, ok := m.queue.Next(now, func(t admission.Target) bool { return m.isReady(now, t) })
 		if !ok {
 			return
 		}
+		m.bucket.Take(now, m.Limit())
 		l := m.leases[next.ID]
 		m.dequeued(l)
 		l.granted = true
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -105,8 +105,13 @@
 	// prefill is the share of the runner's time spent on prefill.
 	prefill  prefillShare
 	failures backends.FailureRate
-	// reportedLimit is the rate limit that the runner names in its reports.
+	// reportedLimit is the rate limit that the runner names in its reports,
+	// observedLimit the one in its responses to requests.
 	reportedLimit ratelimit.Record
+	observedLimit ratelimit.Record
+	bucket        ratelimit.Bucket
+	// arrivals is the rate of requested leases.
+	arrivals decayingRate
 	// leased is set once the first lease was requested.
 	leased bool
 	// pendingOrder is the order whose response is outstanding.
--- a/pkg/residency/reports.go
+++ b/pkg/residency/reports.go
@@ -63,6 +63,7 @@
 // resetRunnerState discards what an earlier incarnation of the runner loaded.
 func (m *Manager) resetRunnerState() {
 	m.reportedLimit = ratelimit.Record{}
+	m.observedLimit = ratelimit.Record{}
 	m.activeChange = nil
 	m.uncertain = nil
 	for _, known := range m.models {
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -37,12 +36,19 @@
 }
 
 // NextWake returns when Tick may grant a lease that is only delayed by prompt
-// admission, or the zero time.
+// admission or by the runner's rate limit, or the zero time.
 func (m *Manager) NextWake(now time.Time) time.Time {
-	if opens := m.pacer.nextAdmission(); m.queue.Len() > 0 && opens.After(now) {
-		return opens
+	if m.queue.Len() == 0 {
+		return time.Time{}
 	}
-	return time.Time{}
+	opens := m.pacer.nextAdmission()
+	if token := now.Add(m.bucket.Wait(now, m.Limit(), 0)); token.After(opens) {
+		opens = token
+	}
+	if !opens.After(now) {
+		return time.Time{}
+	}
+	return opens
 }
 
 // Status describes the runner. Models that are neither loaded nor cached locally
@@ -57,6 +63,9 @@
 		Failing:  m.failures.ShouldAvoid(now),
 	}
 	status.SetLoad(m.load(now))
+	limit := m.Limit()
+	status.Limited = limit.Named
+	status.LimitPerSecond = limit.PerSecond
 	status.PrefillNanosPerToken = m.estimator.tokenNanos()
 	if m.report != nil {
 		status.StartedAtMillis = m.report.StartedAtMillis
@@ -75,10 +84,11 @@
 	return status
 }
 
-// load returns the runner's load: the share of occupied slots, or the prefill share
-// relative to its target, whichever is higher.
+// load returns the runner's load: the share of occupied slots, the prefill share
+// relative to its target, or the rate of requests relative to the runner's limit,
+// whichever is highest.
 func (m *Manager) load(now time.Time) float64 {
-	load := m.prefill.current(now) / targetPrefillShare
+	load := max(m.prefill.current(now)/targetPrefillShare, m.limitLoad(now))
 	if m.placement != nil && m.placement.Slots > 0 {
 		load = max(load, float64(m.queue.Running()+m.queue.Len())/float64(m.placement.Slots))
 	}
@@ -159,9 +169,6 @@
 	return m.placement.Revision
 }
 
-// Limit returns the rate limit of the runner.
-func (m *Manager) Limit() ratelimit.Limit { return m.reportedLimit.Limit() }
-
 // Waiting returns the number of waiting leases.
 func (m *Manager) Waiting() int { return m.queue.Len() }
 
@@ -177,6 +184,9 @@
 	text := fmt.Sprintf("model=%s tier=%s permitted=%t running=%d/%d waiting=%d prompts_in=%s",
 		m.state(known), known.tier, known.isPermitted(), m.queue.Running(), m.placement.Slots, m.queue.Len(),
 		max(m.pacer.nextAdmission().Sub(now), 0))
+	if limit := m.Limit(); limit.Named {
+		text += fmt.Sprintf(" limit_per_s=%g limit_age=%s rate_token_in=%s", limit.PerSecond, m.limitAge(now), m.bucket.Wait(now, limit, 0))
+	}
 	if m.activeChange != nil {
 		text += fmt.Sprintf(" changing=%s:%s", m.activeChange.order.Operation, m.activeChange.order.Model)
 	}
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -199,6 +199,12 @@
 	c.recordLimit("report")
 }
 
+// limitObserved applies the rate limit that the response to a request named.
+func (c *controller) limitObserved(now time.Time, id string, limit ratelimit.Limit) {
+	c.perform(c.manager.LimitObserved(now, id, limit))
+	c.recordLimit("response")
+}
+
 // recordLimit logs a change of the runner's rate limit. source is where it was
 // named.
 func (c *controller) recordLimit(source string) {
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/directory"
+	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/residency"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -127,7 +128,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		s.receiveRelease(stream, acquire.RequestID)
+		s.receiveReports(stream, acquire.RequestID)
 	}()
 	granted := s.awaitOutcome(ctx, stream, acquire, arrived, result, ended)
 	if granted {
@@ -142,15 +143,26 @@
 	<-ended
 }
 
-// receiveRelease waits for the release of a lease.
-func (s *server) receiveRelease(stream *wire.Stream, id string) {
-	frame, err := stream.Receive()
-	if err != nil || frame.Released == nil {
-		// The gateway ended the lease without reporting on the request.
-		return
+// receiveReports receives what the gateway reports on the request of a lease until
+// the lease ends.
+func (s *server) receiveReports(stream *wire.Stream, id string) {
+	for {
+		frame, err := stream.Receive()
+		switch {
+		case err != nil:
+			// The gateway ended the lease without reporting on the request.
+			return
+		case frame.LimitObserved != nil:
+			limit := ratelimit.Limit{Named: frame.LimitObserved.Limited, PerSecond: frame.LimitObserved.LimitPerSecond}
+			s.controller.loop.Do(func() { s.controller.limitObserved(time.Now(), id, limit) })
+		case frame.Released != nil:
+			latency := time.Duration(frame.Released.FirstMillis) * time.Millisecond
+			s.controller.loop.Do(func() { s.controller.manager.RequestEnded(time.Now(), id, frame.Released.Failed, latency) })
+			return
+		default:
+			return
+		}
 	}
-	latency := time.Duration(frame.Released.FirstMillis) * time.Millisecond
-	s.controller.loop.Do(func() { s.controller.manager.RequestEnded(time.Now(), id, frame.Released.Failed, latency) })
 }
 
 // awaitOutcome sends the outcome of a lease request and reports whether it was
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -122,7 +122,7 @@
 		f.Sync != nil, f.Update != nil, f.LoadRequest != nil, f.LoadGrant != nil,
 		f.Resume != nil, f.Subscribe != nil, f.RunnerPlacement != nil, f.RunnerLoadGrant != nil,
 		f.RunnerStatus != nil, f.Acquire != nil, f.Granted != nil, f.Released != nil,
-		f.Follow != nil, f.SiteUpdate != nil,
+		f.Follow != nil, f.SiteUpdate != nil, f.RateTokenRequest != nil, f.LimitObserved != nil,
 	} {
 		if set {
 			count++
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -34,6 +34,10 @@
 	// The messages between gateways.
 	Follow     *Follow     `cbor:"21,keyasint,omitempty"`
 	SiteUpdate *SiteUpdate `cbor:"22,keyasint,omitempty"`
+
+	// The messages about the rate limits of backend servers.
+	RateTokenRequest *RateTokenRequest `cbor:"23,keyasint,omitempty"`
+	LimitObserved    *LimitObserved    `cbor:"24,keyasint,omitempty"`
 }
 
 // Request carries one caller's request from an entry to an agent.
--- a/pkg/wire/runner_messages.go
+++ b/pkg/wire/runner_messages.go
@@ -131,12 +131,16 @@
 	// on.
 	Partial bool     `cbor:"11,keyasint,omitempty"`
 	Dropped []string `cbor:"12,keyasint,omitempty"`
-	// LoadPercent is the load of the runner by its slots or by prefill, whichever is
-	// higher; 100 is what it can serve well.
+	// LoadPercent is the load of the runner by its slots, by prefill or by its rate
+	// limit, whichever is highest; 100 is what it can serve well.
 	LoadPercent int `cbor:"13,keyasint,omitempty"`
 	// PrefillNanosPerToken is the runner's prefill time per token, in nanoseconds;
 	// zero if it is unknown.
 	PrefillNanosPerToken int64 `cbor:"14,keyasint,omitempty" json:"TokenNanos"`
+	// Limited is set if the runner names a rate limit, LimitPerSecond is the number
+	// of requests a second that it accepts from all hosts together.
+	Limited        bool    `cbor:"15,keyasint,omitempty"`
+	LimitPerSecond float64 `cbor:"16,keyasint,omitempty"`
 }
 
 // FindModel returns the index of a model in a list that is ordered by name, or the
--- a/testkit/platformprocess/limit_test.go
+++ b/testkit/platformprocess/limit_test.go
@@ -117,6 +117,7 @@
 			t.Errorf("%s refused without Retry-After", request.ID)
 		}
 	}
+	t.Logf("%d of %d requests served, at most %d arrived within %s", served, len(sent), mostArrivals(backend, named.Add(limitNotice)), limitWindow)
 	if offered := limitPerSecond * limitedSeconds; served < offered/2 {
 		t.Errorf("%d requests served in %d s, the server offered %d", served, limitedSeconds, offered)
 	}
