Cut off an event of a resumable stream that never ends

The entry holds back an incomplete event of a resumable stream, without a bound, so its memory grew with the server's bandwidth until the request's deadline, and the platform kills a process over its memory.

Change: an event of more than 1 MiB ends the stream as broken; it is resumed at another server after the last complete event, as after any broken stream.

Evidence: TestEndlessEventOfResumableStreamIsCutOff was red before (still reading at its deadline of 5 s) and passes.

--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -22,8 +22,14 @@
 	// retried.
 	maxBufferedBytes = 256 << 10
 	streamBufferSize = 8 << 10
+	// maxEventBytes limits the size of one event of a resumable stream, which is
+	// buffered until it is complete.
+	maxEventBytes = 1 << 20
 )
 
+// errEventTooLarge means that an event of a resumable stream exceeds maxEventBytes.
+var errEventTooLarge = errors.New("event of the stream is too large")
+
 // progress is the part of the response that was sent to the caller.
 type progress struct {
 	// started is set once the header was written.
@@ -141,6 +147,11 @@
 	buffer := make([]byte, 0, streamBufferSize)
 	broken := attempt.Broken
 	for {
+		if len(buffer) >= maxEventBytes {
+			response.Close()
+			x.sendError = fmt.Errorf("after event %q: %w", x.progress.lastEventID, errEventTooLarge)
+			return &broken
+		}
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, 0)[:len(buffer)]
 		}
--- a/pkg/gateway/send_test.go
+++ b/pkg/gateway/send_test.go
@@ -1,12 +1,18 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/attempt"
+	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
 )
@@ -75,3 +81,52 @@
 		}
 	}
 }
+
+// endlessServer sends the header of a stream and then bytes without an end.
+func endlessServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: "))
+		for err == nil {
+			_, err = conn.Write(bytes.Repeat([]byte("x"), 64<<10))
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// Guards against an event without an end that fills the memory of the entry.
+func TestEndlessEventOfResumableStreamIsCutOff(t *testing.T) {
+	x := testExchange(&recorder{}, &fleet.Route{Kind: fleet.Streaming, Resumable: true, Destinations: []fleet.Destination{{Service: "s"}}})
+	x.handler.tracker = backends.NewTracker()
+	pool := forward.NewPool(&recorder{}, func(string, time.Duration, error) {})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	response, err := pool.Send(ctx, endlessServer(t), &forward.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	event := x.forwardStream(ctx, &server{Backend: &fleet.Backend{ID: "i-1"}}, response)
+	if event == nil || *event != attempt.Broken || ctx.Err() != nil {
+		t.Fatalf("event %v after %v, want a broken stream at once", event, ctx.Err())
+	}
+	if !errors.Is(x.sendError, errEventTooLarge) {
+		t.Errorf("error %v", x.sendError)
+	}
+	if x.progress.lastEventID != "" {
+		t.Errorf("forwarded event %q", x.progress.lastEventID)
+	}
+}
