Bound the informational responses before a response

A server that sends informational responses without an end kept a request until its deadline: the limit of a response header began anew with each of them. It now covers them together.

Evidence: TestEndlessHeaderIsCutOff, subtest interim responses, was red before (still reading after 5 s); an endless header field, endless header fields, an endless status line and bytes that aren't HTTP were cut off before and are covered by the test now.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -14,7 +14,8 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// maxHeaderBytes limits the size of a response header.
+	// maxHeaderBytes limits the size of a response header, with the informational
+	// responses before it.
 	maxHeaderBytes = 256 << 10
 )
 
@@ -69,10 +70,10 @@
 // ones.
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	c.header.left = maxHeaderBytes
+	defer func() { c.header.left = unlimited }()
 	for {
-		c.header.left = maxHeaderBytes
 		response, err := http.ReadResponse(c.reader, request)
-		c.header.left = unlimited
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/forward/send_test.go
+++ b/pkg/forward/send_test.go
@@ -325,3 +325,32 @@
 		t.Errorf("kept for %s without a Keep-Alive header", kept)
 	}
 }
+
+// Guards against a response without an end before its header is complete.
+func TestEndlessHeaderIsCutOff(t *testing.T) {
+	for name, endless := range map[string]struct{ start, repeated string }{
+		"header field":           {"HTTP/1.1 200 OK\r\nX-Endless: ", "x"},
+		"header fields":          {"HTTP/1.1 200 OK\r\n", "X-Endless: x\r\n"},
+		"status line":            {"HTTP/1.1 200 ", "x"},
+		"bytes that aren't HTTP": {"", "\x00"},
+		"interim responses":      {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool, address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+				_, _, err := readRequest(requests)
+				if err == nil {
+					_, err = io.WriteString(conn, endless.start)
+				}
+				for block := strings.Repeat(endless.repeated, 1<<10); err == nil; {
+					_, err = io.WriteString(conn, block)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := pool.Send(ctx, address, request("1"), false)
+			if err == nil || ctx.Err() != nil {
+				t.Errorf("error %v after %v, want one at once", err, ctx.Err())
+			}
+		})
+	}
+}
