Take no share of the retry slack before the entries are counted

An entry that didn't know the number of entries yet took an eighth of the retry slack. After a restart of the whole large site (68 entries, slack 176), all entries together could send 1156 retries without a request in their first moments, and retries after the servers' own refusals count as well.

Change: an entry takes no share of the slack until it has read the site's hosts, only the retries that its own requests allow.

Evidence: TestEntriesOfUnknownSiteTakeNoShareOfSlack was red before (1156 of 176).

--- a/pkg/attempt/budget.go
+++ b/pkg/attempt/budget.go
@@ -30,8 +30,9 @@
 	// as the wall clock may jump.
 	start time.Time
 
-	mu       sync.Mutex
-	limits   BudgetLimits
+	mu     sync.Mutex
+	limits BudgetLimits
+	// entries is the number of entries that share the slack; zero if it is unknown.
 	entries  int
 	services map[string]*window
 }
@@ -43,10 +44,10 @@
 	retries  [windowBuckets]int
 }
 
-// NewBudget returns a budget that is shared by the given number of entries until
-// SetEntries changes it.
-func NewBudget(now time.Time, limits BudgetLimits, entries int) *Budget {
-	return &Budget{limits: limits, start: now, entries: max(entries, 1), services: make(map[string]*window)}
+// NewBudget returns a budget without a share of the slack, which SetEntries gives
+// it.
+func NewBudget(now time.Time, limits BudgetLimits) *Budget {
+	return &Budget{limits: limits, start: now, services: make(map[string]*window)}
 }
 
 // SetLimits changes the limits.
@@ -76,8 +77,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	slack := b.limits.Slack / float64(b.entries)
-	allowed := budgetSafetyFactor * (b.limits.Ratio*float64(sum(&w.requests)) + slack)
+	allowed := budgetSafetyFactor * (b.limits.Ratio*float64(sum(&w.requests)) + b.slackShare())
 	if float64(sum(&w.retries)+1) > allowed {
 		return false
 	}
@@ -85,6 +85,14 @@
 	return true
 }
 
+// slackShare is this entry's share of the slack.
+func (b *Budget) slackShare() float64 {
+	if b.entries == 0 {
+		return 0
+	}
+	return b.limits.Slack / float64(b.entries)
+}
+
 // window returns a service's window, advanced to the current bucket.
 func (b *Budget) window(now time.Time, service string) *window {
 	w := b.services[service]
--- a/pkg/attempt/machine_test.go
+++ b/pkg/attempt/machine_test.go
@@ -9,9 +9,16 @@
 
 var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// newTestBudget returns the budget of one of several entries.
+func newTestBudget(limits BudgetLimits, entries int) *Budget {
+	budget := NewBudget(testStart, limits)
+	budget.SetEntries(entries)
+	return budget
+}
+
 // newUnlimitedBudget returns a budget that is never exhausted.
 func newUnlimitedBudget() *Budget {
-	return NewBudget(testStart, BudgetLimits{Ratio: 1, Slack: 1e6, Window: 10 * time.Second}, 1)
+	return newTestBudget(BudgetLimits{Ratio: 1, Slack: 1e6, Window: 10 * time.Second}, 1)
 }
 
 func TestDecisions(t *testing.T) {
@@ -74,7 +81,7 @@
 			Deadline: testStart.Add(time.Second),
 		}
 		request.Resumable = request.Idempotent && rapid.Bool().Draw(t, "resumable")
-		budget := NewBudget(testStart, BudgetLimits{Slack: rapid.Float64Range(0, 10).Draw(t, "slack"), Window: time.Second}, 1)
+		budget := newTestBudget(BudgetLimits{Slack: rapid.Float64Range(0, 10).Draw(t, "slack"), Window: time.Second}, 1)
 		machine := New(request, budget)
 		now := testStart
 		mayHaveRun := 0
@@ -112,7 +119,7 @@
 		entries := rapid.IntRange(1, 5).Draw(t, "entries")
 		budgets := make([]*Budget, entries)
 		for i := range budgets {
-			budgets[i] = NewBudget(testStart, limits, entries)
+			budgets[i] = newTestBudget(limits, entries)
 		}
 		type send struct {
 			at    time.Time
@@ -156,7 +163,7 @@
 }
 
 func TestBudgetIsPerService(t *testing.T) {
-	budget := NewBudget(testStart, BudgetLimits{Slack: 2, Window: time.Second}, 1)
+	budget := newTestBudget(BudgetLimits{Slack: 2, Window: time.Second}, 1)
 	if !budget.Withdraw(testStart, "a") || budget.Withdraw(testStart, "a") {
 		t.Error("a slack of one retry doesn't allow exactly one retry")
 	}
@@ -167,3 +174,19 @@
 		t.Error("the budget is still exhausted after the window")
 	}
 }
+
+// Guards against a site that restarts together, whose entries each take a larger share than theirs.
+func TestEntriesOfUnknownSiteTakeNoShareOfSlack(t *testing.T) {
+	const entries, slack = 68, 176
+	limits := BudgetLimits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}
+	taken := 0
+	for range entries {
+		budget := NewBudget(testStart, limits)
+		for budget.Withdraw(testStart, "s") {
+			taken++
+		}
+	}
+	if taken > slack {
+		t.Errorf("%d retries without a request, %d may be sent", taken, slack)
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -132,7 +132,7 @@
 		tracker:     backends.NewTracker(),
 		gate:        backpressure.NewGate(),
 		limits:      ratelimit.NewRegistry(),
-		budget:      attempt.NewBudget(time.Now(), budgetLimits(g.config.Retries), assumedEntries),
+		budget:      attempt.NewBudget(time.Now(), budgetLimits(g.config.Retries)),
 		domain:      g.config.Host.FailureDomain,
 		observer:    g.observer,
 	}
@@ -149,10 +149,6 @@
 	}
 }
 
-// assumedEntries is the number of entries assumed to share the retry budget before
-// the actual number is known.
-const assumedEntries = 8
-
 // start starts the background tasks, which run until ctx ends. leading ends
 // earlier, when the process begins to stop.
 func (g *Gateway) start(ctx, leading context.Context, d Dependencies) {
