--- a/testkit/platformprocess/limit_test.go
+++ b/testkit/platformprocess/limit_test.go
@@ -202,3 +202,40 @@
 	checkLimit(t, backend, named, sent)
 	checkLimitEnds(t, s, backend, platformsite.BookingPath, "")
 }
+
+// Guards against requests that wait for, or are refused because of, a limited server while others have capacity.
+func TestOtherServersTakeRequestsOfLimitedServer(t *testing.T) {
+	for _, test := range []struct {
+		name, path, model string
+		backend           func(*platformsite.Site) *backendserver.Server
+	}{
+		{"plain server", platformsite.BookingPath, "", func(s *platformsite.Site) *backendserver.Server { return s.Plain[0] }},
+		{"model runner", platformsite.AdvicePath, "m1", func(s *platformsite.Site) *backendserver.Server { return s.Runners[0].Backend }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := start(t, func(o *platformsite.Options) {
+				o.Entries = 4
+				o.Models = o.Models[:1]
+			})
+			for _, entry := range s.Entries {
+				eventuallyServe(t, s, entry, test.path, test.model)
+			}
+			backend := test.backend(s)
+			backend.SetLimit(fmt.Sprint(limitPerSecond))
+			named := time.Now()
+			sent := load(t, s, test.path, test.model, limitedSeconds*time.Second)
+			checkLimit(t, backend, named, sent)
+			late, unserved := 0, 0
+			for _, request := range sent {
+				if s.Check(request.Request, request.result) != nil {
+					unserved++
+				} else if request.result.HeaderTime > time.Second {
+					late++
+				}
+			}
+			if most := len(sent) / 20; unserved > most || late > most {
+				t.Errorf("%d of %d requests not served, %d later than a second", unserved, len(sent), late)
+			}
+		})
+	}
+}
