Test that an agent reports the limit that a gateway observed

Until now only the process tests covered the way from a response to the status that all entries receive.

--- a/pkg/runneragent/agent_test.go
+++ b/pkg/runneragent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -296,3 +297,23 @@
 	f.runner.setError(nil)
 	f.awaitStatus(func(s *wire.RunnerStatus) bool { return !s.Down })
 }
+
+// TestObservedLimitIsReported has a gateway report the limit that the response to a
+// request named, and then its end.
+func TestObservedLimitIsReported(t *testing.T) {
+	f := startAgent(t)
+	f.awaitPlacement()
+	for id, observed := range []wire.LimitObserved{{Limited: true, LimitPerSecond: 1.5}, {}} {
+		stream := f.open(acquire(fmt.Sprint(id), "m"))
+		if frame := f.outcomeOf(stream); frame.Granted == nil {
+			t.Fatalf("outcome %+v", frame)
+		}
+		if err := stream.Send(&wire.Frame{LimitObserved: &observed}); err != nil {
+			t.Fatal(err)
+		}
+		f.awaitStatus(func(s *wire.RunnerStatus) bool {
+			return s.Limited == observed.Limited && s.LimitPerSecond == observed.LimitPerSecond
+		})
+		stream.Close()
+	}
+}
