Split the gateway's choice of a server and its drain into files of their own

The choice of a relay uses the rendezvous hashing of package membership instead of a second one. No decision changes but for which of two relays an entry follows.

--- a/pkg/directory/topology.go
+++ b/pkg/directory/topology.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 )
 
@@ -112,13 +113,9 @@
 // pickRelay chooses one of a domain's relays by hash, so that followers are spread
 // over the relays.
 func (t *Topology) pickRelay(candidates []roster.Host) string {
-	best := ""
-	var bestScore uint64
-	for _, host := range candidates {
-		if score := xxhash.Sum64String(t.self + "/" + host.ID); best == "" || score > bestScore {
-			best = host.ID
-			bestScore = score
-		}
+	ids := make([]string, len(candidates))
+	for i, host := range candidates {
+		ids[i] = host.ID
 	}
-	return best
+	return membership.RendezvousOwner(t.self, ids)
 }
--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -4,9 +4,14 @@
 //
 // A request passes these files in order: handler.go finds its route and reads it,
 // exchange.go sends it to servers as package attempt decides, response.go writes
-// the response. store_watcher.go watches the platform's store, view.go holds the
+// the response. peer_server.go serves other entries, store_watcher.go watches the platform's store, view.go holds the
 // snapshot that requests read.
 //
+// Of these files, acquire.go, choose.go and candidate.go choose a server. leases.go
+// acquires the lease of a model, and rate_tokens.go the permission to send a request
+// to a server that names a rate limit; limiter_server.go issues these permissions to
+// all entries, as package ratelimit decides.
+//
 // The state of agents comes from the agents themselves (connections.go) or from
 // an entry that relays it (upstream.go); follower.go selects the sources with
 // package directory, and relay.go sends the state to other entries. agents.go
--- /dev/null
+++ b/pkg/gateway/drain.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// drainNotice is how long a stopping entry accepts new connections after its
+	// readiness check fails, so that the load balancer removes it first.
+	drainNotice = 2500 * time.Millisecond
+	// drainMargin is the time reserved before the platform kills the process.
+	drainMargin = 300 * time.Millisecond
+	// queuedMargin is how long before the end of draining the requests that still
+	// wait for a runner are refused.
+	queuedMargin = 1200 * time.Millisecond
+)
+
+// isReady reports to the load balancer whether to send new connections to this
+// entry.
+func (g *Gateway) isReady() bool {
+	current := g.control.current()
+	return !g.stopped.Load() && current.table != nil && len(current.servers) > 0
+}
+
+// drain waits for the load balancer to remove this entry, then closes the listener
+// and waits for the requests in flight.
+func (g *Gateway) drain() {
+	started := time.Now()
+	end := started.Add(time.Duration(g.config.DrainMillis)*time.Millisecond - drainMargin)
+	g.logger.Info("draining", "in_flight", g.handler.inFlight.Load())
+	g.stopped.Store(true)
+	g.handler.closing.Store(true)
+	cancelTimer := time.AfterFunc(time.Until(end)-queuedMargin, g.handler.cancelQueued)
+	defer cancelTimer.Stop()
+	time.Sleep(drainNotice)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := g.callerServer.Shutdown(ctx); err != nil {
+		_ = g.callerServer.Close()
+	}
+	_ = g.readinessServer.Close()
+	g.logger.Info("stopped", "in_flight", g.handler.inFlight.Load())
+}
--- a/pkg/gateway/leases.go
+++ b/pkg/gateway/leases.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -115,3 +118,114 @@
 		}
 	}
 }
+
+// leaseResult is the result of requesting a lease.
+type leaseResult uint8
+
+const (
+	// leaseUnavailable: the runner can't be used.
+	leaseUnavailable leaseResult = iota
+	// leaseAcquired: the runner may be used.
+	leaseAcquired
+	// leaseSwitched: another runner can serve the request sooner.
+	leaseSwitched
+	// leaseDelayed: the server's rate limit allows no request from this host yet.
+	leaseDelayed
+)
+
+// acquireLease acquires a lease of the request's model. If the agent does not
+// respond, a runner that has the model loaded is used without a lease, with a rate
+// token if it names a limit.
+func (x *exchange) acquireLease(ctx context.Context, s *server) (*lease, leaseResult) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(x.handler.queued, cancel)
+	defer stop()
+	watcher := x.watchForBetter(s, cancel)
+	requestedAt := time.Now()
+	granted, refusal, err := acquire(waitCtx, x.handler.node.Load(), s, x.acquireFrame(requestedAt))
+	switched := watcher.finish()
+	waited := time.Since(requestedAt)
+	switch {
+	case err != nil && switched:
+		x.countedAsDemand = true
+		x.handler.observer.metrics.LeaseWait(leaseAbandoned, waited)
+		x.logger.Info("lease request cancelled for a better runner", "agent", s.agent, "backend", s.ID, "waited_ms", waited.Milliseconds())
+		return nil, leaseSwitched
+	case err != nil:
+		if waitCtx.Err() != nil {
+			return nil, leaseUnavailable
+		}
+		x.handler.observer.metrics.LeaseWait(leaseAgentTimeout, waited)
+		runnerAlive := isProcessDown(err) || x.handler.tracker.AgentUnresponsive(time.Now(), s.ID)
+		x.logger.Info("agent not responding", "agent", s.agent, "backend", s.ID, "runner_lives", runnerAlive,
+			"waited_ms", waited.Milliseconds(), "error", err)
+		known := s.model(x.caller.Model)
+		if runnerAlive && known != nil && known.State == wire.ModelLoaded {
+			return x.acquireRateToken(ctx, s)
+		}
+		return nil, leaseUnavailable
+	case refusal != nil:
+		x.countedAsDemand = true
+		x.declined = x.declined || isDeclined(refusal.Reason)
+		x.retryAfter = time.Duration(refusal.RetryAfterMillis) * time.Millisecond
+		x.handler.observer.metrics.LeaseWait(string(refusal.Reason), waited)
+		x.logger.Info("lease refused", "agent", s.agent, "backend", s.ID, "reason", refusal.Reason,
+			"retry_after_ms", refusal.RetryAfterMillis, "waited_ms", waited.Milliseconds(), "status_age_ms", s.statusAge(requestedAt).Milliseconds())
+		return nil, leaseUnavailable
+	default:
+		x.handler.observer.metrics.LeaseWait(leaseGranted, waited)
+		x.leaseWait = time.Since(x.arrived)
+		x.countedAsDemand = true
+		return granted, leaseAcquired
+	}
+}
+
+// isDeclined reports whether a refusal means that the runner can't serve the
+// request in time, rather than that it is out of service.
+func isDeclined(reason wire.Reason) bool {
+	switch reason {
+	case wire.ReasonDeadline, wire.ReasonNoMemory, wire.ReasonQueueFull, wire.ReasonRate:
+		return true
+	default:
+		return false
+	}
+}
+
+// leaseGranted, leaseAgentTimeout and leaseAbandoned are the results of lease
+// requests in metrics, in addition to the reasons of refusals.
+const (
+	leaseGranted      = "granted"
+	leaseAgentTimeout = "silent"
+	leaseAbandoned    = "left"
+)
+
+// isProcessDown reports whether the agent's host responded that the process isn't
+// running, so that only the agent is down and not the host.
+func isProcessDown(err error) bool {
+	var reset *quic.StatelessResetError
+	return errors.As(err, &reset) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (x *exchange) acquireFrame(now time.Time) *wire.Acquire {
+	return &wire.Acquire{
+		RequestID:      x.caller.RequestID,
+		Model:          x.caller.Model,
+		Adapter:        x.caller.Adapter,
+		Route:          x.route.Name,
+		Priority:       x.route.Priority,
+		DeadlineMillis: remainingMillis(now, x.deadline),
+		StartMillis:    remainingMillis(now, x.startDeadline()),
+		TargetMillis:   uint32(x.route.TargetLatency.Milliseconds()),
+		PromptTokens:   int64(x.caller.PromptTokens),
+		Tokens:         int64(x.caller.PromptTokens) + outputTokenCost*int64(x.caller.MaxOutputTokens),
+		Repeated:       x.countedAsDemand,
+	}
+}
+
+// outputTokenCost is the cost of an output token in prompt tokens.
+const outputTokenCost = 10
+
+func remainingMillis(now, until time.Time) uint32 {
+	return uint32(max(until.Sub(now).Milliseconds(), 0))
+}
--- a/testkit/platformprocess/limit_test.go
+++ b/testkit/platformprocess/limit_test.go
@@ -44,6 +44,15 @@
 	return s
 }
 
+// limitedBackends are the kinds of servers that can name a limit.
+var limitedBackends = []struct {
+	name, path, model string
+	backend           func(*platformsite.Site) *backendserver.Server
+}{
+	{"plain server", platformsite.BookingPath, "", func(s *platformsite.Site) *backendserver.Server { return s.Plain[0] }},
+	{"model runner", platformsite.AdvicePath, "m1", func(s *platformsite.Site) *backendserver.Server { return s.Runners[0].Backend }},
+}
+
 // sentRequest is a request of a load with its result.
 type sentRequest struct {
 	platformsite.Request
@@ -143,13 +152,7 @@
 
 // Guards against a limit that each entry keeps for itself, so that the server gets the sum.
 func TestServerLimitHoldsForAllEntriesTogether(t *testing.T) {
-	for _, test := range []struct {
-		name, path, model string
-		backend           func(*platformsite.Site) *backendserver.Server
-	}{
-		{"plain server", platformsite.BookingPath, "", func(s *platformsite.Site) *backendserver.Server { return s.Plain[0] }},
-		{"model runner", platformsite.AdvicePath, "m1", func(s *platformsite.Site) *backendserver.Server { return s.Runners[0].Backend }},
-	} {
+	for _, test := range limitedBackends {
 		t.Run(test.name, func(t *testing.T) {
 			s := limitedSite(t)
 			backend := test.backend(s)
@@ -205,13 +208,7 @@
 
 // Guards against requests that wait for, or are refused because of, a limited server while others have capacity.
 func TestOtherServersTakeRequestsOfLimitedServer(t *testing.T) {
-	for _, test := range []struct {
-		name, path, model string
-		backend           func(*platformsite.Site) *backendserver.Server
-	}{
-		{"plain server", platformsite.BookingPath, "", func(s *platformsite.Site) *backendserver.Server { return s.Plain[0] }},
-		{"model runner", platformsite.AdvicePath, "m1", func(s *platformsite.Site) *backendserver.Server { return s.Runners[0].Backend }},
-	} {
+	for _, test := range limitedBackends {
 		t.Run(test.name, func(t *testing.T) {
 			s := start(t, func(o *platformsite.Options) {
 				o.Entries = 4
