Use a server soon after its limit has ended

A host that was refused a rate token left the server alone for up to 10 s, also if its limit ended meanwhile; now for up to 4 s, at the cost of more requests for tokens. An agent reports no load beyond twice the limit, which would change its status with every request.

--- a/pkg/ratelimit/bucket.go
+++ b/pkg/ratelimit/bucket.go
@@ -11,7 +11,8 @@
 	minBurst = 1
 	maxBurst = 2
 	// maxReturnDelay bounds the times at which refused requests are told to return.
-	maxReturnDelay = 10 * time.Second
+	// A server whose limit has ended isn't used by a host for as long.
+	maxReturnDelay = 4 * time.Second
 )
 
 // Bucket is a token bucket for the requests to one backend server. The zero value
--- a/pkg/residency/limits.go
+++ b/pkg/residency/limits.go
@@ -68,5 +68,9 @@
 	if !limit.Named {
 		return 0
 	}
-	return m.arrivals.current(now) / limit.Rate()
+	return min(m.arrivals.current(now)/limit.Rate(), maxLimitLoad)
 }
+
+// maxLimitLoad bounds the load by the rate limit, so that its changes beyond full
+// load need no status updates.
+const maxLimitLoad = 2
