Ignore what a host knows of a limit if it is older than the last response

A host that asks for a rate token reports the limit that it knows. A lower one from before the server raised its limit replaced the newer one at the limiter, until the next response: capacity lost, no bound broken. The new case of TestOvertakenResponsesNeitherRaiseNorEndLimit fails without the change.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -38,6 +38,8 @@
 	rejectedBy []string
 	// switches counts how often the request switched to a better runner.
 	switches int
+	// rateTokens counts the rate tokens that the request was granted.
+	rateTokens int
 	// leaseWait is the time until the lease of the model was granted,
 	// timeToFirstByte the time until the response header was sent to the caller.
 	leaseWait       time.Duration
--- a/pkg/gateway/limiter_server.go
+++ b/pkg/gateway/limiter_server.go
@@ -8,14 +8,15 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// limiterServer issues the rate tokens for servers with a rate limit to all entries.
+// limiterServer issues the rate tokens for servers with a rate limit to all
+// entries.
 type limiterServer struct {
 	limiter *ratelimit.Limiter
 	control *control
 }
 
-// serve responds to another entry's request for a rate token, and receives which limit
-// the response to the request named.
+// serve responds to another entry's request for a rate token, and receives which
+// limit the response to the caller's request named.
 func (s *limiterServer) serve(stream *wire.Stream, request *wire.RateTokenRequest) {
 	now := time.Now()
 	decided := s.decide(now, requestOf(now, request))
@@ -49,8 +50,8 @@
 	return s.limiter.Decide(now, request)
 }
 
-// observe applies the limit that the response to a request named.
-// grantedAt is when its token was granted.
+// observe applies the limit that the response to a request named. grantedAt is when
+// its token was granted.
 func (s *limiterServer) observe(server backpressure.Incarnation, grantedAt time.Time, limit ratelimit.Limit) {
 	now := time.Now()
 	s.limiter.Observe(now, server, ratelimit.Observation{Limit: limit, SentAt: grantedAt, ReceivedAt: now})
@@ -58,9 +59,9 @@
 
 func (s *limiterServer) hasActiveAgent(now time.Time, server backpressure.Incarnation) bool {
 	for _, servers := range s.control.current().servers {
-		for _, s := range servers {
-			if s.incarnation() == server {
-				return s.agent != "" && s.hasFreshStatus(now)
+		for _, known := range servers {
+			if known.incarnation() == server {
+				return known.agent != "" && known.hasFreshStatus(now)
 			}
 		}
 	}
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -88,7 +88,7 @@
 	o.logger.Info("request", "request", x.caller.RequestID, "route", x.route.Name, "kind", kind,
 		"outcome", string(end.outcome), "status", end.status, "cause", end.cause,
 		"retry_after_ms", end.retryAfter.Milliseconds(), "budget_ms", x.deadline.Sub(x.arrived).Milliseconds(),
-		"backend", x.lastServer, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(),
+		"backend", x.lastServer, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "rate_tokens", x.rateTokens,
 		"configuration", x.versions.configuration, "placement", x.versions.placement, "servers_age_ms", x.versions.registrationsAge.Milliseconds(),
 		"leased_ms", x.leaseWait.Milliseconds(), "first_ms", x.timeToFirstByte.Milliseconds(), "gap_ms", x.progress.longestGap.Milliseconds(),
 		"took_ms", elapsed.Milliseconds())
--- a/pkg/gateway/rate_tokens.go
+++ b/pkg/gateway/rate_tokens.go
@@ -32,9 +32,9 @@
 	rateTokenTimeout = "silent"
 )
 
-// limiterClient requests rate tokens for servers with a rate limit. For each server, all
-// entries ask the same two entries, in the same order. It is safe for concurrent
-// use.
+// limiterClient requests rate tokens for servers with a rate limit. For each server,
+// all entries ask the same two entries, in the same order. It is safe for
+// concurrent use.
 type limiterClient struct {
 	self   string
 	server *limiterServer
@@ -52,8 +52,8 @@
 	}
 }
 
-// limiterEntries returns the entries that issue rate tokens for a server, in an order that
-// all entries agree on.
+// limiterEntries returns the entries that issue rate tokens for a server, in an order
+// that all entries agree on.
 func limiterEntries(hosts map[string]roster.Host, server string) []roster.Host {
 	var ids []string
 	for id, host := range hosts {
@@ -112,40 +112,50 @@
 	if !limit.Named {
 		return nil, leaseAcquired
 	}
-	h := x.handler
-	node := h.node.Load()
 	request := &wire.RateTokenRequest{
 		Server:          s.ID,
 		StartedAtMillis: s.StartedAtMillis,
 		LimitPerSecond:  limit.PerSecond,
 		NamedAgeMillis:  uint32(max(now.Sub(namedAt), 0).Milliseconds()),
 	}
-	for rank, entry := range limiterEntries(h.control.current().hosts, s.ID) {
-		if node == nil || h.limiters.isAvoided(now, entry.ID) {
+	for rank, entry := range limiterEntries(x.handler.control.current().hosts, s.ID) {
+		if x.handler.node.Load() == nil || x.handler.limiters.isAvoided(now, entry.ID) {
 			continue
 		}
 		request.Fallback = rank > 0
-		granted, refusal, err := h.limiters.request(ctx, node, entry, request)
-		switch {
-		case ctx.Err() != nil:
-			granted.release(false, 0)
-			return nil, leaseUnavailable
-		case err != nil:
-			h.limiters.avoid(time.Now(), entry.ID)
-			h.observer.metrics.RateToken(rateTokenTimeout)
-			x.logger.Warn("entry that issues rate tokens not responding", "entry", entry.ID, "backend", s.ID, "error", err)
-		case refusal != nil:
-			x.delay(s, time.Duration(refusal.RetryAfterMillis)*time.Millisecond, rateTokenRefused, entry.ID, request)
-			return nil, leaseDelayed
-		default:
-			h.observer.metrics.RateToken(rateTokenGranted)
-			return granted, leaseAcquired
+		granted, result := x.askLimiter(ctx, s, entry, request)
+		if result != leaseUnavailable || ctx.Err() != nil {
+			return granted, result
 		}
 	}
 	x.delay(s, noLimiterRetryAfter, rateTokenTimeout, "", request)
 	return nil, leaseDelayed
 }
 
+// askLimiter requests a rate token from one entry. The result is leaseUnavailable if
+// the entry doesn't respond.
+func (x *exchange) askLimiter(ctx context.Context, s *server, entry roster.Host, request *wire.RateTokenRequest) (*lease, leaseResult) {
+	h := x.handler
+	granted, refusal, err := h.limiters.request(ctx, h.node.Load(), entry, request)
+	switch {
+	case ctx.Err() != nil:
+		granted.release(false, 0)
+		return nil, leaseUnavailable
+	case err != nil:
+		h.limiters.avoid(time.Now(), entry.ID)
+		h.observer.metrics.RateToken(rateTokenTimeout)
+		x.logger.Warn("entry that issues rate tokens not responding", "entry", entry.ID, "backend", s.ID, "error", err)
+		return nil, leaseUnavailable
+	case refusal != nil:
+		x.delay(s, time.Duration(refusal.RetryAfterMillis)*time.Millisecond, rateTokenRefused, entry.ID, request)
+		return nil, leaseDelayed
+	default:
+		h.observer.metrics.RateToken(rateTokenGranted)
+		x.rateTokens++
+		return granted, leaseAcquired
+	}
+}
+
 // delay records that a server accepts no request from this host for some time.
 func (x *exchange) delay(s *server, after time.Duration, outcome, entry string, request *wire.RateTokenRequest) {
 	x.handler.gate.RecordRejection(time.Now(), s.incarnation(), after)
--- a/pkg/ratelimit/bucket.go
+++ b/pkg/ratelimit/bucket.go
@@ -76,8 +76,8 @@
 	b.tokens = min(b.tokens+rate*max(elapsed.Seconds(), 0), burst)
 }
 
-// Rate is the number of tokens per second. It is more than zero
-// even if the server takes no requests.
+// Rate is the number of tokens per second. It is more than zero even if the server
+// takes no requests.
 func (l Limit) Rate() float64 { return max(l.PerSecond, minPerSecond) }
 
 // Scaled returns the limit for a part of the requests.
--- a/pkg/ratelimit/doc.go
+++ b/pkg/ratelimit/doc.go
@@ -8,5 +8,10 @@
 // raise or end it. A Registry holds the records of all servers that one host has
 // responses of.
 //
+// A Bucket spaces the requests to one server by its limit. It only keeps the limit if
+// it counts the requests of all hosts: that of a runner's agent does, since each
+// request needs a lease, and so does that of a Limiter, which issues tokens for
+// single requests to all hosts.
+//
 // Times are arguments.
 package ratelimit
--- a/pkg/ratelimit/record.go
+++ b/pkg/ratelimit/record.go
@@ -77,6 +77,10 @@
 		// A request that was sent later has found that the limit has ended.
 		return
 	}
+	if r.limit.Named && o.ReceivedAt.Before(r.namedAt) {
+		// What another host knows is older.
+		return
+	}
 	overtaken := o.SentAt.Before(r.namedAt)
 	if r.limit.isBelow(o.Limit) && overtaken {
 		return
--- a/pkg/ratelimit/record_test.go
+++ b/pkg/ratelimit/record_test.go
@@ -27,6 +27,7 @@
 		{"lowered to zero", []Observation{{PerSecond(2), at(0), at(10)}, {PerSecond(0), at(5), at(20)}}, PerSecond(0)},
 		{"late response from before the end", []Observation{{PerSecond(2), at(0), at(10)}, {none, at(30), at(40)}, {PerSecond(2), at(0), at(20)}}, none},
 		{"named again after the end", []Observation{{PerSecond(2), at(0), at(10)}, {none, at(30), at(40)}, {PerSecond(2), at(35), at(50)}}, PerSecond(2)},
+		{"older knowledge of a lower limit", []Observation{{PerSecond(5), at(20), at(30)}, {PerSecond(1), at(10), at(10)}}, PerSecond(5)},
 		{"none after none", []Observation{{none, at(0), at(10)}, {none, at(0), at(5)}}, none},
 	}
 	for _, test := range tests {
