--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -45,8 +45,6 @@
 	Granted bool
 	// RetryAfter is when a refused request may ask again.
 	RetryAfter time.Duration
-	// Limit is the limit that the decision is based on.
-	Limit Limit
 }
 
 // Decide grants or refuses a token.
@@ -60,9 +58,9 @@
 		limit = limit.Scaled(fallbackShare)
 	}
 	if s.bucket.Take(now, limit) {
-		return Decision{Granted: true, Limit: limit}
+		return Decision{Granted: true}
 	}
-	return Decision{RetryAfter: s.bucket.ReturnAfter(now, limit), Limit: limit}
+	return Decision{RetryAfter: s.bucket.ReturnAfter(now, limit)}
 }
 
 // Observe applies what the response to a request with a token names.
--- a/pkg/ratelimit/record.go
+++ b/pkg/ratelimit/record.go
@@ -58,9 +58,8 @@
 // ConfirmedAt returns when the last response arrived; zero if there was none.
 func (r *Record) ConfirmedAt() time.Time { return r.confirmedAt }
 
-// Observe applies what a response names, and reports whether the limit has changed.
-func (r *Record) Observe(o Observation) bool {
-	before := r.limit
+// Observe applies what a response names.
+func (r *Record) Observe(o Observation) {
 	if o.ReceivedAt.After(r.confirmedAt) {
 		r.confirmedAt = o.ReceivedAt
 	}
@@ -69,7 +68,6 @@
 	} else {
 		r.observeNone(o)
 	}
-	return r.limit != before
 }
 
 func (r *Record) observeNamed(o Observation) {
