Log what the requests of a crash have in common

A request that crashes its server, or a part of its prompt that does, left no trace: each broken request was logged by itself, and nothing said that the server had crashed rather than broken a connection. Entries now check whether a server whose requests were lost or broken before their start has crashed: by its agent (which reports at once that nothing accepts connections at its runner), by a new start time, or, without an agent, by a refused connection. They log the suspects with keyed fingerprints of the shared parts of their prompts, and count the checks. Nothing acts on it.

--- a/pkg/directory/status.go
+++ b/pkg/directory/status.go
@@ -46,7 +46,7 @@
 	return a.Instance == b.Instance && a.StartedAtMillis == b.StartedAtMillis && a.PlacementRevision == b.PlacementRevision &&
 		a.Leaving == b.Leaving && a.Down == b.Down && a.Slots == b.Slots && a.Running == b.Running &&
 		a.Waiting == b.Waiting && a.Failing == b.Failing && a.LoadPercent == b.LoadPercent &&
-		a.Limited == b.Limited && a.LimitPerSecond == b.LimitPerSecond
+		a.Limited == b.Limited && a.LimitPerSecond == b.LimitPerSecond && a.NotRunning == b.NotRunning
 }
 
 // Merge applies a change to a status and returns the result, without modifying
--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -21,6 +21,9 @@
 	MaxOutputTokens int
 	// LastEventID is set by a caller that resumes a broken stream.
 	LastEventID string
+	// PromptParts holds the IDs of the parts of the prompt that other requests may
+	// share, in order. The last part of a prompt isn't shared and is left out.
+	PromptParts []string
 }
 
 // BackendHeaders are the values sent to a backend server in addition to the
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"teaselgauge.example/teaselgauge/pkg/attempt"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/quarantine"
 )
 
 // noBackendRetryAfter is the Retry-After of a refusal for lack of a server.
@@ -62,6 +63,11 @@
 	sendError error
 	// versions are the versions of the state at the last choice of a server.
 	versions stateVersions
+	// fingerprints are what the request may have in common with others that crash
+	// their servers.
+	fingerprints []quarantine.Fingerprint
+	// headerReceived is set once the last send has a response header.
+	headerReceived bool
 	// result is how the request ended.
 	result requestResult
 }
@@ -96,6 +102,8 @@
 		service:  pickDestination(route, rand.Float64()),
 		logger:   h.observer.logger.With("request", caller.RequestID, "route", route.Name),
 		result:   requestResult{outcome: outcomeCallerLeft},
+
+		fingerprints: h.fingerprints(caller),
 	}
 	x.machine = attempt.New(attempt.Request{
 		Service:    x.service,
@@ -141,6 +149,9 @@
 			event = x.forwardResponse(ctx, target, response)
 			response = nil
 		}
+		if event != nil {
+			x.recordCrashSuspect(ctx, target, *event)
+		}
 		granted.release(event != nil && event.IsFailure() && !x.callerLeft(), x.responseLatency)
 		if event == nil || x.handleFailure(ctx, target, *event, response) {
 			return
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/settings"
@@ -125,6 +126,7 @@
 		gate:        backpressure.NewGate(),
 		limits:      ratelimit.NewRegistry(),
 		budget:      attempt.NewBudget(time.Now(), budgetLimits(g.config.Retries)),
+		crashes:     newCrashObserver(g.control, g.logger, d.Metrics),
 		domain:      g.config.Host.FailureDomain,
 		observer:    g.observer,
 	}
@@ -192,6 +194,11 @@
 		return
 	}
 	defer node.Close()
+	fingerprinter, err := quarantine.NewFingerprinter(secret)
+	if err != nil {
+		g.logger.Error("requests that crash servers won't be recognised", "error", err)
+	}
+	g.handler.fingerprinter.Store(fingerprinter)
 	self := g.config.Host.ID
 	f := newFollower(self, g.config.Host.FailureDomain, node, g.control, g.storeWatcher, g.logger)
 	g.decider.grantLoad = func(host, internalAddress, model string) {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -14,6 +14,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -46,6 +47,10 @@
 	limits *ratelimit.Registry
 	// limiters requests the rate tokens for servers with a limit.
 	limiters *limiterClient
+	// crashes finds out which failed requests were on a server that crashed.
+	crashes *crashObserver
+	// fingerprinter is nil until the site's secret is known.
+	fingerprinter atomic.Pointer[quarantine.Fingerprinter]
 	// node is nil until the site's secret is known.
 	node     atomic.Pointer[wire.Node]
 	budget   *attempt.Budget
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -40,6 +40,8 @@
 	// interval between two reads.
 	lastRead   time.Time
 	longestGap time.Duration
+	// firstEvent is when the first complete event of a stream was received.
+	firstEvent time.Time
 }
 
 // forwardResponse sends a response to the caller. It returns nil when the caller
@@ -163,6 +165,7 @@
 			if x.route.Resumable {
 				complete = completeEventsLength(buffer)
 			}
+			x.recordFirstEvent(buffer)
 			if complete > 0 {
 				x.recordLastEventID(buffer[:complete])
 				if _, writeErr := x.writer.Write(buffer[:complete]); writeErr != nil {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -22,12 +22,14 @@
 	x.lastServer = backend.ID
 	x.sendError = nil
 	x.responseLatency = 0
+	x.headerReceived = false
 	tracker.RequestStarted(now, backend.ID)
 	response, err := x.handler.pool.Send(ctx, backend.Address, x.backendRequest(now, backend), false)
 	if err != nil {
 		tracker.RequestEnded(backend.ID)
 		return x.sendFailed(ctx, backend, err), nil
 	}
+	x.headerReceived = true
 	x.recordBackpressure(backend, response)
 	x.recordLimit(now, backend, response)
 	if event := x.classify(response); event != nil {
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -78,6 +78,7 @@
 	limitedServers     tally.Gauge
 	limitedSends       tally.Counter
 	rateTokens         *vector[tally.Counter]
+	crashChecks        *vector[tally.Counter]
 	responsesNotLogged tally.Counter
 }
 
@@ -102,6 +103,7 @@
 		limitedServers:     gateway.Gauge("limited_backends"),
 		limitedSends:       gateway.Counter("limited_sends_total"),
 		rateTokens:         newCounters(gateway, "rate_tokens_total", "outcome"),
+		crashChecks:        newCounters(gateway, "crash_checks_total", "result"),
 		responsesNotLogged: gateway.Counter("answers_not_logged_total"),
 	}
 }
@@ -165,3 +167,15 @@
 	}
 	return 0
 }
+
+// CrashResult is whether failed connections were due to a crash of their server.
+type CrashResult string
+
+// The results of checks for a crash.
+const (
+	CrashConfirmed   CrashResult = "confirmed"
+	CrashUnconfirmed CrashResult = "unconfirmed"
+)
+
+// CrashCheck counts a check whether a backend server has crashed.
+func (g *Gateway) CrashCheck(result CrashResult) { g.crashChecks.with(labels{string(result)}).Inc(1) }
--- a/pkg/modelrunner/modelrunner.go
+++ b/pkg/modelrunner/modelrunner.go
@@ -4,12 +4,16 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 )
 
+// ErrNotRunning means that no process accepts connections at the runner's address.
+var ErrNotRunning = errors.New("runner isn't running")
+
 // LoadedModel is a model in a runner's memory.
 type LoadedModel struct {
 	Name    string
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -95,13 +95,16 @@
 	placement         *Placement
 	report            *modelrunner.Report
 	reportedAt        time.Time
-	ledger            *ledger.Ledger
-	queue             *admission.Queue
-	models            map[string]*model
-	adapters          map[adapterID]*adapter
-	leases            map[string]*lease
-	pacer             prefillPacer
-	estimator         prefillEstimator
+	// notRunning is set if no process accepted connections at the last attempt to get
+	// a report.
+	notRunning bool
+	ledger     *ledger.Ledger
+	queue      *admission.Queue
+	models     map[string]*model
+	adapters   map[adapterID]*adapter
+	leases     map[string]*lease
+	pacer      prefillPacer
+	estimator  prefillEstimator
 	// prefill is the share of the runner's time spent on prefill.
 	prefill  prefillShare
 	failures backends.FailureRate
--- a/pkg/residency/reports.go
+++ b/pkg/residency/reports.go
@@ -19,14 +19,19 @@
 	return m.advance(now)
 }
 
-// ReportFailed handles a failed attempt to get a report from the runner.
-func (m *Manager) ReportFailed(now time.Time) []Action { return m.Tick(now) }
+// ReportFailed handles a failed attempt to get a report from the runner. notRunning
+// is set if no process accepts connections there.
+func (m *Manager) ReportFailed(now time.Time, notRunning bool) []Action {
+	m.notRunning = notRunning
+	return m.Tick(now)
+}
 
 func (m *Manager) applyReport(now time.Time, report modelrunner.Report) {
 	if m.report != nil && m.report.StartedAtMillis != report.StartedAtMillis {
 		m.resetRunnerState()
 	}
 	m.resolveUncertain(report)
+	m.notRunning = false
 	m.report = &report
 	m.reportedAt = now
 	m.updateModels(now, report)
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -61,6 +61,8 @@
 		Running:  m.queue.Running(),
 		Waiting:  m.queue.Len(),
 		Failing:  m.failures.ShouldAvoid(now),
+
+		NotRunning: m.notRunning,
 	}
 	status.SetLoad(m.load(now))
 	limit := m.Limit()
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -217,7 +217,11 @@
 		"limited", after.Named, "limit_per_s", after.PerSecond, "limited_before", before.Named, "limit_before_per_s", before.PerSecond)
 }
 
-func (c *controller) reportFailed(now time.Time) { c.perform(c.manager.ReportFailed(now)) }
+// reportFailed handles a failed call for the runner's report. notRunning is set if no
+// process accepts connections there.
+func (c *controller) reportFailed(now time.Time, notRunning bool) {
+	c.perform(c.manager.ReportFailed(now, notRunning))
+}
 
 func (c *controller) orderResponseReceived(now time.Time, result modelrunner.Result, report *modelrunner.Report) {
 	c.perform(c.manager.OrderResponseReceived(now, result, report))
--- a/pkg/runneragent/worker.go
+++ b/pkg/runneragent/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -80,7 +81,7 @@
 	w.logAvailability(err)
 	w.controller.loop.Do(func() {
 		if err != nil {
-			w.controller.reportFailed(time.Now())
+			w.controller.reportFailed(time.Now(), errors.Is(err, modelrunner.ErrNotRunning))
 			return
 		}
 		w.controller.reportReceived(time.Now(), report)
--- a/pkg/wire/runner_messages.go
+++ b/pkg/wire/runner_messages.go
@@ -141,6 +141,10 @@
 	// of requests a second that it accepts from all hosts together.
 	Limited        bool    `cbor:"15,keyasint,omitempty"`
 	LimitPerSecond float64 `cbor:"16,keyasint,omitempty"`
+	// NotRunning is set if no process accepts connections at the runner's address, as
+	// after a crash. It is set long before Down, which also covers a runner that
+	// doesn't respond.
+	NotRunning bool `cbor:"17,keyasint,omitempty"`
 }
 
 // FindModel returns the index of a model in a list that is ordered by name, or the
