Send no orders to a runner that isn't running

After a crash of its runner, an agent sent the same order again and again, one each millisecond, until the runner counted as down 600 ms later: each call was refused and logged, and the refusals kept the report that would have shown the crash from being sent.

A refused connection shows that no runner is there, so the agent sends no order until the next report. The call of the order reports it as well.

--- a/pkg/residency/manager_test.go
+++ b/pkg/residency/manager_test.go
@@ -310,6 +310,29 @@
 	}
 }
 
+// The runner accepted no connection at the last call, which is long before it counts
+// as down.
+func TestNoOrderIsSentToCrashedRunner(t *testing.T) {
+	f := newFixture(t, "a")
+	f.report.OnDisk = []string{"a"}
+	f.sendReport()
+	f.acquire("1", "a", "")
+	if len(f.orders) != 1 {
+		t.Fatalf("%d orders, want one", len(f.orders))
+	}
+	f.do(f.manager.ReportFailed(f.now, true))
+	f.respond(modelrunner.Unanswered)
+	if len(f.orders) != 1 {
+		t.Errorf("%d orders, want no further one while the runner isn't running", len(f.orders))
+	}
+	f.report.StartedAtMillis++
+	f.do(f.manager.UpdateInstance(f.now, "runner-2", f.report.StartedAtMillis))
+	f.sendReport()
+	if len(f.orders) != 2 || f.orders[1].Instance != "runner-2" {
+		t.Errorf("orders %+v, want one more to the new incarnation", f.orders)
+	}
+}
+
 func TestWaitingLeasesAreRefused(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -29,7 +29,7 @@
 // canOrder reports whether the runner's state is known well enough to send an
 // order.
 func (m *Manager) canOrder(now time.Time) bool {
-	return !m.isDown(now) && !m.isLeaving() && !now.Before(m.pausedUntil) && m.fence > 0 && m.instance != "" &&
+	return !m.isDown(now) && !m.notRunning && !m.isLeaving() && !now.Before(m.pausedUntil) && m.fence > 0 && m.instance != "" &&
 		(m.instanceStartedAt == 0 || m.instanceStartedAt == m.report.StartedAtMillis)
 }
 
--- a/pkg/runneragent/worker.go
+++ b/pkg/runneragent/worker.go
@@ -107,8 +107,14 @@
 	w.logger.Info("order call to the runner finished", "operation", order.Operation.String(), "model", order.Model, "adapter", order.Adapter,
 		"expected", order.Expected, "result", result.String(), "fence", order.Fence, "took_ms", took.Milliseconds(), "error", err)
 	var after *modelrunner.Report
-	if report, err := w.runner.Report(ctx); err == nil {
+	report, err := w.runner.Report(ctx)
+	if err == nil {
 		after = &report
 	}
-	w.controller.loop.Do(func() { w.controller.orderResponseReceived(time.Now(), result, after) })
+	w.controller.loop.Do(func() {
+		if errors.Is(err, modelrunner.ErrNotRunning) {
+			w.controller.reportFailed(time.Now(), true)
+		}
+		w.controller.orderResponseReceived(time.Now(), result, after)
+	})
 }
