--- a/testkit/standin/backendserver/journal.go
+++ b/testkit/standin/backendserver/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	Budget string
 	// LastEventID is the event after which the caller resumes a stream.
 	LastEventID string
+	// Prompt lists the parts of the prompt.
+	Prompt string
 	// At is the time of arrival.
 	At time.Time
 	// Ran is set once the server starts to process the request, Ended when it
@@ -44,6 +47,8 @@
 	Loads      map[string]int
 	StoreLoads int
 	Unloads    int
+	// Crashes are the times of the crashes.
+	Crashes []time.Time
 }
 
 func newJournal() Journal {
@@ -60,6 +65,7 @@
 		copied.Runs[id] = append([]Run(nil), runs...)
 	}
 	copied.Loads = maps.Clone(s.journal.Loads)
+	copied.Crashes = slices.Clone(s.journal.Crashes)
 	return copied
 }
 
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -25,6 +25,7 @@
 	HeaderPriority  = "Teaselgauge-Request-Priority"
 	HeaderLeaving   = "Server-Leaving"
 	HeaderLimit     = "Server-Limit"
+	HeaderPrompt    = "Teaselgauge-Prompt-Prefix"
 )
 
 // StreamPath is the prefix of the paths that are answered with a stream.
@@ -69,7 +70,7 @@
 	change := s.recordRun(Run{
 		ID: id, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), Model: r.Header.Get(HeaderModel),
 		Priority: r.Header.Get(HeaderPriority), Budget: r.Header.Get(HeaderBudget),
-		LastEventID: r.Header.Get("Last-Event-Id"), At: time.Now(),
+		LastEventID: r.Header.Get("Last-Event-Id"), Prompt: r.Header.Get(HeaderPrompt), At: time.Now(),
 	})
 	if remaining := s.rejectionTime(); remaining > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(remaining.Seconds(), 'f', 3, 64))
@@ -180,12 +181,14 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	isStream := strings.HasPrefix(r.URL.Path, StreamPath)
+	s.crashIfDeadly(w, r, body, isStream)
 	truncate := s.consumeFault(func(f *Faults) *int { return &f.CutNext })
-	if strings.HasPrefix(r.URL.Path, StreamPath) && drip > 0 {
+	if isStream && drip > 0 {
 		s.stallStream(w, r, drip)
 		return
 	}
-	if strings.HasPrefix(r.URL.Path, StreamPath) {
+	if isStream {
 		s.respondStream(w, r, id, work, events, truncate)
 		return
 	}
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -83,12 +83,15 @@
 
 // Server is the stand-in. It is safe for concurrent use. Use Start.
 type Server struct {
-	options  Options
-	listener net.Listener
-	http     *http.Server
-	store    *metadatastore.Server
+	options Options
+	address string
+	store   *metadatastore.Server
 
-	mu       sync.Mutex
+	mu   sync.Mutex
+	http *http.Server
+	// down is set between a crash and the next incarnation.
+	down     bool
+	crashes  crashes
 	id       string
 	faults   Faults
 	journal  Journal
@@ -116,7 +119,7 @@
 	}
 	s := &Server{
 		options:   options,
-		listener:  listener,
+		address:   listener.Addr().String(),
 		store:     store,
 		id:        options.ID,
 		journal:   newJournal(),
@@ -161,13 +164,16 @@
 }
 
 // Address returns the address that the server listens on.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.address }
 
 // Close stops the server without a shutdown, like a crash. Its entry stays in the
 // store.
 func (s *Server) Close() {
+	s.mu.Lock()
 	close(s.stopped)
-	_ = s.http.Close()
+	running := s.http
+	s.mu.Unlock()
+	_ = running.Close()
 }
 
 // SetFaults replaces the faults.
