Refuse requests with a part of the prompt that crashes runners

Cause: a failure was held against the server and never against the request, and no host could have done it alone. The requests of a class come in at all entries, so each saw one or two of the first five crashes and a part of the requests on the crashed runners.

Change: two agents, the same ones for all entries, judge the crashes of a service. Entries report the requests that failed with a crash before their response started, and starts of responses with fingerprints under suspicion. The judge convicts the fingerprints that are in three crashes since they were last part of a start, with a response just begun (six if none had begun), and that nothing on other requests explains as well. What can't be told apart yet is convicted together, so that only requests with all of it are refused, and narrowed by the first start that a sound part has. Servers that crash together count once. Verdicts reach all entries with the agents' statuses over the relays, are checked again after the wait for a lease, and hold for ten minutes; then one crash renews them. A refused request gets 503 at once, with the time that the verdict still holds.

Why it works: a part that crashes runners has no start, whatever else it comes with, and sound parts have one soon; both are only seen in the sum over hosts.

--- a/pkg/directory/status.go
+++ b/pkg/directory/status.go
@@ -17,6 +17,9 @@
 	change.Partial = true
 	change.Models = nil
 	change.Dropped = nil
+	if before.Quarantine.Equal(after.Quarantine) {
+		change.Quarantine = nil
+	}
 	i := 0
 	for _, model := range after.Models {
 		for i < len(before.Models) && before.Models[i].Name < model.Name {
@@ -46,7 +49,8 @@
 	return a.Instance == b.Instance && a.StartedAtMillis == b.StartedAtMillis && a.PlacementRevision == b.PlacementRevision &&
 		a.Leaving == b.Leaving && a.Down == b.Down && a.Slots == b.Slots && a.Running == b.Running &&
 		a.Waiting == b.Waiting && a.Failing == b.Failing && a.LoadPercent == b.LoadPercent &&
-		a.Limited == b.Limited && a.LimitPerSecond == b.LimitPerSecond && a.NotRunning == b.NotRunning
+		a.Limited == b.Limited && a.LimitPerSecond == b.LimitPerSecond && a.NotRunning == b.NotRunning &&
+		a.Quarantine.Equal(b.Quarantine)
 }
 
 // Merge applies a change to a status and returns the result, without modifying
@@ -59,6 +63,9 @@
 	if !change.Partial || before == nil {
 		return &merged
 	}
+	if merged.Quarantine == nil {
+		merged.Quarantine = before.Quarantine
+	}
 	merged.Models = make([]wire.RunnerModel, 0, len(before.Models)+len(change.Models))
 	for _, model := range before.Models {
 		if !slices.Contains(change.Dropped, model.Name) {
--- a/pkg/gateway/crash_observer.go
+++ b/pkg/gateway/crash_observer.go
@@ -35,7 +35,8 @@
 type suspectRequest struct {
 	requestID    string
 	fingerprints []quarantine.Fingerprint
-	// begun is set if the server had sent the header of the response.
+	// begun is set if the server had just begun the response: it had sent the header,
+	// and no event.
 	begun bool
 }
 
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -68,6 +68,8 @@
 	fingerprints []quarantine.Fingerprint
 	// headerReceived is set once the last send has a response header.
 	headerReceived bool
+	// startReported is set once the start of the response was recorded.
+	startReported bool
 	// result is how the request ended.
 	result requestResult
 }
@@ -136,11 +138,19 @@
 func (x *exchange) run(ctx context.Context) {
 	defer func() { x.handler.observer.requestFinished(x, x.result) }()
 	for {
+		if x.refuseQuarantined() {
+			return
+		}
 		target, granted, ok := x.acquireServer(ctx)
 		if !ok {
 			x.failNoBackend(ctx)
 			return
 		}
+		// The verdict may have come while the request waited.
+		if x.refuseQuarantined() {
+			granted.release(false, 0)
+			return
+		}
 		event, response := x.send(ctx, target)
 		if response != nil {
 			x.reportLimit(target, granted, response)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -130,6 +130,8 @@
 		domain:      g.config.Host.FailureDomain,
 		observer:    g.observer,
 	}
+	g.handler.quarantine = newQuarantineClient(g.control, &g.handler.node, g.logger)
+	g.handler.crashes.reportCrash = g.handler.quarantine.reportCrash
 	g.handler.limiters = newLimiterClient(g.config.Host.ID, g.control)
 	d.Telemetry.Register(DumpName, g.dump)
 	g.handler.queued, g.handler.cancelQueued = context.WithCancel(context.Background())
@@ -174,6 +176,7 @@
 		}
 	}
 	g.observer.metrics.State(int(g.handler.inFlight.Load()), usable, connected, current.leader.host == g.config.Host.ID)
+	g.observer.metrics.Verdicts(len(g.handler.quarantine.verdicts(now)))
 	g.observer.metrics.LimitedServers(g.handler.limits.Limited())
 	g.control.freshness.updateGauges(now, g.observer.metrics)
 	g.observer.logSkipped()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -49,6 +49,8 @@
 	limiters *limiterClient
 	// crashes finds out which failed requests were on a server that crashed.
 	crashes *crashObserver
+	// quarantine refuses the requests that crash servers.
+	quarantine *quarantineClient
 	// fingerprinter is nil until the site's secret is known.
 	fingerprinter atomic.Pointer[quarantine.Fingerprinter]
 	// node is nil until the site's secret is known.
--- /dev/null
+++ b/pkg/gateway/quarantine_client.go
@@ -0,0 +1,246 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/membership"
+	"teaselgauge.example/teaselgauge/pkg/quarantine"
+	"teaselgauge.example/teaselgauge/pkg/wire"
+)
+
+const (
+	// judgesPerService is the number of agents that judge the crashes of a service, so
+	// that a verdict survives the loss of one.
+	judgesPerService = 2
+	// evidenceTimeout limits the time to send evidence to a judge.
+	evidenceTimeout = time.Second
+	// judgeLabel separates the choice of judges from other choices among the agents.
+	judgeLabel = "judge "
+)
+
+// quarantineClient sends evidence on what crashes servers to the judges, and applies
+// their verdicts. All entries choose the same agents as the judges of a service. A site
+// without agents has one judge in each entry. It is safe for concurrent use.
+type quarantineClient struct {
+	control *control
+	node    *atomic.Pointer[wire.Node]
+	logger  *slog.Logger
+	list    quarantine.List
+
+	mu sync.Mutex
+	// applied is the view whose statuses the list contains.
+	applied *view
+	// local holds the judges of a site without agents, by service.
+	local map[string]*quarantine.Judge
+}
+
+func newQuarantineClient(c *control, node *atomic.Pointer[wire.Node], logger *slog.Logger) *quarantineClient {
+	return &quarantineClient{control: c, node: node, logger: logger, local: make(map[string]*quarantine.Judge)}
+}
+
+// check returns the verdict that a request matches; false if there is none.
+func (c *quarantineClient) check(now time.Time, fingerprints []quarantine.Fingerprint) (quarantine.Refusal, bool) {
+	if len(fingerprints) == 0 {
+		return quarantine.Refusal{}, false
+	}
+	c.update(now)
+	return c.list.Check(now, fingerprints)
+}
+
+// verdicts returns the signatures in force.
+func (c *quarantineClient) verdicts(now time.Time) []quarantine.Signature {
+	c.update(now)
+	return c.list.Verdicts()
+}
+
+// update applies the newest statuses of the agents.
+func (c *quarantineClient) update(now time.Time) {
+	current := c.control.current()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.applied == current && len(c.local) == 0 {
+		return
+	}
+	c.applied = current
+	states := make(map[string]*quarantine.State)
+	for host, state := range current.agents {
+		if state.AgentRecord == nil || state.Status == nil || state.Status.Quarantine == nil {
+			continue
+		}
+		states[host] = stateOfQuarantine(state.Status.Quarantine)
+	}
+	for service, judge := range c.local {
+		c.logVerdicts(now, service, judge.Update(now))
+		if state := judge.State(); state != nil {
+			states[judgeLabel+service] = state
+		}
+	}
+	c.list.Update(now, states)
+}
+
+// reportCrash sends a crash to the judges of its service.
+func (c *quarantineClient) reportCrash(observed crash) {
+	now := time.Now()
+	suspects := make([]quarantine.Suspect, len(observed.suspects))
+	for i, suspect := range observed.suspects {
+		suspects[i] = quarantine.Suspect{Fingerprints: suspect.fingerprints, Begun: suspect.begun}
+	}
+	// A judge that can't keep all suspects keeps the first ones.
+	slices.SortStableFunc(suspects, func(a, b quarantine.Suspect) int { return compareBool(b.Begun, a.Begun) })
+	starts := c.list.Starts(now, suspects)
+	judges := c.judgesOf(now, observed.service)
+	if len(judges) == 0 {
+		c.judgeLocally(now, observed.service, func(judge *quarantine.Judge) []quarantine.Verdict {
+			return judge.RecordCrash(now, quarantine.Crash{Server: observed.server, At: observed.at, Suspects: suspects, Starts: starts})
+		})
+		return
+	}
+	c.sendAll(judges, &wire.Frame{CrashReport: &wire.CrashReport{
+		Service:         observed.service,
+		Server:          observed.server.ID,
+		StartedAtMillis: observed.server.StartedAtMillis,
+		AgeMillis:       ageMillis(now, observed.at),
+		Suspects:        encodeSuspects(suspects),
+		Starts:          encodeStarts(now, starts),
+	}})
+}
+
+// recordStart records the start of a response, and reports it to the judges if the
+// request is under suspicion.
+func (c *quarantineClient) recordStart(now, startedAt time.Time, service string, fingerprints []quarantine.Fingerprint) {
+	c.update(now)
+	watched := c.list.RecordStart(now, startedAt, fingerprints)
+	if len(watched) == 0 {
+		return
+	}
+	starts := make([]quarantine.Start, len(watched))
+	for i, fingerprint := range watched {
+		starts[i] = quarantine.Start{Fingerprint: fingerprint, At: startedAt}
+	}
+	judges := c.judgesOf(now, service)
+	if len(judges) == 0 {
+		c.judgeLocally(now, service, func(judge *quarantine.Judge) []quarantine.Verdict { return judge.RecordStarts(now, starts) })
+		return
+	}
+	c.sendAll(judges, &wire.Frame{StartReport: &wire.StartReport{Service: service, Starts: encodeStarts(now, starts)}})
+}
+
+// judgesOf returns the agents that judge the crashes of a service: the first ones, in
+// an order that all entries agree on, of those that respond.
+func (c *quarantineClient) judgesOf(now time.Time, service string) []*agentState {
+	agents := c.control.current().agents
+	var responding []string
+	for host, state := range agents {
+		if state.isFresh(now) {
+			responding = append(responding, host)
+		}
+	}
+	ranked := membership.RendezvousRank(judgeLabel+service, responding)
+	judges := make([]*agentState, min(len(ranked), judgesPerService))
+	for i := range judges {
+		judges[i] = agents[ranked[i]]
+	}
+	return judges
+}
+
+// judgeLocally applies evidence to this entry's own judge of a service.
+func (c *quarantineClient) judgeLocally(now time.Time, service string, apply func(*quarantine.Judge) []quarantine.Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	judge := c.local[service]
+	if judge == nil {
+		judge = &quarantine.Judge{}
+		c.local[service] = judge
+	}
+	c.logVerdicts(now, service, apply(judge))
+}
+
+func (c *quarantineClient) logVerdicts(now time.Time, service string, changes []quarantine.Verdict) {
+	for _, change := range changes {
+		c.logger.Warn("verdict on requests that crash servers changed", "belief", "quarantine:"+service, "service", service,
+			"change", change.Change.String(), "signature", change.Signature, "crashes", change.Crashes, "begun", change.Begun,
+			"first_crash_age_ms", now.Sub(change.FirstCrash).Milliseconds())
+	}
+}
+
+// sendAll sends a frame to several agents without waiting.
+func (c *quarantineClient) sendAll(judges []*agentState, frame *wire.Frame) {
+	node := c.node.Load()
+	if node == nil {
+		return
+	}
+	for _, judge := range judges {
+		go c.send(node, judge, frame)
+	}
+}
+
+func (c *quarantineClient) send(node *wire.Node, judge *agentState, frame *wire.Frame) {
+	ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
+	defer cancel()
+	stream, err := node.Open(ctx, judge.Host, judge.InternalAddress)
+	if err == nil {
+		err = stream.Send(frame)
+		stream.Close()
+	}
+	if err != nil {
+		c.logger.Warn("evidence on a crash not sent to its judge", "agent", judge.Host, "error", err)
+	}
+}
+
+// stateOfQuarantine decodes the state of a judge.
+func stateOfQuarantine(published *wire.Quarantine) *quarantine.State {
+	state := &quarantine.State{}
+	for _, fingerprint := range published.Watched {
+		state.Watched = append(state.Watched, quarantine.Fingerprint(fingerprint))
+	}
+	for _, verdict := range published.Verdicts {
+		signature := make(quarantine.Signature, len(verdict))
+		for i, fingerprint := range verdict {
+			signature[i] = quarantine.Fingerprint(fingerprint)
+		}
+		state.Verdicts = append(state.Verdicts, signature)
+	}
+	return state
+}
+
+func encodeSuspects(suspects []quarantine.Suspect) []wire.CrashSuspect {
+	encoded := make([]wire.CrashSuspect, len(suspects))
+	for i, suspect := range suspects {
+		encoded[i].Begun = suspect.Begun
+		for _, fingerprint := range suspect.Fingerprints {
+			encoded[i].Fingerprints = append(encoded[i].Fingerprints, uint64(fingerprint))
+		}
+	}
+	return encoded
+}
+
+func encodeStarts(now time.Time, starts []quarantine.Start) []wire.ResponseStart {
+	encoded := make([]wire.ResponseStart, len(starts))
+	for i, start := range starts {
+		encoded[i] = wire.ResponseStart{Fingerprint: uint64(start.Fingerprint), AgeMillis: ageMillis(now, start.At)}
+	}
+	return encoded
+}
+
+// ageMillis returns the time since an event, in milliseconds.
+func ageMillis(now, at time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -110,6 +110,7 @@
 }
 
 func (x *exchange) recordForwarded(status int) {
+	x.recordStart(time.Now())
 	x.result = requestResult{outcome: outcomeCompleted, status: status}
 	if status >= http.StatusInternalServerError {
 		x.result.outcome = outcomeServerFailed
@@ -196,6 +197,9 @@
 		x.progress.longestGap = max(x.progress.longestGap, now.Sub(x.progress.lastRead))
 	}
 	x.progress.lastRead = now
+	if x.hasStarted(now) {
+		x.recordStart(now)
+	}
 }
 
 // eventTerminator ends a server-sent event.
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/attempt"
@@ -52,6 +53,43 @@
 	x.handler.crashes.requestFailed(now, target, suspectRequest{
 		requestID:    x.caller.RequestID,
 		fingerprints: x.fingerprints,
-		begun:        x.headerReceived,
+		begun:        x.headerReceived && x.progress.firstEvent.IsZero(),
 	})
 }
+
+// recordStart records that a server has survived the start of the response, so that
+// none of the request's fingerprints crashes servers.
+func (x *exchange) recordStart(now time.Time) {
+	if x.startReported || len(x.fingerprints) == 0 {
+		return
+	}
+	x.startReported = true
+	startedAt := x.progress.firstEvent
+	if startedAt.IsZero() {
+		startedAt = now
+	}
+	x.handler.quarantine.recordStart(now, startedAt, x.service, x.fingerprints)
+}
+
+// refuseQuarantined refuses a request that would crash its server, and reports whether
+// it did.
+func (x *exchange) refuseQuarantined() bool {
+	now := time.Now()
+	verdict, ok := x.handler.quarantine.check(now, x.fingerprints)
+	if !ok {
+		return false
+	}
+	x.handler.observer.metrics.Quarantined()
+	x.logger.Info("request refused, requests like it crash their servers", "service", x.service, "signature", verdict.Signature,
+		"verdict_age_ms", verdict.Age.Milliseconds(), "remaining_ms", verdict.Remaining.Milliseconds(), "sends", x.machine.Sends(),
+		"may_have_run", x.machine.MayHaveRun())
+	if x.machine.MayHaveRun() {
+		x.fail(refusal{status: http.StatusBadGateway, reason: crashReason})
+		return true
+	}
+	x.fail(refusal{status: http.StatusServiceUnavailable, reason: crashReason, retryAfter: max(verdict.Remaining, noBackendRetryAfter)})
+	return true
+}
+
+// crashReason is the reason of a refusal because of a verdict.
+const crashReason = "requests like this one crash backend servers"
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -79,6 +79,8 @@
 	limitedSends       tally.Counter
 	rateTokens         *vector[tally.Counter]
 	crashChecks        *vector[tally.Counter]
+	quarantined        tally.Counter
+	verdicts           tally.Gauge
 	responsesNotLogged tally.Counter
 }
 
@@ -104,6 +106,8 @@
 		limitedSends:       gateway.Counter("limited_sends_total"),
 		rateTokens:         newCounters(gateway, "rate_tokens_total", "outcome"),
 		crashChecks:        newCounters(gateway, "crash_checks_total", "result"),
+		quarantined:        gateway.Counter("quarantined_requests_total"),
+		verdicts:           gateway.Gauge("crash_verdicts"),
 		responsesNotLogged: gateway.Counter("answers_not_logged_total"),
 	}
 }
@@ -179,3 +183,9 @@
 
 // CrashCheck counts a check whether a backend server has crashed.
 func (g *Gateway) CrashCheck(result CrashResult) { g.crashChecks.with(labels{string(result)}).Inc(1) }
+
+// Quarantined counts a request that was refused since it would crash its server.
+func (g *Gateway) Quarantined() { g.quarantined.Inc(1) }
+
+// Verdicts sets the number of verdicts on requests that crash servers.
+func (g *Gateway) Verdicts(count int) { g.verdicts.Update(float64(count)) }
--- a/pkg/metrics/runner.go
+++ b/pkg/metrics/runner.go
@@ -21,6 +21,7 @@
 	waiting    tally.Gauge
 	running    tally.Gauge
 	gateways   tally.Gauge
+	verdicts   *vector[tally.Counter]
 }
 
 // NewRunner registers an agent's metrics in scope.
@@ -39,6 +40,7 @@
 		waiting:    runner.Gauge("uses_waiting"),
 		running:    runner.Gauge("uses_running"),
 		gateways:   runner.Gauge("gateways"),
+		verdicts:   newCounters(runner, "crash_verdicts_total", "change"),
 	}
 }
 
@@ -70,3 +72,6 @@
 	r.running.Update(float64(running))
 	r.gateways.Update(float64(gateways))
 }
+
+// Verdict counts a change of a verdict on requests that crash servers.
+func (r *Runner) Verdict(change string) { r.verdicts.with(labels{change}).Inc(1) }
--- /dev/null
+++ b/pkg/quarantine/list.go
@@ -0,0 +1,142 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// listHoldTime is how long verdicts stay in force after their judge was lost.
+	listHoldTime = time.Minute
+	// startReportInterval is the minimum time between two reports of starts with the
+	// same fingerprint.
+	startReportInterval = 200 * time.Millisecond
+)
+
+// listed is a verdict of one judge.
+type listed struct {
+	judge     string
+	signature Signature
+	// since is when the verdict was first received, at when it was last received.
+	since, at time.Time
+}
+
+// List holds what a host knows of the verdicts of all judges, and of the starts of its
+// own requests. It is safe for concurrent use. The zero value is empty.
+type List struct {
+	mu       sync.Mutex
+	verdicts []listed
+	watched  map[Fingerprint]bool
+	starts   History
+	reported map[Fingerprint]time.Time
+}
+
+// Update replaces the states of the judges, by judge. Verdicts of a judge that is
+// missing stay for listHoldTime.
+func (l *List) Update(now time.Time, states map[string]*State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watched = make(map[Fingerprint]bool)
+	l.verdicts = slices.DeleteFunc(l.verdicts, func(v listed) bool {
+		if state := states[v.judge]; state != nil {
+			return !state.lists(v.signature)
+		}
+		return now.Sub(v.at) > listHoldTime
+	})
+	for judge, state := range states {
+		for _, fingerprint := range state.Watched {
+			l.watched[fingerprint] = true
+		}
+		for _, signature := range state.Verdicts {
+			l.add(now, judge, signature)
+		}
+	}
+	for fingerprint := range l.reported {
+		if !l.watched[fingerprint] {
+			delete(l.reported, fingerprint)
+		}
+	}
+}
+
+func (l *List) add(now time.Time, judge string, signature Signature) {
+	at := slices.IndexFunc(l.verdicts, func(v listed) bool { return v.judge == judge && slices.Equal(v.signature, signature) })
+	if at >= 0 {
+		l.verdicts[at].at = now
+		return
+	}
+	l.verdicts = append(l.verdicts, listed{judge: judge, signature: signature, since: now, at: now})
+}
+
+// Refusal is the verdict because of which a request is refused.
+type Refusal struct {
+	Signature Signature
+	// Age is how long this host has known the verdict, Remaining how long it is
+	// expected to stay in force.
+	Age       time.Duration
+	Remaining time.Duration
+}
+
+// Check returns the verdict that a request matches; false if there is none.
+func (l *List) Check(now time.Time, fingerprints []Fingerprint) (Refusal, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range l.verdicts {
+		if v.signature.Matches(fingerprints) {
+			age := now.Sub(v.since)
+			return Refusal{Signature: v.signature, Age: age, Remaining: max(VerdictTTL-age, 0)}, true
+		}
+	}
+	return Refusal{}, false
+}
+
+// RecordStart records the start of a response, and returns the fingerprints of which
+// the judges must learn it.
+func (l *List) RecordStart(now, at time.Time, fingerprints []Fingerprint) []Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var report []Fingerprint
+	for _, fingerprint := range fingerprints {
+		l.starts.Record(fingerprint, at)
+		if !l.watched[fingerprint] || now.Sub(l.reported[fingerprint]) < startReportInterval {
+			continue
+		}
+		if l.reported == nil {
+			l.reported = make(map[Fingerprint]time.Time)
+		}
+		l.reported[fingerprint] = now
+		report = append(report, fingerprint)
+	}
+	return report
+}
+
+// Starts returns the last starts of the suspects' fingerprints that this host knows
+// of.
+func (l *List) Starts(now time.Time, suspects []Suspect) []Start {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var starts []Start
+	for _, suspect := range suspects {
+		for _, fingerprint := range suspect.Fingerprints {
+			at, ok := l.starts.Last(now, fingerprint)
+			isListed := slices.ContainsFunc(starts, func(s Start) bool { return s.Fingerprint == fingerprint })
+			if ok && !isListed {
+				starts = append(starts, Start{Fingerprint: fingerprint, At: at})
+			}
+		}
+	}
+	return starts
+}
+
+// Verdicts returns the signatures in force, each once.
+func (l *List) Verdicts() []Signature {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var signatures []Signature
+	for _, v := range l.verdicts {
+		if !slices.ContainsFunc(signatures, func(known Signature) bool { return slices.Equal(known, v.signature) }) {
+			signatures = append(signatures, v.signature)
+		}
+	}
+	return signatures
+}
--- a/pkg/runneragent/agent.go
+++ b/pkg/runneragent/agent.go
@@ -130,6 +130,9 @@
 func (a *agent) tick(ctx context.Context) {
 	for ctx.Err() == nil {
 		backoff.Sleep(ctx, tickInterval)
-		a.controller.loop.Do(func() { a.controller.perform(a.controller.manager.Tick(time.Now())) })
+		a.controller.loop.Do(func() {
+			a.controller.updateJudges(time.Now())
+			a.controller.perform(a.controller.manager.Tick(time.Now()))
+		})
 	}
 }
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -8,6 +8,7 @@
 	"teaselgauge.example/teaselgauge/pkg/logging"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/modelrunner"
+	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/residency"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -53,6 +54,10 @@
 	engine *wire.Engine
 	// limit is the runner's rate limit as last logged.
 	limit ratelimit.Limit
+	// judges decide which requests crash the servers of a service, by service.
+	judges map[string]*quarantine.Judge
+	// quarantine is what they have decided; nil before the first evidence.
+	quarantine *wire.Quarantine
 	// statusThrottle limits the rate of statuses given to subscribers.
 	statusThrottle eventloop.Throttle
 	subscribers    subscribers
@@ -66,6 +71,7 @@
 		metrics:        runnerMetrics,
 		grantSampler:   logging.NewSampler(maxGrantLogsPerSecond),
 		waiting:        make(map[string]waitingLease),
+		judges:         make(map[string]*quarantine.Judge),
 		statusThrottle: eventloop.Throttle{MinInterval: minStatusInterval},
 	}
 }
@@ -97,7 +103,14 @@
 func (c *controller) publishNow() {
 	now := time.Now()
 	c.statusThrottle.Ran(now)
-	c.subscribers.publish(now, c.manager.Status(now))
+	c.subscribers.publish(now, c.status(now))
+}
+
+// status returns the status for gateways.
+func (c *controller) status(now time.Time) *wire.RunnerStatus {
+	status := c.manager.Status(now)
+	status.Quarantine = c.quarantine
+	return status
 }
 
 // wakeAt schedules a tick of the manager; the zero time schedules none.
--- a/pkg/runneragent/dump.go
+++ b/pkg/runneragent/dump.go
@@ -36,7 +36,7 @@
 			PlacementAgeMillis: sinceMillis(now, c.placementReceivedAt),
 			ReportAgeMillis:    sinceMillis(now, c.reportedAt),
 			Gateways:           c.subscribers.count(),
-			Status:             c.manager.Status(now),
+			Status:             c.status(now),
 		}
 	})
 	return d
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -38,6 +38,12 @@
 	case frame.RunnerLoadGrant != nil:
 		model := frame.RunnerLoadGrant.Model
 		s.controller.loop.Do(func() { s.controller.loadGranted(time.Now(), model) })
+	case frame.CrashReport != nil:
+		report := frame.CrashReport
+		s.controller.loop.Do(func() { s.controller.crashReported(time.Now(), peer.Host, report) })
+	case frame.StartReport != nil:
+		report := frame.StartReport
+		s.controller.loop.Do(func() { s.controller.startsReported(time.Now(), report) })
 	default:
 		s.controller.logger.Warn("unexpected frame received from a peer", "peer", peer.Host)
 		stream.Cancel()
@@ -86,6 +92,7 @@
 	heartbeat := *status
 	heartbeat.Partial = true
 	heartbeat.Models = nil
+	heartbeat.Quarantine = nil
 	return &heartbeat
 }
 
--- a/pkg/runneragent/subscribers.go
+++ b/pkg/runneragent/subscribers.go
@@ -52,7 +52,7 @@
 // rates.
 func differsBeyondLoad(a, b *wire.RunnerStatus) bool {
 	return a.Instance != b.Instance || a.StartedAtMillis != b.StartedAtMillis || a.PlacementRevision != b.PlacementRevision ||
-		a.Leaving != b.Leaving || a.Down != b.Down || a.NotRunning != b.NotRunning || a.Failing != b.Failing || a.Slots != b.Slots ||
+		a.Leaving != b.Leaving || a.Down != b.Down || a.NotRunning != b.NotRunning || a.Quarantine != b.Quarantine || a.Failing != b.Failing || a.Slots != b.Slots ||
 		!slices.EqualFunc(a.Models, b.Models, sameModel)
 }
 
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -123,6 +123,7 @@
 		f.Resume != nil, f.Subscribe != nil, f.RunnerPlacement != nil, f.RunnerLoadGrant != nil,
 		f.RunnerStatus != nil, f.Acquire != nil, f.Granted != nil, f.Released != nil,
 		f.Follow != nil, f.SiteUpdate != nil, f.RateTokenRequest != nil, f.LimitObserved != nil,
+		f.CrashReport != nil, f.StartReport != nil,
 	} {
 		if set {
 			count++
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -38,6 +38,10 @@
 	// The messages about the rate limits of backend servers.
 	RateTokenRequest *RateTokenRequest `cbor:"23,keyasint,omitempty"`
 	LimitObserved    *LimitObserved    `cbor:"24,keyasint,omitempty"`
+
+	// The evidence about requests that crash backend servers.
+	CrashReport *CrashReport `cbor:"25,keyasint,omitempty"`
+	StartReport *StartReport `cbor:"26,keyasint,omitempty"`
 }
 
 // Request carries one caller's request from an entry to an agent.
--- a/pkg/wire/runner_messages.go
+++ b/pkg/wire/runner_messages.go
@@ -145,6 +145,10 @@
 	// after a crash. It is set long before Down, which also covers a runner that
 	// doesn't respond.
 	NotRunning bool `cbor:"17,keyasint,omitempty"`
+	// Quarantine is what the agent has decided about requests that crash servers; nil
+	// if it has no evidence, and in a partial status if it hasn't changed. It is
+	// immutable.
+	Quarantine *Quarantine `cbor:"18,keyasint,omitempty"`
 }
 
 // FindModel returns the index of a model in a list that is ordered by name, or the
