Test that a request doesn't crash one server after another

At the runners a part of its prompt that sound requests have as well is accused for a while. The load of both matters' tests is one function, and both check that no sound request is accused.

--- a/testkit/platformprocess/crash_test.go
+++ b/testkit/platformprocess/crash_test.go
@@ -90,6 +90,16 @@
 	return float64(served) / float64(max(count, 1)), count
 }
 
+// checkNoneAccused checks that no request was refused for its content.
+func (l *traffic) checkNoneAccused(t *testing.T) {
+	t.Helper()
+	for _, request := range l.sent {
+		if strings.Contains(request.result.Body, "crash") {
+			t.Errorf("%s, with the prompt %s, was accused: %s", request.ID, request.Header.Get(backendserver.HeaderPrompt), request.result)
+		}
+	}
+}
+
 // soundRequest returns a request whose prompt has the first part of all requests and
 // one of several second parts.
 func soundRequest(s *platformsite.Site, number int) platformsite.Request {
@@ -148,42 +158,88 @@
 	}
 	share, count := sound.servedShare(times[min(allowed, len(times))-1].Add(2 * crashNotice))
 	t.Logf("%.3f of %d sound requests served", share, count)
+	sound.checkNoneAccused(t)
 	const minCount, minShare = 20, 0.5
 	if count < minCount || share < minShare {
 		t.Errorf("%.3f of %d sound requests served beside those that crash servers, want %.1f of %d or more", share, count, minShare, minCount)
 	}
 }
 
-func TestPartOfPromptDoesNotCrashOneRunnerAfterAnother(t *testing.T) {
-	s := crashSite(t)
-	for _, backend := range runnerBackends(s) {
-		backend.CrashOn(crashDownTime, func(r *http.Request, _ string) bool {
-			return strings.Contains(r.Header.Get(backendserver.HeaderPrompt), deadlyPart)
-		})
-	}
+// playCrashes sends sound requests to all entries, and beside them requests that crash
+// servers, to one entry after the other. It returns the sound ones.
+func playCrashes(t *testing.T, s *platformsite.Site, nextSound func(number int) platformsite.Request, nextDeadly func() platformsite.Request) *traffic {
+	t.Helper()
 	sound, deadly := &traffic{}, &traffic{}
-	nextDeadly := time.Now().Add(2 * time.Second)
-	end := nextDeadly.Add(crashLoad)
+	deadlyAt := time.Now().Add(2 * time.Second)
+	end := deadlyAt.Add(crashLoad)
 	for number := 0; time.Now().Before(end); time.Sleep(soundPeriod) {
 		for _, entry := range s.Entries {
 			number++
-			sound.send(t, entry, soundRequest(s, number))
+			sound.send(t, entry, nextSound(number))
 		}
-		if time.Now().After(nextDeadly) {
-			nextDeadly = nextDeadly.Add(crashPeriod)
-			request := s.NewRequest(platformsite.AdvicePath, "m1")
-			request.Header = http.Header{backendserver.HeaderPrompt: {fmt.Sprintf("f1:80,5e03:60,%s:30,%s:20", deadlyPart, request.ID)}}
-			deadly.send(t, s.Entries[number/len(s.Entries)%len(s.Entries)], request)
+		if time.Now().After(deadlyAt) {
+			deadlyAt = deadlyAt.Add(crashPeriod)
+			deadly.send(t, s.Entries[number/len(s.Entries)%len(s.Entries)], nextDeadly())
 		}
 	}
 	sound.wait.Wait()
 	deadly.wait.Wait()
+	return sound
+}
+
+func TestPartOfPromptDoesNotCrashOneRunnerAfterAnother(t *testing.T) {
+	s := crashSite(t)
+	for _, backend := range runnerBackends(s) {
+		backend.CrashOn(crashDownTime, func(r *http.Request, _ string) bool {
+			return strings.Contains(r.Header.Get(backendserver.HeaderPrompt), deadlyPart)
+		})
+	}
+	sound := playCrashes(t, s, func(number int) platformsite.Request { return soundRequest(s, number) }, func() platformsite.Request {
+		request := s.NewRequest(platformsite.AdvicePath, "m1")
+		request.Header = http.Header{backendserver.HeaderPrompt: {fmt.Sprintf("f1:80,5e03:60,%s:30,%s:20", deadlyPart, request.ID)}}
+		return request
+	})
 	const allowed = 5
 	checkCrashes(t, runnerBackends(s), allowed, func(run backendserver.Run) bool {
 		return strings.Contains(run.Prompt, deadlyPart)
 	}, sound)
 }
 
+// deadlyBody is the body of the request that crashes servers.
+const deadlyBody = `{"deadly":true}`
+
+// The request is repeated with the same path and body under new IDs, beside sound ones
+// with the same path, and for a runner with the same shared parts of the prompt.
+func TestRequestDoesNotCrashOneServerAfterAnother(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		backends func(*platformsite.Site) []*backendserver.Server
+		sound    func(*platformsite.Site, int) platformsite.Request
+	}{
+		{"model runners", runnerBackends, soundRequest},
+		{
+			"plain servers", func(s *platformsite.Site) []*backendserver.Server { return s.Plain },
+			func(s *platformsite.Site, _ int) platformsite.Request {
+				return s.NewRequest(platformsite.BookingPath, "")
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := crashSite(t)
+			for _, backend := range c.backends(s) {
+				backend.CrashOn(crashDownTime, func(_ *http.Request, body string) bool { return body == deadlyBody })
+			}
+			sound := playCrashes(t, s, func(number int) platformsite.Request { return c.sound(s, number) }, func() platformsite.Request {
+				request := c.sound(s, 3)
+				request.Body = deadlyBody
+				return request
+			})
+			const allowed = 3
+			checkCrashes(t, c.backends(s), allowed, func(run backendserver.Run) bool { return run.Body == deadlyBody }, sound)
+		})
+	}
+}
+
 func TestCrashesOfOtherCausesGetNoRequestRefusedForItsContent(t *testing.T) {
 	s := crashSite(t)
 	sound := &traffic{}
@@ -203,11 +259,7 @@
 		}
 	}
 	sound.wait.Wait()
-	for _, request := range sound.sent {
-		if strings.Contains(request.result.Body, "crash") {
-			t.Errorf("%s: %s", request.ID, request.result)
-		}
-	}
+	sound.checkNoneAccused(t)
 	share, count := sound.servedShare(time.Time{})
 	t.Logf("%d crashes, %.3f of %d requests served", len(crashTimes(runnerBackends(s))), share, count)
 }
