Refuse a request that crashes one server after another

What callers saw: one request, sent again and again with the same path and body under new IDs, crashed 13 to 15 servers in 20 s and broke the requests beside it; at a plain service as well (13 and 16).

Cause: each attempt has a new ID, and nothing else was kept of a request once it had ended. A part of a prompt is no substitute: here the parts are sound.

Change: a request has a fingerprint as a whole, of the caller's key, method, host, path and body, beside those of its parts; entries report and judges convict both alike. Of a request that isn't a stream nothing is seen before its end, so it counts as begun. Starts of whole requests are kept only under suspicion, as most requests come once.

Why it works: all attempts have the same fingerprint and no start. A part that only accompanies it is convicted together with it, so that sound requests with the part pass.

--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -24,6 +24,9 @@
 	// PromptParts holds the IDs of the parts of the prompt that other requests may
 	// share, in order. The last part of a prompt isn't shared and is left out.
 	PromptParts []string
+	// CallerKey is the secret by which the caller identifies itself; empty where the
+	// platform has none. It must not be logged.
+	CallerKey string
 }
 
 // BackendHeaders are the values sent to a backend server in addition to the
--- a/pkg/gateway/crash_observer.go
+++ b/pkg/gateway/crash_observer.go
@@ -35,8 +35,7 @@
 type suspectRequest struct {
 	requestID    string
 	fingerprints []quarantine.Fingerprint
-	// begun is set if the server had just begun the response: it had sent the header,
-	// and no event.
+	// begun is set if the server had just begun the response.
 	begun bool
 }
 
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -65,7 +65,7 @@
 	versions stateVersions
 	// fingerprints are what the request may have in common with others that crash
 	// their servers.
-	fingerprints []quarantine.Fingerprint
+	fingerprints quarantine.Fingerprints
 	// headerReceived is set once the last send has a response header.
 	headerReceived bool
 	// startReported is set once the start of the response was recorded.
@@ -105,7 +105,7 @@
 		logger:   h.observer.logger.With("request", caller.RequestID, "route", route.Name),
 		result:   requestResult{outcome: outcomeCallerLeft},
 
-		fingerprints: h.fingerprints(caller),
+		fingerprints: h.fingerprints(r, caller, body),
 	}
 	x.machine = attempt.New(attempt.Request{
 		Service:    x.service,
--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -113,7 +113,7 @@
 
 // recordStart records the start of a response, and reports it to the judges if the
 // request is under suspicion.
-func (c *quarantineClient) recordStart(now, startedAt time.Time, service string, fingerprints []quarantine.Fingerprint) {
+func (c *quarantineClient) recordStart(now, startedAt time.Time, service string, fingerprints quarantine.Fingerprints) {
 	c.update(now)
 	watched := c.list.RecordStart(now, startedAt, fingerprints)
 	if len(watched) == 0 {
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/attempt"
+	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
 )
@@ -17,14 +18,17 @@
 
 // fingerprints returns the fingerprints of a request; none before the site's secret
 // is known.
-func (h *handler) fingerprints(caller forward.RequestInfo) []quarantine.Fingerprint {
+func (h *handler) fingerprints(r *http.Request, caller forward.RequestInfo, body []byte) quarantine.Fingerprints {
 	fingerprinter := h.fingerprinter.Load()
 	if fingerprinter == nil {
-		return nil
+		return quarantine.Fingerprints{}
+	}
+	fingerprints := quarantine.Fingerprints{
+		Parts: make([]quarantine.Fingerprint, 0, len(caller.PromptParts)),
+		Whole: fingerprinter.Request(caller.CallerKey, r.Method, r.Host, target(r), body),
 	}
-	fingerprints := make([]quarantine.Fingerprint, 0, len(caller.PromptParts))
 	for _, part := range caller.PromptParts {
-		fingerprints = append(fingerprints, fingerprinter.PromptPart(part))
+		fingerprints.Parts = append(fingerprints.Parts, fingerprinter.PromptPart(part))
 	}
 	return fingerprints
 }
@@ -43,24 +47,34 @@
 	return !first.IsZero() && now.Sub(first) >= startGrace
 }
 
+// hasBegun reports whether the server had just begun the response. Of one that isn't a
+// stream nothing is seen before its end.
+func (x *exchange) hasBegun() bool {
+	return x.route.Kind != fleet.Streaming || (x.headerReceived && x.progress.firstEvent.IsZero())
+}
+
 // recordCrashSuspect records a request that may have crashed its server: one that
 // failed with its connection, before or just after the start of the response.
 func (x *exchange) recordCrashSuspect(ctx context.Context, target *server, event attempt.Event) {
 	now := time.Now()
-	if (event != attempt.Lost && event != attempt.Broken) || ctx.Err() != nil || x.hasStarted(now) || len(x.fingerprints) == 0 {
+	if (event != attempt.Lost && event != attempt.Broken) || ctx.Err() != nil || x.hasStarted(now) {
+		return
+	}
+	fingerprints := x.fingerprints.All()
+	if len(fingerprints) == 0 {
 		return
 	}
 	x.handler.crashes.requestFailed(now, target, suspectRequest{
 		requestID:    x.caller.RequestID,
-		fingerprints: x.fingerprints,
-		begun:        x.headerReceived && x.progress.firstEvent.IsZero(),
+		fingerprints: fingerprints,
+		begun:        x.hasBegun(),
 	})
 }
 
 // recordStart records that a server has survived the start of the response, so that
 // none of the request's fingerprints crashes servers.
 func (x *exchange) recordStart(now time.Time) {
-	if x.startReported || len(x.fingerprints) == 0 {
+	if x.startReported {
 		return
 	}
 	x.startReported = true
@@ -75,7 +89,7 @@
 // it did.
 func (x *exchange) refuseQuarantined() bool {
 	now := time.Now()
-	verdict, ok := x.handler.quarantine.check(now, x.fingerprints)
+	verdict, ok := x.handler.quarantine.check(now, x.fingerprints.All())
 	if !ok {
 		return false
 	}
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"strconv"
 )
 
@@ -24,11 +25,28 @@
 	return text
 }
 
+// Fingerprints are those of one request.
+type Fingerprints struct {
+	// Parts are those of the parts of its prompt that other requests may share.
+	Parts []Fingerprint
+	// Whole is that of the request itself; zero if it isn't known.
+	Whole Fingerprint
+}
+
+// All returns all fingerprints of the request.
+func (f Fingerprints) All() []Fingerprint {
+	if f.Whole == 0 {
+		return f.Parts
+	}
+	return append(slices.Clone(f.Parts), f.Whole)
+}
+
 // Labels separate the fingerprint key from other keys derived from the site's
 // secret, and the kinds of properties from each other.
 const (
 	keyLabel        = "teaselgauge request fingerprints"
 	promptPartLabel = "prompt part"
+	requestLabel    = "request"
 )
 
 // Fingerprinter computes fingerprints as a keyed hash. It is safe for concurrent
@@ -49,6 +67,12 @@
 	return f.sum(promptPartLabel, []byte(id))
 }
 
+// Request returns the fingerprint of a whole request. It is the same when the caller
+// sends the request again. callerKey may be empty.
+func (f *Fingerprinter) Request(callerKey, method, host, target string, body []byte) Fingerprint {
+	return f.sum(requestLabel, []byte(callerKey), []byte(method), []byte(host), []byte(target), body)
+}
+
 // sum hashes fields, each preceded by its length.
 func (f *Fingerprinter) sum(label string, fields ...[]byte) Fingerprint {
 	mac := hmac.New(sha256.New, f.key)
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -91,12 +91,16 @@
 }
 
 // RecordStart records the start of a response, and returns the fingerprints of which
-// the judges must learn it.
-func (l *List) RecordStart(now, at time.Time, fingerprints []Fingerprint) []Fingerprint {
+// the judges must learn it. That of the whole request is recorded only under
+// suspicion: most requests come once, and would displace the shared parts.
+func (l *List) RecordStart(now, at time.Time, started Fingerprints) []Fingerprint {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var report []Fingerprint
-	for _, fingerprint := range fingerprints {
+	for _, fingerprint := range started.All() {
+		if fingerprint == started.Whole && !l.watched[fingerprint] {
+			continue
+		}
 		l.starts.Record(fingerprint, at)
 		if !l.watched[fingerprint] || now.Sub(l.reported[fingerprint]) < startReportInterval {
 			continue
--- a/pkg/quarantine/simulation_test.go
+++ b/pkg/quarantine/simulation_test.go
@@ -13,11 +13,12 @@
 )
 
 // The bounds that the users set: sends of requests that crash servers, from contactTime
-// after the crash number maxCrashesBefore on.
+// after a number of crashes by a part of the prompt or by one request.
 const (
-	contactTime      = 3 * time.Second
-	maxCrashesBefore = 5
-	maxSendsAfter    = 3
+	contactTime             = 3 * time.Second
+	maxCrashesBefore        = 5
+	maxCrashesBeforeRepeats = 3
+	maxSendsAfter           = 3
 )
 
 // world describes one simulated site.
@@ -26,6 +27,9 @@
 	// rate is the number of sound requests per second, deadlyRate that of requests
 	// that crash servers, crashRate that of crashes of other causes.
 	rate, deadlyRate, crashRate float64
+	// isRepeated makes one request crash servers again and again, whose parts sound
+	// requests have as well.
+	isRepeated bool
 	// subjects is the number of second parts.
 	subjects int
 	// prefill is the mean time to the begin of a response, run that of a response.
@@ -38,7 +42,7 @@
 
 // simulatedRequest is a request in a simulation.
 type simulatedRequest struct {
-	fingerprints []Fingerprint
+	fingerprints Fingerprints
 	isDeadly     bool
 	entry        int
 	// begunAt, eventAt and startedAt are the times of the response's header, of its first
@@ -85,6 +89,8 @@
 	// accused counts the sound requests that were refused.
 	accused int
 	changes []Verdict
+	// lastWhole numbers the requests.
+	lastWhole uint64
 	// inFlight sums the requests on a server at each crash.
 	inFlight, allCrashes int
 }
@@ -157,19 +163,27 @@
 	}
 }
 
-// fingerprintsOf draws the parts of a prompt: one of three first parts, one of many
-// second ones, and for requests that crash servers a third one behind fixed others.
-func (s *simulation) fingerprintsOf(isDeadly bool) []Fingerprint {
-	const firsts, secondBase, deadlyPart = 3, 1000, 9999
-	if isDeadly {
-		return []Fingerprint{1, secondBase, deadlyPart}
+// fingerprintsOf draws the parts of a prompt: one of three first parts and one of many
+// second ones. Requests that crash servers have fixed ones, and a third one or the
+// same body.
+func (s *simulation) fingerprintsOf(isDeadly bool) Fingerprints {
+	const firsts, secondBase, deadly, wholeBase = 3, 1000, 9999, 1 << 32
+	s.lastWhole++
+	whole := Fingerprint(wholeBase + s.lastWhole)
+	switch {
+	case isDeadly && s.isRepeated:
+		return Fingerprints{Parts: []Fingerprint{1, secondBase}, Whole: deadly}
+	case isDeadly:
+		return Fingerprints{Parts: []Fingerprint{1, secondBase, deadly}, Whole: whole}
+	default:
+		parts := []Fingerprint{Fingerprint(1 + s.random.IntN(firsts)), Fingerprint(secondBase + s.random.IntN(s.subjects))}
+		return Fingerprints{Parts: parts, Whole: whole}
 	}
-	return []Fingerprint{Fingerprint(1 + s.random.IntN(firsts)), Fingerprint(secondBase + s.random.IntN(s.subjects))}
 }
 
 func (s *simulation) arrive(isDeadly bool) {
 	request := &simulatedRequest{fingerprints: s.fingerprintsOf(isDeadly), isDeadly: isDeadly, entry: s.random.IntN(s.entries)}
-	if _, refused := s.lists[request.entry].Check(s.now, request.fingerprints); refused {
+	if _, refused := s.lists[request.entry].Check(s.now, request.fingerprints.All()); refused {
 		if !isDeadly {
 			s.accused++
 		}
@@ -249,7 +263,7 @@
 	for request := range server.running {
 		if request.startedAt.IsZero() {
 			suspects[request.entry] = append(suspects[request.entry], Suspect{
-				Fingerprints: request.fingerprints,
+				Fingerprints: request.fingerprints.All(),
 				Begun:        !request.begunAt.IsZero() && request.eventAt.IsZero(),
 			})
 		}
@@ -268,11 +282,15 @@
 
 // sendsAfterBound counts the sends that the users' bound is about.
 func (s *simulation) sendsAfterBound() int {
-	if len(s.crashes) < maxCrashesBefore {
+	allowed := maxCrashesBefore
+	if s.isRepeated {
+		allowed = maxCrashesBeforeRepeats
+	}
+	if len(s.crashes) < allowed {
 		return 0
 	}
 	slices.SortFunc(s.crashes, time.Time.Compare)
-	after := s.crashes[maxCrashesBefore-1].Add(contactTime)
+	after := s.crashes[allowed-1].Add(contactTime)
 	count := 0
 	for _, at := range s.deadlySends {
 		if at.After(after) {
@@ -335,6 +353,18 @@
 	}
 }
 
+func TestCrashesByRequestEndInTimeAndAccuseNoSoundOne(t *testing.T) {
+	for _, load := range []float64{1, 3, 10, 30} {
+		for _, deadlyRate := range []float64{0.3, 1, 3} {
+			t.Run(fmt.Sprintf("requests=%g,deadly=%g", load, deadlyRate), func(t *testing.T) {
+				w := site(load)
+				w.deadlyRate, w.isRepeated = deadlyRate, true
+				checkDeadly(t, w)
+			})
+		}
+	}
+}
+
 func TestCrashesByPartEndInTimeBesideOtherCrashes(t *testing.T) {
 	for _, entries := range []int{4, 68} {
 		for _, together := range []int{1, 4} {
