Treat a stream that ends inside an event as broken off

A stream may come with neither a length nor chunks and end with its connection. If the server fails with an orderly close, the entry passed the part of an event on and ended the response as complete; a resumable stream was not resumed.

The end of a stream of server-sent events now has to be the end of an event, also with chunks; without length and chunks, a stream without any event is broken off as well. Such an end counts like a broken connection: a resumable stream goes on elsewhere, another one ends with a reset.

Other places that take the end of a connection for the end of a response: buffered and unbuffered responses read the body of package forward, whose tests cover an orderly end and a reset.

--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -15,6 +15,9 @@
 	Info   ResponseInfo
 	// ContentLength is -1 if the response has no length.
 	ContentLength int64
+	// EndsWithConnection is set if the response has neither a length nor chunks, so that
+	// an orderly end of the connection ends it.
+	EndsWithConnection bool
 
 	exchange *exchange
 	body     io.ReadCloser
@@ -33,6 +36,8 @@
 		exchange:      x,
 		body:          header.Body,
 		reusable:      !header.Close,
+
+		EndsWithConnection: header.ContentLength < 0 && len(header.TransferEncoding) == 0,
 	}
 }
 
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -1,14 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/attempt"
@@ -21,15 +17,8 @@
 	// buffered completely before it is sent, so that a truncated one can be
 	// retried.
 	maxBufferedBytes = 256 << 10
-	streamBufferSize = 8 << 10
-	// maxEventBytes limits the size of one event of a resumable stream, which is
-	// buffered until it is complete.
-	maxEventBytes = 1 << 20
 )
 
-// errEventTooLarge means that an event of a resumable stream exceeds maxEventBytes.
-var errEventTooLarge = errors.New("event of the stream is too large")
-
 // progress is the part of the response that was sent to the caller.
 type progress struct {
 	// started is set once the header was written.
@@ -42,6 +31,8 @@
 	longestGap time.Duration
 	// firstEvent is when the first complete event of a stream was received.
 	firstEvent time.Time
+	// tail holds the last bytes received of a stream, as many as end an event.
+	tail []byte
 }
 
 // forwardResponse sends a response to the caller. It returns nil when the caller
@@ -141,85 +132,3 @@
 	}
 	x.writer.WriteHeader(response.Status)
 }
-
-// forwardStream sends events as they arrive. Of a resumable stream only complete
-// events are sent, so that another server can resume it.
-func (x *exchange) forwardStream(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
-	x.writeHeader(response, -1)
-	flusher := http.NewResponseController(x.writer)
-	buffer := make([]byte, 0, streamBufferSize)
-	broken := attempt.Broken
-	for {
-		if len(buffer) >= maxEventBytes {
-			response.Close()
-			x.sendError = fmt.Errorf("after event %q: %w", x.progress.lastEventID, errEventTooLarge)
-			return &broken
-		}
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := response.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if n > 0 {
-			x.recordRead(backend)
-			complete := len(buffer)
-			if x.route.Resumable {
-				complete = completeEventsLength(buffer)
-			}
-			x.recordFirstEvent(buffer)
-			if complete > 0 {
-				x.recordLastEventID(buffer[:complete])
-				if _, writeErr := x.writer.Write(buffer[:complete]); writeErr != nil {
-					response.Close()
-					return nil
-				}
-				_ = flusher.Flush()
-				buffer = buffer[:copy(buffer, buffer[complete:])]
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			_, _ = x.writer.Write(buffer)
-			x.recordForwarded(response.Status)
-			return nil
-		}
-		if err != nil {
-			x.sendError = fmt.Errorf("after event %q: %w", x.progress.lastEventID, err)
-			return &broken
-		}
-	}
-}
-
-// recordRead records the time of a read from a stream.
-func (x *exchange) recordRead(backend *server) {
-	now := time.Now()
-	x.handler.tracker.DataReceived(now, backend.ID)
-	if !x.progress.lastRead.IsZero() {
-		x.progress.longestGap = max(x.progress.longestGap, now.Sub(x.progress.lastRead))
-	}
-	x.progress.lastRead = now
-	if x.hasStarted(now) {
-		x.recordStart(now)
-	}
-}
-
-// eventTerminator ends a server-sent event.
-var eventTerminator = []byte("\n\n")
-
-// completeEventsLength returns the length of the complete events at the start of
-// data.
-func completeEventsLength(data []byte) int {
-	last := bytes.LastIndex(data, eventTerminator)
-	if last < 0 {
-		return 0
-	}
-	return last + len(eventTerminator)
-}
-
-// recordLastEventID records the ID of the last event in data.
-func (x *exchange) recordLastEventID(data []byte) {
-	for line := range strings.SplitSeq(string(data), "\n") {
-		if id, ok := strings.CutPrefix(line, "id:"); ok {
-			x.progress.lastEventID = strings.TrimSpace(id)
-		}
-	}
-}
--- a/pkg/gateway/send_test.go
+++ b/pkg/gateway/send_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -33,6 +35,7 @@
 
 func testExchange(headerCodec forward.HeaderCodec, route *fleet.Route) *exchange {
 	h := &handler{headerCodec: headerCodec, observer: &observer{logger: discardLogger()}}
+	h.quarantine = newQuarantineClient(newControl(discardLogger()), &h.node, discardLogger())
 	request := httptest.NewRequest(http.MethodPost, "/p/item?a=1", nil)
 	return h.newExchange(httptest.NewRecorder(), request, route, forward.RequestInfo{RequestID: "r", Budget: 2 * time.Second}, nil, testStart)
 }
@@ -82,6 +85,65 @@
 	}
 }
 
+// rawServer sends bytes as the response to one request and closes the connection.
+func rawServer(t *testing.T, response string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write([]byte(response))
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func TestStreamThatEndsInsideEventIsNotComplete(t *testing.T) {
+	const eventStream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, c := range []struct {
+		name, response string
+		complete       bool
+	}{
+		{"whole events", eventStream + "\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n", true},
+		{"whole events with CRLF", eventStream + "\r\nid: 1\r\ndata: a\r\n\r\n", true},
+		{"whole events in chunks", eventStream + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", true},
+		{"not events", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nabc", true},
+		{"inside an event", eventStream + "\r\nid: 1\ndata: a\n\nid: 2\nda", false},
+		{"before the end of an event", eventStream + "\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n", false},
+		{"inside an event, in chunks", eventStream + "Transfer-Encoding: chunked\r\n\r\nb\r\nid: 1\ndata:\r\n0\r\n\r\n", false},
+		{"before the first event", eventStream + "\r\n", false},
+	} {
+		for _, resumable := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, resumable=%t", c.name, resumable), func(t *testing.T) {
+				x := testExchange(&recorder{}, &fleet.Route{Kind: fleet.Streaming, Resumable: resumable, Destinations: []fleet.Destination{{Service: "s"}}})
+				x.handler.tracker = backends.NewTracker()
+				pool := forward.NewPool(&recorder{}, func(string, time.Duration, error) {})
+				request := &forward.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+				response, err := pool.Send(t.Context(), rawServer(t, c.response), request, false)
+				if err != nil {
+					t.Fatal(err)
+				}
+				event := x.forwardStream(t.Context(), &server{Backend: &fleet.Backend{ID: "i-1"}}, response)
+				if (event == nil) != c.complete || (event != nil && *event != attempt.Broken) {
+					t.Errorf("event %v, error %v, want complete=%t", event, x.sendError, c.complete)
+				}
+			})
+		}
+	}
+}
+
 // endlessServer sends the header of a stream and then bytes without an end.
 func endlessServer(t *testing.T) string {
 	t.Helper()
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -33,14 +32,6 @@
 	return fingerprints
 }
 
-// recordFirstEvent records when the first complete event was received. data is what
-// was read and not yet forwarded.
-func (x *exchange) recordFirstEvent(data []byte) {
-	if x.progress.firstEvent.IsZero() && bytes.Contains(data, eventTerminator) {
-		x.progress.firstEvent = time.Now()
-	}
-}
-
 // hasStarted reports whether a server has survived the start of the response.
 func (x *exchange) hasStarted(now time.Time) bool {
 	first := x.progress.firstEvent
