--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -146,7 +146,7 @@
 			x.failNoBackend(ctx)
 			return
 		}
-		// The verdict may have come while the request waited.
+		// The block may have come while the request waited.
 		if x.refuseQuarantined() {
 			granted.release(false, 0)
 			return
--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -15,18 +15,18 @@
 )
 
 const (
-	// judgesPerService is the number of agents that judge the crashes of a service, so
-	// that a verdict survives the loss of one.
-	judgesPerService = 2
-	// evidenceTimeout limits the time to send evidence to a judge.
+	// detectorsPerService is the number of agents that detect what crashes the servers of a service, so
+	// that a block survives the loss of one.
+	detectorsPerService = 2
+	// evidenceTimeout limits the time to send evidence to a detector.
 	evidenceTimeout = time.Second
-	// judgeLabel separates the choice of judges from other choices among the agents.
-	judgeLabel = "judge "
+	// detectorLabel separates the choice of detectors from other choices among the agents.
+	detectorLabel = "detector "
 )
 
-// quarantineClient sends evidence on what crashes servers to the judges, and applies
-// their verdicts. All entries choose the same agents as the judges of a service. A site
-// without agents has one judge in each entry. It is safe for concurrent use.
+// quarantineClient sends evidence on what crashes servers to the detectors, and applies
+// their blocks. All entries choose the same agents as detectors of a service. A site
+// without agents has one detector in each entry. It is safe for concurrent use.
 type quarantineClient struct {
 	control *control
 	node    *atomic.Pointer[wire.Node]
@@ -36,15 +36,15 @@
 	mu sync.Mutex
 	// applied is the view whose statuses the list contains.
 	applied *view
-	// local holds the judges of a site without agents, by service.
-	local map[string]*quarantine.Judge
+	// local holds the detectors of a site without agents, by service.
+	local map[string]*quarantine.Detector
 }
 
 func newQuarantineClient(c *control, node *atomic.Pointer[wire.Node], logger *slog.Logger) *quarantineClient {
-	return &quarantineClient{control: c, node: node, logger: logger, local: make(map[string]*quarantine.Judge)}
+	return &quarantineClient{control: c, node: node, logger: logger, local: make(map[string]*quarantine.Detector)}
 }
 
-// check returns the verdict that a request matches; false if there is none.
+// check returns the block that a request matches; false if there is none.
 func (c *quarantineClient) check(now time.Time, fingerprints []quarantine.Fingerprint) (quarantine.Refusal, bool) {
 	if len(fingerprints) == 0 {
 		return quarantine.Refusal{}, false
@@ -53,10 +53,10 @@
 	return c.list.Check(now, fingerprints)
 }
 
-// verdicts returns the signatures in force.
-func (c *quarantineClient) verdicts(now time.Time) []quarantine.Signature {
+// blocks returns the signatures in force.
+func (c *quarantineClient) blocks(now time.Time) []quarantine.Signature {
 	c.update(now)
-	return c.list.Verdicts()
+	return c.list.Blocks()
 }
 
 // update applies the newest statuses of the agents.
@@ -75,33 +75,33 @@
 		}
 		states[host] = stateOfQuarantine(state.Status.Quarantine)
 	}
-	for service, judge := range c.local {
-		c.logVerdicts(now, service, judge.Update(now))
-		if state := judge.State(); state != nil {
-			states[judgeLabel+service] = state
+	for service, detector := range c.local {
+		c.logBlockChanges(now, service, detector.Update(now))
+		if state := detector.State(); state != nil {
+			states[detectorLabel+service] = state
 		}
 	}
 	c.list.Update(now, states)
 }
 
-// reportCrash sends a crash to the judges of its service.
+// reportCrash sends a crash to the detectors of its service.
 func (c *quarantineClient) reportCrash(observed crash) {
 	now := time.Now()
 	suspects := make([]quarantine.Suspect, len(observed.suspects))
 	for i, suspect := range observed.suspects {
 		suspects[i] = quarantine.Suspect{Fingerprints: suspect.fingerprints, Begun: suspect.begun}
 	}
-	// A judge that can't keep all suspects keeps the first ones.
+	// A detector that can't keep all suspects keeps the first ones.
 	slices.SortStableFunc(suspects, func(a, b quarantine.Suspect) int { return compareBool(b.Begun, a.Begun) })
 	starts := c.list.Starts(now, suspects)
-	judges := c.judgesOf(now, observed.service)
-	if len(judges) == 0 {
-		c.judgeLocally(now, observed.service, func(judge *quarantine.Judge) []quarantine.Verdict {
-			return judge.RecordCrash(now, quarantine.Crash{Server: observed.server, At: observed.at, Suspects: suspects, Starts: starts})
+	detectors := c.detectorsOf(now, observed.service)
+	if len(detectors) == 0 {
+		c.detectLocally(now, observed.service, func(detector *quarantine.Detector) []quarantine.BlockChange {
+			return detector.RecordCrash(now, quarantine.Crash{Server: observed.server, At: observed.at, Suspects: suspects, Starts: starts})
 		})
 		return
 	}
-	c.sendAll(judges, &wire.Frame{CrashReport: &wire.CrashReport{
+	c.sendAll(detectors, &wire.Frame{CrashReport: &wire.CrashReport{
 		Service:         observed.service,
 		Server:          observed.server.ID,
 		StartedAtMillis: observed.server.StartedAtMillis,
@@ -111,7 +111,7 @@
 	}})
 }
 
-// recordStart records the start of a response, and reports it to the judges if the
+// recordStart records the start of a response, and reports it to the detectors if the
 // request is under suspicion.
 func (c *quarantineClient) recordStart(now, startedAt time.Time, service string, fingerprints quarantine.Fingerprints) {
 	c.update(now)
@@ -123,17 +123,19 @@
 	for i, fingerprint := range watched {
 		starts[i] = quarantine.Start{Fingerprint: fingerprint, At: startedAt}
 	}
-	judges := c.judgesOf(now, service)
-	if len(judges) == 0 {
-		c.judgeLocally(now, service, func(judge *quarantine.Judge) []quarantine.Verdict { return judge.RecordStarts(now, starts) })
+	detectors := c.detectorsOf(now, service)
+	if len(detectors) == 0 {
+		c.detectLocally(now, service, func(detector *quarantine.Detector) []quarantine.BlockChange {
+			return detector.RecordStarts(now, starts)
+		})
 		return
 	}
-	c.sendAll(judges, &wire.Frame{StartReport: &wire.StartReport{Service: service, Starts: encodeStarts(now, starts)}})
+	c.sendAll(detectors, &wire.Frame{StartReport: &wire.StartReport{Service: service, Starts: encodeStarts(now, starts)}})
 }
 
-// judgesOf returns the agents that judge the crashes of a service: the first ones, in
+// detectorsOf returns the agents that detect what crashes the servers of a service: the first ones, in
 // an order that all entries agree on, of those that respond.
-func (c *quarantineClient) judgesOf(now time.Time, service string) []*agentState {
+func (c *quarantineClient) detectorsOf(now time.Time, service string) []*agentState {
 	agents := c.control.current().agents
 	var responding []string
 	for host, state := range agents {
@@ -141,70 +143,70 @@
 			responding = append(responding, host)
 		}
 	}
-	ranked := membership.RendezvousRank(judgeLabel+service, responding)
-	judges := make([]*agentState, min(len(ranked), judgesPerService))
-	for i := range judges {
-		judges[i] = agents[ranked[i]]
+	ranked := membership.RendezvousRank(detectorLabel+service, responding)
+	detectors := make([]*agentState, min(len(ranked), detectorsPerService))
+	for i := range detectors {
+		detectors[i] = agents[ranked[i]]
 	}
-	return judges
+	return detectors
 }
 
-// judgeLocally applies evidence to this entry's own judge of a service.
-func (c *quarantineClient) judgeLocally(now time.Time, service string, apply func(*quarantine.Judge) []quarantine.Verdict) {
+// detectLocally applies evidence to this entry's own detector of a service.
+func (c *quarantineClient) detectLocally(now time.Time, service string, apply func(*quarantine.Detector) []quarantine.BlockChange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	judge := c.local[service]
-	if judge == nil {
-		judge = &quarantine.Judge{}
-		c.local[service] = judge
+	detector := c.local[service]
+	if detector == nil {
+		detector = &quarantine.Detector{}
+		c.local[service] = detector
 	}
-	c.logVerdicts(now, service, apply(judge))
+	c.logBlockChanges(now, service, apply(detector))
 }
 
-func (c *quarantineClient) logVerdicts(now time.Time, service string, changes []quarantine.Verdict) {
+func (c *quarantineClient) logBlockChanges(now time.Time, service string, changes []quarantine.BlockChange) {
 	for _, change := range changes {
-		c.logger.Warn("verdict on requests that crash servers changed", "belief", "quarantine:"+service, "service", service,
+		c.logger.Warn("requests that crash servers: block changed", "belief", "quarantine:"+service, "service", service,
 			"change", change.Change.String(), "signature", change.Signature, "crashes", change.Crashes, "begun", change.Begun,
 			"first_crash_age_ms", now.Sub(change.FirstCrash).Milliseconds())
 	}
 }
 
 // sendAll sends a frame to several agents without waiting.
-func (c *quarantineClient) sendAll(judges []*agentState, frame *wire.Frame) {
+func (c *quarantineClient) sendAll(detectors []*agentState, frame *wire.Frame) {
 	node := c.node.Load()
 	if node == nil {
 		return
 	}
-	for _, judge := range judges {
-		go c.send(node, judge, frame)
+	for _, detector := range detectors {
+		go c.send(node, detector, frame)
 	}
 }
 
-func (c *quarantineClient) send(node *wire.Node, judge *agentState, frame *wire.Frame) {
+func (c *quarantineClient) send(node *wire.Node, detector *agentState, frame *wire.Frame) {
 	ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
 	defer cancel()
-	stream, err := node.Open(ctx, judge.Host, judge.InternalAddress)
+	stream, err := node.Open(ctx, detector.Host, detector.InternalAddress)
 	if err == nil {
 		err = stream.Send(frame)
 		stream.Close()
 	}
 	if err != nil {
-		c.logger.Warn("evidence on a crash not sent to its judge", "agent", judge.Host, "error", err)
+		c.logger.Warn("evidence on a crash not sent to its detector", "agent", detector.Host, "error", err)
 	}
 }
 
-// stateOfQuarantine decodes the state of a judge.
+// stateOfQuarantine decodes the state of a detector.
 func stateOfQuarantine(published *wire.Quarantine) *quarantine.State {
 	state := &quarantine.State{}
 	for _, fingerprint := range published.Watched {
 		state.Watched = append(state.Watched, quarantine.Fingerprint(fingerprint))
 	}
-	for _, verdict := range published.Verdicts {
-		signature := make(quarantine.Signature, len(verdict))
-		for i, fingerprint := range verdict {
+	for _, block := range published.Blocks {
+		signature := make(quarantine.Signature, len(block))
+		for i, fingerprint := range block {
 			signature[i] = quarantine.Fingerprint(fingerprint)
 		}
-		state.Verdicts = append(state.Verdicts, signature)
+		state.Blocks = append(state.Blocks, signature)
 	}
 	return state
 }
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -80,21 +80,21 @@
 // it did.
 func (x *exchange) refuseQuarantined() bool {
 	now := time.Now()
-	verdict, ok := x.handler.quarantine.check(now, x.fingerprints.All())
+	block, ok := x.handler.quarantine.check(now, x.fingerprints.All())
 	if !ok {
 		return false
 	}
 	x.handler.observer.metrics.Quarantined()
-	x.logger.Info("request refused, requests like it crash their servers", "service", x.service, "signature", verdict.Signature,
-		"verdict_age_ms", verdict.Age.Milliseconds(), "remaining_ms", verdict.Remaining.Milliseconds(), "sends", x.machine.Sends(),
+	x.logger.Info("request refused, requests like it crash their servers", "service", x.service, "signature", block.Signature,
+		"block_age_ms", block.Age.Milliseconds(), "remaining_ms", block.Remaining.Milliseconds(), "sends", x.machine.Sends(),
 		"may_have_run", x.machine.MayHaveRun())
 	if x.machine.MayHaveRun() {
 		x.fail(refusal{status: http.StatusBadGateway, reason: crashReason})
 		return true
 	}
-	x.fail(refusal{status: http.StatusServiceUnavailable, reason: crashReason, retryAfter: max(verdict.Remaining, noBackendRetryAfter)})
+	x.fail(refusal{status: http.StatusServiceUnavailable, reason: crashReason, retryAfter: max(block.Remaining, noBackendRetryAfter)})
 	return true
 }
 
-// crashReason is the reason of a refusal because of a verdict.
+// crashReason is the reason of a refusal because of a block.
 const crashReason = "requests like this one crash backend servers"
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -80,7 +80,7 @@
 	rateTokens         *vector[tally.Counter]
 	crashChecks        *vector[tally.Counter]
 	quarantined        tally.Counter
-	verdicts           tally.Gauge
+	blocks             tally.Gauge
 	responsesNotLogged tally.Counter
 }
 
@@ -107,7 +107,7 @@
 		rateTokens:         newCounters(gateway, "rate_tokens_total", "outcome"),
 		crashChecks:        newCounters(gateway, "crash_checks_total", "result"),
 		quarantined:        gateway.Counter("quarantined_requests_total"),
-		verdicts:           gateway.Gauge("crash_verdicts"),
+		blocks:             gateway.Gauge("blocked_signatures"),
 		responsesNotLogged: gateway.Counter("answers_not_logged_total"),
 	}
 }
@@ -187,5 +187,5 @@
 // Quarantined counts a request that was refused since it would crash its server.
 func (g *Gateway) Quarantined() { g.quarantined.Inc(1) }
 
-// Verdicts sets the number of verdicts on requests that crash servers.
-func (g *Gateway) Verdicts(count int) { g.verdicts.Update(float64(count)) }
+// Blocks sets the number of blocks on requests that crash servers.
+func (g *Gateway) Blocks(count int) { g.blocks.Update(float64(count)) }
--- a/pkg/metrics/runner.go
+++ b/pkg/metrics/runner.go
@@ -21,7 +21,7 @@
 	waiting    tally.Gauge
 	running    tally.Gauge
 	gateways   tally.Gauge
-	verdicts   *vector[tally.Counter]
+	blocks     *vector[tally.Counter]
 }
 
 // NewRunner registers an agent's metrics in scope.
@@ -40,7 +40,7 @@
 		waiting:    runner.Gauge("uses_waiting"),
 		running:    runner.Gauge("uses_running"),
 		gateways:   runner.Gauge("gateways"),
-		verdicts:   newCounters(runner, "crash_verdicts_total", "change"),
+		blocks:     newCounters(runner, "block_changes_total", "change"),
 	}
 }
 
@@ -73,5 +73,5 @@
 	r.gateways.Update(float64(gateways))
 }
 
-// Verdict counts a change of a verdict on requests that crash servers.
-func (r *Runner) Verdict(change string) { r.verdicts.with(labels{change}).Inc(1) }
+// BlockChange counts a change of a block on requests that crash servers.
+func (r *Runner) BlockChange(change string) { r.blocks.with(labels{change}).Inc(1) }
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/block.go
@@ -24,45 +24,45 @@
 	return slices.DeleteFunc(slices.Clone(s), func(f Fingerprint) bool { return f == fingerprint })
 }
 
-// Change is what happened to a verdict.
+// Change is what happened to a block.
 type Change uint8
 
-// The changes of verdicts.
+// The changes of blocks.
 const (
-	// Convicted: requests with the signature are refused from now on.
-	Convicted Change = iota
+	// Added: requests with the signature are refused from now on.
+	Added Change = iota
 	// Narrowed: a fingerprint turned out to be sound and was removed.
 	Narrowed
-	// Acquitted: a response started in spite of the verdict.
-	Acquitted
+	// Lifted: a response started in spite of the block.
+	Lifted
 	// Expired: requests with the signature are accepted again. The next crash
-	// convicts it again.
+	// blocks it again.
 	Expired
 )
 
 // String returns the change's name in logs and metrics.
 func (c Change) String() string {
 	switch c {
-	case Convicted:
-		return "convicted"
+	case Added:
+		return "added"
 	case Narrowed:
 		return "narrowed"
-	case Acquitted:
-		return "acquitted"
+	case Lifted:
+		return "lifted"
 	default:
 		return "expired"
 	}
 }
 
-// Verdict is a changed verdict, with its evidence.
-type Verdict struct {
+// BlockChange is a change of a block, with the block's evidence.
+type BlockChange struct {
 	Change    Change
 	Signature Signature
-	Grounds
+	Evidence
 }
 
-// Grounds is the evidence that convicted a signature.
-type Grounds struct {
+// Evidence is why a signature is blocked.
+type Evidence struct {
 	// Crashes counts the crashes since a fingerprint of the signature was last part
 	// of a start, Begun those in which the response to such a request had begun.
 	Crashes int
@@ -71,16 +71,16 @@
 	FirstCrash time.Time
 }
 
-// State is what a judge publishes. It is immutable.
+// State is what a detector publishes. It is immutable.
 type State struct {
 	// Watched are the fingerprints under suspicion. Their starts are reported to the
-	// judge.
+	// detector.
 	Watched []Fingerprint
-	// Verdicts are the signatures of the requests to refuse.
-	Verdicts []Signature
+	// Blocks are the signatures of the requests to refuse.
+	Blocks []Signature
 }
 
-// lists reports whether a state contains a verdict.
+// lists reports whether a state contains a block.
 func (s *State) lists(signature Signature) bool {
-	return slices.ContainsFunc(s.Verdicts, func(known Signature) bool { return slices.Equal(known, signature) })
+	return slices.ContainsFunc(s.Blocks, func(known Signature) bool { return slices.Equal(known, signature) })
 }
--- /dev/null
+++ b/pkg/quarantine/detector.go
@@ -0,0 +1,342 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minBegunCrashes and minCrashes are the numbers of crashes after which a
+	// fingerprint is blocked: those in which the server had just begun a response to a request
+	// with it, and these together with those in which no response had just begun.
+	minBegunCrashes = 3
+	minCrashes      = 6
+	// extraCrashes is how many more are needed if the fingerprint was part of a start
+	// before, or if another one was with it on a request in overlapCrashes of them, so
+	// that it may only have accompanied that one.
+	extraCrashes   = 2
+	overlapCrashes = 2
+	// minEvidenceSpan is the time from the first of these crashes to a block, so that
+	// starts at other servers arrive first.
+	minEvidenceSpan = time.Second
+
+	// BlockTTL is how long requests are refused after a block.
+	BlockTTL = 10 * time.Minute
+	// renewalTTL is how long after that a single crash renews the block.
+	renewalTTL = time.Hour
+	// maxBlocks bounds the blocks, including those that may be renewed.
+	maxBlocks = 64
+
+	// reviewInterval is the time between two reviews without new evidence.
+	reviewInterval = 250 * time.Millisecond
+
+	// maxWatched bounds the fingerprints under suspicion that are published,
+	// watchTTL is how long after their last crash they are.
+	maxWatched = 64
+	watchTTL   = time.Minute
+)
+
+// block keeps the requests with a signature from being sent.
+type block struct {
+	signature Signature
+	evidence  Evidence
+	at        time.Time
+	lastCrash time.Time
+}
+
+// changed returns the block after a change.
+func (b *block) changed(change Change) BlockChange {
+	return BlockChange{Change: change, Signature: b.signature, Evidence: b.evidence}
+}
+
+func (b *block) isActive(now time.Time) bool { return now.Sub(b.at) < BlockTTL }
+
+// Detector decides which requests crash servers, from the evidence of all hosts. Its
+// methods return the changed blocks. The zero value has no evidence.
+type Detector struct {
+	incidents []*incident
+	starts    History
+	blocks    []*block
+	state     *State
+	// reviewAt is when the passing of time may change a block.
+	reviewAt time.Time
+}
+
+// State returns what all hosts need to know; nil before the first crash.
+func (d *Detector) State() *State { return d.state }
+
+// RecordCrash records what a host reports of a crash.
+func (d *Detector) RecordCrash(now time.Time, crash Crash) []BlockChange {
+	for _, start := range crash.Starts {
+		d.starts.Record(start.Fingerprint, start.At)
+	}
+	at := slices.IndexFunc(d.incidents, func(i *incident) bool { return i.isOf(&crash) })
+	if at < 0 {
+		at = len(d.incidents)
+		d.incidents = append(d.incidents, newIncident(crash.At))
+	}
+	d.incidents[at].add(&crash)
+	changes := d.renew(now, &crash)
+	return append(changes, d.review(now)...)
+}
+
+// RecordStarts records that responses have started.
+func (d *Detector) RecordStarts(now time.Time, starts []Start) []BlockChange {
+	var changes []BlockChange
+	for _, start := range starts {
+		d.starts.Record(start.Fingerprint, start.At)
+		changes = append(changes, d.reconsider(start)...)
+	}
+	return append(changes, d.review(now)...)
+}
+
+// Update reviews the evidence if it is time.
+func (d *Detector) Update(now time.Time) []BlockChange {
+	if (len(d.incidents) == 0 && len(d.blocks) == 0) || now.Before(d.reviewAt) {
+		return nil
+	}
+	return d.review(now)
+}
+
+// review blocks what there is enough evidence against by now, and ends what has
+// expired.
+func (d *Detector) review(now time.Time) []BlockChange {
+	d.reviewAt = now.Add(reviewInterval)
+	changes := d.expire(now)
+	for {
+		blocked, ok := d.blockNext(now)
+		if !ok {
+			break
+		}
+		changes = append(changes, blocked)
+	}
+	d.publish(now)
+	return changes
+}
+
+// expire discards old evidence and ends blocks.
+func (d *Detector) expire(now time.Time) []BlockChange {
+	d.incidents = slices.DeleteFunc(d.incidents, func(i *incident) bool { return now.Sub(i.at) > incidentRetention })
+	if excess := len(d.incidents) - maxIncidents; excess > 0 {
+		d.incidents = slices.Delete(d.incidents, 0, excess)
+	}
+	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool { return now.Sub(b.at) > BlockTTL+renewalTTL })
+	if excess := len(d.blocks) - maxBlocks; excess > 0 {
+		d.blocks = slices.Delete(d.blocks, 0, excess)
+	}
+	var changes []BlockChange
+	for _, b := range d.blocks {
+		if d.state != nil && !b.isActive(now) && d.state.lists(b.signature) {
+			changes = append(changes, b.changed(Expired))
+		}
+	}
+	return changes
+}
+
+// reconsider applies a start to the blocks: what has started since the last crash
+// doesn't crash servers.
+func (d *Detector) reconsider(start Start) []BlockChange {
+	var changes []BlockChange
+	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool {
+		if !slices.Contains(b.signature, start.Fingerprint) || !start.At.After(b.lastCrash) {
+			return false
+		}
+		if len(b.signature) > 1 {
+			b.signature = b.signature.without(start.Fingerprint)
+			changes = append(changes, b.changed(Narrowed))
+			return false
+		}
+		changes = append(changes, b.changed(Lifted))
+		return true
+	})
+	return changes
+}
+
+// renew applies a crash to the blocks, and blocks again what has expired.
+func (d *Detector) renew(now time.Time, crash *Crash) []BlockChange {
+	var changes []BlockChange
+	for _, suspect := range crash.Suspects {
+		for _, known := range d.blocks {
+			if !known.signature.Matches(suspect.Fingerprints) {
+				continue
+			}
+			known.lastCrash = crash.At
+			if !known.isActive(now) {
+				known.at = now
+				known.evidence = Evidence{Crashes: 1, FirstCrash: crash.At}
+				changes = append(changes, known.changed(Added))
+			}
+		}
+	}
+	return changes
+}
+
+// suspicion is the evidence against a fingerprint.
+type suspicion struct {
+	fingerprint Fingerprint
+	// incidents are those since the last start with the fingerprint.
+	incidents []*incident
+	begun     int
+	// hasStarted is set if the fingerprint was part of a start before them.
+	hasStarted bool
+}
+
+// suffices reports whether the evidence is enough to block the fingerprint if no other
+// one explains it. extra is added to the crashes that it takes.
+func (e *suspicion) suffices(now time.Time, extra int) bool {
+	if len(e.incidents) == 0 || now.Sub(e.incidents[0].at) < minEvidenceSpan {
+		return false
+	}
+	if e.hasStarted {
+		extra += extraCrashes
+	}
+	return e.begun >= minBegunCrashes+extra || len(e.incidents) >= minCrashes+extra
+}
+
+// isLessLikely reports whether a fingerprint was part of a start and the other one
+// never was.
+func (e *suspicion) isLessLikely(than *suspicion) bool { return e.hasStarted && !than.hasStarted }
+
+// covers reports whether a fingerprint was a suspect in all incidents of another one.
+func (e *suspicion) covers(other *suspicion) bool {
+	return !slices.ContainsFunc(other.incidents, func(i *incident) bool { return !slices.Contains(e.incidents, i) })
+}
+
+// collect returns the suspicions against all fingerprints. Incidents that a
+// block explains count for nothing else.
+func (d *Detector) collect(now time.Time) map[Fingerprint]*suspicion {
+	slices.SortStableFunc(d.incidents, func(a, b *incident) int { return a.at.Compare(b.at) })
+	all := make(map[Fingerprint]*suspicion)
+	for _, i := range d.incidents {
+		if slices.ContainsFunc(d.blocks, func(b *block) bool { return i.hasMatch(b.signature) }) {
+			continue
+		}
+		for fingerprint, begun := range i.begun {
+			started, hasStarted := d.starts.Last(now, fingerprint)
+			if (hasStarted && !i.at.After(started)) || (i.anyBegun && !begun) {
+				continue
+			}
+			e := all[fingerprint]
+			if e == nil {
+				e = &suspicion{fingerprint: fingerprint, hasStarted: hasStarted}
+				all[fingerprint] = e
+			}
+			e.incidents = append(e.incidents, i)
+			if begun {
+				e.begun++
+			}
+		}
+	}
+	return all
+}
+
+// blockNext blocks the signature against which there is enough evidence; false if there
+// is none.
+func (d *Detector) blockNext(now time.Time) (BlockChange, bool) {
+	all := d.collect(now)
+	var best Signature
+	var grounds *suspicion
+	for _, fingerprint := range slices.Sorted(maps.Keys(all)) {
+		e := all[fingerprint]
+		if !e.suffices(now, 0) || (isAccompanied(e, all) && !e.suffices(now, extraCrashes)) {
+			continue
+		}
+		// Of several signatures, the one that matches the fewest requests goes first.
+		signature, ok := signatureOf(e, all)
+		if ok && len(signature) > len(best) {
+			best, grounds = signature, e
+		}
+	}
+	if best == nil {
+		return BlockChange{}, false
+	}
+	blocked := &block{
+		signature: best,
+		evidence:  Evidence{Crashes: len(grounds.incidents), Begun: grounds.begun, FirstCrash: grounds.incidents[0].at},
+		at:        now,
+		lastCrash: grounds.incidents[len(grounds.incidents)-1].at,
+	}
+	d.blocks = append(d.blocks, blocked)
+	return blocked.changed(Added), true
+}
+
+// signatureOf returns the signature of a fingerprint: with it, all others that were
+// on the same requests in all of its incidents. It returns false if a fingerprint of
+// other requests explains the incidents as well.
+func signatureOf(e *suspicion, all map[Fingerprint]*suspicion) (Signature, bool) {
+	signature := Signature{e.fingerprint}
+	for _, other := range all {
+		if other == e || other.isLessLikely(e) || len(other.incidents) < len(e.incidents) || !other.covers(e) {
+			continue
+		}
+		if slices.ContainsFunc(e.incidents, func(i *incident) bool { return !i.hasTogether(e.fingerprint, other.fingerprint) }) {
+			return nil, false
+		}
+		signature = append(signature, other.fingerprint)
+	}
+	slices.Sort(signature)
+	return signature, true
+}
+
+// isAccompanied reports whether another fingerprint, which isn't in all incidents, was
+// with this one on a request in several of them.
+func isAccompanied(e *suspicion, all map[Fingerprint]*suspicion) bool {
+	for _, other := range all {
+		if other == e || other.isLessLikely(e) || len(other.incidents) < overlapCrashes || other.covers(e) {
+			continue
+		}
+		together := 0
+		for _, i := range e.incidents {
+			if i.hasTogether(e.fingerprint, other.fingerprint) {
+				together++
+			}
+		}
+		if together >= overlapCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// publish replaces the published state if it has changed.
+func (d *Detector) publish(now time.Time) {
+	next := &State{Watched: d.watched(now)}
+	for _, b := range d.blocks {
+		if b.isActive(now) {
+			next.Blocks = append(next.Blocks, b.signature)
+		}
+	}
+	isSame := d.state != nil && slices.Equal(d.state.Watched, next.Watched) &&
+		slices.EqualFunc(d.state.Blocks, next.Blocks, func(a, b Signature) bool { return slices.Equal(a, b) })
+	if !isSame {
+		d.state = next
+	}
+}
+
+// watched returns the fingerprints under suspicion, in ascending order. If there are
+// too many, those in most crashes stay.
+func (d *Detector) watched(now time.Time) []Fingerprint {
+	var suspects []*suspicion
+	for _, e := range d.collect(now) {
+		if now.Sub(e.incidents[len(e.incidents)-1].at) < watchTTL {
+			suspects = append(suspects, e)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b *suspicion) int {
+		return cmp.Or(cmp.Compare(len(b.incidents), len(a.incidents)), cmp.Compare(b.begun, a.begun), cmp.Compare(a.fingerprint, b.fingerprint))
+	})
+	watched := make([]Fingerprint, 0, min(len(suspects), maxWatched))
+	for _, e := range suspects[:min(len(suspects), maxWatched)] {
+		watched = append(watched, e.fingerprint)
+	}
+	// The fingerprints of blocks are watched too: a start narrows or ends them.
+	for _, b := range d.blocks {
+		if b.isActive(now) {
+			watched = append(watched, b.signature...)
+		}
+	}
+	slices.Sort(watched)
+	return slices.Compact(watched)
+}
--- a/pkg/quarantine/judge_test.go
+++ b/pkg/quarantine/detector_test.go
@@ -11,12 +11,12 @@
 
 var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// bench drives a judge; times are seconds from the start.
+// bench drives a detector; times are seconds from the start.
 type bench struct {
-	t       *testing.T
-	judge   Judge
-	changes []Verdict
-	servers int
+	t        *testing.T
+	detector Detector
+	changes  []BlockChange
+	servers  int
 }
 
 func at(seconds float64) time.Time {
@@ -34,7 +34,7 @@
 	for _, fingerprints := range suspects {
 		crash.Suspects = append(crash.Suspects, Suspect{Fingerprints: fingerprints, Begun: begun})
 	}
-	b.changes = append(b.changes, b.judge.RecordCrash(at(seconds), crash)...)
+	b.changes = append(b.changes, b.detector.RecordCrash(at(seconds), crash)...)
 }
 
 func (b *bench) start(seconds float64, fingerprints ...Fingerprint) {
@@ -42,19 +42,19 @@
 	for _, fingerprint := range fingerprints {
 		starts = append(starts, Start{Fingerprint: fingerprint, At: at(seconds)})
 	}
-	b.changes = append(b.changes, b.judge.RecordStarts(at(seconds), starts)...)
+	b.changes = append(b.changes, b.detector.RecordStarts(at(seconds), starts)...)
 }
 
-// want checks the verdicts in force at a time.
+// want checks the blocks in force at a time.
 func (b *bench) want(seconds float64, signatures ...Signature) {
 	b.t.Helper()
-	b.changes = append(b.changes, b.judge.Update(at(seconds))...)
+	b.changes = append(b.changes, b.detector.Update(at(seconds))...)
 	var got []Signature
-	if state := b.judge.State(); state != nil {
-		got = state.Verdicts
+	if state := b.detector.State(); state != nil {
+		got = state.Blocks
 	}
 	if !slices.EqualFunc(got, signatures, func(a, b Signature) bool { return slices.Equal(a, b) }) {
-		b.t.Errorf("at %g s: verdicts %v, want %v (changes: %+v)", seconds, got, signatures, b.changes)
+		b.t.Errorf("at %g s: blocks %v, want %v (changes: %+v)", seconds, got, signatures, b.changes)
 	}
 }
 
@@ -67,7 +67,7 @@
 	otherFirst
 )
 
-func TestPartInThreeCrashesIsConvicted(t *testing.T) {
+func TestPartInThreeCrashesIsBlocked(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 3 {
 		b.want(float64(i) - 0.1)
@@ -98,7 +98,7 @@
 	b.want(11)
 }
 
-func TestServersThatCrashTogetherConvictNobody(t *testing.T) {
+func TestServersThatCrashTogetherBlockNobody(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 12 {
 		b.crash(0.01*float64(i), []Fingerprint{first, subject}, []Fingerprint{otherFirst, otherSubject})
@@ -106,7 +106,7 @@
 	b.want(30)
 }
 
-func TestCrashesExplainedByDifferentRequestsConvictNobody(t *testing.T) {
+func TestCrashesExplainedByDifferentRequestsBlockNobody(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 12 {
 		b.crash(float64(i), []Fingerprint{first}, []Fingerprint{otherFirst})
@@ -114,7 +114,7 @@
 	b.want(13)
 }
 
-func TestPartsThatCantBeToldApartAreConvictedTogether(t *testing.T) {
+func TestPartsThatCantBeToldApartAreBlockedTogether(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 3 {
 		b.crash(float64(i), []Fingerprint{first, subject, deadly})
@@ -124,7 +124,7 @@
 	b.start(5, first, subject)
 	b.want(5, Signature{deadly})
 	if last := b.changes[len(b.changes)-1]; last.Change != Narrowed || last.Crashes != 3 {
-		t.Errorf("last change %+v, want a narrowed verdict with its grounds", last)
+		t.Errorf("last change %+v, want a narrowed block with its evidence", last)
 	}
 }
 
@@ -139,7 +139,7 @@
 	b.want(4, Signature{deadly, subject})
 }
 
-func TestPartThatIsAccompaniedAtTimesIsConvicted(t *testing.T) {
+func TestPartThatIsAccompaniedAtTimesIsBlocked(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 5 {
 		b.want(float64(i) - 0.1)
@@ -152,7 +152,7 @@
 	b.want(4, Signature{deadly})
 }
 
-func TestPartThatWasSoundIsConvictedLater(t *testing.T) {
+func TestPartThatWasSoundIsBlockedLater(t *testing.T) {
 	b := &bench{t: t}
 	b.start(0, deadly, first)
 	for i := range minBegunCrashes + extraCrashes {
@@ -163,7 +163,7 @@
 	b.want(6, Signature{deadly})
 }
 
-func TestStartAcquitsConvicted(t *testing.T) {
+func TestStartLiftsBlock(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 3 {
 		b.crash(float64(i), []Fingerprint{subject})
@@ -173,24 +173,24 @@
 	b.want(3)
 }
 
-func TestStartBeforeCrashAcquitsNobody(t *testing.T) {
+func TestStartBeforeCrashLiftsNothing(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 3 {
 		b.crash(float64(i), []Fingerprint{deadly})
 	}
-	b.changes = append(b.changes, b.judge.RecordStarts(at(3), []Start{{Fingerprint: deadly, At: at(-1)}})...)
+	b.changes = append(b.changes, b.detector.RecordStarts(at(3), []Start{{Fingerprint: deadly, At: at(-1)}})...)
 	b.want(3, Signature{deadly})
 }
 
-func TestExpiredVerdictIsRenewedByOneCrash(t *testing.T) {
+func TestExpiredBlockIsRenewedByOneCrash(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 3 {
 		b.crash(float64(i), []Fingerprint{deadly})
 	}
-	expired := VerdictTTL.Seconds() + 10
+	expired := BlockTTL.Seconds() + 10
 	b.want(expired)
 	if last := b.changes[len(b.changes)-1]; last.Change != Expired {
-		t.Errorf("last change %+v, want an expired verdict", last)
+		t.Errorf("last change %+v, want an expired block", last)
 	}
 	b.crash(expired+5, []Fingerprint{first, deadly})
 	b.want(expired+5, Signature{deadly})
@@ -203,7 +203,7 @@
 			Server: backpressure.Incarnation{ID: "s"}, At: at(0.01 * float64(i)),
 			Suspects: []Suspect{{Fingerprints: []Fingerprint{subject}, Begun: true}},
 		}
-		b.changes = append(b.changes, b.judge.RecordCrash(at(float64(i)), crash)...)
+		b.changes = append(b.changes, b.detector.RecordCrash(at(float64(i)), crash)...)
 	}
 	b.want(20)
 }
@@ -223,15 +223,15 @@
 		}
 		b.crash(float64(i), suspects...)
 	}
-	if len(b.judge.incidents) > maxIncidents {
-		t.Errorf("%d incidents kept, want at most %d", len(b.judge.incidents), maxIncidents)
+	if len(b.detector.incidents) > maxIncidents {
+		t.Errorf("%d incidents kept, want at most %d", len(b.detector.incidents), maxIncidents)
 	}
-	for _, i := range b.judge.incidents {
+	for _, i := range b.detector.incidents {
 		if len(i.begun) > maxFingerprintsPerIncident {
 			t.Errorf("%d fingerprints of an incident kept, want at most %d", len(i.begun), maxFingerprintsPerIncident)
 		}
 	}
-	if watched := len(b.judge.State().Watched); watched > maxWatched {
+	if watched := len(b.detector.State().Watched); watched > maxWatched {
 		t.Errorf("%d fingerprints watched, want at most %d", watched, maxWatched)
 	}
 	b.want(float64(2 * maxIncidents))
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -10,15 +10,15 @@
 //   - A Start of a response, which shows that none of the request's fingerprints
 //     crashes servers.
 //
-// One Judge receives the evidence of all hosts on a service, as each host sees a part
-// of it. It convicts a Signature: the fingerprints that are in enough crashes since
-// they were last part of a start, and that can't be told apart from each other. Only
-// requests with all fingerprints of a signature are refused. A fingerprint that other
-// requests on the crashed servers explain as well convicts nobody, and neither do
-// crashes at the same moment, which have a common cause outside of the servers.
+// One Detector receives the evidence of all hosts on a service, as each host sees only a
+// part of it. It blocks a Signature: the fingerprints that are in enough crashes since
+// they were last part of a start, and that can't be told apart from each other yet. Only
+// requests with all fingerprints of a signature are refused. A fingerprint isn't blocked
+// while fingerprints of other requests on the same servers explain the crashes as well.
+// Servers that crash at the same moment have a common cause, and count once.
 //
-// A Judge publishes a State: its verdicts, and the fingerprints under suspicion, whose
-// starts it has to learn of. A List holds the verdicts of all judges at a host.
+// A Detector publishes a State: its blocks, and the fingerprints under suspicion, whose
+// starts it has to learn of. A List holds the blocks of all detectors at a host.
 //
 // The package does no I/O. Times are arguments; those of different hosts are never
 // compared, evidence carries its age instead.
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -7,49 +7,49 @@
 )
 
 const (
-	// listHoldTime is how long verdicts stay in force after their judge was lost.
+	// listHoldTime is how long blocks stay in force after their detector was lost.
 	listHoldTime = time.Minute
 	// startReportInterval is the minimum time between two reports of starts with the
 	// same fingerprint.
 	startReportInterval = 200 * time.Millisecond
 )
 
-// listed is a verdict of one judge.
+// listed is a block of one detector.
 type listed struct {
-	judge     string
+	detector  string
 	signature Signature
-	// since is when the verdict was first received, at when it was last received.
+	// since is when the block was first received, at when it was last received.
 	since, at time.Time
 }
 
-// List holds what a host knows of the verdicts of all judges, and of the starts of its
+// List holds what a host knows of the blocks of all detectors, and of the starts of its
 // own requests. It is safe for concurrent use. The zero value is empty.
 type List struct {
 	mu       sync.Mutex
-	verdicts []listed
+	blocks   []listed
 	watched  map[Fingerprint]bool
 	starts   History
 	reported map[Fingerprint]time.Time
 }
 
-// Update replaces the states of the judges, by judge. Verdicts of a judge that is
+// Update replaces the states of the detectors, by detector. Blocks of a detector that is
 // missing stay for listHoldTime.
 func (l *List) Update(now time.Time, states map[string]*State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.watched = make(map[Fingerprint]bool)
-	l.verdicts = slices.DeleteFunc(l.verdicts, func(v listed) bool {
-		if state := states[v.judge]; state != nil {
-			return !state.lists(v.signature)
+	l.blocks = slices.DeleteFunc(l.blocks, func(b listed) bool {
+		if state := states[b.detector]; state != nil {
+			return !state.lists(b.signature)
 		}
-		return now.Sub(v.at) > listHoldTime
+		return now.Sub(b.at) > listHoldTime
 	})
-	for judge, state := range states {
+	for detector, state := range states {
 		for _, fingerprint := range state.Watched {
 			l.watched[fingerprint] = true
 		}
-		for _, signature := range state.Verdicts {
-			l.add(now, judge, signature)
+		for _, signature := range state.Blocks {
+			l.add(now, detector, signature)
 		}
 	}
 	for fingerprint := range l.reported {
@@ -59,39 +59,39 @@
 	}
 }
 
-func (l *List) add(now time.Time, judge string, signature Signature) {
-	at := slices.IndexFunc(l.verdicts, func(v listed) bool { return v.judge == judge && slices.Equal(v.signature, signature) })
+func (l *List) add(now time.Time, detector string, signature Signature) {
+	at := slices.IndexFunc(l.blocks, func(b listed) bool { return b.detector == detector && slices.Equal(b.signature, signature) })
 	if at >= 0 {
-		l.verdicts[at].at = now
+		l.blocks[at].at = now
 		return
 	}
-	l.verdicts = append(l.verdicts, listed{judge: judge, signature: signature, since: now, at: now})
+	l.blocks = append(l.blocks, listed{detector: detector, signature: signature, since: now, at: now})
 }
 
-// Refusal is the verdict because of which a request is refused.
+// Refusal is the block because of which a request is refused.
 type Refusal struct {
 	Signature Signature
-	// Age is how long this host has known the verdict, Remaining how long it is
+	// Age is how long this host has known the block, Remaining how long it is
 	// expected to stay in force.
 	Age       time.Duration
 	Remaining time.Duration
 }
 
-// Check returns the verdict that a request matches; false if there is none.
+// Check returns the block that a request matches; false if there is none.
 func (l *List) Check(now time.Time, fingerprints []Fingerprint) (Refusal, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, v := range l.verdicts {
-		if v.signature.Matches(fingerprints) {
-			age := now.Sub(v.since)
-			return Refusal{Signature: v.signature, Age: age, Remaining: max(VerdictTTL-age, 0)}, true
+	for _, b := range l.blocks {
+		if b.signature.Matches(fingerprints) {
+			age := now.Sub(b.since)
+			return Refusal{Signature: b.signature, Age: age, Remaining: max(BlockTTL-age, 0)}, true
 		}
 	}
 	return Refusal{}, false
 }
 
 // RecordStart records the start of a response, and returns the fingerprints of which
-// the judges must learn it. That of the whole request is recorded only under
+// the detectors must learn it. That of the whole request is recorded only under
 // suspicion: most requests come once, and would displace the shared parts.
 func (l *List) RecordStart(now, at time.Time, started Fingerprints) []Fingerprint {
 	l.mu.Lock()
@@ -132,14 +132,14 @@
 	return starts
 }
 
-// Verdicts returns the signatures in force, each once.
-func (l *List) Verdicts() []Signature {
+// Blocks returns the signatures in force, each once.
+func (l *List) Blocks() []Signature {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var signatures []Signature
-	for _, v := range l.verdicts {
-		if !slices.ContainsFunc(signatures, func(known Signature) bool { return slices.Equal(known, v.signature) }) {
-			signatures = append(signatures, v.signature)
+	for _, b := range l.blocks {
+		if !slices.ContainsFunc(signatures, func(known Signature) bool { return slices.Equal(known, b.signature) }) {
+			signatures = append(signatures, b.signature)
 		}
 	}
 	return signatures
--- a/pkg/quarantine/simulation_test.go
+++ b/pkg/quarantine/simulation_test.go
@@ -74,21 +74,21 @@
 	return last
 }
 
-// simulation runs a site in virtual time with one judge.
+// simulation runs a site in virtual time with one detector.
 type simulation struct {
 	world
-	random  *rand.Rand
-	now     time.Time
-	queue   eventQueue
-	judge   Judge
-	lists   []*List
-	servers []*simulatedServer
+	random   *rand.Rand
+	now      time.Time
+	queue    eventQueue
+	detector Detector
+	lists    []*List
+	servers  []*simulatedServer
 	// crashes are the times of the crashes by requests, deadlySends the times at which
 	// requests that crash servers reached one.
 	crashes, deadlySends []time.Time
-	// accused counts the sound requests that were refused.
-	accused int
-	changes []Verdict
+	// blocked counts the sound requests that were refused.
+	blocked int
+	changes []BlockChange
 	// lastWhole numbers the requests.
 	lastWhole uint64
 	// inFlight sums the requests on a server at each crash.
@@ -138,7 +138,7 @@
 	s.after(warmUp, func() { s.repeat(s.crashRate, s.crashSome) })
 	var review func()
 	review = func() {
-		s.record(s.judge.Update(s.now))
+		s.record(s.detector.Update(s.now))
 		s.publish()
 		s.after(tick, review)
 	}
@@ -150,16 +150,16 @@
 	}
 }
 
-func (s *simulation) record(changes []Verdict) { s.changes = append(s.changes, changes...) }
+func (s *simulation) record(changes []BlockChange) { s.changes = append(s.changes, changes...) }
 
-// publish sends the judge's state to each entry after a delay.
+// publish sends the detector's state to each entry after a delay.
 func (s *simulation) publish() {
-	state := s.judge.State()
+	state := s.detector.State()
 	if state == nil {
 		return
 	}
 	for _, list := range s.lists {
-		s.after(s.between(50*time.Millisecond, 300*time.Millisecond), func() { list.Update(s.now, map[string]*State{"judge": state}) })
+		s.after(s.between(50*time.Millisecond, 300*time.Millisecond), func() { list.Update(s.now, map[string]*State{"detector": state}) })
 	}
 }
 
@@ -185,7 +185,7 @@
 	request := &simulatedRequest{fingerprints: s.fingerprintsOf(isDeadly), isDeadly: isDeadly, entry: s.random.IntN(s.entries)}
 	if _, refused := s.lists[request.entry].Check(s.now, request.fingerprints.All()); refused {
 		if !isDeadly {
-			s.accused++
+			s.blocked++
 		}
 		return
 	}
@@ -238,7 +238,7 @@
 		starts = append(starts, Start{fingerprint, request.eventAt})
 	}
 	if len(starts) > 0 {
-		s.after(s.between(time.Millisecond, 50*time.Millisecond), func() { s.record(s.judge.RecordStarts(s.now, starts)) })
+		s.after(s.between(time.Millisecond, 50*time.Millisecond), func() { s.record(s.detector.RecordStarts(s.now, starts)) })
 	}
 }
 
@@ -275,7 +275,7 @@
 			continue
 		}
 		s.after(s.between(50*time.Millisecond, 350*time.Millisecond), func() {
-			s.record(s.judge.RecordCrash(s.now, Crash{Server: incarnation, At: at, Suspects: of, Starts: s.lists[entry].Starts(s.now, of)}))
+			s.record(s.detector.RecordCrash(s.now, Crash{Server: incarnation, At: at, Suspects: of, Starts: s.lists[entry].Starts(s.now, of)}))
 		})
 	}
 }
@@ -300,8 +300,8 @@
 	return count
 }
 
-// describe lists changes of verdicts.
-func describe(changes []Verdict) string {
+// describe lists changes of blocks.
+func describe(changes []BlockChange) string {
 	text := ""
 	for _, change := range changes {
 		text += fmt.Sprintf(" %s %v after %.2f s by %d crashes, %d begun;", change.Change, []Fingerprint(change.Signature),
@@ -325,23 +325,23 @@
 // checkDeadly plays a world on all seeds and checks both bounds of the users.
 func checkDeadly(t *testing.T, w world) {
 	t.Helper()
-	crashes, accused, late := 0, 0, 0
+	crashes, blocked, late := 0, 0, 0
 	for seed := range *simulationSeeds {
 		s := newSimulation(w, seed)
 		s.runAll()
 		crashes += len(s.crashes)
-		accused += s.accused
+		blocked += s.blocked
 		sends := s.sendsAfterBound()
 		late = max(late, sends)
-		if sends > maxSendsAfter || s.accused > 0 {
-			t.Errorf("seed %d: %d sends after the bound, %d sound requests refused, %d crashes, verdicts: %s",
-				seed, sends, s.accused, len(s.crashes), describe(s.changes))
+		if sends > maxSendsAfter || s.blocked > 0 {
+			t.Errorf("seed %d: %d sends after the bound, %d sound requests refused, %d crashes, blocks: %s",
+				seed, sends, s.blocked, len(s.crashes), describe(s.changes))
 		}
 	}
-	t.Logf("%.1f crashes a day, at most %d sends after the bound, %d sound requests refused", float64(crashes)/float64(*simulationSeeds), late, accused)
+	t.Logf("%.1f crashes a day, at most %d sends after the bound, %d sound requests refused", float64(crashes)/float64(*simulationSeeds), late, blocked)
 }
 
-func TestCrashesByPartEndInTimeAndAccuseNoSoundPart(t *testing.T) {
+func TestCrashesByPartEndInTimeAndBlockNoSoundPart(t *testing.T) {
 	for _, load := range []float64{1, 3, 10, 30} {
 		for _, deadlyRate := range []float64{0.3, 1, 3, 8} {
 			t.Run(fmt.Sprintf("requests=%g,deadly=%g", load, deadlyRate), func(t *testing.T) {
@@ -353,7 +353,7 @@
 	}
 }
 
-func TestCrashesByRequestEndInTimeAndAccuseNoSoundOne(t *testing.T) {
+func TestCrashesByRequestEndInTimeAndBlockNoSoundOne(t *testing.T) {
 	for _, load := range []float64{1, 3, 10, 30} {
 		for _, deadlyRate := range []float64{0.3, 1, 3} {
 			t.Run(fmt.Sprintf("requests=%g,deadly=%g", load, deadlyRate), func(t *testing.T) {
@@ -378,14 +378,14 @@
 	}
 }
 
-func TestCrashesOfOtherCausesAccuseNobody(t *testing.T) {
+func TestCrashesOfOtherCausesBlockNobody(t *testing.T) {
 	for _, load := range []float64{1, 3, 10, 30} {
 		for _, c := range []struct {
 			rate     float64
 			together int
 		}{{0.3, 1}, {1, 1}, {3, 1}, {0.3, 4}, {0.3, 9}} {
 			t.Run(fmt.Sprintf("requests=%g,crashes=%g,together=%d", load, c.rate, c.together), func(t *testing.T) {
-				crashes, accused, suspects := 0, 0, 0
+				crashes, blocked, suspects := 0, 0, 0
 				for seed := range *simulationSeeds {
 					w := site(load)
 					w.crashRate, w.together = c.rate, c.together
@@ -393,13 +393,13 @@
 					s.runAll()
 					crashes += s.allCrashes
 					suspects += s.inFlight
-					accused += s.accused
+					blocked += s.blocked
 					if len(s.changes) > 0 {
-						t.Errorf("seed %d: %d crashes, verdicts: %s", seed, s.allCrashes, describe(s.changes))
+						t.Errorf("seed %d: %d crashes, blocks: %s", seed, s.allCrashes, describe(s.changes))
 					}
 				}
 				t.Logf("%.1f crashes a day with %.1f requests each, %d sound requests refused",
-					float64(crashes)/float64(*simulationSeeds), float64(suspects)/float64(crashes), accused)
+					float64(crashes)/float64(*simulationSeeds), float64(suspects)/float64(crashes), blocked)
 			})
 		}
 	}
--- a/pkg/runneragent/agent.go
+++ b/pkg/runneragent/agent.go
@@ -131,7 +131,7 @@
 	for ctx.Err() == nil {
 		backoff.Sleep(ctx, tickInterval)
 		a.controller.loop.Do(func() {
-			a.controller.updateJudges(time.Now())
+			a.controller.updateDetectors(time.Now())
 			a.controller.perform(a.controller.manager.Tick(time.Now()))
 		})
 	}
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -54,8 +54,8 @@
 	engine *wire.Engine
 	// limit is the runner's rate limit as last logged.
 	limit ratelimit.Limit
-	// judges decide which requests crash the servers of a service, by service.
-	judges map[string]*quarantine.Judge
+	// detectors decide which requests crash the servers of a service, by service.
+	detectors map[string]*quarantine.Detector
 	// quarantine is what they have decided; nil before the first evidence.
 	quarantine *wire.Quarantine
 	// statusThrottle limits the rate of statuses given to subscribers.
@@ -71,7 +71,7 @@
 		metrics:        runnerMetrics,
 		grantSampler:   logging.NewSampler(maxGrantLogsPerSecond),
 		waiting:        make(map[string]waitingLease),
-		judges:         make(map[string]*quarantine.Judge),
+		detectors:      make(map[string]*quarantine.Detector),
 		statusThrottle: eventloop.Throttle{MinInterval: minStatusInterval},
 	}
 }
--- a/pkg/runneragent/judging.go
+++ b/pkg/runneragent/detection.go
@@ -9,23 +9,23 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// maxJudges bounds the services for which an agent judges crashes.
-const maxJudges = 256
+// maxDetectors bounds the services for which an agent detects what crashes their servers.
+const maxDetectors = 256
 
-// judgeOf returns the judge of a service; nil if there are too many.
-func (c *controller) judgeOf(service string) *quarantine.Judge {
-	judge := c.judges[service]
-	if judge == nil && len(c.judges) < maxJudges {
-		judge = &quarantine.Judge{}
-		c.judges[service] = judge
+// detectorOf returns the detector of a service; nil if there are too many.
+func (c *controller) detectorOf(service string) *quarantine.Detector {
+	detector := c.detectors[service]
+	if detector == nil && len(c.detectors) < maxDetectors {
+		detector = &quarantine.Detector{}
+		c.detectors[service] = detector
 	}
-	return judge
+	return detector
 }
 
 // crashReported records what a gateway reports of a crash.
 func (c *controller) crashReported(now time.Time, gateway string, report *wire.CrashReport) {
-	judge := c.judgeOf(report.Service)
-	if judge == nil {
+	detector := c.detectorOf(report.Service)
+	if detector == nil {
 		c.logger.Warn("crash report ignored, too many services", "service", report.Service)
 		return
 	}
@@ -43,32 +43,32 @@
 	}
 	c.logger.Info("crash of a backend server reported", "entry", gateway, "service", report.Service, "backend", report.Server,
 		"age_ms", report.AgeMillis, "suspects", len(crash.Suspects), "begun", begun, "known_starts", len(crash.Starts))
-	c.applyVerdicts(now, report.Service, judge.RecordCrash(now, crash))
+	c.applyBlockChanges(now, report.Service, detector.RecordCrash(now, crash))
 }
 
 // startsReported records responses that have started.
 func (c *controller) startsReported(now time.Time, report *wire.StartReport) {
-	if judge := c.judges[report.Service]; judge != nil {
-		c.applyVerdicts(now, report.Service, judge.RecordStarts(now, startsOf(now, report.Starts)))
+	if detector := c.detectors[report.Service]; detector != nil {
+		c.applyBlockChanges(now, report.Service, detector.RecordStarts(now, startsOf(now, report.Starts)))
 	}
 }
 
-// updateJudges convicts what the evidence suffices for by now.
-func (c *controller) updateJudges(now time.Time) {
-	for service, judge := range c.judges {
-		c.applyVerdicts(now, service, judge.Update(now))
+// updateDetectors blocks what there is enough evidence against by now.
+func (c *controller) updateDetectors(now time.Time) {
+	for service, detector := range c.detectors {
+		c.applyBlockChanges(now, service, detector.Update(now))
 	}
 }
 
-// applyVerdicts logs changed verdicts and publishes what has changed.
-func (c *controller) applyVerdicts(now time.Time, service string, changes []quarantine.Verdict) {
+// applyBlockChanges logs changed blocks and publishes what has changed.
+func (c *controller) applyBlockChanges(now time.Time, service string, changes []quarantine.BlockChange) {
 	for _, change := range changes {
-		c.metrics.Verdict(change.Change.String())
-		c.logger.Warn("verdict on requests that crash servers changed", "belief", "quarantine:"+service, "service", service,
+		c.metrics.BlockChange(change.Change.String())
+		c.logger.Warn("requests that crash servers: block changed", "belief", "quarantine:"+service, "service", service,
 			"change", change.Change.String(), "signature", change.Signature, "crashes", change.Crashes, "begun", change.Begun,
 			"first_crash_age_ms", now.Sub(change.FirstCrash).Milliseconds())
 	}
-	published := c.describeJudges()
+	published := c.describeDetectors()
 	if published.Equal(c.quarantine) {
 		return
 	}
@@ -76,11 +76,11 @@
 	c.publish(now)
 }
 
-// describeJudges returns what all judges have decided; nil without evidence.
-func (c *controller) describeJudges() *wire.Quarantine {
+// describeDetectors returns what all detectors have decided; nil without evidence.
+func (c *controller) describeDetectors() *wire.Quarantine {
 	var published *wire.Quarantine
-	for _, judge := range c.judges {
-		state := judge.State()
+	for _, detector := range c.detectors {
+		state := detector.State()
 		if state == nil {
 			continue
 		}
@@ -90,17 +90,17 @@
 		for _, fingerprint := range state.Watched {
 			published.Watched = append(published.Watched, uint64(fingerprint))
 		}
-		for _, signature := range state.Verdicts {
-			verdict := make([]uint64, len(signature))
+		for _, signature := range state.Blocks {
+			block := make([]uint64, len(signature))
 			for i, fingerprint := range signature {
-				verdict[i] = uint64(fingerprint)
+				block[i] = uint64(fingerprint)
 			}
-			published.Verdicts = append(published.Verdicts, verdict)
+			published.Blocks = append(published.Blocks, block)
 		}
 	}
 	if published != nil {
 		slices.Sort(published.Watched)
-		slices.SortFunc(published.Verdicts, slices.Compare)
+		slices.SortFunc(published.Blocks, slices.Compare)
 	}
 	return published
 }
--- a/pkg/wire/quarantine_messages.go
+++ b/pkg/wire/quarantine_messages.go
@@ -37,13 +37,13 @@
 	AgeMillis uint32 `cbor:"2,keyasint"`
 }
 
-// Quarantine is what an agent that judges crashes publishes.
+// Quarantine is what an agent that detects what crashes servers publishes.
 type Quarantine struct {
 	// Watched are the fingerprints whose starts are reported to the agent.
 	Watched []uint64 `cbor:"1,keyasint,omitempty"`
-	// Verdicts are the signatures of the requests to refuse: those that have all
+	// Blocks are the signatures of the requests to refuse: those that have all
 	// fingerprints of one of them.
-	Verdicts [][]uint64 `cbor:"2,keyasint,omitempty"`
+	Blocks [][]uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Equal reports whether two values are the same. Both may be nil.
@@ -51,5 +51,5 @@
 	if q == other || q == nil || other == nil {
 		return q == other
 	}
-	return slices.Equal(q.Watched, other.Watched) && slices.EqualFunc(q.Verdicts, other.Verdicts, slices.Equal[[]uint64])
+	return slices.Equal(q.Watched, other.Watched) && slices.EqualFunc(q.Blocks, other.Blocks, slices.Equal[[]uint64])
 }
--- a/testkit/platformprocess/crash_test.go
+++ b/testkit/platformprocess/crash_test.go
@@ -90,12 +90,12 @@
 	return float64(served) / float64(max(count, 1)), count
 }
 
-// checkNoneAccused checks that no request was refused for its content.
-func (l *traffic) checkNoneAccused(t *testing.T) {
+// checkNoneBlocked checks that no request was refused for its content.
+func (l *traffic) checkNoneBlocked(t *testing.T) {
 	t.Helper()
 	for _, request := range l.sent {
 		if strings.Contains(request.result.Body, "crash") {
-			t.Errorf("%s, with the prompt %s, was accused: %s", request.ID, request.Header.Get(backendserver.HeaderPrompt), request.result)
+			t.Errorf("%s, with the prompt %s, was blocked: %s", request.ID, request.Header.Get(backendserver.HeaderPrompt), request.result)
 		}
 	}
 }
@@ -158,7 +158,7 @@
 	}
 	share, count := sound.servedShare(times[min(allowed, len(times))-1].Add(2 * crashNotice))
 	t.Logf("%.3f of %d sound requests served", share, count)
-	sound.checkNoneAccused(t)
+	sound.checkNoneBlocked(t)
 	const minCount, minShare = 20, 0.5
 	if count < minCount || share < minShare {
 		t.Errorf("%.3f of %d sound requests served beside those that crash servers, want %.1f of %d or more", share, count, minShare, minCount)
@@ -259,7 +259,7 @@
 		}
 	}
 	sound.wait.Wait()
-	sound.checkNoneAccused(t)
+	sound.checkNoneBlocked(t)
 	share, count := sound.servedShare(time.Time{})
 	t.Logf("%d crashes, %.3f of %d requests served", len(crashTimes(runnerBackends(s))), share, count)
 }
