--- a/pkg/gateway/dump.go
+++ b/pkg/gateway/dump.go
@@ -8,6 +8,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
+	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -25,6 +26,9 @@
 	Entries   int                            `json:"entries"`
 	Servers   []ServerDump                   `json:"servers"`
 	Models    []ModelDump                    `json:"models"`
+	// Blocked are the signatures of the requests that are refused since requests like
+	// them crash servers.
+	Blocked []quarantine.Signature `json:"blocked_signatures,omitempty"`
 }
 
 // FreshnessDump is the version of a part of the control state and its age.
@@ -81,6 +85,7 @@
 		Freshness: g.control.freshness.dump(now),
 		InFlight:  g.handler.inFlight.Load(),
 		Entries:   current.entries(),
+		Blocked:   g.handler.quarantine.blocks(now),
 	}
 	if current.table == nil {
 		return d
--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// detectorsPerService is the number of agents that detect what crashes the servers of a service, so
-	// that a block survives the loss of one.
+	// detectorsPerService is the number of agents that detect what crashes the servers
+	// of a service, so that a block survives the loss of one.
 	detectorsPerService = 2
 	// evidenceTimeout limits the time to send evidence to a detector.
 	evidenceTimeout = time.Second
@@ -73,7 +73,8 @@
 		if state.AgentRecord == nil || state.Status == nil || state.Status.Quarantine == nil {
 			continue
 		}
-		states[host] = stateOfQuarantine(state.Status.Quarantine)
+		published := state.Status.Quarantine
+		states[host] = &quarantine.State{Watched: published.Watched, Blocks: published.Blocks}
 	}
 	for service, detector := range c.local {
 		c.logBlockChanges(now, service, detector.Update(now))
@@ -165,9 +166,7 @@
 
 func (c *quarantineClient) logBlockChanges(now time.Time, service string, changes []quarantine.BlockChange) {
 	for _, change := range changes {
-		c.logger.Warn("requests that crash servers: block changed", "belief", "quarantine:"+service, "service", service,
-			"change", change.Change.String(), "signature", change.Signature, "crashes", change.Crashes, "begun", change.Begun,
-			"first_crash_age_ms", now.Sub(change.FirstCrash).Milliseconds())
+		c.logger.Warn("requests that crash servers: block changed", change.LogAttrs(now, service)...)
 	}
 }
 
@@ -195,29 +194,10 @@
 	}
 }
 
-// stateOfQuarantine decodes the state of a detector.
-func stateOfQuarantine(published *wire.Quarantine) *quarantine.State {
-	state := &quarantine.State{}
-	for _, fingerprint := range published.Watched {
-		state.Watched = append(state.Watched, quarantine.Fingerprint(fingerprint))
-	}
-	for _, block := range published.Blocks {
-		signature := make(quarantine.Signature, len(block))
-		for i, fingerprint := range block {
-			signature[i] = quarantine.Fingerprint(fingerprint)
-		}
-		state.Blocks = append(state.Blocks, signature)
-	}
-	return state
-}
-
 func encodeSuspects(suspects []quarantine.Suspect) []wire.CrashSuspect {
 	encoded := make([]wire.CrashSuspect, len(suspects))
 	for i, suspect := range suspects {
-		encoded[i].Begun = suspect.Begun
-		for _, fingerprint := range suspect.Fingerprints {
-			encoded[i].Fingerprints = append(encoded[i].Fingerprints, uint64(fingerprint))
-		}
+		encoded[i] = wire.CrashSuspect{Fingerprints: suspect.Fingerprints, Begun: suspect.Begun}
 	}
 	return encoded
 }
@@ -225,7 +205,7 @@
 func encodeStarts(now time.Time, starts []quarantine.Start) []wire.ResponseStart {
 	encoded := make([]wire.ResponseStart, len(starts))
 	for i, start := range starts {
-		encoded[i] = wire.ResponseStart{Fingerprint: uint64(start.Fingerprint), AgeMillis: ageMillis(now, start.At)}
+		encoded[i] = wire.ResponseStart{Fingerprint: start.Fingerprint, AgeMillis: ageMillis(now, start.At)}
 	}
 	return encoded
 }
--- a/pkg/gateway/send_test.go
+++ b/pkg/gateway/send_test.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// rawServer sends bytes as the response to one request and closes the connection.
-func rawServer(t *testing.T, response string) string {
+// serveOnce serves one connection and returns the server's address.
+func serveOnce(t *testing.T, serve func(conn net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -99,9 +99,7 @@
 			return
 		}
 		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = conn.Write([]byte(response))
-		}
+		serve(conn)
 	})
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -110,6 +108,16 @@
 	return listener.Addr().String()
 }
 
+// rawServer sends bytes as the response to one request and closes the connection.
+func rawServer(t *testing.T, response string) string {
+	t.Helper()
+	return serveOnce(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write([]byte(response))
+		}
+	})
+}
+
 func TestStreamThatEndsInsideEventIsNotComplete(t *testing.T) {
 	const eventStream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 	for _, c := range []struct {
@@ -147,27 +155,12 @@
 // endlessServer sends the header of a stream and then bytes without an end.
 func endlessServer(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var serving sync.WaitGroup
-	serving.Go(func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: "))
+	return serveOnce(t, func(conn net.Conn) {
+		_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: "))
 		for err == nil {
 			_, err = conn.Write(bytes.Repeat([]byte("x"), 64<<10))
 		}
 	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		serving.Wait()
-	})
-	return listener.Addr().String()
 }
 
 // Guards against an event without an end that fills the memory of the entry.
--- a/pkg/quarantine/block.go
+++ b/pkg/quarantine/block.go
@@ -61,6 +61,14 @@
 	Evidence
 }
 
+// LogAttrs returns the attributes of a log line on the change.
+func (c BlockChange) LogAttrs(now time.Time, service string) []any {
+	return []any{
+		"belief", "quarantine:" + service, "service", service, "change", c.Change.String(), "signature", c.Signature,
+		"crashes", c.Crashes, "begun", c.Begun, "first_crash_age_ms", now.Sub(c.FirstCrash).Milliseconds(),
+	}
+}
+
 // Evidence is why a signature is blocked.
 type Evidence struct {
 	// Crashes counts the crashes since a fingerprint of the signature was last part
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -25,6 +25,9 @@
 	return text
 }
 
+// MarshalText implements encoding.TextMarshaler, for the state dump.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
 // Fingerprints are those of one request.
 type Fingerprints struct {
 	// Parts are those of the parts of its prompt that other requests may share.
--- a/pkg/runneragent/detection.go
+++ b/pkg/runneragent/detection.go
@@ -36,7 +36,7 @@
 	}
 	begun := 0
 	for _, suspect := range report.Suspects {
-		crash.Suspects = append(crash.Suspects, quarantine.Suspect{Fingerprints: fingerprintsOf(suspect.Fingerprints), Begun: suspect.Begun})
+		crash.Suspects = append(crash.Suspects, quarantine.Suspect{Fingerprints: suspect.Fingerprints, Begun: suspect.Begun})
 		if suspect.Begun {
 			begun++
 		}
@@ -64,9 +64,7 @@
 func (c *controller) applyBlockChanges(now time.Time, service string, changes []quarantine.BlockChange) {
 	for _, change := range changes {
 		c.metrics.BlockChange(change.Change.String())
-		c.logger.Warn("requests that crash servers: block changed", "belief", "quarantine:"+service, "service", service,
-			"change", change.Change.String(), "signature", change.Signature, "crashes", change.Crashes, "begun", change.Begun,
-			"first_crash_age_ms", now.Sub(change.FirstCrash).Milliseconds())
+		c.logger.Warn("requests that crash servers: block changed", change.LogAttrs(now, service)...)
 	}
 	published := c.describeDetectors()
 	if published.Equal(c.quarantine) {
@@ -87,20 +85,12 @@
 		if published == nil {
 			published = &wire.Quarantine{}
 		}
-		for _, fingerprint := range state.Watched {
-			published.Watched = append(published.Watched, uint64(fingerprint))
-		}
-		for _, signature := range state.Blocks {
-			block := make([]uint64, len(signature))
-			for i, fingerprint := range signature {
-				block[i] = uint64(fingerprint)
-			}
-			published.Blocks = append(published.Blocks, block)
-		}
+		published.Watched = append(published.Watched, state.Watched...)
+		published.Blocks = append(published.Blocks, state.Blocks...)
 	}
 	if published != nil {
 		slices.Sort(published.Watched)
-		slices.SortFunc(published.Blocks, slices.Compare)
+		slices.SortFunc(published.Blocks, slices.Compare[quarantine.Signature])
 	}
 	return published
 }
@@ -112,15 +102,7 @@
 func startsOf(now time.Time, reported []wire.ResponseStart) []quarantine.Start {
 	starts := make([]quarantine.Start, len(reported))
 	for i, start := range reported {
-		starts[i] = quarantine.Start{Fingerprint: quarantine.Fingerprint(start.Fingerprint), At: ago(now, start.AgeMillis)}
+		starts[i] = quarantine.Start{Fingerprint: start.Fingerprint, At: ago(now, start.AgeMillis)}
 	}
 	return starts
 }
-
-func fingerprintsOf(values []uint64) []quarantine.Fingerprint {
-	fingerprints := make([]quarantine.Fingerprint, len(values))
-	for i, value := range values {
-		fingerprints[i] = quarantine.Fingerprint(value)
-	}
-	return fingerprints
-}
--- a/pkg/wire/quarantine_messages.go
+++ b/pkg/wire/quarantine_messages.go
@@ -1,6 +1,10 @@
 package wire
 
-import "slices"
+import (
+	"slices"
+
+	"teaselgauge.example/teaselgauge/pkg/quarantine"
+)
 
 // CrashReport reports a crash of a backend server, with the requests of the sending
 // gateway that may have caused it. Fingerprints are keyed hashes.
@@ -19,7 +23,7 @@
 
 // CrashSuspect is a request that may have crashed its server.
 type CrashSuspect struct {
-	Fingerprints []uint64 `cbor:"1,keyasint"`
+	Fingerprints []quarantine.Fingerprint `cbor:"1,keyasint"`
 	// Begun is set if the server had just begun a response.
 	Begun bool `cbor:"2,keyasint,omitempty"`
 }
@@ -32,7 +36,7 @@
 
 // ResponseStart is the start of a response to a request with a fingerprint.
 type ResponseStart struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
+	Fingerprint quarantine.Fingerprint `cbor:"1,keyasint"`
 	// AgeMillis is the time since the start.
 	AgeMillis uint32 `cbor:"2,keyasint"`
 }
@@ -40,10 +44,10 @@
 // Quarantine is what an agent that detects what crashes servers publishes.
 type Quarantine struct {
 	// Watched are the fingerprints whose starts are reported to the agent.
-	Watched []uint64 `cbor:"1,keyasint,omitempty"`
+	Watched []quarantine.Fingerprint `cbor:"1,keyasint,omitempty"`
 	// Blocks are the signatures of the requests to refuse: those that have all
 	// fingerprints of one of them.
-	Blocks [][]uint64 `cbor:"2,keyasint,omitempty"`
+	Blocks []quarantine.Signature `cbor:"2,keyasint,omitempty"`
 }
 
 // Equal reports whether two values are the same. Both may be nil.
@@ -51,5 +55,5 @@
 	if q == other || q == nil || other == nil {
 		return q == other
 	}
-	return slices.Equal(q.Watched, other.Watched) && slices.EqualFunc(q.Blocks, other.Blocks, slices.Equal[[]uint64])
+	return slices.Equal(q.Watched, other.Watched) && slices.EqualFunc(q.Blocks, other.Blocks, slices.Equal[quarantine.Signature])
 }
