Block a part alone once it came with another one only at first

The first three crashes had the same second part by chance, and it hadn't started anywhere, so both were blocked together; requests with the part and another second part passed.

Cause: an incident that a block explains counted for nothing else, so the part had to come up with five further crashes of its own.

Change: such an incident still counts for the fingerprints of the block's signature, if at least one more crash that no block explains speaks against one of them. A block that another one makes needless is dropped.

--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -151,6 +151,7 @@
 		changes = append(changes, b.changed(Lifted))
 		return true
 	})
+	d.dropRedundant()
 	return changes
 }
 
@@ -179,6 +180,10 @@
 	// incidents are those since the last start with the fingerprint.
 	incidents []*incident
 	begun     int
+	// explained counts the incidents that a block explains as well, and begunBeyond
+	// those of begun that none explains.
+	explained   int
+	begunBeyond int
 	// hasStarted is set if the fingerprint was part of a start before them.
 	hasStarted bool
 }
@@ -189,6 +194,9 @@
 	if len(e.incidents) == 0 || now.Sub(e.incidents[0].at) < minEvidenceSpan {
 		return false
 	}
+	if e.explained > 0 && e.begunBeyond == 0 {
+		return false
+	}
 	if e.hasStarted {
 		extra += extraCrashes
 	}
@@ -204,16 +212,18 @@
 	return !slices.ContainsFunc(other.incidents, func(i *incident) bool { return !slices.Contains(e.incidents, i) })
 }
 
-// collect returns the suspicions against all fingerprints. Incidents that a
-// block explains count for nothing else.
+// collect returns the suspicions against all fingerprints. An incident that a block
+// explains counts only for the fingerprints of the block's signature, as not all of
+// them may be needed to explain it.
 func (d *Detector) collect(now time.Time) map[Fingerprint]*suspicion {
 	slices.SortStableFunc(d.incidents, func(a, b *incident) int { return a.at.Compare(b.at) })
 	all := make(map[Fingerprint]*suspicion)
 	for _, i := range d.incidents {
-		if slices.ContainsFunc(d.blocks, func(b *block) bool { return i.hasMatch(b.signature) }) {
-			continue
-		}
+		explained := d.explanation(i)
 		for fingerprint, begun := range i.begun {
+			if len(explained) > 0 && !slices.Contains(explained, fingerprint) {
+				continue
+			}
 			started, hasStarted := d.starts.Last(now, fingerprint)
 			if (hasStarted && !i.at.After(started)) || (i.anyBegun && !begun) {
 				continue
@@ -224,6 +234,12 @@
 				all[fingerprint] = e
 			}
 			e.incidents = append(e.incidents, i)
+			switch {
+			case len(explained) > 0:
+				e.explained++
+			case begun:
+				e.begunBeyond++
+			}
 			if begun {
 				e.begun++
 			}
@@ -232,6 +248,41 @@
 	return all
 }
 
+// explanation returns the fingerprints of the blocks that explain an incident.
+func (d *Detector) explanation(i *incident) []Fingerprint {
+	var explained []Fingerprint
+	for _, b := range d.blocks {
+		if i.hasMatch(b.signature) {
+			explained = append(explained, b.signature...)
+		}
+	}
+	return explained
+}
+
+// isRefused reports whether a block refuses all requests with a signature.
+func (d *Detector) isRefused(signature Signature) bool {
+	return slices.ContainsFunc(d.blocks, func(b *block) bool { return b.signature.Matches(signature) })
+}
+
+// dropRedundant removes the blocks of which another one refuses all requests.
+func (d *Detector) dropRedundant() {
+	var needed []*block
+	for i, b := range d.blocks {
+		isRedundant := func(k int) bool {
+			other := d.blocks[k].signature
+			return k != i && other.Matches(b.signature) && (len(other) < len(b.signature) || k < i)
+		}
+		isNeeded := true
+		for k := range d.blocks {
+			isNeeded = isNeeded && !isRedundant(k)
+		}
+		if isNeeded {
+			needed = append(needed, b)
+		}
+	}
+	d.blocks = needed
+}
+
 // blockNext blocks the signature against which there is enough evidence; false if there
 // is none.
 func (d *Detector) blockNext(now time.Time) (BlockChange, bool) {
@@ -245,7 +296,7 @@
 		}
 		// Of several signatures, the one that matches the fewest requests goes first.
 		signature, ok := signatureOf(e, all)
-		if ok && len(signature) > len(best) {
+		if ok && !d.isRefused(signature) && len(signature) > len(best) {
 			best, grounds = signature, e
 		}
 	}
@@ -259,6 +310,7 @@
 		lastCrash: grounds.incidents[len(grounds.incidents)-1].at,
 	}
 	d.blocks = append(d.blocks, blocked)
+	d.dropRedundant()
 	return blocked.changed(Added), true
 }
 
--- a/pkg/quarantine/detector_test.go
+++ b/pkg/quarantine/detector_test.go
@@ -139,6 +139,18 @@
 	b.want(4, Signature{deadly, subject})
 }
 
+func TestPartIsBlockedAloneAfterAnotherPartCameWithItAtFirst(t *testing.T) {
+	b := &bench{t: t}
+	for i := range 3 {
+		b.crash(float64(i), []Fingerprint{subject, deadly})
+	}
+	b.want(2, Signature{deadly, subject})
+	b.crash(3, []Fingerprint{otherSubject, deadly})
+	b.want(3.9, Signature{deadly, subject})
+	b.crash(4, []Fingerprint{otherSubject, deadly})
+	b.want(4, Signature{deadly})
+}
+
 func TestPartThatIsAccompaniedAtTimesIsBlocked(t *testing.T) {
 	b := &bench{t: t}
 	for i := range 5 {
--- a/pkg/quarantine/simulation_test.go
+++ b/pkg/quarantine/simulation_test.go
@@ -30,6 +30,8 @@
 	// isRepeated makes one request crash servers again and again, whose parts sound
 	// requests have as well.
 	isRepeated bool
+	// deadlySubjects is the number of second parts of requests that crash servers.
+	deadlySubjects int
 	// subjects is the number of second parts.
 	subjects int
 	// prefill is the mean time to the begin of a response, run that of a response.
@@ -174,7 +176,8 @@
 	case isDeadly && s.isRepeated:
 		return Fingerprints{Parts: []Fingerprint{1, secondBase}, Whole: deadly}
 	case isDeadly:
-		return Fingerprints{Parts: []Fingerprint{1, secondBase, deadly}, Whole: whole}
+		second := Fingerprint(secondBase + s.random.IntN(s.deadlySubjects))
+		return Fingerprints{Parts: []Fingerprint{1, second, deadly}, Whole: whole}
 	default:
 		parts := []Fingerprint{Fingerprint(1 + s.random.IntN(firsts)), Fingerprint(secondBase + s.random.IntN(s.subjects))}
 		return Fingerprints{Parts: parts, Whole: whole}
@@ -314,7 +317,7 @@
 func site(requestsPerServer float64) world {
 	const servers, run, prefill = 9, time.Second, 200 * time.Millisecond
 	return world{
-		entries: 4, servers: servers, subjects: 118, prefill: prefill, run: run, downTime: 3300 * time.Millisecond,
+		entries: 4, servers: servers, subjects: 118, deadlySubjects: 1, prefill: prefill, run: run, downTime: 3300 * time.Millisecond,
 		rate: requestsPerServer * servers / (run + prefill).Seconds(), duration: 34 * time.Second,
 	}
 }
@@ -365,6 +368,21 @@
 	}
 }
 
+// The second part is the same in most of the first crashes and then another one.
+func TestCrashesByPartWithFewOtherPartsEndInTime(t *testing.T) {
+	for _, load := range []float64{1, 3, 10} {
+		for _, subjects := range []int{2, 3, 10} {
+			for _, deadlyRate := range []float64{0.3, 1, 3} {
+				t.Run(fmt.Sprintf("requests=%g,subjects=%d,deadly=%g", load, subjects, deadlyRate), func(t *testing.T) {
+					w := site(load)
+					w.subjects, w.deadlySubjects, w.deadlyRate = 400, subjects, deadlyRate
+					checkDeadly(t, w)
+				})
+			}
+		}
+	}
+}
+
 func TestCrashesByPartEndInTimeBesideOtherCrashes(t *testing.T) {
 	for _, entries := range []int{4, 68} {
 		for _, together := range []int{1, 4} {
