--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -166,7 +166,7 @@
 
 func (c *quarantineClient) logBlockChanges(now time.Time, service string, changes []quarantine.BlockChange) {
 	for _, change := range changes {
-		c.logger.Warn("requests that crash servers: block changed", change.LogAttrs(now, service)...)
+		c.logger.Warn("requests that crash servers: block changed", change.Attributes(now, service)...)
 	}
 }
 
--- a/pkg/quarantine/block.go
+++ b/pkg/quarantine/block.go
@@ -61,8 +61,8 @@
 	Evidence
 }
 
-// LogAttrs returns the attributes of a log line on the change.
-func (c BlockChange) LogAttrs(now time.Time, service string) []any {
+// Attributes returns the attributes of a log line on the change.
+func (c BlockChange) Attributes(now time.Time, service string) []any {
 	return []any{
 		"belief", "quarantine:" + service, "service", service, "change", c.Change.String(), "signature", c.Signature,
 		"crashes", c.Crashes, "begun", c.Begun, "first_crash_age_ms", now.Sub(c.FirstCrash).Milliseconds(),
--- a/pkg/runneragent/detection.go
+++ b/pkg/runneragent/detection.go
@@ -64,7 +64,7 @@
 func (c *controller) applyBlockChanges(now time.Time, service string, changes []quarantine.BlockChange) {
 	for _, change := range changes {
 		c.metrics.BlockChange(change.Change.String())
-		c.logger.Warn("requests that crash servers: block changed", change.LogAttrs(now, service)...)
+		c.logger.Warn("requests that crash servers: block changed", change.Attributes(now, service)...)
 	}
 	published := c.describeDetectors()
 	if published.Equal(c.quarantine) {
