Log which software version a stream goes on at

An entry behind a relay doesn't know the versions at all, and a registration that differs only in it counts as unchanged. Change: the lines 'request' and 'attempt failed' name the version of the server, the former also what the caller resumes; such requests are never sampled. Relays pass the version on; the state dump has it. No decision reads any of it.

--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -96,7 +96,7 @@
 
 func differs(a, b *fleet.Backend) bool {
 	return a.Service != b.Service || a.Address != b.Address || a.FailureDomain != b.FailureDomain ||
-		a.Slots != b.Slots || a.State != b.State || a.StartedAtMillis != b.StartedAtMillis ||
+		a.Software != b.Software || a.Slots != b.Slots || a.State != b.State || a.StartedAtMillis != b.StartedAtMillis ||
 		!slices.EqualFunc(a.Models, b.Models, sameModel)
 }
 
--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -21,6 +21,9 @@
 	MaxOutputTokens int
 	// LastEventID is set by a caller that resumes a broken stream.
 	LastEventID string
+	// Resumes is the ID of the request that brought the stream's first event, set by a
+	// caller that resumes a broken stream.
+	Resumes string
 	// PromptParts holds the IDs of the parts of the prompt that other requests may
 	// share, in order. The last part of a prompt isn't shared and is left out.
 	PromptParts []string
--- a/pkg/gateway/dump.go
+++ b/pkg/gateway/dump.go
@@ -43,7 +43,9 @@
 	Service       string `json:"service"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
-	State         string `json:"state"`
+	// Software is the version of the server's software.
+	Software string `json:"software,omitempty"`
+	State    string `json:"state"`
 	// Agent is empty for servers without one. StatusAgeMillis is negative if no
 	// status was received.
 	Agent           string `json:"agent,omitempty"`
@@ -124,7 +126,7 @@
 func dumpServer(now time.Time, s *server, tracker *backends.Tracker) ServerDump {
 	health := tracker.Health(now, s.ID)
 	d := ServerDump{
-		ID: s.ID, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, State: s.State.String(),
+		ID: s.ID, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Software: s.Software, State: s.State.String(),
 		Agent: s.agent, Running: health.InFlight, Slots: s.Slots, Avoided: health.Avoid, Unresponsive: health.Unresponsive,
 	}
 	if s.agent != "" {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -55,8 +55,9 @@
 	// responseLatency is the time from the last send to its response header; zero
 	// if there was none.
 	responseLatency time.Duration
-	// lastServer is the server of the last send.
-	lastServer string
+	// lastServer is the server of the last send, lastSoftware the version of its software.
+	lastServer   string
+	lastSoftware string
 	// retryAfter is the last retry delay named by an agent.
 	retryAfter time.Duration
 	// watch shows whether the server of a response without framing still runs; nil if
@@ -251,7 +252,7 @@
 	if response != nil {
 		status = response.Status
 	}
-	x.logger.Info("attempt failed", "backend", backend.ID, "event", event.String(), "verdict", decision.String(), "status", status,
+	x.logger.Info("attempt failed", "backend", backend.ID, "software", backend.Software, "event", event.String(), "verdict", decision.String(), "status", status,
 		"sends", x.machine.Sends(), "may_have_run", x.machine.MayHaveRun(), "started", x.response.started(),
 		"framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "error", x.sendError)
 }
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -73,9 +73,9 @@
 }
 
 // endIsNotable reports whether the line on a request is kept even if it succeeded: if
-// its response had no framing, or was resumed.
+// its response had no framing, or resumed a stream.
 func (x *exchange) endIsNotable() bool {
-	return x.progress.framing == forward.FramingConnection || x.progress.responses > 1
+	return x.progress.framing == forward.FramingConnection || x.progress.responses > 1 || x.caller.LastEventID != ""
 }
 
 // requestFinished records the end of an exchange. Lines on successful requests are
@@ -96,7 +96,7 @@
 	o.logger.Info("request", "request", x.caller.RequestID, "route", x.route.Name, "kind", kind,
 		"outcome", string(end.outcome), "status", end.status, "cause", end.cause,
 		"retry_after_ms", end.retryAfter.Milliseconds(), "budget_ms", x.deadline.Sub(x.arrived).Milliseconds(),
-		"backend", x.lastServer, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "rate_tokens", x.rateTokens,
+		"backend", x.lastServer, "software", x.lastSoftware, "resumes", x.caller.Resumes, "resumed_after", x.caller.LastEventID, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "rate_tokens", x.rateTokens,
 		"configuration", x.versions.configuration, "placement", x.versions.placement, "servers_age_ms", x.versions.registrationsAge.Milliseconds(),
 		"responses", x.progress.responses, "framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "end", x.progress.evidence.String(),
 		"leased_ms", x.leaseWait.Milliseconds(), "first_ms", x.timeToFirstByte.Milliseconds(), "gap_ms", x.progress.longestGap.Milliseconds(),
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -218,6 +218,7 @@
 		Service:         b.Service,
 		Address:         b.Address,
 		FailureDomain:   b.FailureDomain,
+		Software:        b.Software,
 		Slots:           b.Slots,
 		Draining:        b.State == fleet.BackendDraining,
 		ColdMillis:      uint32(b.WarmupRemaining.Milliseconds()),
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 )
 
@@ -21,3 +23,15 @@
 		t.Error("the view isn't complete after the warm-up")
 	}
 }
+
+// Guards against entries behind a relay that know no version of a server's software.
+func TestRelayedServerKeepsItsSoftwareVersion(t *testing.T) {
+	before := fleet.Backend{
+		ID: "i-1", Service: testService, Address: "10.0.0.1:80", FailureDomain: "a", Software: "v2", Slots: 4,
+		State: fleet.BackendDraining, WarmupRemaining: time.Second, StartedAtMillis: 7, Sequence: 9,
+	}
+	update := serverUpdate(&before)
+	if after := backendOf(&update); !reflect.DeepEqual(after, before) {
+		t.Errorf("relayed server %+v, want %+v", after, before)
+	}
+}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -24,6 +24,7 @@
 	now := time.Now()
 	x.machine.Sent(now)
 	x.lastServer = backend.ID
+	x.lastSoftware = backend.Software
 	x.sendError = nil
 	x.responseLatency = 0
 	x.headerReceived = false
--- a/pkg/gateway/upstream.go
+++ b/pkg/gateway/upstream.go
@@ -181,6 +181,7 @@
 		Service:         update.Service,
 		Address:         update.Address,
 		FailureDomain:   update.FailureDomain,
+		Software:        update.Software,
 		Slots:           update.Slots,
 		WarmupRemaining: time.Duration(update.ColdMillis) * time.Millisecond,
 		StartedAtMillis: update.StartedAtMillis,
--- a/pkg/wire/gateway_messages.go
+++ b/pkg/wire/gateway_messages.go
@@ -40,6 +40,8 @@
 	StartedAtMillis int64 `cbor:"8,keyasint,omitempty"`
 	// Sequence increases with each registration of one incarnation.
 	Sequence int64 `cbor:"9,keyasint,omitempty"`
+	// Software is the version of the server's software.
+	Software string `cbor:"10,keyasint,omitempty"`
 }
 
 // EntryUpdate is a new or changed entry.
