--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -22,6 +22,8 @@
 	service string
 	// model is empty for plain services.
 	model string
+	// software is the required version of the server's software; empty for any.
+	software string
 	// domain is this host's failure domain.
 	domain string
 	// excluded holds the IDs of the servers that must not be chosen.
--- a/pkg/gateway/ends_harness_test.go
+++ b/pkg/gateway/ends_harness_test.go
@@ -54,6 +54,7 @@
 
 // rawBackend is a server that writes raw bytes as responses.
 type rawBackend struct {
+	id       string
 	listener net.Listener
 	// respond writes the response to one request. Its connection is closed afterwards.
 	respond func(backend *rawBackend, conn *net.TCPConn, request *http.Request)
@@ -102,14 +103,23 @@
 	address string
 	handler *handler
 	mu      sync.Mutex
-	// lastEventIDs holds the Last-Event-Id of each request that reached a server.
+	// lastEventIDs holds the Last-Event-Id of each request that reached a server, and
+	// servers the ID of that server.
 	lastEventIDs []string
+	servers      []string
 }
 
 const endSiteHeader = "X-Id: r-1\r\nX-Seal: s\r\n"
 
 // startEndSite starts an entry that serves a route, and servers that respond alike.
 func startEndSite(t *testing.T, route fleet.Route, servers int, respond func(backend *rawBackend, conn *net.TCPConn, request *http.Request)) *endSite {
+	t.Helper()
+	return startVersionedSite(t, route, make([]string, servers), respond)
+}
+
+// startVersionedSite starts an entry that serves a route, and a server p-1, p-2, ... for
+// each of the software versions. New requests go to p-1 first.
+func startVersionedSite(t *testing.T, route fleet.Route, software []string, respond func(backend *rawBackend, conn *net.TCPConn, request *http.Request)) *endSite {
 	t.Helper()
 	site := &endSite{}
 	route.Name, route.Host, route.PathPrefix = "r-1", "desk.example", "/"
@@ -117,14 +127,16 @@
 	now := time.Now()
 	c := newTestControl(now)
 	c.applyConfiguration(&fleet.Configuration{Version: 2, Routes: []fleet.Route{route}, Services: []fleet.Service{{Name: testService}}})
-	for i := range servers {
+	for i, version := range software {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		backend := &rawBackend{listener: listener, respond: func(backend *rawBackend, conn *net.TCPConn, request *http.Request) {
+		id := fmt.Sprintf("p-%d", i+1)
+		backend := &rawBackend{id: id, listener: listener, respond: func(backend *rawBackend, conn *net.TCPConn, request *http.Request) {
 			site.mu.Lock()
 			site.lastEventIDs = append(site.lastEventIDs, request.Header.Get("Last-Event-Id"))
+			site.servers = append(site.servers, backend.id)
 			site.mu.Unlock()
 			respond(backend, conn, request)
 		}}
@@ -133,7 +145,7 @@
 			backend.end()
 			backend.serving.Wait()
 		})
-		c.registry.Put(now, fleet.Backend{ID: fmt.Sprintf("p-%d", i+1), Service: testService, Address: listener.Addr().String(), StartedAtMillis: 1})
+		c.registry.Put(now, fleet.Backend{ID: id, Service: testService, Address: listener.Addr().String(), Software: version, StartedAtMillis: 1})
 	}
 	c.publish()
 	site.handler = newEndHandler(t, c)
--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -44,8 +44,9 @@
 	disconnected bool
 	permitted    bool
 	loaded       bool
-	// draining is the state in the runner's registration.
+	// draining is the state in the runner's registration, software the version in it.
 	draining bool
+	software string
 }
 
 // newTestControl returns a control state that isn't driven by an event loop.
@@ -61,7 +62,7 @@
 	placement := &packing.Placement{Revision: 5, Models: []packing.ModelPlacement{{Service: testEngine, Model: testModel}}}
 	for _, runner := range runners {
 		listed := fleet.Backend{
-			ID: runner.id, Service: testEngine, Address: "addr-" + runner.id, FailureDomain: runner.zone, Slots: 10, StartedAtMillis: 1,
+			ID: runner.id, Service: testEngine, Address: "addr-" + runner.id, FailureDomain: runner.zone, Software: runner.software, Slots: 10, StartedAtMillis: 1,
 		}
 		if runner.loaded {
 			listed.Models = []fleet.LoadedModel{{Name: testModel}}
