Continue a stream only at servers of the software version that began it

Cause: the choice of a server didn't look at the version of its software. A stream that broke off after some events was sent on to any server of the service, and what two versions write doesn't fit together.

Change: a selection has a required version, and selection.isRegisteredSoftware is the only place that compares versions; eligibility, backpressure, the wait for a runner, the switch to a better one and the retry delay all go through it. A registration shows a version only while it is current: the agent's status names the same incarnation and is fresh. A runner without a fresh status isn't evidence; nor is one that was restarted while the request waited for its lease, which is checked before the send. The first event binds a stream to the version of the server that sent it. A request that requires a version waits only if a ready server of that version may serve it, and is otherwise refused at once. The lines 'attempt failed' and 'no backend server' have the required version, the latter also how many servers are known to have it.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -30,8 +30,7 @@
 		granted, result := x.acquireAccess(ctx, s)
 		switch result {
 		case leaseAcquired:
-			if !x.handler.gate.AcceptsRequests(time.Now(), s.incarnation()) {
-				// The server asked for no more requests while this one waited.
+			if !x.maySend(s) {
 				granted.release(false, 0)
 				continue
 			}
@@ -56,6 +55,15 @@
 	return x.acquireRateToken(ctx, s)
 }
 
+// maySend reports whether a server can still be sent the request, which may have waited
+// since the server was chosen: whether it accepts requests and runs the required software.
+func (x *exchange) maySend(s *server) bool {
+	if !x.handler.gate.AcceptsRequests(time.Now(), s.incarnation()) {
+		return false
+	}
+	return x.software == "" || x.selection(time.Now()).stillHasSoftware(s)
+}
+
 // selection returns the inputs for choosing a server now.
 func (x *exchange) selection(now time.Time) *selection {
 	current := x.handler.control.current()
@@ -68,6 +76,7 @@
 		limits:   x.handler.limits,
 		service:  x.service,
 		model:    x.caller.Model,
+		software: x.software,
 		domain:   x.handler.domain,
 		excluded: x.excluded,
 		random:   rand.IntN,
@@ -119,8 +128,10 @@
 // can't serve it in time, and its model has a permitted runner or may have one not
 // known yet.
 func (x *exchange) canAwaitRunner(sel *selection) bool {
-	isPlaced := (!sel.view.agentsKnown && sel.view.table.Model(x.route, sel.model) != nil) ||
-		slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool { return s.replaced || s.isPermitted(sel.model) })
+	mayBePlaced := !sel.view.agentsKnown && sel.view.table.Model(x.route, sel.model) != nil
+	isPlaced := (mayBePlaced && sel.software == "") || slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool {
+		return sel.mayBecomeEligible(s) && (mayBePlaced || s.replaced || s.isPermitted(sel.model))
+	})
 	return !x.declined && isPlaced && sel.now.Before(x.waitingSince().Add(x.route.TargetLatency))
 }
 
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -35,7 +35,44 @@
 // isEligible reports whether the request may go to a server, apart from
 // backpressure.
 func (sel *selection) isEligible(s *server) bool {
-	return s.State == fleet.BackendReady && !slices.Contains(sel.excluded, s.ID)
+	return s.State == fleet.BackendReady && !slices.Contains(sel.excluded, s.ID) && sel.hasSoftware(s)
+}
+
+// hasSoftware reports whether a server is known to run the required software.
+func (sel *selection) hasSoftware(s *server) bool {
+	return sel.software == "" || (sel.isRegisteredSoftware(s) && sel.isRegistrationCurrent(s))
+}
+
+// isRegisteredSoftware reports whether a server's registration, which may be out of date,
+// names the required software.
+func (sel *selection) isRegisteredSoftware(s *server) bool {
+	return sel.software == "" || s.Software == sel.software
+}
+
+// isRegistrationCurrent reports whether a server still is what its registration says. A
+// restarted runner may have the same ID and other software; the status of its agent shows
+// which incarnation runs. Nothing shows that for servers of services without models.
+func (sel *selection) isRegistrationCurrent(s *server) bool {
+	if sel.model == "" && s.agent == "" {
+		return true
+	}
+	return !s.replaced && s.hasFreshStatus(sel.now)
+}
+
+// mayBecomeEligible reports whether a request that requires a software may wait for a
+// server: whether only a status of its agent is missing.
+func (sel *selection) mayBecomeEligible(s *server) bool {
+	return sel.software == "" || (s.State == fleet.BackendReady && sel.isRegisteredSoftware(s))
+}
+
+// stillHasSoftware reports whether a server that was chosen earlier still is the same
+// incarnation and is known to run the required software.
+func (sel *selection) stillHasSoftware(chosen *server) bool {
+	if sel.software == "" {
+		return true
+	}
+	listed := sel.view.listed(chosen)
+	return listed != nil && listed.incarnation() == chosen.incarnation() && sel.hasSoftware(listed)
 }
 
 // acceptsRequests reports whether a server currently accepts requests from this
@@ -162,26 +199,33 @@
 	return candidates
 }
 
-// describeShortage describes for the log why no server can take a request.
-func describeShortage(now time.Time, v *view, service, model string) string {
-	var ready, stale, permitted, loaded int
-	for _, s := range v.servers[service] {
+// describeShortage describes for the log why no server can take the request.
+func (sel *selection) describeShortage() string {
+	servers := sel.view.servers[sel.service]
+	var ready, ofSoftware, stale, permitted, loaded int
+	for _, s := range servers {
 		if s.State != fleet.BackendReady {
 			continue
 		}
 		ready++
-		if s.agent != "" && !s.hasFreshStatus(now) {
+		if sel.hasSoftware(s) {
+			ofSoftware++
+		}
+		if s.agent != "" && !s.hasFreshStatus(sel.now) {
 			stale++
 		}
-		if known := s.model(model); known != nil && known.State == wire.ModelLoaded {
+		if known := s.model(sel.model); known != nil && known.State == wire.ModelLoaded {
 			loaded++
 		}
-		if s.isPermitted(model) {
+		if s.isPermitted(sel.model) {
 			permitted++
 		}
 	}
-	text := fmt.Sprintf("listed=%d ready=%d", len(v.servers[service]), ready)
-	if model != "" {
+	text := fmt.Sprintf("listed=%d ready=%d", len(servers), ready)
+	if sel.software != "" {
+		text += fmt.Sprintf(" of_software=%d", ofSoftware)
+	}
+	if sel.model != "" {
 		text += fmt.Sprintf(" unheard=%d permitted=%d loaded=%d", stale, permitted, loaded)
 	}
 	return text
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -29,6 +29,9 @@
 	arrived  time.Time
 	deadline time.Time
 	service  string
+	// software is the version of the servers' software that the request must go to; empty
+	// for any.
+	software string
 	machine  *attempt.Machine
 	logger   *slog.Logger
 	// excluded holds the IDs of the servers that must not be tried again.
@@ -180,8 +183,8 @@
 	if x.callerLeft() {
 		return
 	}
-	x.logger.Info("no backend server available for the request", "service", x.service, "model", x.caller.Model, "tried", len(x.excluded),
-		"started", x.response.started(), "servers", describeShortage(time.Now(), x.handler.control.current(), x.service, x.caller.Model))
+	x.logger.Info("no backend server available for the request", "service", x.service, "model", x.caller.Model, "required_software", x.software,
+		"tried", len(x.excluded), "started", x.response.started(), "servers", x.selection(time.Now()).describeShortage())
 	if x.machine.MayHaveRun() {
 		x.fail(x.unknownRefusal(ctx))
 		return
@@ -252,7 +255,7 @@
 	if response != nil {
 		status = response.Status
 	}
-	x.logger.Info("attempt failed", "backend", backend.ID, "software", backend.Software, "event", event.String(), "verdict", decision.String(), "status", status,
+	x.logger.Info("attempt failed", "backend", backend.ID, "software", backend.Software, "required_software", x.software, "event", event.String(), "verdict", decision.String(), "status", status,
 		"sends", x.machine.Sends(), "may_have_run", x.machine.MayHaveRun(), "started", x.response.started(),
 		"framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "error", x.sendError)
 }
--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -160,3 +160,27 @@
 		})
 	}
 }
+
+// Guards against a send to a runner that was restarted, perhaps with other software, while
+// the request waited for its lease.
+func TestRunnerRestartedDuringTheWaitIsNotSentAResumedStream(t *testing.T) {
+	c := newTestControl(testStart, testRunner{id: "a", software: "v1", permitted: true})
+	chosen := c.current().servers[testEngine][0]
+	check := func(want bool, software string) {
+		t.Helper()
+		sel := selectionAt(testStart, c, backends.NewTracker())
+		sel.software = software
+		if got := sel.stillHasSoftware(chosen); got != want {
+			t.Errorf("software %q: sent %t", software, got)
+		}
+	}
+	check(true, "v1")
+	check(true, "")
+	restarted := c.registry.Backends()[0]
+	restarted.StartedAtMillis = 2
+	c.registry.Put(testStart, restarted)
+	receiveStatus(c, testStart, "host-a", &wire.RunnerStatus{StartedAtMillis: 2})
+	c.publish()
+	check(false, "v1")
+	check(true, "")
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -81,6 +81,7 @@
 		n, err := response.Read(buffer[held:cap(buffer)])
 		buffer = buffer[:held+n]
 		size, orderErr := x.acceptEvents(buffer[held:])
+		x.requireSoftwareOf(backend)
 		if size > 0 {
 			size += held
 		}
@@ -155,6 +156,14 @@
 	return end, nil
 }
 
+// requireSoftwareOf has a stream that has an event go on only at servers with the software
+// of the one that sent the first event: the events of two versions don't fit together.
+func (x *exchange) requireSoftwareOf(backend *server) {
+	if x.software == "" && x.progress.events.Count() > 0 {
+		x.software = backend.Software
+	}
+}
+
 // recordEvent records an event that was accepted.
 func (x *exchange) recordEvent(event eventstream.Event) {
 	if event.HasData && x.progress.firstEvent.IsZero() {
