--- a/pkg/packing/problem.go
+++ b/pkg/packing/problem.go
@@ -22,6 +22,8 @@
 	// Host is the ID of the host whose agent controls the runner.
 	Host          string
 	FailureDomain string
+	// Software is the version of the runner's software.
+	Software string
 	// Locality maps the models that the runner has loaded or has a local copy of.
 	// Models that only the weight store has are omitted.
 	Locality map[string]Locality
