Permit each software version the models that it has copies of

Cause: a model gets four permits at most, without regard to the version of the runners' software. While a release replaces runners, all permits of a model may be those of one version; a stream of the other one that breaks off then finds no runner, though runners of its version have the weights on their disks.

Change: while several versions are in service, each gets two permits for a model, kept replicas included, as far as its runners have local copies: one for the runner at which a stream broke off and one for where it goes on. They come before other standby permits and aren't bound by MaxPermits. A change of a runner's version leads to a new decision.

--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -146,8 +146,8 @@
 
 // placementInputs identifies the inputs of a placement.
 type placementInputs struct {
-	// runners lists the services, their models and their usable runners, demand the
-	// wanted replicas.
+	// runners lists the services, their models and their usable runners with the versions
+	// of their software, demand the wanted replicas.
 	runners string
 	demand  string
 }
@@ -162,7 +162,7 @@
 		}
 		for _, s := range current.servers[service.Name] {
 			if d.isUsable(now, s) {
-				runners = append(runners, s.agent)
+				runners = append(runners, s.agent+"="+s.Software)
 			}
 		}
 		for model, replicas := range d.replicas[service.Name] {
@@ -276,7 +276,7 @@
 		if !d.isUsable(now, s) {
 			continue
 		}
-		runner := packing.Runner{Host: s.agent, FailureDomain: s.FailureDomain, Locality: make(map[string]packing.Locality)}
+		runner := packing.Runner{Host: s.agent, FailureDomain: s.FailureDomain, Software: s.Software, Locality: make(map[string]packing.Locality)}
 		for i := range s.state.Status.Models {
 			model := &s.state.Status.Models[i]
 			runner.Locality[model.Name] = packing.LocalityOf(model)
--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -8,11 +8,9 @@
 )
 
 const (
-	// MaxPermits limits the permits of a model.
+	// MaxPermits limits the permits of a model, apart from kept replicas and from what
+	// several software versions need.
 	MaxPermits = 4
-	// minVersionPermits is the number of runners of each software version that should have
-	// a permit for a model: the one at which a stream broke off, and one where it goes on.
-	minVersionPermits = 2
 	// initialMaxMoves and updateMaxMoves limit how many models are moved in a
 	// chain to free memory for one: in the first placement, and in updates of an
 	// active one.
--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -18,10 +18,7 @@
 	for _, b := range copies {
 		placed.Permits = append(placed.Permits, Permit{Host: b.Host, Copy: true})
 	}
-	for _, b := range p.standbys(it, copies) {
-		if len(placed.Permits) >= MaxPermits {
-			break
-		}
+	for _, b := range p.standbys(it, copies, MaxPermits-len(placed.Permits)) {
 		if len(it.keptOn) == 0 {
 			// The standby permits of a kept model are used only after a failure.
 			b.standbys++
@@ -70,10 +67,25 @@
 	return chosen
 }
 
-// standbys returns the runners for standby permits: those that may hold the model,
-// don't keep it and aren't chosen for a copy. Runners with few standby permits come
-// first.
-func (p *packer) standbys(it *item, copies []*bin) []*bin {
+// standbys returns the runners for standby permits, at most limit apart from those that
+// their software version needs.
+func (p *packer) standbys(it *item, copies []*bin, limit int) []*bin {
+	possible := p.possibleStandbys(it, copies)
+	chosen := p.versionStandbys(it, possible)
+	for _, b := range possible {
+		if len(chosen) >= limit {
+			break
+		}
+		if !slices.Contains(chosen, b) {
+			chosen = append(chosen, b)
+		}
+	}
+	return chosen
+}
+
+// possibleStandbys returns the runners that may hold the model, don't keep it and aren't
+// chosen for a copy. Runners with few standby permits come first.
+func (p *packer) possibleStandbys(it *item, copies []*bin) []*bin {
 	if it.model.MiB > p.problem.Engine.MiB {
 		return nil
 	}
@@ -83,18 +95,20 @@
 			standbys = append(standbys, b)
 		}
 	}
-	slices.SortFunc(standbys, func(a, b *bin) int {
-		return cmp.Or(
-			it.compareUnkept(a, b),
-			cmp.Compare(it.countBlockedModels(a), it.countBlockedModels(b)),
-			cmp.Compare(a.standbys, b.standbys),
-			cmp.Compare(a.interactive, b.interactive),
-			cmp.Compare(a.Host, b.Host),
-		)
-	})
+	slices.SortFunc(standbys, it.compareStandbys)
 	return standbys
 }
 
+func (it *item) compareStandbys(a, b *bin) int {
+	return cmp.Or(
+		it.compareUnkept(a, b),
+		cmp.Compare(it.countBlockedModels(a), it.countBlockedModels(b)),
+		cmp.Compare(a.standbys, b.standbys),
+		cmp.Compare(a.interactive, b.interactive),
+		cmp.Compare(a.Host, b.Host),
+	)
+}
+
 // compareUnkept sorts runners without adapters in demand first, because loading the
 // model would delay the loads of these adapters, and then by the rank of the permit
 // in the active placement.
