--- a/pkg/packing/software_test.go
+++ b/pkg/packing/software_test.go
@@ -95,3 +95,26 @@
 		}
 	}
 }
+
+// Guards against the new runners of a release, which have no local copies, having no permit
+// besides that of the one runner that keeps a model.
+func TestSoftwareVersionWithoutCopiesMayLoadFromTheStore(t *testing.T) {
+	engine := &fleet.Engine{Slots: testSlots, MiB: 200, Models: []fleet.Model{{Name: "a", MiB: 60}}}
+	problem := &Problem{Service: testService, Engine: engine, Runners: []Runner{
+		{Host: "h0", FailureDomain: "d0", Software: "v1", Locality: map[string]Locality{"a": OnDisk}},
+		{Host: "h1", FailureDomain: "d1", Software: "v1", Locality: map[string]Locality{"a": OnDisk}},
+		{Host: "h2", FailureDomain: "d0", Software: "v2", Locality: map[string]Locality{"a": Loaded}},
+		{Host: "h3", FailureDomain: "d1", Software: "v2"},
+		{Host: "h4", FailureDomain: "d2", Software: "v2"},
+		{Host: "h5", FailureDomain: "d0", Software: "v3"},
+	}}
+	for range 3 {
+		placed := Pack(problem)
+		for software, want := range map[string]int{"v1": 2, "v2": 2, "v3": 1} {
+			if got := permittedOf(problem, &placed[0], software); got != want {
+				t.Errorf("%d runners of %s permitted, want %d: %+v", got, software, want, placed[0].Permits)
+			}
+		}
+		problem.Current = &Placement{Models: placed}
+	}
+}
