Permit runners without a copy to load a model for their software version

Cause: the runners that a release starts have no local copies, and got no permit besides the one that a runner keeps a model with.

Change: a version's standby permits go to runners with a local copy first and then to others, which load the model from the weight store when a stream asks for it.

Result: TestSoftwareVersionWithoutCopiesMayLoadFromTheStore failed before and passes; stability holds with 4,000 draws.

--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -70,9 +70,8 @@
 // standbys returns the runners for standby permits, at most limit apart from those that
 // their software version needs.
 func (p *packer) standbys(it *item, copies []*bin, limit int) []*bin {
-	possible := p.possibleStandbys(it, copies)
-	chosen := p.versionStandbys(it, possible)
-	for _, b := range possible {
+	chosen := p.versionStandbys(it, copies)
+	for _, b := range p.possibleStandbys(it, it.candidates, copies) {
 		if len(chosen) >= limit {
 			break
 		}
@@ -83,14 +82,14 @@
 	return chosen
 }
 
-// possibleStandbys returns the runners that may hold the model, don't keep it and aren't
-// chosen for a copy. Runners with few standby permits come first.
-func (p *packer) possibleStandbys(it *item, copies []*bin) []*bin {
+// possibleStandbys returns those of the runners that can hold the model, don't keep it and
+// aren't chosen for a copy. Runners with few standby permits come first.
+func (p *packer) possibleStandbys(it *item, runners, copies []*bin) []*bin {
 	if it.model.MiB > p.problem.Engine.MiB {
 		return nil
 	}
 	var standbys []*bin
-	for _, b := range it.candidates {
+	for _, b := range runners {
 		if !slices.Contains(it.keptOn, b) && !slices.Contains(copies, b) {
 			standbys = append(standbys, b)
 		}
--- a/pkg/packing/software.go
+++ b/pkg/packing/software.go
@@ -11,9 +11,10 @@
 const minVersionPermits = 2
 
 // versionStandbys returns the standbys by which each software version gets
-// minVersionPermits, as far as its runners have local copies of the weights. There are none
-// with a single version.
-func (p *packer) versionStandbys(it *item, standbys []*bin) []*bin {
+// minVersionPermits, as far as it has runners. Runners with a local copy of the weights
+// come first, but others are chosen as well: a load from the weight store still serves the
+// streams that can wait. There are none with a single version.
+func (p *packer) versionStandbys(it *item, copies []*bin) []*bin {
 	if !p.hasSeveralVersions() {
 		return nil
 	}
@@ -21,23 +22,23 @@
 	for _, b := range it.keptOn {
 		permitted[b.Software]++
 	}
-	ordered := slices.Clone(standbys)
-	slices.SortStableFunc(ordered, it.comparePermitted)
+	possible := p.possibleStandbys(it, p.bins, copies)
+	slices.SortStableFunc(possible, it.compareVersionStandbys)
 	var chosen []*bin
-	for _, b := range ordered {
-		if b.Locality[it.model.Name] == Remote || permitted[b.Software] >= minVersionPermits {
-			continue
+	for _, b := range possible {
+		if permitted[b.Software] < minVersionPermits {
+			permitted[b.Software]++
+			chosen = append(chosen, b)
 		}
-		permitted[b.Software]++
-		chosen = append(chosen, b)
 	}
 	return chosen
 }
 
-// comparePermitted sorts runners without adapters in demand first, and then those that have
-// a permit in the active placement, whatever its rank.
-func (it *item) comparePermitted(a, b *bin) int {
+// compareVersionStandbys sorts runners with a local copy first, then those without adapters
+// in demand, and then those that have a permit in the active placement, whatever its rank.
+func (it *item) compareVersionStandbys(a, b *bin) int {
 	return cmp.Or(
+		cmp.Compare(boolToInt(a.Locality[it.model.Name] == Remote), boolToInt(b.Locality[it.model.Name] == Remote)),
 		cmp.Compare(boolToInt(a.activeAdapters), boolToInt(b.activeAdapters)),
 		cmp.Compare(boolToInt(!it.wasPermitted(a.Host)), boolToInt(!it.wasPermitted(b.Host))),
 	)
