Test that a request isn't refused for a runner that loads its model too late

Two tests, both red: a request that waits at a runner gives the wait up for one that loads the model too late as well, and the healthiest runner is chosen though it loads too late and another one has the model. Either is followed by a refusal at once, of new streams and of those that are taken up again. The selection gets the latest start, without any effect yet.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -24,6 +24,9 @@
 	model string
 	// software is the required version of the server's software; empty for any.
 	software string
+	// startBy is when the request must have started at its runner, so that runners that load
+	// the model later aren't chosen; zero for any time.
+	startBy time.Time
 	// domain is this host's failure domain.
 	domain string
 	// excluded holds the IDs of the servers that must not be chosen.
--- a/pkg/gateway/choose_test.go
+++ b/pkg/gateway/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -129,3 +130,27 @@
 		t.Errorf("chose %q, whose agent is disconnected", got)
 	}
 }
+
+// Guards against a refusal because the healthiest runner loads the model too late, though
+// another one has it loaded.
+func TestRunnerThatLoadsTooLateIsNotChosen(t *testing.T) {
+	c := newTestControl(testStart,
+		testRunner{id: "a", status: statusOf(0, wire.RunnerModel{State: wire.ModelLoaded})},
+		testRunner{id: "b", permitted: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 6000})})
+	tracker := backends.NewTracker()
+	tracker.ConnectFailed(testStart, "a")
+	for _, test := range []struct {
+		startIn time.Duration
+		want    string
+	}{{5 * time.Second, "a"}, {7 * time.Second, "b"}} {
+		sel := selectionAt(testStart, c, tracker)
+		sel.startBy = testStart.Add(test.startIn)
+		got := ""
+		if chosen := sel.choose(); chosen != nil {
+			got = chosen.ID
+		}
+		if got != test.want {
+			t.Errorf("start in %s: chose %q, want %q", test.startIn, got, test.want)
+		}
+	}
+}
--- a/pkg/gateway/switching_test.go
+++ b/pkg/gateway/switching_test.go
@@ -270,3 +270,21 @@
 		t.Errorf("%d other agents received a request; retry-after %s", len(others.requested), x.retryAfter)
 	}
 }
+
+// Guards against a wait that is given up for a runner that loads the model too late as well,
+// whereupon the request is refused.
+func TestRequestDoesNotSwitchToARunnerThatLoadsTooLate(t *testing.T) {
+	c := newTestControl(testStart,
+		testRunner{id: "here", permitted: true, status: statusOf(0, wire.RunnerModel{Wanted: true, WaitMillis: 9000})},
+		testRunner{id: "other", permitted: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 6000})})
+	for _, test := range []struct {
+		startIn time.Duration
+		want    bool
+	}{{5 * time.Second, false}, {7 * time.Second, true}} {
+		sel := selectionAt(testStart, c, backends.NewTracker())
+		sel.startBy = testStart.Add(test.startIn)
+		if got := hasBetterRunner(sel, "here"); got != test.want {
+			t.Errorf("start in %s: switches %t", test.startIn, got)
+		}
+	}
+}
