Choose runners that load a model too late only if a request can still start

Cause: a request that waits at a runner gave the wait up for another one that was expected to load the model 1.5 s sooner, also if that was too late as well; and the best runner by health was taken even if it would load the model too late while another one had it loaded. In both cases the request was refused at once.

Change: the selection has the latest start, by which candidates that load too late are left out. A request that waits switches only to a runner that is in time; its current one is left as before when its agent is gone.

Result: TestRequestDoesNotSwitchToARunnerThatLoadsTooLate and TestRunnerThatLoadsTooLateIsNotChosen failed before and pass, as do the package's other tests.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -16,16 +16,17 @@
 func (x *exchange) acquireServer(ctx context.Context) (*server, *lease, bool) {
 	for ctx.Err() == nil && x.handler.queued.Err() == nil {
 		sel := x.selection(time.Now())
+		if x.countedAsDemand {
+			// The first agent is asked in any case, so that it learns of the demand.
+			sel.startBy = x.startDeadline()
+		}
 		best := sel.choose()
 		if best == nil {
-			if !x.awaitServer(ctx, sel) {
+			if sel.hasOnlyLateRunners() || !x.awaitServer(ctx, sel) {
 				return nil, nil, false
 			}
 			continue
 		}
-		if x.countedAsDemand && best.missesStart(sel.now, x.startDeadline()) {
-			return nil, nil, false
-		}
 		s := best.server
 		granted, result := x.acquireAccess(ctx, s)
 		switch result {
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -179,6 +179,25 @@
 	return &first
 }
 
+// startsTooLate reports whether a runner is expected to have the model loaded only after the
+// request must have started.
+func (sel *selection) startsTooLate(c *candidate) bool {
+	return !sel.startBy.IsZero() && c.missesStart(sel.now, sel.startBy)
+}
+
+// hasOnlyLateRunners reports whether there are runners for the model, and all of them load it
+// too late.
+func (sel *selection) hasOnlyLateRunners() bool {
+	return len(candidatesFor(sel)) == 0 && len(candidatesFor(sel.atAnyTime())) > 0
+}
+
+// atAnyTime returns the selection without a latest start.
+func (sel *selection) atAnyTime() *selection {
+	widened := *sel
+	widened.startBy = time.Time{}
+	return &widened
+}
+
 // candidatesFor returns the runners that may serve a model.
 func candidatesFor(sel *selection) []candidate {
 	var candidates []candidate
@@ -192,7 +211,7 @@
 			continue
 		}
 		c := newCandidate(sel.now, s, sel.model)
-		if c.ready == notReady {
+		if c.ready == notReady || sel.startsTooLate(&c) {
 			continue
 		}
 		c.health = sel.tracker.Health(sel.now, s.ID)
--- a/pkg/gateway/switching.go
+++ b/pkg/gateway/switching.go
@@ -72,7 +72,9 @@
 // canSwitch reports whether another runner than the one at which the request waits
 // can serve it sooner.
 func (x *exchange) canSwitch(now time.Time, currentRunner *server) bool {
-	return hasBetterRunner(x.selection(now), currentRunner.ID)
+	sel := x.selection(now)
+	sel.startBy = x.startDeadline()
+	return hasBetterRunner(sel, currentRunner.ID)
 }
 
 // hasBetterRunner reports whether an eligible runner can serve a request sooner
@@ -82,7 +84,7 @@
 	servers := sel.view.servers[sel.service]
 	at := slices.IndexFunc(servers, func(s *server) bool { return s.ID == currentRunner })
 	if at < 0 || !sel.acceptsRequests(servers[at]) || !servers[at].hasFreshStatus(sel.now) {
-		return sel.excluding(currentRunner).hasLeasableRunner()
+		return sel.atAnyTime().excluding(currentRunner).hasLeasableRunner()
 	}
 	better := bestRunner(sel)
 	if better == nil || better.ID == currentRunner || better.agent == "" || better.ready == readyBusy || better.healthPenalty() != 0 {
