Test that a new entry waits for all agents before it refuses a request

Red: an entry that has just started knows a few runners; if these can't serve a request in time it is refused, though the statuses of the others arrive within a second.

--- a/pkg/gateway/startup_test.go
+++ b/pkg/gateway/startup_test.go
@@ -115,3 +115,27 @@
 		t.Errorf("servers %+v after a change", servers)
 	}
 }
+
+// Guards against an entry that has just started and refuses a request since the only runner
+// that it knows can't serve it in time.
+func TestRequestWaitsForTheStatusesOfTheOtherAgents(t *testing.T) {
+	for _, agentsKnown := range []bool{false, true} {
+		c := newTestControl(testStart,
+			testRunner{id: "a", permitted: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 6000})},
+			testRunner{id: "b", noStatus: true})
+		c.agentsKnown = agentsKnown
+		c.publish()
+		x := &exchange{
+			route:   &fleet.Route{TargetLatency: time.Second, Destinations: []fleet.Destination{{Service: testEngine}}},
+			arrived: testStart, declined: true,
+		}
+		sel := selectionAt(testStart, c, backends.NewTracker())
+		if got := x.canAwaitRunner(sel); got == agentsKnown {
+			t.Errorf("agents known %t: waits %t after the first one has declined", agentsKnown, got)
+		}
+		sel.startBy = testStart.Add(time.Second)
+		if got := sel.hasOnlyLateRunners(); got != agentsKnown {
+			t.Errorf("agents known %t: refused %t since the first one loads too late", agentsKnown, got)
+		}
+	}
+}
