Have a new entry hear from all agents before it refuses a request

Cause: right after all entries were killed an entry knows one or two agents; when their runners can't serve a request in time, the request was refused at once, though the statuses of the others arrive within a second.

Change: until all agents are known, a request that its first runners decline, or that these would load too late, waits like one that knows no runner, up to its target latency.

Result: TestRequestWaitsForTheStatusesOfTheOtherAgents failed before and passes, as do the package's other tests.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -125,15 +125,16 @@
 const runnerCheckInterval = 50 * time.Millisecond
 
 // canAwaitRunner reports whether a request without a runner may wait for one: if
-// it can still meet its target latency, no agent has reported that its runner
-// can't serve it in time, and its model has a permitted runner or may have one not
-// known yet.
+// it can still meet its target latency, its model has a permitted runner or may have
+// one not known yet, and no agent has reported that its runner can't serve it in
+// time, unless other agents aren't known yet.
 func (x *exchange) canAwaitRunner(sel *selection) bool {
 	mayBePlaced := !sel.view.agentsKnown && sel.view.table.Model(x.route, sel.model) != nil
 	isPlaced := (mayBePlaced && sel.software == "") || slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool {
 		return sel.mayBecomeEligible(s) && (mayBePlaced || s.replaced || s.isPermitted(sel.model))
 	})
-	return !x.declined && isPlaced && sel.now.Before(x.waitingSince().Add(x.route.TargetLatency))
+	isDeclined := x.declined && sel.view.agentsKnown
+	return !isDeclined && isPlaced && sel.now.Before(x.waitingSince().Add(x.route.TargetLatency))
 }
 
 // recordVersions records the versions and the age of the state that a choice uses.
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -185,10 +185,10 @@
 	return !sel.startBy.IsZero() && c.missesStart(sel.now, sel.startBy)
 }
 
-// hasOnlyLateRunners reports whether there are runners for the model, and all of them load it
-// too late.
+// hasOnlyLateRunners reports whether there are runners for the model, all agents are known,
+// and all runners load it too late.
 func (sel *selection) hasOnlyLateRunners() bool {
-	return len(candidatesFor(sel)) == 0 && len(candidatesFor(sel.atAnyTime())) > 0
+	return sel.view.agentsKnown && len(candidatesFor(sel)) == 0 && len(candidatesFor(sel.atAnyTime())) > 0
 }
 
 // atAnyTime returns the selection without a latest start.
