Test that a stream waits for a crashed runner of its software version

Red: a stream that requires a version is refused at once when the runners of that version have crashed, which are back after seconds. A new field of the exchange and the time within which a crash is noticed are there without any effect yet.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -124,6 +124,10 @@
 // runnerCheckInterval is how often a request without a runner checks for one.
 const runnerCheckInterval = 50 * time.Millisecond
 
+// crashNoticeTime is the time within which the status of an agent shows that its runner has
+// crashed.
+const crashNoticeTime = time.Second
+
 // canAwaitRunner reports whether a request without a runner may wait for one: if
 // it can still meet its target latency, its model has a permitted runner or may have
 // one not known yet, and no agent has reported that its runner can't serve it in
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -38,6 +38,8 @@
 	excluded []string
 	// failedAt holds the IDs of those of them to which the request was sent.
 	failedAt []string
+	// lastFailure is when the last send failed.
+	lastFailure time.Time
 	// rejectedBy holds the IDs of the servers that rejected the request. A
 	// rejection may be due to a model evicted just before, so each server is
 	// tried once more.
--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -184,3 +184,46 @@
 	check(false, "v1")
 	check(true, "")
 }
+
+// Guards against a refusal of a stream whose runners have crashed and are about to be back,
+// at callers that come back once or twice.
+func TestStreamWaitsForACrashedRunnerOfItsSoftwareVersion(t *testing.T) {
+	down := &wire.RunnerStatus{Down: true, Models: []wire.RunnerModel{{Name: testModel}}}
+	for _, c := range []struct {
+		name     string
+		software string
+		after    time.Duration
+		failed   bool
+		status   *wire.RunnerStatus
+		want     bool
+	}{
+		{name: "down", software: "v1", after: 3 * time.Second, status: down, want: true},
+		{name: "down for too long", software: "v1", after: 4 * time.Second, status: down},
+		{name: "no version required", after: time.Second, status: down},
+		{name: "another version", software: "v2", after: time.Second, status: down},
+		{name: "just failed", software: "v1", after: crashNoticeTime - 1, failed: true, want: true},
+		{name: "failed and not down", software: "v1", after: crashNoticeTime, failed: true},
+		{name: "declined and not down", software: "v1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			control := newTestControl(testStart, testRunner{id: "a", software: "v1", permitted: true, status: c.status})
+			now := testStart.Add(c.after)
+			if c.status != nil {
+				receiveStatus(control, now, "host-a", &wire.RunnerStatus{Down: true})
+			} else {
+				receiveStatus(control, now, "host-a", statusOf(0, wire.RunnerModel{PermitRank: 1}))
+			}
+			sel := selectionAt(now, control, backends.NewTracker(), "a")
+			sel.software = c.software
+			x := &exchange{
+				route: &fleet.Route{TargetLatency: time.Second}, arrived: testStart, deadline: testStart.Add(time.Minute), declined: true,
+			}
+			if c.failed {
+				x.failedAt, x.lastFailure = []string{"a"}, testStart
+			}
+			if got := x.canAwaitRunner(sel); got != c.want {
+				t.Errorf("waits: %t", got)
+			}
+		})
+	}
+}
