Have a stream wait for a crashed runner of its software version

Cause: a stream that requires a version has few runners. When these had just crashed it was refused at once, or was left incomplete, since an agent had declined it before or the target latency was over; its caller comes back once or twice, sooner than the runners.

Change: a request that requires a version waits, as long as it can still start, while a runner of that version is registered as ready, may hold the model, and is down, restarted or not reachable through its agent, or has failed this request within the last second, in which its agent notices a crash. The wait ends with its registration at the latest.

Result: TestStreamWaitsForACrashedRunnerOfItsSoftwareVersion failed before and passes. The package's other tests pass.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -124,19 +124,19 @@
 // runnerCheckInterval is how often a request without a runner checks for one.
 const runnerCheckInterval = 50 * time.Millisecond
 
-// crashNoticeTime is the time within which the status of an agent shows that its runner has
-// crashed.
-const crashNoticeTime = time.Second
-
 // canAwaitRunner reports whether a request without a runner may wait for one: if
 // it can still meet its target latency, its model has a permitted runner or may have
 // one not known yet, and no agent has reported that its runner can't serve it in
-// time, unless other agents aren't known yet.
+// time, unless other agents aren't known yet. One that requires a software may wait
+// for a runner to return.
 func (x *exchange) canAwaitRunner(sel *selection) bool {
 	mayBePlaced := !sel.view.agentsKnown && sel.view.table.Model(x.route, sel.model) != nil
 	isPlaced := (mayBePlaced && sel.software == "") || slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool {
 		return sel.mayBecomeEligible(s) && (mayBePlaced || s.replaced || s.isPermitted(sel.model))
 	})
+	if x.canAwaitReturn(sel) {
+		return true
+	}
 	isDeclined := x.declined && sel.view.agentsKnown
 	return !isDeclined && isPlaced && sel.now.Before(x.waitingSince().Add(x.route.TargetLatency))
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -210,6 +210,7 @@
 	if event != attempt.NotRun || x.caller.Model == "" || slices.Contains(x.rejectedBy, backend.ID) {
 		x.excluded = append(x.excluded, backend.ID)
 		x.failedAt = append(x.failedAt, backend.ID)
+		x.lastFailure = time.Now()
 	}
 	x.rejectedBy = append(x.rejectedBy, backend.ID)
 	decision := x.machine.Step(time.Now(), event)
--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -188,7 +188,7 @@
 // Guards against a refusal of a stream whose runners have crashed and are about to be back,
 // at callers that come back once or twice.
 func TestStreamWaitsForACrashedRunnerOfItsSoftwareVersion(t *testing.T) {
-	down := &wire.RunnerStatus{Down: true, Models: []wire.RunnerModel{{Name: testModel}}}
+	down := &wire.RunnerStatus{Down: true, Models: []wire.RunnerModel{{Name: testModel, PermitRank: 1}}}
 	for _, c := range []struct {
 		name     string
 		software string
@@ -209,7 +209,7 @@
 			control := newTestControl(testStart, testRunner{id: "a", software: "v1", permitted: true, status: c.status})
 			now := testStart.Add(c.after)
 			if c.status != nil {
-				receiveStatus(control, now, "host-a", &wire.RunnerStatus{Down: true})
+				receiveStatus(control, now, "host-a", down)
 			} else {
 				receiveStatus(control, now, "host-a", statusOf(0, wire.RunnerModel{PermitRank: 1}))
 			}
