Wait for a crashed runner also if another one would load too late

Cause: a stream whose runner has crashed was still refused at once if another runner of its version would have to load the model from the weight store, too late.

Change: late runners alone don't end a request that may wait for a runner's return.

Result: TestLateRunnerDoesNotEndTheWaitForACrashedOne fails without the change and passes.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -22,7 +22,7 @@
 		}
 		best := sel.choose()
 		if best == nil {
-			if sel.hasOnlyLateRunners() || !x.awaitServer(ctx, sel) {
+			if x.isTooLate(sel) || !x.awaitServer(ctx, sel) {
 				return nil, nil, false
 			}
 			continue
@@ -84,6 +84,11 @@
 	}
 }
 
+// isTooLate reports whether only runners that load the model too late are left.
+func (x *exchange) isTooLate(sel *selection) bool {
+	return sel.hasOnlyLateRunners() && !x.canAwaitReturn(sel)
+}
+
 // awaitServer waits for a server if the request can still be served in time. It
 // returns false if the request must be refused now.
 func (x *exchange) awaitServer(ctx context.Context, sel *selection) bool {
--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -227,3 +227,19 @@
 		})
 	}
 }
+
+// Guards against a stream that doesn't wait for its crashed runner, which has a copy of the
+// model, since another one would load it too late.
+func TestLateRunnerDoesNotEndTheWaitForACrashedOne(t *testing.T) {
+	c := newTestControl(testStart,
+		testRunner{id: "a", software: "v1", permitted: true, status: &wire.RunnerStatus{Down: true}},
+		testRunner{id: "b", software: "v1", permitted: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 9000})})
+	x := &exchange{route: &fleet.Route{TargetLatency: time.Second}, arrived: testStart, deadline: testStart.Add(time.Minute)}
+	for software, want := range map[string]bool{"v1": false, "": true} {
+		sel := selectionAt(testStart, c, backends.NewTracker())
+		sel.software, sel.startBy = software, x.startDeadline()
+		if got := x.isTooLate(sel); got != want {
+			t.Errorf("software %q: too late %t", software, got)
+		}
+	}
+}
