Test that a runner of the required version is asked again after a short refusal

Red: a stream that requires a version goes back to its caller for a refusal that holds for a tenth of a second at the only runner of that version. The fake agent can refuse once.

--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -243,3 +243,22 @@
 		}
 	}
 }
+
+// Guards against a stream that goes back to its caller, who returns once or twice, for a
+// refusal that holds for half a second at one of the few runners of its version.
+func TestRunnerOfTheSoftwareVersionIsAskedAgain(t *testing.T) {
+	for software, want := range map[string]bool{"v1": true, "": false} {
+		c := newTestControl(time.Now(), testRunner{id: "a", software: "v1", permitted: true, status: statusOf(0, wire.RunnerModel{State: wire.ModelLoaded})})
+		agent := newFakeAgent(true)
+		agent.refuses = &wire.Refusal{Reason: wire.ReasonNoMemory, RetryAfterMillis: 100}
+		agent.refusesOnce = true
+		x := newLeaseExchange(t, time.Second, c, map[string]*fakeAgent{"a": agent})
+		x.software = software
+		go func() { <-agent.requested }()
+		_, granted, ok := x.acquireServer(t.Context())
+		granted.release(false, 0)
+		if ok != want {
+			t.Errorf("software %q: granted %t", software, ok)
+		}
+	}
+}
--- a/pkg/gateway/switching_test.go
+++ b/pkg/gateway/switching_test.go
@@ -62,6 +62,9 @@
 	grants bool
 	// refuses is the response to all requests if it isn't nil.
 	refuses *wire.Refusal
+	// refusesOnce limits that to the first request, refused is set after it.
+	refusesOnce bool
+	refused     atomic.Bool
 	// beforeReply is called before each reply, if it is set.
 	beforeReply atomic.Pointer[func()]
 	requested   chan struct{}
@@ -85,7 +88,7 @@
 	if a.grants {
 		reply = &wire.Frame{Granted: &wire.Granted{}}
 	}
-	if a.refuses != nil {
+	if a.refuses != nil && !(a.refused.Swap(true) && a.refusesOnce) {
 		_ = stream.Send(&wire.Frame{Refusal: a.refuses})
 		return
 	}
