Ask the runners of the required software version again after a refusal

Cause: a stream that requires a version was refused as soon as its few runners had declined it, also if they named half a second; its caller comes back once or twice, and used that up within two seconds.

Change: such a request asks again after the time that the refusals name, as long as that is within its target latency.

Result: TestRunnerOfTheSoftwareVersionIsAskedAgain failed before and passes, as do the package's other tests.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -22,6 +22,9 @@
 		}
 		best := sel.choose()
 		if best == nil {
+			if x.askAgain(ctx, sel) {
+				continue
+			}
 			if x.isTooLate(sel) || !x.awaitServer(ctx, sel) {
 				return nil, nil, false
 			}
--- a/pkg/gateway/runner_return.go
+++ b/pkg/gateway/runner_return.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 )
@@ -37,3 +38,28 @@
 func (x *exchange) mayHaveCrashed(now time.Time, s *server) bool {
 	return slices.Contains(x.failedAt, s.ID) && now.Sub(x.lastFailure) < crashNoticeTime
 }
+
+// askAgain waits until the runners that refused a request can be asked again, and reports
+// whether they can be within its target latency. Only requests that require a software do
+// so: others go to other runners, or back to their callers.
+func (x *exchange) askAgain(ctx context.Context, sel *selection) bool {
+	if sel.software == "" || x.retryAfter <= 0 || !x.hasRefusal(sel) {
+		return false
+	}
+	if sel.now.Add(x.retryAfter).After(x.waitingSince().Add(x.route.TargetLatency)) {
+		return false
+	}
+	x.sleep(ctx, x.retryAfter)
+	x.excluded = slices.Clone(x.failedAt)
+	x.declined = false
+	x.retryAfter = 0
+	return true
+}
+
+// hasRefusal reports whether a registered runner of the required software was left out since
+// it refused the request, and not since the request failed there.
+func (x *exchange) hasRefusal(sel *selection) bool {
+	return slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool {
+		return sel.mayBecomeEligible(s) && slices.Contains(x.excluded, s.ID) && !slices.Contains(x.failedAt, s.ID)
+	})
+}
