Record which software versions were in service lately

Cause: an entry that has just started sees the servers of today. Change: pkg/resumption keeps the versions by service, with the time at which the last server of each was found gone. The leader writes them to the store when one appears or is gone, under the same conditions as the placement; the watch of the site's keys reads them, relays pass them on. Nothing decides by it yet.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -14,6 +14,7 @@
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/packing"
+	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -50,7 +51,9 @@
 	// agentsShared is set if a view shares the map agents.
 	agentsShared bool
 	placement    *packing.Placement
-	leader       leaderState
+	// history is nil before it is known.
+	history *resumption.History
+	leader  leaderState
 	// engines holds the engine description sent to agents, by service.
 	engines map[string]*wire.Engine
 	// asOf is the store revision up to which hosts and placement are known.
@@ -199,6 +202,8 @@
 	hosts          []roster.Host
 	removed        []string
 	placement      *packing.Placement
+	// history is nil if the change does not contain it.
+	history *resumption.History
 	// leader is nil if the change does not contain it.
 	leader *leaderState
 }
@@ -222,6 +227,9 @@
 	if change.placement != nil && (c.placement == nil || change.placement.Revision >= c.placement.Revision) {
 		c.setPlacement(change.placement)
 	}
+	if change.history != nil {
+		c.setHistory(change.history)
+	}
 	// A watch may deliver an older state than the one that an election returned.
 	if change.leader != nil && change.leader.knownAt >= c.leader.knownAt {
 		c.setLeader(*change.leader)
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -76,6 +76,7 @@
 	if current.table == nil {
 		return
 	}
+	d.updateHistory(ctx, now, current)
 	d.recordDownRunners(now, current)
 	if !d.isReady(now, current) {
 		return
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -140,6 +140,8 @@
 	servers       map[string]wire.ServerUpdate
 	entries       map[string]wire.EntryUpdate
 	configuration int64
+	// history is the revision of the history of versions.
+	history int64
 }
 
 func newSiteCursor(domain string) *siteCursor {
@@ -160,6 +162,10 @@
 	}
 	update.Servers, update.RemovedServers = diffByID(c.servers, serversOf(current), sameServer)
 	update.Entries, update.RemovedEntries = diffByID(c.entries, entriesOf(current), func(a, b wire.EntryUpdate) bool { return a == b })
+	if current.history != nil && current.history.Revision != c.history {
+		update.Software = historyUpdate(current.history)
+		c.history = current.history.Revision
+	}
 	if current.table != nil {
 		version := current.table.Configuration().Version
 		if version != c.configuration {
@@ -172,7 +178,7 @@
 
 // isEmpty reports whether an update contains no change.
 func isEmpty(u *wire.SiteUpdate) bool {
-	return !u.Complete && u.Configuration == 0 && len(u.Agents)+len(u.RemovedAgents)+len(u.Servers)+len(u.RemovedServers)+
+	return !u.Complete && u.Configuration == 0 && u.Software == nil && len(u.Agents)+len(u.RemovedAgents)+len(u.Servers)+len(u.RemovedServers)+
 		len(u.Entries)+len(u.RemovedEntries) == 0
 }
 
--- a/pkg/gateway/site.go
+++ b/pkg/gateway/site.go
@@ -54,6 +54,8 @@
 			change.leader = decodeLeader(event)
 		case key == placementKey:
 			s.decodePlacement(&change, event)
+		case key == historyKey:
+			s.decodeHistory(&change, event)
 		case strings.HasPrefix(key, roster.HostPrefix):
 			s.decodeHost(&change, event)
 		}
--- a/pkg/gateway/upstream.go
+++ b/pkg/gateway/upstream.go
@@ -142,6 +142,9 @@
 		}
 		c.applySiteChange(change)
 	}
+	if update.Software != nil {
+		c.applySiteChange(siteChange{history: historyOf(update.Software)})
+	}
 	if u.follower.storeWatcher.registrations.isOn() {
 		// This entry reads the registrations itself, as the relay's are out of
 		// date.
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -11,6 +11,7 @@
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
+	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -88,9 +89,11 @@
 	// placement is nil before the first one, and at entries that get their state
 	// from a relay.
 	placement *packing.Placement
-	leader    leaderState
-	engines   map[string]*wire.Engine
-	asOf      int64
+	// history is nil before it is known.
+	history *resumption.History
+	leader  leaderState
+	engines map[string]*wire.Engine
+	asOf    int64
 }
 
 func newView(c *control) *view {
@@ -103,6 +106,7 @@
 		agents:      agents,
 		records:     sync.OnceValue(func() map[string]*directory.AgentRecord { return recordsOf(agents) }),
 		placement:   c.placement,
+		history:     c.history,
 		leader:      c.leader,
 		engines:     c.engines,
 		asOf:        c.asOf,
--- a/pkg/wire/gateway_messages.go
+++ b/pkg/wire/gateway_messages.go
@@ -1,5 +1,7 @@
 package wire
 
+import "teaselgauge.example/teaselgauge/pkg/resumption"
+
 // Follow opens a stream on which a gateway sends its view of the site's agents to
 // another one. Each change is sent as a SiteUpdate; an empty SiteUpdate serves as a
 // heartbeat.
@@ -70,4 +72,13 @@
 	// StoreAgeMillis is the age of the sender's view of the backend servers in the
 	// store.
 	StoreAgeMillis uint32 `cbor:"9,keyasint,omitempty"`
+	// Software is nil if it hasn't changed, or isn't known.
+	Software *SoftwareHistory `cbor:"10,keyasint,omitempty"`
+}
+
+// SoftwareHistory lists the versions of software that were in service lately, by service.
+// Revision is that of the key in the store.
+type SoftwareHistory struct {
+	Revision int64                         `cbor:"1,keyasint"`
+	Services map[string][]resumption.Usage `cbor:"2,keyasint"`
 }
