Refuse what may outlast a stopping entry once it is out of rotation

Cause: a stopping entry takes every request that still arrives on a connection in use, also one whose deadline is behind the end of draining. Change: once its listener is closed, it refuses such a request at once as not run, with a short Retry-After; the response closes the connection, so the caller goes to another entry. Requests that end in time, and those before, are served as they were.

--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -26,7 +26,8 @@
 }
 
 // drain waits for the load balancer to remove this entry, then closes the listener
-// and the idle connections and waits for the requests in flight.
+// and the idle connections and waits for the requests in flight. Requests that still
+// arrive on connections in use are refused if they may outlast it.
 func (g *Gateway) drain() {
 	started := time.Now()
 	end := started.Add(time.Duration(g.config.DrainMillis)*time.Millisecond - drainMargin)
@@ -36,6 +37,7 @@
 	cancelTimer := time.AfterFunc(time.Until(end)-queuedMargin, g.handler.cancelQueued)
 	defer cancelTimer.Stop()
 	time.Sleep(drainNotice)
+	g.handler.drainEnd.Store(&end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	open := g.callerConnections.Close(ctx, httpdrain.IdleTime)
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -34,6 +34,9 @@
 	// configuration; it is short since the load balancer sends the caller to
 	// another entry.
 	unconfiguredRetryAfter = 50 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of a stopping entry; it is short since the
+	// caller's next connection is to another entry.
+	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 // handler serves callers' requests.
@@ -63,6 +66,9 @@
 	inFlight atomic.Int64
 	// closing makes connections close after the current response.
 	closing atomic.Bool
+	// drainEnd is when a stopping entry cuts off the requests that are left; nil while
+	// it accepts new connections.
+	drainEnd atomic.Pointer[time.Time]
 	// queued ends when a stopping entry refuses the requests that still wait for a
 	// runner.
 	queued       context.Context
@@ -130,7 +136,11 @@
 	if failure != nil {
 		return reject(*failure)
 	}
-	return h.newExchange(response, r, route, caller, body, arrived), nil
+	x := h.newExchange(response, r, route, caller, body, arrived)
+	if end := h.drainEnd.Load(); end != nil && x.deadline.After(*end) {
+		return reject(refusal{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stoppingRetryAfter})
+	}
+	return x, nil
 }
 
 // awaitConfiguration delays a request to an entry that has just started until the
