--- /dev/null
+++ b/pkg/gateway/unframed_ends_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+)
+
+// TestEmptyUnframedStreamOfRunningServerIsComplete has a running server end a stream
+// without an event with its connection.
+func TestEmptyUnframedStreamOfRunningServerIsComplete(t *testing.T) {
+	for _, route := range []fleet.Route{streamRoute, onceRoute} {
+		site := startEndSite(t, route, 2, func(_ *rawBackend, conn *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(conn, streamHeader(""))
+		})
+		checkComplete(t, site.call(t, "HTTP/1.1", false), "")
+		if len(site.lastEventIDs) != 1 {
+			t.Errorf("sent %d times", len(site.lastEventIDs))
+		}
+	}
+}
+
+// TestEndOfServerIsNotEndOfEmptyUnframedStream ends a server, leaving or not, before the
+// first event.
+func TestEndOfServerIsNotEndOfEmptyUnframedStream(t *testing.T) {
+	for _, isLeaving := range []bool{false, true} {
+		t.Run(fmt.Sprint(isLeaving), func(t *testing.T) {
+			t.Parallel()
+			var site *endSite
+			site = startEndSite(t, onceRoute, 1, func(backend *rawBackend, conn *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(conn, streamHeader(""))
+				if isLeaving {
+					endLeavingServer(site, backend)
+					return
+				}
+				time.Sleep(eventPause)
+				backend.end()
+			})
+			checkNotComplete(t, site.call(t, "HTTP/1.1", false), "")
+		})
+	}
+}
