Test the end of an unframed stream whose leaving server was the only one

Cause: the server refuses connections since it leaves, and its connections end with it; the same is seen of a server that was killed inside its response. A stream that may be resumed is resumed then, and is cut off if there is no other server. No fix follows: to end such a stream in order would be an end that nobody confirms. A decision for the users.

--- a/pkg/gateway/unframed_ends_test.go
+++ b/pkg/gateway/unframed_ends_test.go
@@ -45,3 +45,14 @@
 		})
 	}
 }
+
+// TestCompleteUnframedStreamOfLeavingServerIsNotCutOff has the only server of a route leave
+// and end with the last event of a stream that may be resumed.
+func TestCompleteUnframedStreamOfLeavingServerIsNotCutOff(t *testing.T) {
+	var site *endSite
+	site = startEndSite(t, streamRoute, 1, func(backend *rawBackend, conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, streamHeader("")+events(1, 3))
+		endLeavingServer(site, backend)
+	})
+	checkComplete(t, site.call(t, "HTTP/1.1", false), events(1, 3))
+}
