Reject a gap after the first event of a stream that is resumed

Cause: whether IDs count by one was taken from two events, so that a stream that broke off after one was joined to whatever higher ID came next. Change: a first event with the ID 1 is one step from the start of the stream, so that a second server has to go on at 2. A first event with another ID still shows no step, and IDs that have not counted by one are accepted in any distance, as before. Of IDs that count tokens and begin with 1, the first step is taken for a gap; IDs that begin 1, 2 were so before.

--- a/pkg/eventstream/sequence.go
+++ b/pkg/eventstream/sequence.go
@@ -16,6 +16,9 @@
 	ErrNoID = errors.New("event has no ID")
 )
 
+// firstNumber is the ID of the first event of a stream whose IDs count by one.
+const firstNumber = "1"
+
 // Sequence accepts the events of one stream in their order. Events without data and ID
 // don't count, as they change nothing for clients. The zero value is an empty stream.
 type Sequence struct {
@@ -25,6 +28,8 @@
 	hasID bool
 	// count is the number of events.
 	count int
+	// hasStep is set if the distance between two IDs is known.
+	hasStep bool
 	// resumed is set if the next event is the first one of another server.
 	resumed bool
 	// irregular is set if the IDs don't count by one.
@@ -72,7 +77,7 @@
 	switch {
 	case ok && number < last:
 		return ErrRepeated
-	case ok && !s.irregular && s.count > 1 && number != last+1:
+	case ok && !s.irregular && s.hasStep && number != last+1:
 		return ErrGap
 	default:
 		return nil
@@ -80,10 +85,7 @@
 }
 
 func (s *Sequence) record(event Event) {
-	last, number, ok := numbers(s.lastID, event.ID)
-	if s.count > 0 && !(ok && number == last+1) {
-		s.irregular = true
-	}
+	s.recordStep(event.ID)
 	if s.count == 0 {
 		s.firstID = event.ID
 	}
@@ -94,6 +96,20 @@
 	}
 }
 
+// recordStep records the distance of an ID from the one before it. Before the first event
+// it is known only for the ID 1, which is taken for the first of IDs that count by one.
+func (s *Sequence) recordStep(id string) {
+	if s.count == 0 {
+		s.hasStep = id == firstNumber
+		return
+	}
+	last, number, ok := numbers(s.lastID, id)
+	s.hasStep = true
+	if !ok || number != last+1 {
+		s.irregular = true
+	}
+}
+
 // numbers returns two IDs as numbers if both are.
 func numbers(a, b string) (first, second int64, ok bool) {
 	first, firstErr := strconv.ParseInt(a, 10, 64)
