Forward only events after the caller's own Last-Event-Id

Cause: the sequence of a response began with its first event, so that a response to a caller that resumes a stream was not compared with the ID that the caller names. Change: of a route whose streams may be resumed, the sequence begins after the caller's ID. A server that repeats events, or whose first one has no ID, has broken the stream off: it is sent to another server if the route allows it, and is else cut off. The distance from the caller's ID counts as a step of the IDs, so that a gap after the first event is detected here too. An event that is left out right after the caller's ID is not: nothing shows yet how the IDs count. Streams that may not be resumed are forwarded as they come, whatever the caller names. Log: last_event names the caller's ID until there is an event (docs/OPERATIONS.md).

--- a/pkg/eventstream/eventstream_test.go
+++ b/pkg/eventstream/eventstream_test.go
@@ -156,3 +156,46 @@
 		}
 	}
 }
+
+// TestRestOfAStreamBeginsAfterTheClientsEvents has a client that has the events up to 5.
+func TestRestOfAStreamBeginsAfterTheClientsEvents(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ids  []string
+		want error
+	}{
+		{"the next ones", []string{"6", "7"}, nil},
+		{"the last one", []string{"5"}, ErrRepeated},
+		{"the first one", []string{"1"}, ErrRepeated},
+		{"IDs that don't count by one", []string{"11", "17"}, nil},
+		{"an ID that is no number", []string{"a"}, nil},
+		{"without an ID", []string{""}, ErrNoID},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := After("5")
+			s.BeginRun()
+			var err error
+			for _, id := range c.ids {
+				err = errors.Join(err, s.Accept(Event{ID: id, HasData: true}))
+			}
+			if !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if c.want != nil && (s.Count() != 0 || s.LastID() != "5" || !s.CanResume()) {
+				t.Errorf("%d events, last %q, want none after 5", s.Count(), s.LastID())
+			}
+		})
+	}
+}
+
+func TestGapAfterFirstEventOfTheRestIsRejected(t *testing.T) {
+	s := After("5")
+	s.BeginRun()
+	if err := s.Accept(Event{ID: "6", HasData: true}); err != nil {
+		t.Fatal(err)
+	}
+	s.BeginRun()
+	if err := s.Accept(Event{ID: "8", HasData: true}); !errors.Is(err, ErrGap) {
+		t.Errorf("error %v, want %v", err, ErrGap)
+	}
+}
--- a/pkg/eventstream/sequence.go
+++ b/pkg/eventstream/sequence.go
@@ -16,14 +16,15 @@
 	ErrNoID = errors.New("event has no ID")
 )
 
-// firstNumber is the ID of the first event of a stream whose IDs count by one.
-const firstNumber = "1"
+// startNumber stands before the first event of a stream whose IDs count by one.
+const startNumber = "0"
 
 // Sequence accepts the events of one stream in their order. Events without data and ID
-// don't count, as they change nothing for clients. The zero value is an empty stream.
+// don't count, as they change nothing for clients. The zero value is a stream that begins.
 type Sequence struct {
 	firstID string
-	lastID  string
+	// lastID is the ID of the last event that the client has.
+	lastID string
 	// hasID is set if the last event had an ID.
 	hasID bool
 	// count is the number of events.
@@ -36,18 +37,23 @@
 	irregular bool
 }
 
-// Count returns the number of events.
+// After returns the rest of a stream of which the client has the events up to an ID; all of
+// the stream if the ID is empty.
+func After(id string) Sequence { return Sequence{lastID: id} }
+
+// Count returns the number of events that were accepted.
 func (s *Sequence) Count() int { return s.count }
 
-// LastID returns the ID of the last event that had one; empty if there was none.
+// LastID returns the ID of the last event that had one, or the one that the rest of a
+// stream follows; empty if there was none.
 func (s *Sequence) LastID() string { return s.lastID }
 
 // CanResume reports whether the last event can be named, so that another server can send
-// the rest of the stream. A stream without events can begin again.
+// the rest of the stream. A sequence without events can begin again.
 func (s *Sequence) CanResume() bool { return s.count == 0 || s.hasID }
 
 // BeginRun records that the next event comes from another server.
-func (s *Sequence) BeginRun() { s.resumed = s.count > 0 }
+func (s *Sequence) BeginRun() { s.resumed = s.count > 0 || s.lastID != "" }
 
 // Accept records the next event. The error wraps ErrRepeated, ErrGap or ErrNoID; the
 // event isn't recorded then.
@@ -96,16 +102,21 @@
 	}
 }
 
-// recordStep records the distance of an ID from the one before it. Before the first event
-// it is known only for the ID 1, which is taken for the first of IDs that count by one.
+// recordStep records the distance of an ID from the one before it. That of the first event
+// is known only if the IDs count by one.
 func (s *Sequence) recordStep(id string) {
+	previous := s.lastID
+	if s.count == 0 && previous == "" {
+		previous = startNumber
+	}
+	last, number, ok := numbers(previous, id)
+	isNext := ok && number == last+1
 	if s.count == 0 {
-		s.hasStep = id == firstNumber
+		s.hasStep = isNext
 		return
 	}
-	last, number, ok := numbers(s.lastID, id)
 	s.hasStep = true
-	if !ok || number != last+1 {
+	if !isNext {
 		s.irregular = true
 	}
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -46,6 +46,7 @@
 			return x.responseLost(backend, response, err)
 		}
 		x.progress.weightsVersion = response.Info.WeightsVersion
+		x.progress.events = x.eventsToCome()
 	}
 	if !isEventStream(response) {
 		return x.forwardOther(ctx, backend, response)
@@ -53,6 +54,15 @@
 	return x.forwardEvents(ctx, backend, response)
 }
 
+// eventsToCome returns the events that the caller is to get: those after the one that it
+// names, if the stream may be resumed.
+func (x *exchange) eventsToCome() eventstream.Sequence {
+	if !x.route.Resumable {
+		return eventstream.Sequence{}
+	}
+	return eventstream.After(x.caller.LastEventID)
+}
+
 // streamFraming returns what is to mark the end of a stream towards the caller. One that
 // ends with its server's connection and can't be resumed ends the same way here, so that
 // its end says no more than what was received.
