--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -34,7 +34,8 @@
 	// errOtherWeights means that a server would continue a stream with another version of
 	// the weights.
 	errOtherWeights = errors.New("stream would go on with other weights")
-	// errNoEvent means that a response that ends with its connection has no event.
+	// errNoEvent means that a stream has ended without an event, and nothing shows that it
+	// is complete.
 	errNoEvent = errors.New("stream ended without an event")
 )
 
@@ -46,6 +47,7 @@
 			return x.responseLost(backend, response, err)
 		}
 		x.progress.weightsVersion = response.Info.WeightsVersion
+		x.progress.events = x.eventsToCome()
 	}
 	if !isEventStream(response) {
 		return x.forwardOther(ctx, backend, response)
@@ -53,6 +55,15 @@
 	return x.forwardEvents(ctx, backend, response)
 }
 
+// eventsToCome returns the events that the caller is to get: those after the one that it
+// names, if the stream may be resumed.
+func (x *exchange) eventsToCome() eventstream.Sequence {
+	if !x.route.Resumable {
+		return eventstream.Sequence{}
+	}
+	return eventstream.After(x.caller.LastEventID)
+}
+
 // streamFraming returns what is to mark the end of a stream towards the caller. One that
 // ends with its server's connection and can't be resumed ends the same way here, so that
 // its end says no more than what was received.
@@ -114,10 +125,11 @@
 // streamEnded ends a stream after its last event if it is complete. rest holds what comes
 // after the last event, such as comments.
 func (x *exchange) streamEnded(ctx context.Context, backend *server, response *forward.Response, rest []byte) *attempt.Event {
-	if response.Framing == forward.FramingConnection && x.progress.events.Count() == 0 {
+	evidence := x.confirmEnd(ctx, backend, response)
+	if evidence == endUnconfirmed && x.progress.events.Count() == 0 {
 		return x.streamBroken(response, errNoEvent)
 	}
-	if err := x.endError(x.confirmEnd(ctx, backend, response)); err != nil {
+	if err := x.endError(evidence); err != nil {
 		return x.streamBroken(response, err)
 	}
 	if x.sendPart(rest) {
