Wait for the write before another entry reads the history of versions

Cause: the test's second entry could become the leader before the first one had written what only it had seen; the entries of a site see the same registrations. Change: the test waits for the write; its checks are the same.

--- a/pkg/gateway/version_history_test.go
+++ b/pkg/gateway/version_history_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 )
 
@@ -32,6 +34,19 @@
 	t.Fatalf("recent versions %q, want %q", got, want)
 }
 
+// awaitWritten waits until the store has a version in its history.
+func awaitWritten(t *testing.T, store *keyvaluetest.Store, version string) {
+	t.Helper()
+	for range 500 {
+		result, err := store.Range(t.Context(), historyKey, false)
+		if err == nil && len(result.Values) == 1 && strings.Contains(string(result.Values[0].Value), version) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("version %s isn't written", version)
+}
+
 // Guards against entries that all restart and take the version that they find for the only one.
 func TestVersionsInServiceOutliveAllEntries(t *testing.T) {
 	store := newStore(t)
@@ -43,6 +58,7 @@
 	defer restarted.stop()
 	registerVersion(restarted.control, "v2")
 	awaitRecent(t, restarted.control, "v1", "v2")
+	awaitWritten(t, store, "v2")
 	other := startContender(t, store, "front-2")
 	defer other.stop()
 	registerVersion(other.control, "v3")
