Let a test give the stand-ins of servers a software version

Cause: all stand-ins register the same version, so no test can see which version made a stream's events. A server can't come back under its ID with another one, and processes can't be killed at once.

--- a/testkit/platformsite/server_process.go
+++ b/testkit/platformsite/server_process.go
@@ -20,6 +20,7 @@
 	Address string
 	// registeredAddress is the address at which entries reach the server.
 	registeredAddress string
+	options           backendserver.Options
 	store             *metadatastore.Server
 }
 
@@ -29,17 +30,18 @@
 	if err != nil {
 		return nil, err
 	}
-	encoded, err := json.Marshal(options)
-	if err != nil {
-		return nil, fmt.Errorf("platform site: options of %s: %w", options.ID, err)
+	server := &ServerProcess{
+		ID: options.ID, Address: addresses[0], registeredAddress: addresses[0], options: options, store: s.Store,
 	}
-	server := &ServerProcess{ID: options.ID, Address: addresses[0], registeredAddress: addresses[0], store: s.Store}
 	if s.options.RelayTo != nil {
 		if server.registeredAddress, err = s.options.RelayTo(server.Address); err != nil {
 			return nil, err
 		}
 	}
-	args := []string{"backend", "--listen", server.Address, "--options", string(encoded)}
+	args, err := server.arguments()
+	if err != nil {
+		return nil, err
+	}
 	server.Process = site.NewProcess(options.ID, s.binaries.Standin, args, s.logPath(options.ID))
 	s.Servers = append(s.Servers, server)
 	if err := server.Start(); err != nil {
@@ -48,6 +50,30 @@
 	return server, server.Register(ctx)
 }
 
+// arguments returns the arguments of the server's process.
+func (p *ServerProcess) arguments() ([]string, error) {
+	encoded, err := json.Marshal(p.options)
+	if err != nil {
+		return nil, fmt.Errorf("platform site: options of %s: %w", p.ID, err)
+	}
+	return []string{"backend", "--listen", p.Address, "--options", string(encoded)}, nil
+}
+
+// Software returns the version of the server's software.
+func (p *ServerProcess) Software() string { return p.options.Software }
+
+// RestartAs kills the server and starts it again under its ID with another version of its
+// software. Its entry in the store stays as it was.
+func (p *ServerProcess) RestartAs(software string) error {
+	p.options.Software = software
+	args, err := p.arguments()
+	if err != nil {
+		return err
+	}
+	p.SetArgs(args)
+	return p.Restart()
+}
+
 // Register waits until the server listens, and writes its entry in the store.
 func (p *ServerProcess) Register(ctx context.Context) error { return p.register(ctx, nil) }
 
--- a/testkit/platformsite/site.go
+++ b/testkit/platformsite/site.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -46,6 +45,8 @@
 	LogLevel string
 	// ConfigureEngine changes the engine of the i-th runner before it starts.
 	ConfigureEngine func(i int, engine *backendserver.Engine)
+	// Software returns the software version of the i-th runner; nil for the default one.
+	Software func(i int) string
 	// ServerProcesses runs each backend server as a process of its own.
 	ServerProcesses bool
 	// RelayTo returns the address at which entries reach the server process that listens
@@ -129,10 +130,8 @@
 			return err
 		}
 	}
-	for _, entry := range s.Entries {
-		if err := entry.AwaitReady(ctx); err != nil {
-			return err
-		}
+	if err := s.AwaitEntries(ctx); err != nil {
+		return err
 	}
 	return s.AwaitPlacement(ctx)
 }
@@ -169,8 +168,12 @@
 	if s.options.ConfigureEngine != nil {
 		s.options.ConfigureEngine(i, engine)
 	}
+	software := ""
+	if s.options.Software != nil {
+		software = s.options.Software(i)
+	}
 	backend, address, err := s.startRunnerServer(ctx, backendserver.Options{
-		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Engine: engine,
+		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Software: software, Engine: engine,
 		Slots: s.options.Slots, Queue: 2 * s.options.Slots, Work: s.options.Work, Events: s.options.Events,
 	})
 	if err != nil {
@@ -267,22 +270,6 @@
 
 func (s *Site) logPath(id string) string { return filepath.Join(s.dir, id+".log") }
 
-// Processes returns the processes of all entries and agents, and of the backend servers
-// that are processes of their own.
-func (s *Site) Processes() []*site.Process {
-	var all []*site.Process
-	for _, entry := range s.Entries {
-		all = append(all, entry.Process)
-	}
-	for _, runner := range s.Runners {
-		all = append(all, runner.Process)
-	}
-	for _, server := range s.Servers {
-		all = append(all, server.Process)
-	}
-	return all
-}
-
 // Close stops all processes and stand-ins and removes the site's files.
 func (s *Site) Close() error {
 	var failures []error
@@ -324,42 +311,3 @@
 	}
 	return text.String()
 }
-
-// AwaitReady waits until the entry reports that it is ready.
-func (e *Entry) AwaitReady(ctx context.Context) error {
-	return site.Eventually(ctx, func() error {
-		ready, err := e.IsReady(ctx)
-		if err == nil && !ready {
-			err = fmt.Errorf("platform site: %s isn't ready", e.ID)
-		}
-		return err
-	})
-}
-
-// IsReady reports whether the entry is ready. It uses the same endpoint as the
-// platform's load balancer.
-func (e *Entry) IsReady(ctx context.Context) (bool, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Readiness+"/v1/ready", nil)
-	if err != nil {
-		return false, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false, err
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK, nil
-}
-
-// errNotPlaced means that the store has no placement yet.
-var errNotPlaced = errors.New("platform site: models aren't placed")
-
-// AwaitPlacement waits until the models are placed.
-func (s *Site) AwaitPlacement(ctx context.Context) error {
-	return site.Eventually(ctx, func() error {
-		if _, revision := s.Store.Get("teaselgauge/placement"); revision == 0 {
-			return errNotPlaced
-		}
-		return nil
-	})
-}
--- a/testkit/site/process.go
+++ b/testkit/site/process.go
@@ -33,6 +33,13 @@
 	return &Process{Name: name, path: path, args: args, logPath: logPath}
 }
 
+// SetArgs replaces the arguments of later starts.
+func (p *Process) SetArgs(args []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.args = args
+}
+
 // Start starts the process. The kernel kills it when the calling process dies.
 func (p *Process) Start() error {
 	p.mu.Lock()
@@ -99,6 +106,27 @@
 	return nil
 }
 
+// KillAll sends SIGKILL to all processes, and then waits until they have exited.
+func KillAll(processes ...*Process) error {
+	var failures []error
+	for _, process := range processes {
+		failures = append(failures, process.Signal(syscall.SIGKILL))
+	}
+	for _, process := range processes {
+		failures = append(failures, process.Kill())
+	}
+	return errors.Join(failures...)
+}
+
+// StartAll starts processes that have exited.
+func StartAll(processes ...*Process) error {
+	var failures []error
+	for _, process := range processes {
+		failures = append(failures, process.Start())
+	}
+	return errors.Join(failures...)
+}
+
 // Terminate sends SIGTERM and doesn't wait.
 func (p *Process) Terminate() error { return p.Signal(syscall.SIGTERM) }
 
--- a/testkit/standin/backendserver/plan.go
+++ b/testkit/standin/backendserver/plan.go
@@ -25,6 +25,9 @@
 // plainPieces is the number of pieces in which a planned plain response is sent.
 const plainPieces = 10
 
+// softwareMark precedes the version of the software in an event.
+const softwareMark = " at "
+
 const eventStreamType = "text/event-stream"
 
 // Framing is what marks the end of a response.
@@ -63,13 +66,17 @@
 	// GapMillis is the time between two pieces, in milliseconds.
 	GapMillis int `json:"gapMillis"`
 	// Stop happens after StopAfter pieces, and half of the next one if Inside is set.
-	// It doesn't happen to a stream that is resumed.
+	// It happens to a stream that is resumed only if StopResumed is set.
 	Stop      Stop `json:"stop"`
 	StopAfter int  `json:"stopAfter"`
 	Inside    bool `json:"inside"`
+	// StopResumed lets a stream that is resumed stop after StopAfter further pieces.
+	StopResumed bool `json:"stopResumed"`
 	// Resume is the response to a request that resumes a stream; nil for the rest of
 	// the stream.
 	Resume *Resume `json:"resume"`
+	// Software is the version that the events name; empty for none. The server sets it.
+	Software string `json:"-"`
 }
 
 // Resume is the response to a request that resumes a stream.
@@ -91,7 +98,11 @@
 
 // Event returns one event of the stream for a request.
 func (p *Plan) Event(requestID string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d of %d%s\n\n", number, requestID, number, p.Events, strings.Repeat(".", p.PieceBytes))
+	text := fmt.Sprintf("%s %d of %d", requestID, number, p.Events)
+	if p.Software != "" {
+		text += softwareMark + p.Software
+	}
+	return fmt.Sprintf("id: %d\ndata: %s%s\n\n", number, text, strings.Repeat(".", p.PieceBytes))
 }
 
 // Pieces returns the pieces of the complete response to a request.
@@ -115,7 +126,7 @@
 }
 
 // planOf returns the plan that a request names, or nil.
-func planOf(r *http.Request) *Plan {
+func (s *Server) planOf(r *http.Request) *Plan {
 	value := r.Header.Get(HeaderPlan)
 	if value == "" {
 		return nil
@@ -124,6 +135,7 @@
 	if err := json.Unmarshal([]byte(value), plan); err != nil {
 		return nil
 	}
+	plan.Software = s.options.Software
 	return plan
 }
 
@@ -139,6 +151,8 @@
 	switch {
 	case err != nil:
 		s.sendPieces(w, r, id, plan, plan.Pieces(id, r.URL.Path))
+	case plan.StopResumed:
+		s.sendPieces(w, r, id, plan, plan.events(id, after+1))
 	case plan.Resume == nil:
 		s.sendPieces(w, r, id, &Plan{Framing: plan.Framing, GapMillis: plan.GapMillis}, plan.events(id, after+1))
 	default:
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -26,6 +26,10 @@
 	HeaderLeaving   = "Server-Leaving"
 	HeaderLimit     = "Server-Limit"
 	HeaderPrompt    = "Teaselgauge-Prompt-Prefix"
+	HeaderLastEvent = "Last-Event-Id"
+	// HeaderResumes is the HeaderRequestID of the attempt that brought the first event of
+	// a stream that is resumed.
+	HeaderResumes = "Resumes"
 )
 
 // StreamPath is the prefix of the paths that are answered with a stream.
@@ -185,7 +189,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if plan := planOf(r); plan != nil {
+	if plan := s.planOf(r); plan != nil {
 		s.respondPlanned(w, r, id, plan)
 		return
 	}
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -34,12 +34,18 @@
 	OnDisk []string
 }
 
+// DefaultSoftware is the version of the software of a server that is given none.
+const DefaultSoftware = "v1"
+
 // Options describe a backend server.
 type Options struct {
 	ID      string
 	Service string
 	Zone    string
-	Slots   int
+	// Software is the version of the server's software. The events of planned streams
+	// name it, unless it is empty; DefaultSoftware is registered then.
+	Software string
+	Slots    int
 	// Queue is the number of requests that may wait for a slot.
 	Queue int
 	// Work is the processing time of a request, or of each event of a stream.
@@ -251,7 +257,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	registered := entry{
-		Service: s.options.Service, Address: s.Address(), Zone: s.options.Zone, Version: "v1",
+		Service: s.options.Service, Address: s.Address(), Zone: s.options.Zone, Version: s.software(),
 		Slots: s.options.Slots, State: s.state(), StartedAt: s.startedAt,
 	}
 	if s.engine != nil {
@@ -265,6 +271,13 @@
 	return Registration{Key: s.storeKey(), Value: value}
 }
 
+func (s *Server) software() string {
+	if s.options.Software == "" {
+		return DefaultSoftware
+	}
+	return s.options.Software
+}
+
 // Register writes the server's entry.
 func (s *Server) Register() {
 	registration := s.Registration()
