--- a/testkit/serverfaults/caller_test.go
+++ b/testkit/serverfaults/caller_test.go
@@ -30,6 +30,12 @@
 	slow bool
 	// budget is how long the caller waits; callBudget if it is zero.
 	budget time.Duration
+	// content identifies what is asked for; the request's ID if it is empty.
+	content string
+	// lastEvent is the number of the last event that the caller has of a stream that it
+	// resumes, resumes the request that brought the first one. Both may be missing.
+	lastEvent int
+	resumes   string
 }
 
 // caller is the connection of a call.
@@ -98,9 +104,13 @@
 	if budget == 0 {
 		budget = callBudget
 	}
-	body := fmt.Sprintf(`{"request":%q}`, c.id)
+	content := c.content
+	if content == "" {
+		content = c.id
+	}
+	body := fmt.Sprintf(`{"request":%q}`, content)
 	header := []string{
-		fmt.Sprintf("POST %s%s %s", c.path, c.id, protocol),
+		fmt.Sprintf("POST %s%s %s", c.path, content, protocol),
 		"Host: " + platformsite.Host,
 		fmt.Sprintf("Content-Length: %d", len(body)),
 		backendserver.HeaderRequestID + ": " + c.id,
@@ -110,6 +120,12 @@
 	if strings.HasPrefix(c.path, backendserver.StreamPath) {
 		header = append(header, backendserver.HeaderModel+": "+modelName, backendserver.HeaderTokens+": 100,50")
 	}
+	if c.lastEvent > 0 {
+		header = append(header, fmt.Sprintf("%s: %d", backendserver.HeaderLastEvent, c.lastEvent))
+	}
+	if c.resumes != "" {
+		header = append(header, backendserver.HeaderResumes+": "+c.resumes)
+	}
 	return strings.Join(header, "\r\n") + "\r\n\r\n" + body
 }
 
