Play random histories of streams, versions and deaths of processes

Cause: the tests of single faults don't show what overlapping ones do to streams that callers take up again: kills of entries and agents, alone and all at once, crashes and replacements of servers with other software, late or missing registrations, releases, frozen processes and a silent store. Change: TestHistoryHasNoStreamOfTwoVersions plays such faults beside eight callers on three entries and four runners, as a seed determines. No chain of a caller's requests may hold events of two versions, a gap or a repeat, none may end as complete before its last event, and no request may run that was refused as not run. A failure shows the log lines of the chain's requests. SERVERFAULTS_SEEDS sets the number of seeds.

--- a/testkit/serverfaults/chain_test.go
+++ b/testkit/serverfaults/chain_test.go
@@ -1,10 +1,13 @@
 package serverfaults
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"teaselgauge.example/teaselgauge/testkit/platformsite"
@@ -154,14 +157,41 @@
 	return nil
 }
 
-// checkRefused returns an error if a request ran that was refused as not run.
-func (ch *chain) checkRefused(s *platformsite.Site) error {
+// checkRefused returns an error if a request ran that was refused as not run. ran holds the
+// requests that ran, with their servers.
+func (ch *chain) checkRefused(ran map[string]string) error {
 	for _, id := range ch.refused {
-		for _, server := range s.Servers {
-			if runs := server.Runs(id); len(runs) > 0 {
-				return fmt.Errorf("%s: refused as not run, and ran at %s", id, server.ID)
-			}
+		if server := ran[id]; server != "" {
+			return fmt.Errorf("%s: refused as not run, and ran at %s", id, server)
 		}
 	}
 	return nil
 }
+
+// ranAt returns the requests that ran, each with the last server that logged it.
+func ranAt(s *platformsite.Site) map[string]string {
+	ran := map[string]string{}
+	for _, server := range s.Servers {
+		for line := range strings.Lines(server.Log()) {
+			var run backendserver.Run
+			if err := json.Unmarshal([]byte(line), &run); err == nil && run.ID != "" {
+				ran[run.ID] = server.ID
+			}
+		}
+	}
+	return ran
+}
+
+// trace returns the lines of all logs that name a request of the chain.
+func (ch *chain) trace(s *platformsite.Site) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s, plan %+v\n", ch.content, ch.plan)
+	for _, process := range s.Processes() {
+		for line := range strings.Lines(process.Log()) {
+			if slices.ContainsFunc(ch.tries, func(c *caller) bool { return strings.Contains(line, c.id) }) {
+				fmt.Fprintf(&text, "%s: %s", process.Name, line)
+			}
+		}
+	}
+	return text.String()
+}
--- /dev/null
+++ b/testkit/serverfaults/history_test.go
@@ -0,0 +1,213 @@
+package serverfaults
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselgauge.example/teaselgauge/testkit/platformsite"
+	"teaselgauge.example/teaselgauge/testkit/standin/backendserver"
+)
+
+const (
+	// historyLength is how long faults happen and new streams begin.
+	historyLength = 7 * time.Second
+	// historyCallers is the number of callers at one time.
+	historyCallers = 8
+	// historyBudget is how long a caller waits for a stream over all its requests.
+	historyBudget = 8 * time.Second
+	// historyEntries is the number of entries.
+	historyEntries = 3
+	// maxRequests bounds the requests of a caller for one stream.
+	maxRequests = 6
+	// abandonPercent, unnamedPercent and resetPercent are the shares of the requests that
+	// their callers abandon, of the callers that don't name the request that they resume,
+	// and of the streams that their first server resets.
+	abandonPercent = 20
+	unnamedPercent = 10
+	resetPercent   = 20
+	// maxShown is the number of streams whose log lines a failed history shows.
+	maxShown = 4
+	// connectPause is the time until a caller tries another entry after one that it
+	// couldn't connect to.
+	connectPause = 50 * time.Millisecond
+)
+
+// historySoftware are the versions with which the runners begin.
+var historySoftware = []string{"v1", "v1", "v2", "v2"}
+
+// regressionSeeds are seeds that failed once, each with its cause.
+var regressionSeeds = []uint64{}
+
+// historySeeds returns the seeds to play.
+func historySeeds(t *testing.T) []uint64 {
+	t.Helper()
+	all := slices.Clone(regressionSeeds)
+	for i := range seeds(t) {
+		all = append(all, uint64(firstSeed+i))
+	}
+	return all
+}
+
+// random returns the source of random numbers of one part of a history.
+func random(seed uint64, part int) *rand.Rand { return rand.New(rand.NewPCG(seed, uint64(part))) }
+
+// history is a play of streams and faults that a seed determines.
+type history struct {
+	seed  uint64
+	site  *platformsite.Site
+	ends  time.Time
+	stats historyStats
+
+	mu     sync.Mutex
+	chains []*chain
+	// errs are the errors that were found while a chain was played.
+	errs map[*chain]error
+}
+
+// historyStats counts streams by how they ended, for the log.
+type historyStats struct {
+	begun, complete, takenUp, takenUpComplete, refusals int
+}
+
+// playHistory plays the streams and the faults of a seed and checks all chains.
+func playHistory(t *testing.T, seed uint64) {
+	t.Helper()
+	s := startSite(t, historyOptions())
+	h := &history{seed: seed, site: s, ends: time.Now().Add(historyLength), errs: map[*chain]error{}}
+	var group sync.WaitGroup
+	for number := range historyCallers {
+		group.Go(func() { h.playCaller(random(seed, number+1)) })
+	}
+	faults := newFaults(t, h, random(seed, 0))
+	faults.play()
+	group.Wait()
+	h.check(t)
+}
+
+func historyOptions() platformsite.Options {
+	options := versionsOptions(historySoftware)
+	options.Entries = historyEntries
+	return options
+}
+
+// check fails the test if a caller has what it can't have got from servers of one version,
+// or a request ran that was refused as not run.
+func (h *history) check(t *testing.T) {
+	t.Helper()
+	ran := ranAt(h.site)
+	shown := 0
+	for _, ch := range h.chains {
+		h.count(ch)
+		err := errors.Join(h.errs[ch], ch.checkRefused(ran))
+		if err == nil {
+			continue
+		}
+		t.Error(err)
+		if shown++; shown <= maxShown {
+			t.Log(ch.trace(h.site))
+		}
+	}
+	t.Logf("seed %d: %+v", h.seed, h.stats)
+	if h.stats.takenUpComplete == 0 {
+		t.Error("no stream that was taken up is complete")
+	}
+}
+
+func (h *history) count(ch *chain) {
+	if len(ch.events) == 0 {
+		return
+	}
+	h.stats.begun++
+	h.stats.refusals += len(ch.refused)
+	isTakenUp := ch.tries[len(ch.tries)-1].resumes != "" || ch.unnamed && len(ch.tries) > 1
+	if isTakenUp {
+		h.stats.takenUp++
+	}
+	if ch.complete {
+		h.stats.complete++
+	}
+	if ch.complete && isTakenUp {
+		h.stats.takenUpComplete++
+	}
+}
+
+// playCaller begins streams until the history ends, one after another.
+func (h *history) playCaller(random *rand.Rand) {
+	for time.Now().Before(h.ends) {
+		ch := newChain(randomPlan(random), historyBudget)
+		ch.unnamed = random.IntN(100) < unnamedPercent
+		err := h.playChain(ch, random)
+		h.mu.Lock()
+		h.chains = append(h.chains, ch)
+		h.errs[ch] = err
+		h.mu.Unlock()
+	}
+}
+
+// randomPlan returns the plan of a stream of up to two seconds, which some of the servers
+// that begin it reset.
+func randomPlan(random *rand.Rand) backendserver.Plan {
+	plan := backendserver.Plan{
+		Framing: framings[random.IntN(len(framings))], Events: 5 + random.IntN(35), GapMillis: 5 + random.IntN(45),
+	}
+	if random.IntN(100) < resetPercent {
+		plan.Stop, plan.StopAfter, plan.Inside = backendserver.StopReset, 1+random.IntN(plan.Events-1), random.IntN(2) == 0
+	}
+	return plan
+}
+
+// playChain sends the requests of one caller for one stream, until it is complete or the
+// caller gives up.
+func (h *history) playChain(ch *chain, random *rand.Rand) error {
+	for range maxRequests {
+		c, err := h.connect(ch, random)
+		if err != nil {
+			return nil
+		}
+		got := h.receive(c, random)
+		if err := ch.add(c, got); err != nil {
+			return fmt.Errorf("%s: %w", ch.content, err)
+		}
+		if ch.complete {
+			return nil
+		}
+		time.Sleep(min(ch.retryAfter, time.Until(ch.deadline)/3))
+	}
+	return nil
+}
+
+// connect sends the next request of a chain to an entry that accepts it. The error means
+// that the caller has given up.
+func (h *history) connect(ch *chain, random *rand.Rand) (*caller, error) {
+	for {
+		entry := h.site.Entries[random.IntN(len(h.site.Entries))]
+		c, err := ch.dial(entry)
+		if err == nil || errors.Is(err, errNoTime) {
+			return c, err
+		}
+		time.Sleep(connectPause)
+	}
+}
+
+// receive reads a response, or only a part of it if the caller abandons it.
+func (h *history) receive(c *caller, random *rand.Rand) received {
+	if random.IntN(100) >= abandonPercent {
+		return c.finish()
+	}
+	if err := c.awaitEvents(1 + random.IntN(c.plan.Events)); err != nil {
+		return c.finish()
+	}
+	_ = c.conn.Close()
+	return parse(c.raw, nil)
+}
+
+func TestHistoryHasNoStreamOfTwoVersions(t *testing.T) {
+	for _, seed := range historySeeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playHistory(t, seed) })
+	}
+}
--- a/testkit/serverfaults/takeup_test.go
+++ b/testkit/serverfaults/takeup_test.go
@@ -45,6 +45,12 @@
 // startVersions starts a site with two entries and a runner for each given version of the
 // software.
 func startVersions(t *testing.T, software []string) *platformsite.Site {
+	t.Helper()
+	return startSite(t, versionsOptions(software))
+}
+
+// startSite starts a site of its own for a test.
+func startSite(t *testing.T, options platformsite.Options) *platformsite.Site {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -53,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := platformsite.Start(t.Context(), binaries, versionsOptions(software))
+	s, err := platformsite.Start(t.Context(), binaries, options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,12 +155,12 @@
 	if err := inParallel(chains, func(ch *chain) error { return ch.goOn(entry) }); err != nil {
 		t.Error(err)
 	}
-	wentOn := 0
+	wentOn, ran := 0, ranAt(s)
 	for _, ch := range chains {
 		if ch.complete {
 			wentOn++
 		}
-		if err := ch.checkRefused(s); err != nil {
+		if err := ch.checkRefused(ran); err != nil {
 			t.Error(err)
 		}
 		t.Logf("%s of %s: %d of %d events, %d requests, %d refused", ch.content, ch.software(), len(ch.events), ch.plan.Events, len(ch.tries), len(ch.refused))
