Stop at once waiting for a listener that has failed

Cause: Close waited for an Accept that fails since the listener is closed, so that no connection is missed. A server whose listener failed before doesn't call Accept again. Change: no connection can come any more once the listener is closed and the last Accept has failed, for whatever reason; one that runs is waited for. The listener is a file of its own.

--- a/pkg/httpdrain/connections.go
+++ b/pkg/httpdrain/connections.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -34,7 +33,7 @@
 // be called once, before the server starts.
 func (c *Connections) Listener(inner net.Listener) net.Listener {
 	c.open = make(map[*connection]struct{})
-	c.listener = &listener{Listener: inner, closed: make(chan struct{})}
+	c.listener = newListener(inner)
 	return c.listener
 }
 
@@ -82,7 +81,7 @@
 func (c *Connections) Close(ctx context.Context, quiet time.Duration) int {
 	_ = c.listener.Close()
 	select {
-	case <-c.listener.closed:
+	case <-c.listener.ended:
 	case <-ctx.Done():
 	}
 	ticker := time.NewTicker(pollInterval)
@@ -110,23 +109,3 @@
 	}
 	return len(c.open)
 }
-
-// listener wraps the connections that it accepts.
-type listener struct {
-	net.Listener
-	// closed is closed once no further connection will be accepted.
-	closed     chan struct{}
-	closedOnce sync.Once
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		l.closedOnce.Do(func() { close(l.closed) })
-	}
-	if err != nil {
-		return nil, err
-	}
-	return &connection{Conn: conn}, nil
-}
