Close TLS connections on which no request has come

Cause: connections are tracked below TLS, where each byte counted as the begin of a request, also those of the handshake. Change: the records of a TLS client are scanned, and a request begins with its first application data.

--- a/pkg/httpdrain/connection.go
+++ b/pkg/httpdrain/connection.go
@@ -26,6 +26,8 @@
 	closing bool
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
+	// records finds requests below TLS; nil without it.
+	records *recordScanner
 }
 
 // NetConn returns the wrapped connection.
@@ -45,16 +47,19 @@
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.received(len(p) == 1)
+		c.received(p[:n], len(p) == 1)
 	}
 	return n, err
 }
 
-// received notes that data was read. If it was read while the connection was being
-// closed, the connection stays open for the request.
-func (c *connection) received(singleByte bool) {
+// received notes that data was read. If a part of a request was read while the connection
+// was being closed, the connection stays open for the request.
+func (c *connection) received(data []byte, singleByte bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.records != nil && !c.records.receive(data) {
+		return
+	}
 	c.idleSince = time.Time{}
 	c.readAhead = singleByte
 	if c.closing {
@@ -74,6 +79,13 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// scanRecords notes that requests arrive over TLS. It is called before the first read.
+func (c *connection) scanRecords() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records = &recordScanner{}
+}
+
 // setActive notes that the header of a request was read.
 func (c *connection) setActive() {
 	c.mu.Lock()
--- a/pkg/httpdrain/connections.go
+++ b/pkg/httpdrain/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -45,6 +46,9 @@
 	}
 	switch state {
 	case http.StateNew:
+		if _, ok := conn.(*tls.Conn); ok {
+			tracked.scanRecords()
+		}
 		c.mu.Lock()
 		c.open[tracked] = struct{}{}
 		c.mu.Unlock()
