--- a/pkg/gateway/stream_position_test.go
+++ b/pkg/gateway/stream_position_test.go
@@ -71,3 +71,21 @@
 		t.Errorf("sent after the events %q, want %q", site.lastEventIDs, want)
 	}
 }
+
+// TestNoContentAfterTheCallersLastEventIsForwarded has a caller resume a stream after its
+// last event.
+func TestNoContentAfterTheCallersLastEventIsForwarded(t *testing.T) {
+	site := startEndSite(t, streamRoute, 1, func(_ *rawBackend, conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n"+endSiteHeader+"\r\n")
+	})
+	request := mustRequest(t, site.address)
+	request.Header.Set("Last-Event-Id", "5")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		t.Errorf("status %d, want %d", response.StatusCode, http.StatusNoContent)
+	}
+}
