Revert "Take a stream without events as complete if its server still runs"

Cause: TestStreamThatEndsInsideEventIsNotComplete has a server that runs end a stream with neither framing nor events, and asks that it counts as broken off; the commit made two of its cases fail ("before the first event"). They weren't run before it was committed, only the tests that it names. Result: with the revert, TestStreamThatEndsInsideEventIsNotComplete passes and TestEmptyUnframedStreamOfRunningServerIsComplete fails as before.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -34,8 +34,7 @@
 	// errOtherWeights means that a server would continue a stream with another version of
 	// the weights.
 	errOtherWeights = errors.New("stream would go on with other weights")
-	// errNoEvent means that a stream has ended without an event, and nothing shows that it
-	// is complete.
+	// errNoEvent means that a response that ends with its connection has no event.
 	errNoEvent = errors.New("stream ended without an event")
 )
 
@@ -124,11 +123,10 @@
 // streamEnded ends a stream after its last event if it is complete. rest holds what comes
 // after the last event, such as comments.
 func (x *exchange) streamEnded(ctx context.Context, backend *server, response *forward.Response, rest []byte) *attempt.Event {
-	evidence := x.confirmEnd(ctx, backend, response)
-	if evidence == endUnconfirmed && x.progress.events.Count() == 0 {
+	if response.Framing == forward.FramingConnection && x.progress.events.Count() == 0 {
 		return x.streamBroken(response, errNoEvent)
 	}
-	if err := x.endError(evidence); err != nil {
+	if err := x.endError(x.confirmEnd(ctx, backend, response)); err != nil {
 		return x.streamBroken(response, err)
 	}
 	if x.sendPart(rest) {
