Read what test servers received under its lock

Cause: the race detector reports TestEmptyUnframedStreamOfRunningServerIsComplete, which reads the sends while a second one may still be recorded. Change: the new tests read them by a function that takes the lock; the checks are the same.

--- a/pkg/gateway/stream_position_test.go
+++ b/pkg/gateway/stream_position_test.go
@@ -19,6 +19,13 @@
 	checkNotComplete(t, got, events(1, 1))
 }
 
+// sentAfter returns the Last-Event-Id of each request that reached a server.
+func (s *endSite) sentAfter() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.lastEventIDs)
+}
+
 // resumeAsCaller has a caller resume a stream after event 5, and servers respond with the
 // given events in turn.
 func resumeAsCaller(t *testing.T, servers int, responses ...string) (received, *endSite) {
@@ -67,8 +74,8 @@
 func TestServerThatIgnoresTheCallersLastEventIDIsReplaced(t *testing.T) {
 	got, site := resumeAsCaller(t, 2, events(1, 8), events(6, 8))
 	checkComplete(t, got, events(6, 8))
-	if want := []string{"5", "5"}; !slices.Equal(site.lastEventIDs, want) {
-		t.Errorf("sent after the events %q, want %q", site.lastEventIDs, want)
+	if sent, want := site.sentAfter(), []string{"5", "5"}; !slices.Equal(sent, want) {
+		t.Errorf("sent after the events %q, want %q", sent, want)
 	}
 }
 
--- a/pkg/gateway/unframed_ends_test.go
+++ b/pkg/gateway/unframed_ends_test.go
@@ -19,8 +19,8 @@
 			_, _ = io.WriteString(conn, streamHeader(""))
 		})
 		checkComplete(t, site.call(t, "HTTP/1.1", false), "")
-		if len(site.lastEventIDs) != 1 {
-			t.Errorf("sent %d times", len(site.lastEventIDs))
+		if sent := site.sentAfter(); len(sent) != 1 {
+			t.Errorf("sent after the events %q, want one send", sent)
 		}
 	}
 }
