--- a/pkg/packing/pack.go
+++ b/pkg/packing/pack.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// MaxPermits limits the permits of a model.
+	// MaxPermits limits the permits of a model, apart from kept replicas and from what
+	// several software versions need.
 	MaxPermits = 4
 	// initialMaxMoves and updateMaxMoves limit how many models are moved in a
 	// chain to free memory for one: in the first placement, and in updates of an
--- a/pkg/packing/permits.go
+++ b/pkg/packing/permits.go
@@ -18,10 +18,7 @@
 	for _, b := range copies {
 		placed.Permits = append(placed.Permits, Permit{Host: b.Host, Copy: true})
 	}
-	for _, b := range p.standbys(it, copies) {
-		if len(placed.Permits) >= MaxPermits {
-			break
-		}
+	for _, b := range p.standbys(it, copies, MaxPermits-len(placed.Permits)) {
 		if len(it.keptOn) == 0 {
 			// The standby permits of a kept model are used only after a failure.
 			b.standbys++
@@ -70,31 +67,47 @@
 	return chosen
 }
 
-// standbys returns the runners for standby permits: those that may hold the model,
-// don't keep it and aren't chosen for a copy. Runners with few standby permits come
-// first.
-func (p *packer) standbys(it *item, copies []*bin) []*bin {
+// standbys returns the runners for standby permits, at most limit apart from those that
+// their software version needs.
+func (p *packer) standbys(it *item, copies []*bin, limit int) []*bin {
+	chosen := p.versionStandbys(it, copies)
+	for _, b := range p.possibleStandbys(it, it.candidates, copies) {
+		if len(chosen) >= limit {
+			break
+		}
+		if !slices.Contains(chosen, b) {
+			chosen = append(chosen, b)
+		}
+	}
+	return chosen
+}
+
+// possibleStandbys returns those of the runners that can hold the model, don't keep it and
+// aren't chosen for a copy. Runners with few standby permits come first.
+func (p *packer) possibleStandbys(it *item, runners, copies []*bin) []*bin {
 	if it.model.MiB > p.problem.Engine.MiB {
 		return nil
 	}
 	var standbys []*bin
-	for _, b := range it.candidates {
+	for _, b := range runners {
 		if !slices.Contains(it.keptOn, b) && !slices.Contains(copies, b) {
 			standbys = append(standbys, b)
 		}
 	}
-	slices.SortFunc(standbys, func(a, b *bin) int {
-		return cmp.Or(
-			it.compareUnkept(a, b),
-			cmp.Compare(it.countBlockedModels(a), it.countBlockedModels(b)),
-			cmp.Compare(a.standbys, b.standbys),
-			cmp.Compare(a.interactive, b.interactive),
-			cmp.Compare(a.Host, b.Host),
-		)
-	})
+	slices.SortFunc(standbys, it.compareStandbys)
 	return standbys
 }
 
+func (it *item) compareStandbys(a, b *bin) int {
+	return cmp.Or(
+		it.compareUnkept(a, b),
+		cmp.Compare(it.countBlockedModels(a), it.countBlockedModels(b)),
+		cmp.Compare(a.standbys, b.standbys),
+		cmp.Compare(a.interactive, b.interactive),
+		cmp.Compare(a.Host, b.Host),
+	)
+}
+
 // compareUnkept sorts runners without adapters in demand first, because loading the
 // model would delay the loads of these adapters, and then by the rank of the permit
 // in the active placement.
