Keep where a stream began at the agent beside its runner

A runner that was restarted in place may have other software than the entry believes. Change: a lease request for a response that may be resumed names the stream, the service and the version that the entry believes, and the runner's incarnation. The agent records them with the grant, for as long as the caller may come back. The release says whether the caller has an event, and without one the record is dropped; a lease that ends with its entry keeps it. A query and a hand-over are frames of their own. A lease for another incarnation of the runner is refused ('replaced'), also one that waits during a restart. No entry sends any of it yet.

--- a/pkg/metrics/runner.go
+++ b/pkg/metrics/runner.go
@@ -22,6 +22,8 @@
 	running    tally.Gauge
 	gateways   tally.Gauge
 	blocks     *vector[tally.Counter]
+	origins    tally.Gauge
+	dropped    tally.Counter
 }
 
 // NewRunner registers an agent's metrics in scope.
@@ -41,6 +43,8 @@
 		running:    runner.Gauge("uses_running"),
 		gateways:   runner.Gauge("gateways"),
 		blocks:     newCounters(runner, "block_changes_total", "change"),
+		origins:    runner.Gauge("stream_origins"),
+		dropped:    runner.Counter("dropped_stream_origins_total"),
 	}
 }
 
@@ -75,3 +79,9 @@
 
 // BlockChange counts a change of a block on requests that crash servers.
 func (r *Runner) BlockChange(change string) { r.blocks.with(labels{change}).Inc(1) }
+
+// Origins sets the number of streams whose origin is kept for callers that resume them.
+func (r *Runner) Origins(count int) { r.origins.Update(float64(count)) }
+
+// OriginDropped counts an origin of a stream that was dropped, as there were too many.
+func (r *Runner) OriginDropped() { r.dropped.Inc(1) }
--- a/pkg/residency/leases.go
+++ b/pkg/residency/leases.go
@@ -91,6 +91,8 @@
 		return wire.ReasonUnavailable, true
 	case m.isLeaving():
 		return wire.ReasonLeaving, true
+	case m.isForOtherIncarnation(wanted):
+		return wire.ReasonReplaced, true
 	case m.placement == nil || known == nil || known.MiB == 0:
 		return wire.ReasonNotFound, true
 	case !known.isPermitted():
@@ -102,6 +104,15 @@
 	}
 }
 
+// isForOtherIncarnation reports whether a lease is for another incarnation of the runner
+// than the reported one, which may have other software.
+func (m *Manager) isForOtherIncarnation(wanted Lease) bool {
+	if wanted.StartedAtMillis == 0 || m.report == nil || m.report.StartedAtMillis == 0 {
+		return false
+	}
+	return wanted.StartedAtMillis != m.report.StartedAtMillis
+}
+
 func (m *Manager) recordDemand(now time.Time, known *model, wanted Lease) {
 	if wanted.Repeated {
 		return
--- a/pkg/residency/manager_test.go
+++ b/pkg/residency/manager_test.go
@@ -429,3 +429,23 @@
 		t.Fatalf("waiting requests don't raise the admission rate: %s", got)
 	}
 }
+
+// Guards against a lease that is granted for an incarnation of the runner with other
+// software.
+func TestLeaseForAnotherIncarnationIsRefused(t *testing.T) {
+	f := newFixture(t, "m")
+	lease := func(id string, startedAt int64) Lease {
+		return Lease{ID: id, Model: "m", StartedAtMillis: startedAt, Deadline: f.now.Add(time.Minute), StartBy: f.now.Add(time.Minute)}
+	}
+	f.do(f.manager.Acquire(f.now, lease("before", testStartedAt)))
+	f.do(f.manager.Acquire(f.now, lease("any", 0)))
+	f.do(f.manager.Acquire(f.now, lease("other", testStartedAt+1)))
+	if got := f.refused["other"].Reason; got != wire.ReasonReplaced || len(f.refused) != 1 {
+		t.Fatalf("refused %+v", f.refused)
+	}
+	f.report.StartedAtMillis = testStartedAt + 1
+	f.sendReport()
+	if got := f.refused["before"].Reason; got != wire.ReasonReplaced || len(f.refused) != 2 {
+		t.Errorf("refused %+v after a restart of the runner", f.refused)
+	}
+}
--- a/pkg/residency/reports.go
+++ b/pkg/residency/reports.go
@@ -44,6 +44,7 @@
 		m.completeChange(now)
 	}
 	m.rebuildLedger()
+	m.refuseWaiting(func(l *lease) (wire.Reason, bool) { return wire.ReasonReplaced, m.isForOtherIncarnation(l.Lease) }, now)
 	if m.isLeaving() {
 		m.refuseWaiting(func(*lease) (wire.Reason, bool) { return wire.ReasonLeaving, true }, now)
 	}
--- a/pkg/residency/types.go
+++ b/pkg/residency/types.go
@@ -30,6 +30,9 @@
 	// Repeated indicates a retry: another runner's agent has already counted the
 	// request as demand.
 	Repeated bool
+	// StartedAtMillis is the incarnation of the runner that the request is for; zero for
+	// any.
+	StartedAtMillis int64
 }
 
 // Action is an output of a Manager.
--- a/pkg/runneragent/agent_test.go
+++ b/pkg/runneragent/agent_test.go
@@ -71,6 +71,7 @@
 type fixture struct {
 	t            *testing.T
 	runner       *fakeRunner
+	store        *keyvaluetest.Store
 	node         *wire.Node
 	address      string
 	subscription *wire.Stream
@@ -86,11 +87,13 @@
 	return conn.LocalAddr().String()
 }
 
+func discardLogger() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
 func startAgent(t *testing.T) *fixture {
 	t.Helper()
 	store := keyvaluetest.NewStore(1)
-	f := &fixture{t: t, address: freeUDP(t), runner: &fakeRunner{report: modelrunner.Report{StartedAtMillis: startedAt, OnDisk: []string{"m"}}}}
-	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f := &fixture{t: t, store: store, address: freeUDP(t), runner: &fakeRunner{report: modelrunner.Report{StartedAtMillis: startedAt, OnDisk: []string{"m"}}}}
+	logger := discardLogger()
 	config := settings.Runner{
 		Host:   settings.Host{ID: agentID, FailureDomain: "z"},
 		Listen: settings.RunnerListen{Internal: f.address, Metrics: "127.0.0.1:0"},
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -11,6 +11,7 @@
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/residency"
+	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -22,6 +23,8 @@
 // waitingLease is a lease request that waits for its outcome.
 type waitingLease struct {
 	residency.Lease
+	// stream is nil if the caller can't resume the response.
+	stream  *wire.StreamAttempt
 	arrived time.Time
 	result  chan leaseOutcome
 }
@@ -58,6 +61,10 @@
 	detectors map[string]*quarantine.Detector
 	// quarantine is what they have decided; nil before the first evidence.
 	quarantine *wire.Quarantine
+	// origins holds where the streams of the runner's leases began, and those handed over
+	// by gateways. originSampler samples the log lines on those that are dropped.
+	origins       resumption.Records
+	originSampler *logging.Sampler
 	// statusThrottle limits the rate of statuses given to subscribers.
 	statusThrottle eventloop.Throttle
 	subscribers    subscribers
@@ -70,6 +77,7 @@
 		manager:        manager,
 		metrics:        runnerMetrics,
 		grantSampler:   logging.NewSampler(maxGrantLogsPerSecond),
+		originSampler:  logging.NewSampler(maxDropLogsPerSecond),
 		waiting:        make(map[string]waitingLease),
 		detectors:      make(map[string]*quarantine.Detector),
 		statusThrottle: eventloop.Throttle{MinInterval: minStatusInterval},
@@ -140,6 +148,7 @@
 	} else {
 		c.metrics.ObserveLease(leaseGranted, waited)
 		c.logGrant(pending, waited)
+		c.recordOrigin(time.Now(), pending)
 	}
 	pending.result <- result
 }
@@ -151,6 +160,8 @@
 	longWait = 100 * time.Millisecond
 	// maxGrantLogsPerSecond limits the log lines on other grants.
 	maxGrantLogsPerSecond = 20
+	// maxDropLogsPerSecond limits the log lines on dropped origins of streams.
+	maxDropLogsPerSecond = 1
 )
 
 // logGrant logs a granted lease. Grants after a short wait are sampled.
@@ -186,14 +197,15 @@
 		"state", c.manager.Explain(now, pending.Lease))
 }
 
-// acquire requests a lease and returns the channel that receives its outcome.
-func (c *controller) acquire(now time.Time, lease residency.Lease) <-chan leaseOutcome {
+// acquire requests a lease and returns the channel that receives its outcome. stream is
+// nil if the caller can't resume the response.
+func (c *controller) acquire(now time.Time, lease residency.Lease, stream *wire.StreamAttempt) <-chan leaseOutcome {
 	result := make(chan leaseOutcome, 1)
 	if _, ok := c.waiting[lease.ID]; ok {
 		result <- leaseOutcome{refused: &residency.Refuse{ID: lease.ID, Reason: wire.ReasonInvalid}}
 		return result
 	}
-	c.waiting[lease.ID] = waitingLease{Lease: lease, arrived: now, result: result}
+	c.waiting[lease.ID] = waitingLease{Lease: lease, stream: stream, arrived: now, result: result}
 	c.perform(c.manager.Acquire(now, lease))
 	return result
 }
--- a/pkg/runneragent/dump.go
+++ b/pkg/runneragent/dump.go
@@ -20,6 +20,8 @@
 	PlacementAgeMillis int64 `json:"plan_age_ms"`
 	ReportAgeMillis    int64 `json:"report_age_ms"`
 	Gateways           int   `json:"gateways"`
+	// Origins is the number of streams whose origin is kept for callers that resume them.
+	Origins int `json:"stream_origins"`
 	// Status is the status sent to gateways.
 	Status *wire.RunnerStatus `json:"status"`
 }
@@ -36,6 +38,7 @@
 			PlacementAgeMillis: sinceMillis(now, c.placementReceivedAt),
 			ReportAgeMillis:    sinceMillis(now, c.reportedAt),
 			Gateways:           c.subscribers.count(),
+			Origins:            c.origins.Len(),
 			Status:             c.status(now),
 		}
 	})
@@ -54,6 +57,7 @@
 func (c *controller) updateGauges(now time.Time) {
 	c.loop.Do(func() {
 		c.metrics.State(c.manager.Waiting(), c.manager.Running(), c.subscribers.count())
+		c.metrics.Origins(c.origins.Len())
 		if !c.placementReceivedAt.IsZero() {
 			c.metrics.ObserveView(metrics.ViewPlacement, c.manager.PlacementRevision(), now.Sub(c.placementReceivedAt))
 		}
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -34,6 +34,10 @@
 		s.controller.loop.Do(func() { s.controller.loadGranted(time.Now(), first.RunnerLoadGrant.Model) })
 	case first.CrashReport != nil:
 		s.controller.loop.Do(func() { s.controller.crashReported(time.Now(), peer.Host, first.CrashReport) })
+	case first.OriginQuery != nil:
+		s.serveOriginQuery(stream, first.OriginQuery)
+	case first.OriginHandover != nil:
+		s.controller.loop.Do(func() { s.controller.originHandedOver(time.Now(), first.OriginHandover) })
 	case first.StartReport != nil:
 		s.controller.loop.Do(func() { s.controller.startsReported(time.Now(), first.StartReport) })
 	default:
@@ -121,13 +125,13 @@
 func (s *server) serveAcquire(ctx context.Context, stream *wire.Stream, acquire *wire.Acquire) {
 	arrived := time.Now()
 	var result <-chan leaseOutcome
-	if !s.controller.loop.Do(func() { result = s.controller.acquire(arrived, leaseOf(arrived, acquire)) }) {
+	if !s.controller.loop.Do(func() { result = s.controller.acquire(arrived, leaseOf(arrived, acquire), acquire.Stream) }) {
 		return
 	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		s.receiveReports(stream, acquire.RequestID)
+		s.receiveReports(stream, acquire)
 	}()
 	granted := s.awaitOutcome(ctx, stream, acquire, arrived, result, ended)
 	if granted {
@@ -144,10 +148,15 @@
 
 // receiveReports receives what the gateway reports on the request of a lease until
 // the lease ends.
-func (s *server) receiveReports(stream *wire.Stream, id string) {
+func (s *server) receiveReports(stream *wire.Stream, acquire *wire.Acquire) {
+	id := acquire.RequestID
 	for {
 		frame, err := stream.Receive()
 		switch {
+		case wire.IsCancelled(err):
+			// The gateway gave the lease up before it sent the request.
+			s.controller.loop.Do(func() { s.controller.leaseCancelled(acquire) })
+			return
 		case err != nil:
 			// The gateway ended the lease without reporting on the request.
 			return
@@ -156,7 +165,10 @@
 			s.controller.loop.Do(func() { s.controller.limitObserved(time.Now(), id, limit) })
 		case frame.Released != nil:
 			latency := time.Duration(frame.Released.FirstMillis) * time.Millisecond
-			s.controller.loop.Do(func() { s.controller.manager.RequestEnded(time.Now(), id, frame.Released.Failed, latency) })
+			s.controller.loop.Do(func() {
+				s.controller.manager.RequestEnded(time.Now(), id, frame.Released.Failed, latency)
+				s.controller.leaseEnded(acquire, frame.Released.Begun)
+			})
 			return
 		default:
 			return
@@ -203,7 +215,7 @@
 
 func leaseOf(now time.Time, acquire *wire.Acquire) residency.Lease {
 	after := func(ms uint32) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
-	return residency.Lease{
+	lease := residency.Lease{
 		ID:            acquire.RequestID,
 		Model:         acquire.Model,
 		Adapter:       acquire.Adapter,
@@ -216,4 +228,8 @@
 		PromptTokens:  acquire.PromptTokens,
 		Repeated:      acquire.Repeated,
 	}
+	if acquire.Stream != nil {
+		lease.StartedAtMillis = acquire.Stream.StartedAtMillis
+	}
+	return lease
 }
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -123,7 +123,8 @@
 		f.Resume != nil, f.Subscribe != nil, f.RunnerPlacement != nil, f.RunnerLoadGrant != nil,
 		f.RunnerStatus != nil, f.Acquire != nil, f.Granted != nil, f.Released != nil,
 		f.Follow != nil, f.SiteUpdate != nil, f.RateTokenRequest != nil, f.LimitObserved != nil,
-		f.CrashReport != nil, f.StartReport != nil,
+		f.CrashReport != nil, f.StartReport != nil, f.OriginQuery != nil, f.OriginAnswer != nil,
+		f.OriginHandover != nil,
 	} {
 		if set {
 			count++
--- a/pkg/wire/messages.go
+++ b/pkg/wire/messages.go
@@ -42,6 +42,11 @@
 	// The evidence about requests that crash backend servers.
 	CrashReport *CrashReport `cbor:"25,keyasint,omitempty"`
 	StartReport *StartReport `cbor:"26,keyasint,omitempty"`
+
+	// The messages about the origins of streams that callers may resume.
+	OriginQuery    *OriginQuery    `cbor:"27,keyasint,omitempty"`
+	OriginAnswer   *OriginAnswer   `cbor:"28,keyasint,omitempty"`
+	OriginHandover *OriginHandover `cbor:"29,keyasint,omitempty"`
 }
 
 // Request carries one caller's request from an entry to an agent.
@@ -132,6 +137,7 @@
 	ReasonEngine       Reason = "engine"        // the engine or service failed
 	ReasonInvalid      Reason = "invalid"       // the request is invalid
 	ReasonUnavailable  Reason = "unavailable"   // no backend server can be reached
+	ReasonReplaced     Reason = "replaced"      // the backend server was restarted since the sender's view of it
 	ReasonNotFound     Reason = "not-found"     // the model or service isn't listed
 	ReasonShuttingDown Reason = "shutting-down" // this process is stopping
 	ReasonCancelled    Reason = "cancelled"     // the caller disconnected
--- a/pkg/wire/runner_messages.go
+++ b/pkg/wire/runner_messages.go
@@ -191,6 +191,8 @@
 	// Repeated is set if another agent has accepted the request before and so counted
 	// it as demand.
 	Repeated bool `cbor:"11,keyasint,omitempty"`
+	// Stream is nil if the caller can't resume the response.
+	Stream *StreamAttempt `cbor:"12,keyasint,omitempty"`
 }
 
 // Released ends a lease and reports how the request ended. A lease also ends with
@@ -202,6 +204,8 @@
 	// FirstMillis is the time from sending the request to the first event of its
 	// response; zero if there was none.
 	FirstMillis uint32 `cbor:"2,keyasint,omitempty"`
+	// Begun is set if the caller has an event of the stream that the request is for.
+	Begun bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Granted reports that the request may be sent to the runner now.
