Resume a stream only at the software version that began it

Change: an entry records where its own streams began, before their first event is sent. For a request that resumes a stream it asks its own records, then all agents at once that list the model, then the others; the version found binds the choice of a server. If nobody knows it and several versions serve, or no server of it is registered, the request is refused at once as not run. An entry that has just started waits for its view within the target latency. The origin of a stream that broke off, or whose server has no responding agent, is handed over to two other agents. A runner that was restarted since the entry's view of it is tried again with the next view. One log line for each resumption, counters by outcome. Which versions were in service lately is what is registered now, until the history of versions is there.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -38,6 +38,8 @@
 		case leaseSwitched:
 			x.switches++
 		case leaseDelayed:
+		case leaseOutdated:
+			x.sleep(ctx, runnerCheckInterval)
 		default:
 			x.excluded = append(x.excluded, s.ID)
 		}
--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -9,6 +9,10 @@
 // ends there. peer_server.go serves other entries, store_watcher.go watches the platform's store, view.go holds the
 // snapshot that requests read.
 //
+// A request that resumes a stream goes on at the version of the software that began it:
+// resume.go finds this version, and stream_origin.go records where streams began, as package
+// resumption decides.
+//
 // Of these files, acquire.go, choose.go and candidate.go choose a server. leases.go
 // acquires the lease of a model, and rate_tokens.go the permission to send a request
 // to a server that names a rate limit; limiter_server.go issues these permissions to
--- a/pkg/gateway/dump.go
+++ b/pkg/gateway/dump.go
@@ -29,6 +29,8 @@
 	// Blocked are the signatures of the requests that are refused since requests like
 	// them crash servers.
 	Blocked []quarantine.Signature `json:"blocked_signatures,omitempty"`
+	// Origins is the number of streams whose origin is kept for callers that resume them.
+	Origins int `json:"stream_origins"`
 }
 
 // FreshnessDump is the version of a part of the control state and its age.
@@ -88,6 +90,7 @@
 		InFlight:  g.handler.inFlight.Load(),
 		Entries:   current.entries(),
 		Blocked:   g.handler.quarantine.blocks(now),
+		Origins:   g.handler.origins.count(),
 	}
 	if current.table == nil {
 		return d
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
+	"teaselgauge.example/teaselgauge/pkg/resumption"
 )
 
 // noBackendRetryAfter is the Retry-After of a refusal for lack of a server.
@@ -32,8 +33,17 @@
 	// software is the version of the servers' software that the request must go to; empty
 	// for any.
 	software string
-	machine  *attempt.Machine
-	logger   *slog.Logger
+	// stream is the ID of the stream that the request begins or resumes; empty if its
+	// response can't be resumed. origin is where it began, as recorded with the first event
+	// of this response; nil before.
+	stream string
+	origin *resumption.Origin
+	// leaseRequests counts the requests for leases that named the stream. leased is set if
+	// the last send has a lease.
+	leaseRequests int
+	leased        bool
+	machine       *attempt.Machine
+	logger        *slog.Logger
 	// excluded holds the IDs of the servers that must not be tried again.
 	excluded []string
 	// failedAt holds the IDs of those of them to which the request was sent.
@@ -61,6 +71,8 @@
 	// lastServer is the server of the last send, lastSoftware the version of its software.
 	lastServer   string
 	lastSoftware string
+	// lastAgent is the agent of the server of the last send; empty if it has none.
+	lastAgent string
 	// retryAfter is the last retry delay named by an agent.
 	retryAfter time.Duration
 	// watch shows whether the server of a response without framing still runs; nil if
@@ -116,14 +128,20 @@
 
 		fingerprints: h.fingerprints(r, caller, body),
 	}
-	x.machine = attempt.New(attempt.Request{
+	x.stream = streamID(route, caller.RequestID, caller.LastEventID, caller.Resumes)
+	x.machine = x.newMachine()
+	return x
+}
+
+// newMachine returns the retry state machine of a request that has not been sent yet.
+func (x *exchange) newMachine() *attempt.Machine {
+	return attempt.New(attempt.Request{
 		Service:    x.service,
-		Idempotent: route.Idempotent(),
-		Resumable:  route.Kind == fleet.Streaming && route.Resumable,
-		MaxRuns:    route.MaxAttempts,
+		Idempotent: x.route.Idempotent(),
+		Resumable:  x.route.Kind == fleet.Streaming && x.route.Resumable,
+		MaxRuns:    x.route.MaxAttempts,
 		Deadline:   x.deadline,
-	}, h.budget)
-	return x
+	}, x.handler.budget)
 }
 
 // pickDestination chooses a service by the destinations' weights; at is a number
@@ -146,6 +164,10 @@
 // run sends the request until there is a final response.
 func (x *exchange) run(ctx context.Context) {
 	defer func() { x.handler.observer.requestFinished(x, x.result) }()
+	defer x.handOverAtEnd()
+	if !x.resumeStream(ctx) {
+		return
+	}
 	for {
 		if x.refuseQuarantined() {
 			return
@@ -160,6 +182,7 @@
 			granted.release(false, 0)
 			return
 		}
+		x.leased = granted.isModelLease()
 		event, response := x.send(ctx, target)
 		if response != nil {
 			x.reportLimit(target, granted, response)
@@ -171,6 +194,7 @@
 		if event != nil {
 			x.recordCrashSuspect(ctx, target, *event)
 		}
+		granted.setBegun(x.hasEvents())
 		granted.release(event != nil && event.IsFailure() && !x.callerLeft(), x.responseLatency)
 		if event == nil || x.handleFailure(ctx, target, *event, response) {
 			return
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -181,6 +181,7 @@
 	g.observer.metrics.State(int(g.handler.inFlight.Load()), usable, connected, current.leader.host == g.config.Host.ID)
 	g.observer.metrics.Blocks(len(g.handler.quarantine.blocks(now)))
 	g.observer.metrics.LimitedServers(g.handler.limits.Limited())
+	g.observer.metrics.Origins(g.handler.origins.count())
 	g.control.freshness.updateGauges(now, g.observer.metrics)
 	g.observer.logSkipped()
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -52,6 +52,8 @@
 	crashes *crashObserver
 	// quarantine refuses the requests that crash servers.
 	quarantine *quarantineClient
+	// origins are those of the streams that this entry has served.
+	origins streamOrigins
 	// fingerprinter is nil until the site's secret is known.
 	fingerprinter atomic.Pointer[quarantine.Fingerprinter]
 	// node is nil until the site's secret is known.
--- a/pkg/gateway/leases.go
+++ b/pkg/gateway/leases.go
@@ -26,6 +26,8 @@
 	// isRateToken is set for the permission to send one request to a server with a
 	// rate limit.
 	isRateToken bool
+	// begun is set if the caller has an event of the stream that the request is for.
+	begun bool
 	// stream is nil if this entry itself has issued the token.
 	stream *wire.Stream
 	// observe applies the rate limit named by the response if stream is nil.
@@ -46,6 +48,17 @@
 	_ = l.stream.Send(&wire.Frame{LimitObserved: &wire.LimitObserved{Limited: limit.Named, LimitPerSecond: limit.PerSecond}})
 }
 
+// isModelLease reports whether the lease is one of a model. It may be called on nil.
+func (l *lease) isModelLease() bool { return l != nil && !l.isRateToken && l.stream != nil }
+
+// setBegun sets whether the caller has an event of the stream that the request is for. It
+// does nothing on nil.
+func (l *lease) setBegun(begun bool) {
+	if l != nil {
+		l.begun = begun
+	}
+}
+
 // release ends the lease and reports to the agent whether the runner failed at the
 // request, and the time from the send to the response header, zero if there was
 // none. It does nothing on nil, the lease at servers without agents.
@@ -54,7 +67,7 @@
 		return
 	}
 	// If the frame is lost, the agent still detects the end of the stream.
-	_ = l.stream.Send(&wire.Frame{Released: &wire.Released{Failed: failed, FirstMillis: uint32(first.Milliseconds())}})
+	_ = l.stream.Send(&wire.Frame{Released: &wire.Released{Failed: failed, FirstMillis: uint32(first.Milliseconds()), Begun: l.begun}})
 	l.stream.Close()
 }
 
@@ -131,6 +144,8 @@
 	leaseSwitched
 	// leaseDelayed: the server's rate limit allows no request from this host yet.
 	leaseDelayed
+	// leaseOutdated: the runner was restarted, and this entry's view of it is out of date.
+	leaseOutdated
 )
 
 // acquireLease acquires a lease of the request's model. If the agent does not
@@ -143,7 +158,7 @@
 	defer stop()
 	watcher := x.watchForBetter(s, cancel)
 	requestedAt := time.Now()
-	granted, refusal, err := acquire(waitCtx, x.handler.node.Load(), s, x.acquireFrame(requestedAt))
+	granted, refusal, err := acquire(waitCtx, x.handler.node.Load(), s, x.acquireFrame(requestedAt, s))
 	switched := watcher.finish()
 	waited := time.Since(requestedAt)
 	switch {
@@ -172,6 +187,9 @@
 		x.handler.observer.metrics.LeaseWait(string(refusal.Reason), waited)
 		x.logger.Info("lease refused", "agent", s.agent, "backend", s.ID, "reason", refusal.Reason,
 			"retry_after_ms", refusal.RetryAfterMillis, "waited_ms", waited.Milliseconds(), "status_age_ms", s.statusAge(requestedAt).Milliseconds())
+		if refusal.Reason == wire.ReasonReplaced {
+			return nil, leaseOutdated
+		}
 		return nil, leaseUnavailable
 	default:
 		x.handler.observer.metrics.LeaseWait(leaseGranted, waited)
@@ -207,7 +225,7 @@
 	return errors.As(err, &reset) || errors.Is(err, syscall.ECONNREFUSED)
 }
 
-func (x *exchange) acquireFrame(now time.Time) *wire.Acquire {
+func (x *exchange) acquireFrame(now time.Time, s *server) *wire.Acquire {
 	return &wire.Acquire{
 		RequestID:      x.caller.RequestID,
 		Model:          x.caller.Model,
@@ -220,6 +238,7 @@
 		PromptTokens:   int64(x.caller.PromptTokens),
 		Tokens:         int64(x.caller.PromptTokens) + outputTokenCost*int64(x.caller.MaxOutputTokens),
 		Repeated:       x.countedAsDemand,
+		Stream:         x.streamAttempt(now, s),
 	}
 }
 
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -10,8 +10,12 @@
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 )
 
-// maxResponseLogsPerSecond limits the log lines on successful requests.
-const maxResponseLogsPerSecond = 50
+const (
+	// maxResponseLogsPerSecond limits the log lines on successful requests.
+	maxResponseLogsPerSecond = 50
+	// maxDropLogsPerSecond limits the log lines on dropped origins of streams.
+	maxDropLogsPerSecond = 1
+)
 
 // outcome is how a request ended, as named in logs and metrics.
 type outcome string
@@ -54,10 +58,17 @@
 	logger          *slog.Logger
 	metrics         *metrics.Gateway
 	responseSampler *logging.Sampler
+	// originSampler samples the log lines on dropped origins of streams.
+	originSampler *logging.Sampler
 }
 
 func newObserver(logger *slog.Logger, gatewayMetrics *metrics.Gateway) *observer {
-	return &observer{logger: logger, metrics: gatewayMetrics, responseSampler: logging.NewSampler(maxResponseLogsPerSecond)}
+	return &observer{
+		logger:          logger,
+		metrics:         gatewayMetrics,
+		responseSampler: logging.NewSampler(maxResponseLogsPerSecond),
+		originSampler:   logging.NewSampler(maxDropLogsPerSecond),
+	}
 }
 
 // noRoute stands for the route and kind of requests that end before routing.
@@ -103,6 +114,14 @@
 		"took_ms", elapsed.Milliseconds())
 }
 
+// originDropped records that the origin of a stream was dropped, as there are too many.
+func (o *observer) originDropped(now time.Time) {
+	o.metrics.OriginDropped()
+	if o.originSampler.Allow(now) {
+		o.logger.Warn("origin of a stream dropped, too many")
+	}
+}
+
 // connected counts a connection to a backend server.
 func (o *observer) connected(_ string, _ time.Duration, err error) {
 	o.metrics.Connect(metrics.ResultOf(err))
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -25,6 +25,7 @@
 	x.machine.Sent(now)
 	x.lastServer = backend.ID
 	x.lastSoftware = backend.Software
+	x.lastAgent = backend.agent
 	x.sendError = nil
 	x.responseLatency = 0
 	x.headerReceived = false
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -82,6 +82,7 @@
 		buffer = buffer[:held+n]
 		size, orderErr := x.acceptEvents(buffer[held:])
 		x.requireSoftwareOf(backend)
+		x.recordOrigin(backend)
 		if size > 0 {
 			size += held
 		}
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -84,6 +84,9 @@
 	responsesNotLogged tally.Counter
 	responseEnds       *vector[tally.Counter]
 	unframedEnds       *vector[tally.Counter]
+	resumptions        *vector[tally.Counter]
+	origins            tally.Gauge
+	originsDropped     tally.Counter
 }
 
 // NewGateway registers a gateway's metrics in scope.
@@ -113,6 +116,9 @@
 		responsesNotLogged: gateway.Counter("answers_not_logged_total"),
 		responseEnds:       newCounters(gateway, "response_ends_total", "framing", "outcome"),
 		unframedEnds:       newCounters(gateway, "unframed_ends_total", "evidence"),
+		resumptions:        newCounters(gateway, "resumptions_total", "outcome"),
+		origins:            gateway.Gauge("stream_origins"),
+		originsDropped:     gateway.Counter("dropped_stream_origins_total"),
 	}
 }
 
@@ -203,3 +209,13 @@
 
 // Blocks sets the number of blocks on requests that crash servers.
 func (g *Gateway) Blocks(count int) { g.blocks.Update(float64(count)) }
+
+// Resumption counts a request that resumes a stream. The outcome is how the version of the
+// stream is known, or why the request was refused.
+func (g *Gateway) Resumption(outcome string) { g.resumptions.with(labels{outcome}).Inc(1) }
+
+// Origins sets the number of streams whose origin is kept for callers that resume them.
+func (g *Gateway) Origins(count int) { g.origins.Update(float64(count)) }
+
+// OriginDropped counts an origin of a stream that was dropped, as there were too many.
+func (g *Gateway) OriginDropped() { g.originsDropped.Inc(1) }
