Merge the history of software versions

A resumed stream that nobody knows goes on only if the history has a single version. The limit of an origin's retention is that of the history. The tests' entries know the versions of their servers.

--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -16,6 +16,7 @@
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
+	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -151,3 +152,17 @@
 	}
 	return s.ID
 }
+
+// recordVersions has the entry know that only the versions that servers run now were in
+// service lately.
+func recordVersions(c *control) {
+	c.publish()
+	services := make(map[string][]resumption.Usage)
+	for service := range c.current().servers {
+		for _, software := range c.current().versionsInService(service) {
+			services[service] = append(services[service], resumption.Usage{Software: software})
+		}
+	}
+	c.applySiteChange(siteChange{history: &resumption.History{Revision: 1, Services: services}})
+	c.publish()
+}
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -130,7 +130,7 @@
 // the agents of the model, and then at the other agents of the service if the version
 // isn't known yet.
 func (x *exchange) lookUpOrigin(ctx context.Context) originLookup {
-	found := originLookup{recent: x.handler.recentSoftware(x.service)}
+	found := originLookup{recent: x.handler.control.current().recentVersions(time.Now(), x.service)}
 	if x.caller.Resumes == "" {
 		found.Resolution = found.inquiry.Resolve(found.recent)
 		return found
@@ -192,22 +192,6 @@
 	return agents
 }
 
-// registeredSoftware returns the versions of the software of a service's servers, sorted.
-func (v *view) registeredSoftware(service string) []string {
-	var versions []string
-	for _, s := range v.servers[service] {
-		versions = append(versions, s.Software)
-	}
-	slices.Sort(versions)
-	return slices.Compact(versions)
-}
-
-// recentSoftware returns the versions of a service's software that were in service for as
-// long as a caller may come back, sorted; empty if they aren't known.
-func (h *handler) recentSoftware(service string) []string {
-	return h.control.current().registeredSoftware(service)
-}
-
 // askAgents asks agents for the origin of the stream, all at once, until their answers
 // are conclusive or agentTimeout is over.
 func (x *exchange) askAgents(ctx context.Context, agents []agentAddress, inquiry *resumption.Inquiry) {
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -52,7 +52,7 @@
 		})
 		c.registry.Put(now, fleet.Backend{ID: "i-" + version, Service: testService, Address: listener.Addr().String(), Software: version, StartedAtMillis: 1})
 	}
-	c.publish()
+	recordVersions(c)
 	h := newEndHandler(t, c)
 	h.headerCodec = resumeCodec{}
 	return &resumeSite{address: serveHandler(t, h)}
--- a/pkg/gateway/stream_origin.go
+++ b/pkg/gateway/stream_origin.go
@@ -73,7 +73,7 @@
 	if byCaller := x.arrived.Add(x.caller.Budget); byCaller.After(until) {
 		until = byCaller
 	}
-	return resumption.Retention(until.Sub(now))
+	return resumption.RetentionFor(until.Sub(now))
 }
 
 // recordOrigin records where the stream began once it has an event, before the event is
--- a/pkg/gateway/stream_origin_test.go
+++ b/pkg/gateway/stream_origin_test.go
@@ -73,7 +73,7 @@
 			receiveStatus(c, time.Now(), host.ID, state.Status)
 		}
 	}
-	c.publish()
+	recordVersions(c)
 	h := &handler{control: c, headerCodec: &recorder{}, tracker: backends.NewTracker(), gate: backpressure.NewGate(), limits: ratelimit.NewRegistry(), observer: newObserver(discardLogger(), testMetrics(t))}
 	h.quarantine = newQuarantineClient(c, &h.node, discardLogger())
 	h.queued, h.cancelQueued = context.WithCancel(t.Context())
--- a/pkg/resumption/doc.go
+++ b/pkg/resumption/doc.go
@@ -29,6 +29,9 @@
 //     its caller may come back, the stream began at that one.
 //   - Otherwise the version is unknown, and the request has to be refused.
 //
+// A History lists the versions that were in service lately. It is kept in the store, so
+// that it outlives all entries.
+//
 // The package does no I/O. Times are arguments; those of different hosts are never
 // compared, messages carry ages instead.
 package resumption
--- a/pkg/resumption/records.go
+++ b/pkg/resumption/records.go
@@ -9,16 +9,14 @@
 	// ReturnSlack is how long an origin is kept after the caller's own deadline. It covers
 	// the time until the caller's last request has reached an entry.
 	ReturnSlack = 5 * time.Second
-	// MaxRetention limits the time for which an origin is kept.
-	MaxRetention = 2 * time.Minute
 	// MaxRecords limits the number of origins at one place.
 	MaxRecords = 1 << 14
 )
 
-// Retention returns how long the origin of a stream is kept whose caller waits for another
-// timeout at most.
-func Retention(timeout time.Duration) time.Duration {
-	return min(max(timeout, 0)+ReturnSlack, MaxRetention)
+// RetentionFor returns how long the origin of a stream is kept whose caller waits for
+// another timeout at most.
+func RetentionFor(timeout time.Duration) time.Duration {
+	return min(max(timeout, 0)+ReturnSlack, Retention)
 }
 
 // Attempt identifies one attempt of a request to get a response from a server.
--- a/pkg/wire/resumption_messages.go
+++ b/pkg/wire/resumption_messages.go
@@ -106,7 +106,7 @@
 func (h *OriginHandover) Retention() time.Duration { return retention(h.KeepMillis) }
 
 func retention(keepMillis uint32) time.Duration {
-	return min(time.Duration(keepMillis)*time.Millisecond, resumption.MaxRetention)
+	return min(time.Duration(keepMillis)*time.Millisecond, resumption.Retention)
 }
 
 // IsCancelled reports whether an error of Receive means that the peer has cancelled the
