Look again for a stream's origin at agents that haven't answered

Cause: after a restart of an entry its connections to most agents are new, and a first query may take longer than the timeout; a stream that such an agent knows would be refused. An entry that was frozen takes a version for the only one by a view that is out of date. Change: while the version isn't known and agents haven't answered, the entry looks again within the target latency. Registrations older than 10 s don't show that only one version was in service. Result: a test for each passes, with the race detector.

--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -14,6 +14,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/resumption"
@@ -156,6 +157,7 @@
 // recordVersions has the entry know that only the versions that servers run now were in
 // service lately.
 func recordVersions(c *control) {
+	c.freshness.confirm(time.Now(), metrics.ViewRegistrations, 1)
 	c.publish()
 	services := make(map[string][]resumption.Usage)
 	for service := range c.current().servers {
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -8,6 +8,7 @@
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -16,9 +17,11 @@
 	// maxOriginQueries limits the number of agents that are asked for the origin of one
 	// stream.
 	maxOriginQueries = 128
-	// originCheckInterval is how often an entry without a complete view looks for the
-	// origin of a stream.
+	// originCheckInterval is the time between two lookups of the origin of a stream.
 	originCheckInterval = 100 * time.Millisecond
+	// maxVersionsAge is the age of the registrations from which they don't show any more
+	// that only one version was in service.
+	maxVersionsAge = 10 * time.Second
 )
 
 // The metric's and the log's outcomes of a stream that isn't continued, in addition to the
@@ -33,10 +36,20 @@
 	resumption.Resolution
 	inquiry resumption.Inquiry
 	// recent holds the versions that were in service for as long as the caller may come
-	// back.
+	// back; empty if they aren't known.
 	recent []string
 }
 
+// recentVersions returns the versions of the service that were in service for as long as
+// the caller may come back; none if that isn't known.
+func (x *exchange) recentVersions(now time.Time) []string {
+	age := x.handler.control.freshness.age(now, metrics.ViewRegistrations)
+	if age == neverConfirmed || age > maxVersionsAge {
+		return nil
+	}
+	return x.handler.control.current().recentVersions(now, x.service)
+}
+
 // resumeStream has a request that resumes a stream go on at the version of the software
 // that began it. It returns false if that isn't possible and the request was refused.
 func (x *exchange) resumeStream(ctx context.Context) bool {
@@ -99,11 +112,12 @@
 }
 
 // canAwaitOrigin reports whether a request whose stream can't go on by what this entry
-// knows may wait for the rest of its view, as after a start of the entry.
+// knows may look again: if the entry has just started, or agents haven't answered.
 func (x *exchange) canAwaitOrigin(ctx context.Context, found originLookup) bool {
 	current := x.handler.control.current()
-	isViewComplete := current.agentsKnown && (len(found.recent) > 0 || len(current.servers[x.service]) == 0)
-	if isViewComplete || ctx.Err() != nil || x.handler.queued.Err() != nil {
+	versionsKnown := len(found.recent) > 0 || len(current.servers[x.service]) == 0
+	isComplete := current.agentsKnown && versionsKnown && (found.IsKnown() || found.inquiry.Failures() == 0)
+	if isComplete || ctx.Err() != nil || x.handler.queued.Err() != nil {
 		return false
 	}
 	return time.Now().Before(x.arrived.Add(x.route.TargetLatency))
@@ -130,7 +144,7 @@
 // the agents of the model, and then at the other agents of the service if the version
 // isn't known yet.
 func (x *exchange) lookUpOrigin(ctx context.Context) originLookup {
-	found := originLookup{recent: x.handler.control.current().recentVersions(time.Now(), x.service)}
+	found := originLookup{recent: x.recentVersions(time.Now())}
 	if x.caller.Resumes == "" {
 		found.Resolution = found.inquiry.Resolve(found.recent)
 		return found
--- a/pkg/gateway/stream_origin_test.go
+++ b/pkg/gateway/stream_origin_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue/keyvaluetest"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/roster"
@@ -26,8 +28,9 @@
 	origin *wire.StreamOrigin
 	// delay is the time to its answer.
 	delay time.Duration
-	// silent has it never answer.
+	// silent has it never answer, failures is the number of queries that it rejects first.
 	silent     bool
+	failures   atomic.Int32
 	handedOver chan *wire.OriginHandover
 }
 
@@ -44,6 +47,7 @@
 		a.handedOver <- frame.OriginHandover
 	case frame.OriginQuery != nil && a.silent:
 		<-ctx.Done()
+	case frame.OriginQuery != nil && a.failures.Add(-1) >= 0:
 	case frame.OriginQuery != nil:
 		time.Sleep(a.delay)
 		_ = stream.Send(&wire.Frame{OriginAnswer: &wire.OriginAnswer{Origin: a.origin}})
@@ -133,6 +137,33 @@
 	}
 }
 
+// Guards against a stream of another version that an entry with an old view takes for one
+// of the only version.
+func TestOldViewDoesNotShowTheOnlyVersion(t *testing.T) {
+	c := newTestControl(time.Now(), versionedRunner("a", "v1"))
+	x := newResumingExchange(t, c, map[string]*originAgent{"a": newOriginAgent(nil)})
+	x.route.TargetLatency = 0
+	c.freshness.confirm(time.Now().Add(-2*maxVersionsAge), metrics.ViewRegistrations, 1)
+	if x.resumeStream(t.Context()) || x.result.outcome != outcomeNotRun {
+		t.Errorf("goes on at %q, ended as %+v", x.software, x.result)
+	}
+	c.freshness.confirm(time.Now(), metrics.ViewRegistrations, 1)
+	if !x.resumeStream(t.Context()) || x.software != "v1" {
+		t.Errorf("software %q with a new view", x.software)
+	}
+}
+
+// Guards against a refusal while an agent that knows the stream can't be reached yet.
+func TestSilentAgentIsAskedAgain(t *testing.T) {
+	c := newTestControl(time.Now(), versionedRunner("a", "v1"), versionedRunner("b", "v2"))
+	slow := newOriginAgent(originOf("v2", 1, true))
+	slow.failures.Store(1)
+	x := newResumingExchange(t, c, map[string]*originAgent{"a": newOriginAgent(nil), "b": slow})
+	if !x.resumeStream(t.Context()) || x.software != "v2" {
+		t.Errorf("software %q, ended as %+v", x.software, x.result)
+	}
+}
+
 // Guards against an entry that doesn't ask the agent of a runner that has gone.
 func TestAgentOfAnUnregisteredRunnerIsAsked(t *testing.T) {
 	c := newTestControl(time.Now(), versionedRunner("a", "v1"), versionedRunner("b", "v2"), versionedRunner("gone", "v2"))
