--- a/pkg/gateway/ends_harness_test.go
+++ b/pkg/gateway/ends_harness_test.go
@@ -147,7 +147,7 @@
 		})
 		c.registry.Put(now, fleet.Backend{ID: id, Service: testService, Address: listener.Addr().String(), Software: version, StartedAtMillis: 1})
 	}
-	c.publish()
+	recordVersions(c)
 	site.handler = newEndHandler(t, c)
 	site.address = serveHandler(t, site.handler)
 	return site
--- a/pkg/gateway/main_test.go
+++ b/pkg/gateway/main_test.go
@@ -14,8 +14,10 @@
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
+	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -151,3 +153,18 @@
 	}
 	return s.ID
 }
+
+// recordVersions has the entry know that only the versions that servers run now were in
+// service lately.
+func recordVersions(c *control) {
+	c.freshness.confirm(time.Now(), metrics.ViewRegistrations, 1)
+	c.publish()
+	services := make(map[string][]resumption.Usage)
+	for service := range c.current().servers {
+		for _, software := range c.current().versionsInService(service) {
+			services[service] = append(services[service], resumption.Usage{Software: software})
+		}
+	}
+	c.applySiteChange(siteChange{history: &resumption.History{Revision: 1, Services: services}})
+	c.publish()
+}
