Write what the leader decides by one function

Cause: the write of the history of versions repeated the conditions of that of the placement. Change: writeAsLeader has them once. Result: tests of leaders, placements and the history pass.

--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -223,10 +223,7 @@
 	if current.placement != nil {
 		before = current.placement.Revision
 	}
-	result, err := d.store.Txn(ctx, []keyvalue.Compare{
-		{Key: placementKey, ModRevision: before},
-		{Key: leaderKey, ModRevision: d.leaderRevision},
-	}, []keyvalue.Op{{Key: placementKey, Value: value}})
+	result, err := d.writeAsLeader(ctx, placementKey, before, value)
 	if err != nil {
 		d.logger.Warn("placement write failed", "uncertain", keyvalue.IsUncertain(err), "error", err)
 		return false
@@ -241,6 +238,15 @@
 	return true
 }
 
+// writeAsLeader writes a key if its revision is still the given one, zero if it doesn't
+// exist, and this entry still leads.
+func (d *decider) writeAsLeader(ctx context.Context, key string, before int64, value []byte) (keyvalue.TxnResult, error) {
+	return d.store.Txn(ctx, []keyvalue.Compare{
+		{Key: key, ModRevision: before},
+		{Key: leaderKey, ModRevision: d.leaderRevision},
+	}, []keyvalue.Op{{Key: key, Value: value}})
+}
+
 // medianTokenNanos is the median of the runners' prefill times per token,
 // or the value of the active placement if no agent has measured one.
 func medianTokenNanos(current *view) int64 {
--- a/pkg/gateway/version_history.go
+++ b/pkg/gateway/version_history.go
@@ -54,10 +54,7 @@
 	if current.history != nil {
 		before = current.history.Revision
 	}
-	result, err := d.store.Txn(ctx, []keyvalue.Compare{
-		{Key: historyKey, ModRevision: before},
-		{Key: leaderKey, ModRevision: d.leaderRevision},
-	}, []keyvalue.Op{{Key: historyKey, Value: value}})
+	result, err := d.writeAsLeader(ctx, historyKey, before, value)
 	if err != nil {
 		d.logger.Warn("history of software versions not written", "uncertain", keyvalue.IsUncertain(err), "error", err)
 		return
