Test with real processes that no event is skipped after the first one

Cause: the tests of resumed streams broke them off after four events only. Change: two tests that break a stream off after one event; the checks are those of the others.

--- a/testkit/serverfaults/resumed_test.go
+++ b/testkit/serverfaults/resumed_test.go
@@ -12,10 +12,16 @@
 // resumeStream breaks a stream off after four events, lets the server that resumes it
 // respond as given, and returns the caller and what it received.
 func resumeStream(t *testing.T, framing backendserver.Framing, resume *backendserver.Resume) (*caller, received) {
+	t.Helper()
+	return resumeStreamAfter(t, framing, 4, resume)
+}
+
+// resumeStreamAfter is the same after another number of events.
+func resumeStreamAfter(t *testing.T, framing backendserver.Framing, events int, resume *backendserver.Resume) (*caller, received) {
 	t.Helper()
 	s := directSite.start(t)
 	plan := streamPlan(framing)
-	plan.Stop, plan.StopAfter, plan.Resume = backendserver.StopReset, 4, resume
+	plan.Stop, plan.StopAfter, plan.Resume = backendserver.StopReset, events, resume
 	c, _ := sendUntilStarted(t, s, s.Entries[mainEntry], call{path: platformsite.BatchPath, plan: plan}, plan.StopAfter)
 	got := c.finish()
 	verify(t, s, c, got)
@@ -77,6 +83,20 @@
 	}
 }
 
+func TestStreamResumedAfterItsFirstEventDoesNotSkipEvents(t *testing.T) {
+	for _, skip := range []int{1, 5} {
+		t.Run(fmt.Sprint(skip), func(t *testing.T) {
+			t.Parallel()
+			resumeStreamAfter(t, backendserver.FramingChunks, 1, &backendserver.Resume{Skip: skip})
+		})
+	}
+}
+
+func TestStreamIsServedAfterABreakBehindItsFirstEvent(t *testing.T) {
+	c, got := resumeStreamAfter(t, backendserver.FramingChunks, 1, &backendserver.Resume{})
+	verifyServed(t, c, got)
+}
+
 func TestResumedStreamIsServedInAnyFraming(t *testing.T) {
 	for _, first := range framings {
 		for _, second := range framings {
