--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -22,7 +22,7 @@
 		}
 		best := sel.choose()
 		if best == nil {
-			if sel.hasOnlyLateRunners() || !x.awaitServer(ctx, sel) {
+			if x.isTooLate(sel) || !x.awaitServer(ctx, sel) {
 				return nil, nil, false
 			}
 			continue
@@ -86,6 +86,11 @@
 	}
 }
 
+// isTooLate reports whether only runners that load the model too late are left.
+func (x *exchange) isTooLate(sel *selection) bool {
+	return sel.hasOnlyLateRunners() && !x.canAwaitReturn(sel)
+}
+
 // awaitServer waits for a server if the request can still be served in time. It
 // returns false if the request must be refused now.
 func (x *exchange) awaitServer(ctx context.Context, sel *selection) bool {
@@ -127,15 +132,20 @@
 const runnerCheckInterval = 50 * time.Millisecond
 
 // canAwaitRunner reports whether a request without a runner may wait for one: if
-// it can still meet its target latency, no agent has reported that its runner
-// can't serve it in time, and its model has a permitted runner or may have one not
-// known yet.
+// it can still meet its target latency, its model has a permitted runner or may have
+// one not known yet, and no agent has reported that its runner can't serve it in
+// time, unless other agents aren't known yet. One that requires a software may wait
+// for a runner to return.
 func (x *exchange) canAwaitRunner(sel *selection) bool {
 	mayBePlaced := !sel.view.agentsKnown && sel.view.table.Model(x.route, sel.model) != nil
 	isPlaced := (mayBePlaced && sel.software == "") || slices.ContainsFunc(sel.view.servers[sel.service], func(s *server) bool {
 		return sel.mayBecomeEligible(s) && (mayBePlaced || s.replaced || s.isPermitted(sel.model))
 	})
-	return !x.declined && isPlaced && sel.now.Before(x.waitingSince().Add(x.route.TargetLatency))
+	if x.canAwaitReturn(sel) {
+		return true
+	}
+	isDeclined := x.declined && sel.view.agentsKnown
+	return !isDeclined && isPlaced && sel.now.Before(x.waitingSince().Add(x.route.TargetLatency))
 }
 
 // recordVersions records the versions and the age of the state that a choice uses.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -48,6 +48,8 @@
 	excluded []string
 	// failedAt holds the IDs of those of them to which the request was sent.
 	failedAt []string
+	// lastFailure is when the last send failed.
+	lastFailure time.Time
 	// rejectedBy holds the IDs of the servers that rejected the request. A
 	// rejection may be due to a model evicted just before, so each server is
 	// tried once more.
@@ -232,6 +234,7 @@
 	if event != attempt.NotRun || x.caller.Model == "" || slices.Contains(x.rejectedBy, backend.ID) {
 		x.excluded = append(x.excluded, backend.ID)
 		x.failedAt = append(x.failedAt, backend.ID)
+		x.lastFailure = time.Now()
 	}
 	x.rejectedBy = append(x.rejectedBy, backend.ID)
 	decision := x.machine.Step(time.Now(), event)
