Test leases of resumed streams against runners restarted since a report

The callers in the tests with processes wait for 4 s instead of 15 s, as nothing serves them once the faults are mended.

--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -184,3 +185,18 @@
 	check(false, "v1")
 	check(true, "")
 }
+
+// Guards against a send to a runner that was restarted with its agent.
+func TestStreamOfASoftwareVersionIsNotSentWithoutALease(t *testing.T) {
+	for software, want := range map[string]bool{"": true, "v1": false} {
+		c := newTestControl(time.Now(), testRunner{id: "a", software: "v1", permitted: true, status: statusOf(0, wire.RunnerModel{State: wire.ModelLoaded})})
+		x := newLeaseExchange(t, time.Second, c, nil)
+		x.software = software
+		x.handler.tracker.DataReceived(time.Now(), "a")
+		ctx, cancel := context.WithTimeout(t.Context(), 4*agentTimeout)
+		if _, _, ok := x.acquireServer(ctx); ok != want {
+			t.Errorf("software %q: sent %t while the agent doesn't respond", software, ok)
+		}
+		cancel()
+	}
+}
--- a/pkg/runneragent/agent_test.go
+++ b/pkg/runneragent/agent_test.go
@@ -67,6 +67,13 @@
 	r.err = err
 }
 
+// restart begins another incarnation, which has what the one before had.
+func (r *fakeRunner) restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.StartedAtMillis++
+}
+
 // fixture is an agent with a gateway's node of the internal protocol.
 type fixture struct {
 	t            *testing.T
--- a/pkg/runneragent/origins_test.go
+++ b/pkg/runneragent/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -168,3 +169,36 @@
 		return got != nil && got.Software == "v2" && got.Service == testService && got.Confirmed
 	})
 }
+
+// resumeStream returns a lease request for a stream that the caller has events of.
+func resumeStream(id string) *wire.Frame {
+	frame := acquireStream(id, 1)
+	frame.Acquire.Stream.Begun = true
+	return frame
+}
+
+// Guards against a runner that restarts with other software after its last report, and goes
+// on with a stream of the software before.
+func TestResumedStreamIsNotGrantedOnAnEarlierReport(t *testing.T) {
+	f := startAgent(t)
+	f.awaitPlacement()
+	f.grantedStream(resumeStream("q1")).Cancel()
+	f.runner.restart()
+	stream := f.open(resumeStream("q2"))
+	defer stream.Cancel()
+	if outcome := f.outcomeOf(stream); outcome.Refusal == nil || outcome.Refusal.Reason != wire.ReasonReplaced {
+		t.Errorf("outcome %+v", outcome)
+	}
+}
+
+func TestResumedStreamIsRefusedWithoutAReport(t *testing.T) {
+	f := startAgent(t)
+	f.awaitPlacement()
+	f.grantedStream(resumeStream("q1")).Cancel()
+	f.runner.setError(errors.New("no response"))
+	stream := f.open(resumeStream("q2"))
+	defer stream.Cancel()
+	if outcome := f.outcomeOf(stream); outcome.Refusal == nil || outcome.Refusal.Reason != wire.ReasonUnavailable {
+		t.Errorf("outcome %+v", outcome)
+	}
+}
--- a/testkit/serverfaults/incarnation_test.go
+++ b/testkit/serverfaults/incarnation_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"teaselgauge.example/teaselgauge/testkit/platformsite"
 )
 
+// incarnationBudget is how long the callers wait whose streams must not go on.
+const incarnationBudget = 4 * time.Second
+
 // abandonStreams begins streams, whose callers then close their connections.
 func abandonStreams(t *testing.T, s *platformsite.Site, entry *platformsite.Entry) []*chain {
 	t.Helper()
@@ -16,6 +20,7 @@
 		if err := ch.add(c, parse(c.raw, nil)); err != nil {
 			t.Fatal(err)
 		}
+		ch.deadline = time.Now().Add(incarnationBudget)
 	}
 	return chains
 }
