Grant leases of resumed streams only on a report asked for since

Cause: an agent asks its runner for a report every 4 to 250 ms and grants leases on the last one. A runner that restarts in between, perhaps with other software, gets the rest of a stream that the incarnation before began. Change: a lease for a stream with events waits for a report that the runner is asked for after the lease was requested; the next one is due at once. If that call fails, the lease is refused. Other leases are granted as before. What remains: a runner that restarts in the milliseconds between the report and the request.

--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -41,6 +41,8 @@
 	worker       *worker
 	// waiting holds the lease requests without an outcome, by request ID.
 	waiting map[string]waitingLease
+	// unverified holds those of them that wait for a report.
+	unverified []waitingLease
 	// minAsOf is the store revision below which a placement may be older than the
 	// one that an earlier incarnation acted on.
 	minAsOf int64
@@ -101,7 +103,7 @@
 	}
 	c.wakeAt(c.manager.NextWake(time.Now()))
 	c.publish(time.Now())
-	c.worker.setPollInterval(c.manager.PollInterval())
+	c.worker.setPollInterval(c.pollInterval())
 }
 
 // publish gives the subscribers the current status, immediately or after a minimum
@@ -205,7 +207,12 @@
 		result <- leaseOutcome{refused: &residency.Refuse{ID: lease.ID, Reason: wire.ReasonInvalid}}
 		return result
 	}
-	c.waiting[lease.ID] = waitingLease{Lease: lease, stream: stream, arrived: now, result: result}
+	pending := waitingLease{Lease: lease, stream: stream, arrived: now, result: result}
+	c.waiting[lease.ID] = pending
+	if stream != nil && stream.Begun {
+		c.awaitReport(pending)
+		return result
+	}
 	c.perform(c.manager.Acquire(now, lease))
 	return result
 }
@@ -215,12 +222,14 @@
 	c.perform(c.manager.Release(now, id))
 }
 
-func (c *controller) reportReceived(now time.Time, report modelrunner.Report) {
+// reportReceived handles a report of the runner, which it was asked for at requestedAt.
+func (c *controller) reportReceived(now, requestedAt time.Time, report modelrunner.Report) {
 	c.reportedAt = now
 	if report.InvalidLimit != "" {
 		c.logger.Warn("rate limit of runner unreadable, ignoring it", "value", report.InvalidLimit)
 	}
 	c.perform(c.manager.ReportReceived(now, report))
+	c.acquireVerified(now, requestedAt)
 	c.recordLimit("report")
 }
 
@@ -245,6 +254,7 @@
 // reportFailed handles a failed call for the runner's report. notRunning is set if no
 // process accepts connections there.
 func (c *controller) reportFailed(now time.Time, notRunning bool) {
+	c.refuseUnverified()
 	c.perform(c.manager.ReportFailed(now, notRunning))
 }
 
--- a/pkg/runneragent/worker.go
+++ b/pkg/runneragent/worker.go
@@ -76,6 +76,7 @@
 }
 
 func (w *worker) report(ctx context.Context) {
+	requestedAt := time.Now()
 	report, err := w.runner.Report(ctx)
 	w.controller.metrics.Report(err)
 	w.logAvailability(err)
@@ -84,7 +85,7 @@
 			w.controller.reportFailed(time.Now(), errors.Is(err, modelrunner.ErrNotRunning))
 			return
 		}
-		w.controller.reportReceived(time.Now(), report)
+		w.controller.reportReceived(time.Now(), requestedAt, report)
 	})
 }
 
