Don't send a stream bound to a software version without a lease

Cause: if an agent doesn't respond although its runner may, an entry sends requests to the runner without a lease. Only the agent knows which incarnation of the runner serves; one restarted with its agent may have other software than registered. Change: a request that requires a version isn't sent without a lease. If the agent's process has ended, the entry looks for a server again, as its view is out of date; if the agent is silent, it tries other servers.

--- a/pkg/gateway/leases.go
+++ b/pkg/gateway/leases.go
@@ -150,7 +150,8 @@
 
 // acquireLease acquires a lease of the request's model. If the agent does not
 // respond, a runner that has the model loaded is used without a lease, with a rate
-// token if it names a limit.
+// token if it names a limit, unless the request requires a version of the software:
+// only the agent knows which incarnation of the runner serves.
 func (x *exchange) acquireLease(ctx context.Context, s *server) (*lease, leaseResult) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -175,6 +176,9 @@
 		runnerAlive := isProcessDown(err) || x.handler.tracker.AgentUnresponsive(time.Now(), s.ID)
 		x.logger.Info("agent not responding", "agent", s.agent, "backend", s.ID, "runner_lives", runnerAlive,
 			"waited_ms", waited.Milliseconds(), "error", err)
+		if x.software != "" {
+			return nil, unansweredResult(err)
+		}
 		known := s.model(x.caller.Model)
 		if runnerAlive && known != nil && known.State == wire.ModelLoaded {
 			return x.acquireRateToken(ctx, s)
@@ -199,6 +203,15 @@
 	}
 }
 
+// unansweredResult is the result of requesting a lease from an agent that doesn't respond,
+// if nothing may be sent without one. One whose process has ended may have started again.
+func unansweredResult(err error) leaseResult {
+	if isProcessDown(err) {
+		return leaseOutdated
+	}
+	return leaseUnavailable
+}
+
 // isDeclined reports whether a refusal means that the runner can't serve the
 // request in time, rather than that it is out of service.
 func isDeclined(reason wire.Reason) bool {
