--- a/pkg/gateway/software_test.go
+++ b/pkg/gateway/software_test.go
@@ -186,6 +186,84 @@
 	check(true, "")
 }
 
+// Guards against a refusal of a stream whose runners have crashed and are about to be back,
+// at callers that come back once or twice.
+func TestStreamWaitsForACrashedRunnerOfItsSoftwareVersion(t *testing.T) {
+	down := &wire.RunnerStatus{Down: true, Models: []wire.RunnerModel{{Name: testModel, PermitRank: 1}}}
+	for _, c := range []struct {
+		name     string
+		software string
+		after    time.Duration
+		failed   bool
+		status   *wire.RunnerStatus
+		want     bool
+	}{
+		{name: "down", software: "v1", after: 3 * time.Second, status: down, want: true},
+		{name: "down for too long", software: "v1", after: 4 * time.Second, status: down},
+		{name: "no version required", after: time.Second, status: down},
+		{name: "another version", software: "v2", after: time.Second, status: down},
+		{name: "just failed", software: "v1", after: crashNoticeTime - 1, failed: true, want: true},
+		{name: "failed and not down", software: "v1", after: crashNoticeTime, failed: true},
+		{name: "declined and not down", software: "v1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			control := newTestControl(testStart, testRunner{id: "a", software: "v1", permitted: true, status: c.status})
+			now := testStart.Add(c.after)
+			if c.status != nil {
+				receiveStatus(control, now, "host-a", down)
+			} else {
+				receiveStatus(control, now, "host-a", statusOf(0, wire.RunnerModel{PermitRank: 1}))
+			}
+			sel := selectionAt(now, control, backends.NewTracker(), "a")
+			sel.software = c.software
+			x := &exchange{
+				route: &fleet.Route{TargetLatency: time.Second}, arrived: testStart, deadline: testStart.Add(time.Minute), declined: true,
+			}
+			if c.failed {
+				x.failedAt, x.lastFailure = []string{"a"}, testStart
+			}
+			if got := x.canAwaitRunner(sel); got != c.want {
+				t.Errorf("waits: %t", got)
+			}
+		})
+	}
+}
+
+// Guards against a stream that doesn't wait for its crashed runner, which has a copy of the
+// model, since another one would load it too late.
+func TestLateRunnerDoesNotEndTheWaitForACrashedOne(t *testing.T) {
+	c := newTestControl(testStart,
+		testRunner{id: "a", software: "v1", permitted: true, status: &wire.RunnerStatus{Down: true}},
+		testRunner{id: "b", software: "v1", permitted: true, status: statusOf(0, wire.RunnerModel{WaitMillis: 9000})})
+	x := &exchange{route: &fleet.Route{TargetLatency: time.Second}, arrived: testStart, deadline: testStart.Add(time.Minute)}
+	for software, want := range map[string]bool{"v1": false, "": true} {
+		sel := selectionAt(testStart, c, backends.NewTracker())
+		sel.software, sel.startBy = software, x.startDeadline()
+		if got := x.isTooLate(sel); got != want {
+			t.Errorf("software %q: too late %t", software, got)
+		}
+	}
+}
+
+// Guards against a stream that goes back to its caller, who returns once or twice, for a
+// refusal that holds for half a second at one of the few runners of its version.
+func TestRunnerOfTheSoftwareVersionIsAskedAgain(t *testing.T) {
+	for software, want := range map[string]bool{"v1": true, "": false} {
+		c := newTestControl(time.Now(), testRunner{id: "a", software: "v1", permitted: true, status: statusOf(0, wire.RunnerModel{State: wire.ModelLoaded})})
+		agent := newFakeAgent(true)
+		agent.refuses = &wire.Refusal{Reason: wire.ReasonNoMemory, RetryAfterMillis: 100}
+		agent.refusesOnce = true
+		x := newLeaseExchange(t, time.Second, c, map[string]*fakeAgent{"a": agent})
+		x.software = software
+		go func() { <-agent.requested }()
+		_, granted, ok := x.acquireServer(t.Context())
+		granted.release(false, 0)
+		if ok != want {
+			t.Errorf("software %q: granted %t", software, ok)
+		}
+	}
+}
+
 // Guards against a send to a runner that was restarted with its agent.
 func TestStreamOfASoftwareVersionIsNotSentWithoutALease(t *testing.T) {
 	for software, want := range map[string]bool{"": true, "v1": false} {
