Show a stream that is recorded at the version of an earlier incarnation

Cause: a new stream gets its lease on the runner's last report. If the runner has restarted since with other software, the agent and the entry record the stream at the version before, and it goes on there once its caller takes it up. Not mended: with a report for each new stream it would be, at the price of a call to the runner per lease.

--- a/testkit/serverfaults/incarnation_test.go
+++ b/testkit/serverfaults/incarnation_test.go
@@ -50,3 +50,12 @@
 	restartUnnoticed(t, s.Servers[0])
 	takeUp(t, s, s.Entries[0], chains)
 }
+
+// The streams begin at the new incarnation while its agent and the entries know the old one.
+func TestStreamBegunBetweenReportsDoesNotHoldTwoVersions(t *testing.T) {
+	s := startVersions(t, oneVersion)
+	// Both runners must take streams.
+	abandonStreams(t, s, s.Entries[0])
+	restartUnnoticed(t, s.Servers[0])
+	takeUp(t, s, s.Entries[0], abandonStreams(t, s, s.Entries[0]))
+}
