Resume streams at runners without a responding agent where one version serves

Cause: a resumed stream requires a recent status of the runner's agent, which shows that the runner wasn't restarted with other software. That was required as well where only one version was in service lately, so that broken streams were refused while no agent responded, though new ones began at the same runners.

Change: the status isn't required while the required version is the only one of the history and the registrations.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -83,6 +83,8 @@
 		domain:   x.handler.domain,
 		excluded: x.excluded,
 		random:   rand.IntN,
+
+		isOnlySoftware: x.isOnlySoftware(now),
 	}
 }
 
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -24,6 +24,8 @@
 	model string
 	// software is the required version of the server's software; empty for any.
 	software string
+	// isOnlySoftware is set if no other version of the software was in service lately.
+	isOnlySoftware bool
 	// startBy is when the request must have started at its runner, so that runners that load
 	// the model later aren't chosen; zero for any time.
 	startBy time.Time
@@ -54,12 +56,13 @@
 
 // isRegistrationCurrent reports whether a server still is what its registration says. A
 // restarted runner may have the same ID and other software; the status of its agent shows
-// which incarnation runs. Nothing shows that for servers of services without models.
+// which incarnation runs. Nothing shows that for servers of services without models, and it
+// needn't be shown where all incarnations have the same software.
 func (sel *selection) isRegistrationCurrent(s *server) bool {
 	if sel.model == "" && s.agent == "" {
 		return true
 	}
-	return !s.replaced && s.hasFreshStatus(sel.now)
+	return !s.replaced && (sel.isOnlySoftware || s.hasFreshStatus(sel.now))
 }
 
 // mayBecomeEligible reports whether a request that requires a software may wait for a
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -50,6 +50,16 @@
 	return x.handler.control.current().recentVersions(now, x.service)
 }
 
+// isOnlySoftware reports whether the required version of the software is the only one that
+// was in service for as long as the caller may come back.
+func (x *exchange) isOnlySoftware(now time.Time) bool {
+	if x.software == "" {
+		return false
+	}
+	recent := x.recentVersions(now)
+	return len(recent) == 1 && recent[0] == x.software
+}
+
 // resumeStream has a request that resumes a stream go on at the version of the software
 // that began it. It returns false if that isn't possible and the request was refused.
 func (x *exchange) resumeStream(ctx context.Context) bool {
