--- a/pkg/gateway/leases.go
+++ b/pkg/gateway/leases.go
@@ -150,8 +150,8 @@
 
 // acquireLease acquires a lease of the request's model. If the agent does not
 // respond, a runner that has the model loaded is used without a lease, with a rate
-// token if it names a limit, unless the request requires a version of the software:
-// only the agent knows which incarnation of the runner serves.
+// token if it names a limit, unless the request requires one of several versions of the
+// software: only the agent knows which incarnation of the runner serves.
 func (x *exchange) acquireLease(ctx context.Context, s *server) (*lease, leaseResult) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -176,7 +176,7 @@
 		runnerAlive := isProcessDown(err) || x.handler.tracker.AgentUnresponsive(time.Now(), s.ID)
 		x.logger.Info("agent not responding", "agent", s.agent, "backend", s.ID, "runner_lives", runnerAlive,
 			"waited_ms", waited.Milliseconds(), "error", err)
-		if x.software != "" {
+		if x.software != "" && !x.isOnlySoftware(time.Now()) {
 			return nil, unansweredResult(err)
 		}
 		known := s.model(x.caller.Model)
