Require a last status of a runner's agent for a resumed stream

Change: the agent's last status must be of the registered incarnation, though it may be out of date.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -56,13 +56,14 @@
 
 // isRegistrationCurrent reports whether a server still is what its registration says. A
 // restarted runner may have the same ID and other software; the status of its agent shows
-// which incarnation runs. Nothing shows that for servers of services without models, and it
-// needn't be shown where all incarnations have the same software.
+// which incarnation runs. Nothing shows that for servers of services without models. Where
+// a single version is in service, the last status of an agent that doesn't respond any more
+// is enough: nobody loads the model into another incarnation of its runner.
 func (sel *selection) isRegistrationCurrent(s *server) bool {
 	if sel.model == "" && s.agent == "" {
 		return true
 	}
-	return !s.replaced && (sel.isOnlySoftware || s.hasFreshStatus(sel.now))
+	return !s.replaced && (s.hasFreshStatus(sel.now) || (sel.isOnlySoftware && s.state != nil))
 }
 
 // mayBecomeEligible reports whether a request that requires a software may wait for a
