Hand the origin of a stream over when its agent is gone

Cause: the agent that recorded with its lease where a stream began forgets it when it restarts. The entry that serves the stream knows it, but no other entry asks it, and it handed the origin over only if the stream broke off. With several versions in service all these streams were refused at other entries.

Nothing more is sent for a stream whose agent keeps running.

--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -10,8 +10,8 @@
 // snapshot that requests read.
 //
 // A request that resumes a stream goes on at the version of the software that began it:
-// resume.go finds this version, and stream_origin.go records where streams began, as package
-// resumption decides.
+// resume.go finds this version, stream_origin.go records where streams began, and
+// origin_handover.go has agents keep it, as package resumption decides.
 //
 // Of these files, acquire.go, choose.go and candidate.go choose a server. leases.go
 // acquires the lease of a model, and rate_tokens.go the permission to send a request
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -38,12 +38,14 @@
 	// of this response; nil before.
 	stream string
 	origin *resumption.Origin
-	// leaseRequests counts the requests for leases that named the stream. leased is set if
-	// the last send has a lease.
+	// leaseRequests counts the requests for leases that named the stream. lease is that of
+	// the last send; nil if it needs none.
 	leaseRequests int
-	leased        bool
-	machine       *attempt.Machine
-	logger        *slog.Logger
+	lease         *lease
+	// unwatchLease ends the watch of the lease; nil if it isn't watched.
+	unwatchLease func() bool
+	machine      *attempt.Machine
+	logger       *slog.Logger
 	// excluded holds the IDs of the servers that must not be tried again.
 	excluded []string
 	// failedAt holds the IDs of those of them to which the request was sent.
@@ -182,7 +184,7 @@
 			granted.release(false, 0)
 			return
 		}
-		x.leased = granted.isModelLease()
+		x.lease = granted
 		event, response := x.send(ctx, target)
 		if response != nil {
 			x.reportLimit(target, granted, response)
@@ -194,6 +196,7 @@
 		if event != nil {
 			x.recordCrashSuspect(ctx, target, *event)
 		}
+		x.endLeaseWatch()
 		granted.setBegun(x.hasEvents())
 		granted.release(event != nil && event.IsFailure() && !x.callerLeft(), x.responseLatency)
 		if event == nil || x.handleFailure(ctx, target, *event, response) {
--- a/pkg/gateway/stream_origin.go
+++ b/pkg/gateway/stream_origin.go
@@ -1,27 +1,14 @@
 package gateway
 
 import (
-	"context"
-	"log/slog"
 	"sync"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/fleet"
-	"teaselgauge.example/teaselgauge/pkg/membership"
 	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-const (
-	// handoversPerStream is the number of agents that get the origin of a stream that broke
-	// off, so that it survives the loss of one.
-	handoversPerStream = 2
-	// handoverTimeout limits the time to send an origin to an agent.
-	handoverTimeout = time.Second
-	// handoverLabel separates the choice of these agents from other choices among them.
-	handoverLabel = "stream "
-)
-
 // streamOrigins holds the origins of the streams that this entry has served, for callers
 // that resume them. The zero value is empty. It is safe for concurrent use.
 type streamOrigins struct {
@@ -77,11 +64,21 @@
 }
 
 // recordOrigin records where the stream began once it has an event, before the event is
-// sent to the caller. If no agent has recorded it, it is handed over at once.
+// sent to the caller, and sees to it that an agent has the origin as well.
 func (x *exchange) recordOrigin(backend *server) {
-	if x.stream == "" || x.origin != nil || x.progress.events.Count() == 0 {
+	if x.stream == "" || x.progress.events.Count() == 0 {
 		return
 	}
+	if x.origin == nil {
+		x.keepOrigin(backend)
+	}
+	if x.unwatchLease == nil {
+		x.watchLease()
+	}
+}
+
+// keepOrigin records at this entry where the stream began.
+func (x *exchange) keepOrigin(backend *server) {
 	now := time.Now()
 	x.origin = &resumption.Origin{
 		Service:    x.service,
@@ -93,9 +90,6 @@
 	if x.handler.origins.put(now, x.stream, *x.origin, x.originRetention(now)) {
 		x.handler.observer.originDropped(now)
 	}
-	if !x.leased {
-		x.handOverOrigin()
-	}
 }
 
 // streamAttempt describes the stream to the agent from which a lease is requested; nil if
@@ -116,78 +110,18 @@
 	}
 }
 
-// handOverAtEnd hands the origin of a stream over that its caller may resume, if the agent
-// that recorded it may be gone.
-func (x *exchange) handOverAtEnd() {
-	if x.origin != nil && x.mayBeResumed() {
-		x.handOverOrigin()
-	}
-}
-
-// handOverOrigin gives the origin of the stream to other agents than that of its server.
-func (x *exchange) handOverOrigin() {
-	node := x.handler.node.Load()
-	if node == nil {
-		return
-	}
-	now := time.Now()
-	frame := &wire.Frame{OriginHandover: &wire.OriginHandover{
-		StreamID:   x.stream,
-		Origin:     *wire.NewStreamOrigin(now, *x.origin),
-		KeepMillis: uint32(x.originRetention(now).Milliseconds()),
-	}}
-	for _, agent := range x.handoverAgents() {
-		go sendOrigin(node, agent, frame, x.logger)
-	}
-}
-
 // mayBeResumed reports whether the response has ended such that the caller may resume it
-// and the agent of its server may be gone: if it broke off, or if the caller left while
-// the agent doesn't respond.
+// and the agent of its server may have lost its record: if it broke off, or if the caller
+// left while the agent doesn't respond or, as it may have restarted unnoticed, while several
+// versions are in service.
 func (x *exchange) mayBeResumed() bool {
+	now := time.Now()
 	switch x.result.outcome {
 	case outcomeBroken:
 		return true
 	case outcomeCallerLeft:
-		return !x.handler.control.current().agents[x.lastAgent].isFresh(time.Now())
+		return !x.handler.control.current().agents[x.lastAgent].isFresh(now) || len(x.recentVersions(now)) != 1
 	default:
 		return false
 	}
 }
-
-// handoverAgents returns agents that respond and that other entries ask for the origins of
-// streams of the request's model.
-func (x *exchange) handoverAgents() []agentAddress {
-	likely, _ := x.originAgents()
-	addresses := make(map[string]string, len(likely))
-	var hosts []string
-	for _, agent := range likely {
-		if agent.host != x.lastAgent {
-			addresses[agent.host] = agent.internalAddress
-			hosts = append(hosts, agent.host)
-		}
-	}
-	ranked := membership.RendezvousRank(handoverLabel+x.stream, hosts)
-	agents := make([]agentAddress, min(len(ranked), handoversPerStream))
-	for i := range agents {
-		agents[i] = agentAddress{ranked[i], addresses[ranked[i]]}
-	}
-	return agents
-}
-
-// sendOrigin sends an origin to an agent.
-func sendOrigin(node *wire.Node, agent agentAddress, frame *wire.Frame, logger *slog.Logger) {
-	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-	defer cancel()
-	stream, err := node.Open(ctx, agent.host, agent.internalAddress)
-	if err == nil {
-		err = stream.Send(frame)
-		stream.Close()
-	}
-	if err != nil {
-		logger.Warn("origin of a stream not handed over", "agent", agent.host, "error", err)
-		return
-	}
-	logger.Info("origin of a stream handed over", "agent", agent.host, "stream", frame.OriginHandover.StreamID,
-		"software", frame.OriginHandover.Origin.Software)
-}
