Replace a history of versions that can't be read or was deleted

Cause: the leader writes the history under the revision that it has read. If the value can't be read, or the key was deleted, that is never the stored one: it tried every 200 ms without end, and streams of unknown version stayed refused. Change: a failed write shows the stored revision, and the next one names it.

--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -40,7 +40,10 @@
 	maxConcurrentLoads atomic.Int64
 
 	leaderRevision int64
-	termStart      time.Time
+	// storedHistory is the revision of the history of versions that a failed write has
+	// shown; nil if there was none since the last write.
+	storedHistory *int64
+	termStart     time.Time
 	// lastInputs are the inputs of the last decision, lastDecisionAt is its time.
 	lastInputs     placementInputs
 	lastDecisionAt time.Time
@@ -61,6 +64,7 @@
 // revision.
 func (d *decider) startTerm(leaderRevision int64) {
 	d.leaderRevision = leaderRevision
+	d.storedHistory = nil
 	d.termStart = time.Now()
 	d.lastInputs = placementInputs{}
 	d.lastDecisionAt = time.Time{}
--- a/pkg/gateway/resume_losses_test.go
+++ b/pkg/gateway/resume_losses_test.go
@@ -100,3 +100,17 @@
 	registerVersion(entry.control, "v1")
 	awaitRecent(t, entry.control, "v1")
 }
+
+// Guards against a deleted history that is never written again.
+func TestDeletedVersionHistoryIsReplaced(t *testing.T) {
+	store := newStore(t)
+	entry := startContender(t, store, "front-1")
+	defer entry.stop()
+	registerVersion(entry.control, "v1")
+	awaitRecent(t, entry.control, "v1")
+	if _, err := store.Txn(t.Context(), nil, []keyvalue.Op{{Key: historyKey, Delete: true}}); err != nil {
+		t.Fatal(err)
+	}
+	registerVersion(entry.control, "v2")
+	awaitWritten(t, store, "v2")
+}
--- a/pkg/gateway/version_history.go
+++ b/pkg/gateway/version_history.go
@@ -50,23 +50,47 @@
 		d.logger.Error("history of software versions not encoded", "error", err)
 		return
 	}
-	var before int64
-	if current.history != nil {
-		before = current.history.Revision
-	}
-	result, err := d.writeAsLeader(ctx, historyKey, before, value)
+	result, err := d.writeAsLeader(ctx, historyKey, d.historyRevision(current), value)
 	if err != nil {
 		d.logger.Warn("history of software versions not written", "uncertain", keyvalue.IsUncertain(err), "error", err)
 		return
 	}
 	if !result.Succeeded {
-		d.logger.Info("history of software versions not written, changed concurrently")
+		stored := revisionOf(result, historyKey)
+		d.storedHistory = &stored
+		d.logger.Info("history of software versions not written, changed concurrently", "stored_revision", stored)
 		return
 	}
+	d.storedHistory = nil
 	next.Revision = result.Revision
 	d.control.loop.Do(func() { d.control.applySiteChange(siteChange{history: next}) })
 }
 
+// historyRevision returns the revision of the stored history as far as it is known: the one
+// that a failed write has shown, as its value may be unreadable or deleted, or else that of
+// the active one.
+func (d *decider) historyRevision(current *view) int64 {
+	switch {
+	case d.storedHistory != nil:
+		return *d.storedHistory
+	case current.history != nil:
+		return current.history.Revision
+	default:
+		return 0
+	}
+}
+
+// revisionOf returns a key's revision that a failed transaction returned; zero if the key
+// doesn't exist.
+func revisionOf(result keyvalue.TxnResult, key string) int64 {
+	for _, current := range result.Current {
+		if current.Key == key {
+			return current.ModRevision
+		}
+	}
+	return 0
+}
+
 // decodeHistory reads the history of versions from an event of the store.
 func (s *storeWatcher) decodeHistory(change *siteChange, event keyvalue.WatchEvent) {
 	if event.Deleted {
