--- a/testkit/serverfaults/history_test.go
+++ b/testkit/serverfaults/history_test.go
@@ -43,7 +43,7 @@
 // regressionSeeds are seeds that failed once, each with its cause.
 var regressionSeeds = []uint64{
 	36, // A lease for a resumed stream on a report from before the runner's restart.
-	39, // As 36, also in the same response and at an agent that had just started.
+	39, // As 36, in three streams.
 	46, // As 36, after the runner was down for 0.1 s.
 	55, // As 36, on a report 0.2 s old.
 }
