Send a request again on a connection that hasn't carried it

What callers saw: streams that may run once ran at two runners (TWICE), or were answered 503 and ran (REFUSED), while runners were just full and one of them sent second copies of its rejections late.

Cause: a runner that rejects a request is asked once more, and the request's next send took the connection of the rejection, the newest idle one. A second copy of the rejection arrives where the next response is expected, and has the ID that the next send's response has too: nothing told them apart.

Change: a request remembers the connections that carried it, and the pool gives it none of them again. Other requests go on using them, where the ID tells a copy apart. It works since a copy only arrives on the connection of its response. A connection is opened only if no other one is idle. Responses that are skipped are counted and logged, and failed attempts say on how many connections the request was sent; before, nothing showed either.

Send's parameter for a new connection, which nobody set, is gone.

--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -121,22 +122,22 @@
 	}
 }
 
-// takeIdle returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle(address string, now time.Time) *conn {
+// takeIdle returns the most recently used idle connection that isn't excluded, or nil.
+func (p *Pool) takeIdle(address string, now time.Time, excluded []*conn) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		conns := p.idle[address]
-		if len(conns) == 0 {
-			return nil
+	for at := len(p.idle[address]) - 1; at >= 0; at-- {
+		c := p.idle[address][at]
+		if slices.Contains(excluded, c) {
+			continue
 		}
-		c := conns[len(conns)-1]
-		p.idle[address] = conns[:len(conns)-1]
+		p.idle[address] = slices.Delete(p.idle[address], at, at+1)
 		if now.Before(c.idleDeadline) && c.isIdle() {
 			return c
 		}
 		_ = c.raw.Close()
 	}
+	return nil
 }
 
 // putIdle keeps a connection for the next request.
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -6,7 +6,8 @@
 	"strings"
 )
 
-// Request is one request for a backend server.
+// Request is one request for backend servers. The same Request is sent again after a
+// rejection, so that its sends are told apart. It is not safe for concurrent use.
 type Request struct {
 	// ID is the request's ID, which its response must have.
 	ID     string
@@ -16,8 +17,16 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+
+	// carriers are the connections on which the request was sent before. A second copy of
+	// a response may still arrive on them, and has the same ID as the response to the next
+	// send.
+	carriers []*conn
 }
 
+// Connections returns the number of connections on which the request was sent.
+func (r *Request) Connections() int { return len(r.carriers) }
+
 // encode returns the request in HTTP/1.1 format.
 func (r *Request) encode() []byte {
 	size := len(r.Method) + len(r.Target) + len(r.Host) + len(r.Body) + 64
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -59,6 +59,9 @@
 	// ContentLength is -1 if the response has no length.
 	ContentLength int64
 	Framing       Framing
+	// Skipped is the number of responses to earlier requests that arrived before it on its
+	// connection.
+	Skipped int
 
 	exchange *exchange
 	body     io.ReadCloser
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -38,20 +38,18 @@
 	stop      func() bool
 }
 
-// Send writes a request and reads the header of its response. fresh requires a new
-// connection. ctx covers the whole exchange, including the body. Errors are of type
-// *Error.
-func (p *Pool) Send(ctx context.Context, address string, request *Request, fresh bool) (*Response, error) {
-	var c *conn
-	if !fresh {
-		c = p.takeIdle(address, time.Now())
-	}
+// Send writes a request and reads the header of its response. It uses a connection on
+// which the request wasn't sent before. ctx covers the whole exchange, including the body.
+// Errors are of type *Error.
+func (p *Pool) Send(ctx context.Context, address string, request *Request) (*Response, error) {
+	c := p.takeIdle(address, time.Now(), request.carriers)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
 			return nil, err
 		}
 	}
+	request.carriers = append(request.carriers, c)
 	x := &exchange{pool: p, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(pastDeadline) })
 	response, err := x.run(request)
@@ -75,14 +73,16 @@
 		// A failed write closes the connection and so also fails the read.
 		go func() { _ = x.write(encoded) }()
 	}
-	for range maxForeignResponses {
+	for skipped := range maxForeignResponses {
 		header, err := x.conn.readHeader(request.Method)
 		if err != nil {
 			return nil, classify(err)
 		}
 		info := x.pool.headerCodec.DecodeResponse(header.StatusCode, header.Header)
 		if info.RequestID == request.ID {
-			return x.response(request.Method, header, info), nil
+			response := x.response(request.Method, header, info)
+			response.Skipped = skipped
+			return response, nil
 		}
 		if err := x.skip(request.Method, header); err != nil {
 			return nil, err
--- a/pkg/forward/send_test.go
+++ b/pkg/forward/send_test.go
@@ -117,7 +117,7 @@
 
 // fetch sends a request and reads its complete response.
 func fetch(ctx context.Context, pool *Pool, address string, r *Request) (string, error) {
-	response, err := pool.Send(ctx, address, r, false)
+	response, err := pool.Send(ctx, address, r)
 	if err != nil {
 		return "", err
 	}
@@ -349,7 +349,7 @@
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			_, err := pool.Send(ctx, address, request("1"), false)
+			_, err := pool.Send(ctx, address, request("1"))
 			if err == nil || ctx.Err() != nil {
 				t.Errorf("error %v after %v, want one at once", err, ctx.Err())
 			}
--- a/pkg/forward/watch.go
+++ b/pkg/forward/watch.go
@@ -44,7 +44,7 @@
 func (p *Pool) NewWatch(ctx context.Context, address string) (*Watch, error) {
 	now := time.Now()
 	w := &Watch{pool: p, address: address, renewedAt: now}
-	if w.conn = p.takeIdle(address, now); w.conn != nil {
+	if w.conn = p.takeIdle(address, now, nil); w.conn != nil {
 		w.established = true
 		return w, nil
 	}
--- a/pkg/forward/watch_test.go
+++ b/pkg/forward/watch_test.go
@@ -86,7 +86,7 @@
 		t.Error("an old connection wasn't replaced")
 	}
 	watch.Close()
-	if kept := pool.takeIdle(listener.Addr().String(), time.Now()); kept != nil {
+	if kept := pool.takeIdle(listener.Addr().String(), time.Now(), nil); kept != nil {
 		t.Error("a connection is kept on which the server may wait for a request")
 	}
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -25,7 +25,8 @@
 	request  *http.Request
 	route    *fleet.Route
 	caller   forward.RequestInfo
-	body     []byte
+	// outgoing is the request as it is sent to backend servers.
+	outgoing *forward.Request
 	arrived  time.Time
 	deadline time.Time
 	service  string
@@ -122,7 +123,13 @@
 		request:  r,
 		route:    route,
 		caller:   caller,
-		body:     body,
+		outgoing: &forward.Request{
+			ID:     caller.RequestID,
+			Method: r.Method,
+			Target: target(r),
+			Host:   r.Host,
+			Body:   body,
+		},
 		arrived:  arrived,
 		deadline: arrived.Add(timeout),
 		service:  pickDestination(route, rand.Float64()),
@@ -267,7 +274,7 @@
 		status = response.Status
 	}
 	x.logger.Info("attempt failed", "backend", backend.ID, "software", backend.Software, "required_software", x.software, "event", event.String(), "verdict", decision.String(), "status", status,
-		"sends", x.machine.Sends(), "may_have_run", x.machine.MayHaveRun(), "started", x.response.started(),
+		"sends", x.machine.Sends(), "connections", x.outgoing.Connections(), "may_have_run", x.machine.MayHaveRun(), "started", x.response.started(),
 		"framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "error", x.sendError)
 }
 
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -30,13 +30,14 @@
 	x.responseLatency = 0
 	x.headerReceived = false
 	tracker.RequestStarted(now, backend.ID)
-	response, err := x.handler.pool.Send(ctx, backend.Address, x.backendRequest(now, backend), false)
+	response, err := x.handler.pool.Send(ctx, backend.Address, x.backendRequest(now, backend))
 	if err != nil {
 		tracker.RequestEnded(backend.ID)
 		return x.sendFailed(ctx, backend, err), nil
 	}
 	x.headerReceived = true
 	x.progress.framing = response.Framing
+	x.recordSkipped(backend, response)
 	x.recordBackpressure(backend, response)
 	x.recordLimit(now, backend, response)
 	if event := x.classify(response); event != nil {
@@ -51,6 +52,15 @@
 	return nil, response
 }
 
+// recordSkipped records responses that arrived before the one to the request.
+func (x *exchange) recordSkipped(backend *server, response *forward.Response) {
+	if response.Skipped == 0 {
+		return
+	}
+	x.handler.observer.metrics.SkippedResponses(response.Skipped)
+	x.logger.Info("responses to earlier requests skipped", "backend", backend.ID, "skipped", response.Skipped, "connections", x.outgoing.Connections(), "status", response.Status)
+}
+
 // recordBackpressure records whether the server accepts further requests from this
 // host. It is called for every response, whatever its status.
 func (x *exchange) recordBackpressure(backend *server, response *forward.Response) {
@@ -101,8 +111,10 @@
 	return &event
 }
 
+// backendRequest returns the request for the next send. It is the same one for all sends,
+// with the header for this one.
 func (x *exchange) backendRequest(now time.Time, backend *server) *forward.Request {
-	header := x.handler.headerCodec.EncodeRequest(x.request.Header, forward.BackendHeaders{
+	x.outgoing.Header = x.handler.headerCodec.EncodeRequest(x.request.Header, forward.BackendHeaders{
 		Budget:      x.deadline.Sub(now),
 		Instance:    backend.ID,
 		Priority:    x.route.Priority,
@@ -110,14 +122,7 @@
 
 		WeightsVersion: x.progress.weightsVersion,
 	})
-	return &forward.Request{
-		ID:     x.caller.RequestID,
-		Method: x.request.Method,
-		Target: target(x.request),
-		Host:   x.request.Host,
-		Header: header,
-		Body:   x.body,
-	}
+	return x.outgoing
 }
 
 // classify returns the failure that a response means, or nil if it is to be
--- a/pkg/gateway/send_test.go
+++ b/pkg/gateway/send_test.go
@@ -156,7 +156,7 @@
 				pool := testPool(t, x)
 				request := &forward.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
 				backend := &server{Backend: &fleet.Backend{ID: "i-1", Address: rawServer(t, c.response)}}
-				response, err := pool.Send(t.Context(), backend.Address, request, false)
+				response, err := pool.Send(t.Context(), backend.Address, request)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -187,7 +187,7 @@
 	pool := testPool(t, x)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	response, err := pool.Send(ctx, endlessServer(t), &forward.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, false)
+	response, err := pool.Send(ctx, endlessServer(t), &forward.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -77,6 +77,7 @@
 	retryAfters        tally.Counter
 	limitedServers     tally.Gauge
 	limitedSends       tally.Counter
+	skippedResponses   tally.Counter
 	rateTokens         *vector[tally.Counter]
 	crashChecks        *vector[tally.Counter]
 	quarantined        tally.Counter
@@ -109,6 +110,7 @@
 		retryAfters:        gateway.Counter("turned_away_total"),
 		limitedServers:     gateway.Gauge("limited_backends"),
 		limitedSends:       gateway.Counter("limited_sends_total"),
+		skippedResponses:   gateway.Counter("skipped_responses_total"),
 		rateTokens:         newCounters(gateway, "rate_tokens_total", "outcome"),
 		crashChecks:        newCounters(gateway, "crash_checks_total", "result"),
 		quarantined:        gateway.Counter("quarantined_requests_total"),
@@ -178,6 +180,9 @@
 // LimitedSend counts a request sent to a backend server that names a rate limit.
 func (g *Gateway) LimitedSend() { g.limitedSends.Inc(1) }
 
+// SkippedResponses counts responses of backend servers that belong to earlier requests.
+func (g *Gateway) SkippedResponses(n int) { g.skippedResponses.Inc(int64(n)) }
+
 // RateToken counts a request for a rate token of a server with a rate limit. The outcome is
 // "granted", "refused", or "silent" if an entry that issues tokens didn't respond.
 func (g *Gateway) RateToken(outcome string) { g.rateTokens.with(labels{outcome}).Inc(1) }
