Cut off responses of leaving servers whose end nobody confirms

What callers saw: a runner that is taken away at short notice was killed in the middle of streams that end with its connection and can't be resumed; they got 200, the seal, half of the events and an orderly end (MIXED).

Cause: the end of a leaving server counted as unconfirmed although all its connections had ended at once and it refused new ones, since a leaving server may refuse connections while it runs; and an unconfirmed end was passed on as an orderly one where the caller's response ended with its connection as well. So the absence of evidence was an end.

TestPartOfResponseOfLeavingServerDoesNotLookComplete failed before for all seven kinds of response (streams, other bodies on a stream's route, buffered bodies, bodies too long to buffer; HTTP/1.1 and 1.0), and so did TestOtherRequestShowsThatLeavingServerRuns without the new evidence.

Change: a response that ends with its connection is complete only if its server is known to run; one rule for all kinds, so a caller's response never has to end like the server's. To cost callers no whole responses, more shows that a server runs: any connection from before the last data that is still open, in use or idle, where only one watched connection counted before.

Two tests had asked for the opposite, of a server that ends in the middle of its response and leaves: TestEntryDoesNotVouchForEndOfLeavingServer and TestUnframedResponseOnResumableRouteIsNotCutOff.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -21,16 +21,18 @@
 
 // conn is a connection to a backend server that serves one request at a time.
 type conn struct {
-	address      string
-	raw          net.Conn
-	header       *headerLimit
-	reader       *bufio.Reader
+	address string
+	raw     net.Conn
+	header  *headerLimit
+	reader  *bufio.Reader
+	// openedAt is when the connection was established.
+	openedAt     time.Time
 	idleDeadline time.Time
 }
 
-func newConn(address string, raw net.Conn) *conn {
+func newConn(address string, raw net.Conn, openedAt time.Time) *conn {
 	header := &headerLimit{source: raw}
-	return &conn{address: address, raw: raw, header: header, reader: bufio.NewReaderSize(header, readBufferBytes)}
+	return &conn{address: address, raw: raw, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), openedAt: openedAt}
 }
 
 // reset closes the connection without waiting for written data to be delivered.
@@ -48,6 +50,12 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	return c.hasNothingToRead()
+}
+
+// hasNothingToRead reports whether the connection is open and has no bytes in the kernel's
+// buffer. It doesn't wait for a read in progress.
+func (c *conn) hasNothingToRead() bool {
 	source, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
@@ -56,14 +64,13 @@
 	if err != nil {
 		return false
 	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
+	open := false
+	err = raw.Control(func(fd uintptr) {
 		var probe [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(err, syscall.EAGAIN)
-		return true
+		open = errors.Is(err, syscall.EAGAIN)
 	})
-	return err == nil && idle
+	return err == nil && open
 }
 
 // readHeader reads the header of the next final response, skipping informational
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -38,8 +38,10 @@
 	headerCodec HeaderCodec
 	observe     Observer
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// busy holds the connections that serve an exchange.
+	busy   map[string][]*conn
 	closed bool
 }
 
@@ -58,6 +60,7 @@
 		headerCodec: headerCodec,
 		observe:     observe,
 		idle:        make(map[string][]*conn),
+		busy:        make(map[string][]*conn),
 	}
 }
 
@@ -140,6 +143,35 @@
 	return nil
 }
 
+// setBusy records that a connection serves an exchange.
+func (p *Pool) setBusy(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[c.address] = append(p.busy[c.address], c)
+}
+
+// unsetBusy records that the exchange of a connection has ended.
+func (p *Pool) unsetBusy(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := slices.DeleteFunc(p.busy[c.address], func(other *conn) bool { return other == c })
+	if len(left) == 0 {
+		delete(p.busy, c.address)
+		return
+	}
+	p.busy[c.address] = left
+}
+
+// HasOpen reports whether a connection to an address that was established before a time is
+// still open, so that the process that had accepted it runs. Connections with unread bytes
+// don't count, as their end may be behind the bytes.
+func (p *Pool) HasOpen(address string, before time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isOpen := func(c *conn) bool { return c.openedAt.Before(before) && c.hasNothingToRead() }
+	return slices.ContainsFunc(p.busy[address], isOpen) || slices.ContainsFunc(p.idle[address], isOpen)
+}
+
 // putIdle keeps a connection for the next request.
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
@@ -159,5 +191,5 @@
 	if err != nil {
 		return nil, &Error{Op: "connect", Address: address, NotSent: true, Err: err}
 	}
-	return newConn(address, raw), nil
+	return newConn(address, raw, time.Now()), nil
 }
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -109,6 +109,7 @@
 	}
 	r.ended = true
 	x := r.exchange
+	x.pool.unsetBusy(x.conn)
 	interrupted := !x.stop()
 	if interrupted || !r.reusable || !x.written.Load() || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.raw.Close()
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -50,6 +50,7 @@
 		}
 	}
 	request.carriers = append(request.carriers, c)
+	p.setBusy(c)
 	x := &exchange{pool: p, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(pastDeadline) })
 	response, err := x.run(request)
@@ -118,6 +119,7 @@
 // discards data that is still in transit.
 func (x *exchange) abort() {
 	x.stop()
+	x.pool.unsetBusy(x.conn)
 	x.conn.reset()
 }
 
--- a/pkg/gateway/ends_harness_test.go
+++ b/pkg/gateway/ends_harness_test.go
@@ -62,6 +62,19 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
+	// requests holds the method of the request that each connection serves.
+	requests map[net.Conn]string
+}
+
+// closeOthers closes all connections but one and those that serve requests of a method.
+func (b *rawBackend) closeOthers(kept net.Conn, method string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, conn := range b.conns {
+		if conn != kept && b.requests[conn] != method {
+			_ = conn.Close()
+		}
+	}
 }
 
 // end closes the listener and all connections in order, as the kernel does for a process
@@ -93,6 +106,12 @@
 			if _, err := io.Copy(io.Discard, request.Body); err != nil {
 				return
 			}
+			b.mu.Lock()
+			if b.requests == nil {
+				b.requests = make(map[net.Conn]string)
+			}
+			b.requests[conn] = request.Method
+			b.mu.Unlock()
 			b.respond(b, conn.(*net.TCPConn), request)
 		})
 	}
--- a/pkg/gateway/ends_test.go
+++ b/pkg/gateway/ends_test.go
@@ -175,44 +175,6 @@
 	}
 }
 
-// endLeavingServer has a server leave and end in the middle of a response.
-func endLeavingServer(site *endSite, backend *rawBackend) {
-	for _, s := range site.handler.control.current().servers[testService] {
-		if s.Address == backend.listener.Addr().String() {
-			site.handler.gate.RecordLeaving(time.Now(), s.incarnation())
-		}
-	}
-	time.Sleep(eventPause)
-	backend.end()
-}
-
-// TestEntryDoesNotVouchForEndOfLeavingServer has a server that refuses connections, since
-// it is leaving, end a response with its connection.
-func TestEntryDoesNotVouchForEndOfLeavingServer(t *testing.T) {
-	for _, c := range []struct {
-		name           string
-		route          fleet.Route
-		response, body string
-	}{
-		{"stream", onceRoute, streamHeader("") + events(1, 3), events(1, 3)},
-		{"response", fleet.Route{MaxAttempts: 1, Timeout: 5 * time.Second}, "HTTP/1.1 200 OK\r\n" + endSiteHeader + "\r\nbody", "body"},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			var site *endSite
-			site = startEndSite(t, c.route, 1, func(backend *rawBackend, conn *net.TCPConn, _ *http.Request) {
-				_, _ = io.WriteString(conn, c.response)
-				endLeavingServer(site, backend)
-			})
-			got := site.call(t, "HTTP/1.1", false)
-			checkComplete(t, got, c.body)
-			if got.framed {
-				t.Error("the response has a length or chunks")
-			}
-		})
-	}
-}
-
 func TestUnframedStreamOfLeavingServerIsResumed(t *testing.T) {
 	var site *endSite
 	site = startEndSite(t, streamRoute, 2, func(backend *rawBackend, conn *net.TCPConn, request *http.Request) {
--- /dev/null
+++ b/pkg/gateway/leaving_ends_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+)
+
+// leave has the entry know that a server is leaving.
+func leave(site *endSite, backend *rawBackend) {
+	for _, s := range site.handler.control.current().servers[testService] {
+		if s.Address == backend.listener.Addr().String() {
+			site.handler.gate.RecordLeaving(time.Now(), s.incarnation())
+		}
+	}
+	time.Sleep(eventPause)
+}
+
+// endLeavingServer has a server leave and end in the middle of a response.
+func endLeavingServer(site *endSite, backend *rawBackend) {
+	leave(site, backend)
+	backend.end()
+}
+
+// leaveAndRefuse has a server leave and accept no more connections. Its process runs on.
+func leaveAndRefuse(site *endSite, backend *rawBackend) {
+	leave(site, backend)
+	_ = backend.listener.Close()
+}
+
+// unframedResponse is a response of each kind that ends with its connection.
+type unframedResponse struct {
+	name, protocol string
+	route          fleet.Route
+	response, body string
+}
+
+func unframedResponses() []unframedResponse {
+	plainRoute := fleet.Route{MaxAttempts: 1, Timeout: 5 * time.Second}
+	long := strings.Repeat("x", maxBufferedBytes+100)
+	const header = "HTTP/1.1 200 OK\r\n" + endSiteHeader + "\r\n"
+	return []unframedResponse{
+		{"stream", "HTTP/1.1", onceRoute, streamHeader("") + events(1, 3), events(1, 3)},
+		{"stream to an HTTP/1.0 caller", "HTTP/1.0", onceRoute, streamHeader("") + events(1, 3), events(1, 3)},
+		{"no events on a stream's route", "HTTP/1.1", onceRoute, header + "body", "body"},
+		{"buffered", "HTTP/1.1", plainRoute, header + "body", "body"},
+		{"buffered, to an HTTP/1.0 caller", "HTTP/1.0", plainRoute, header + "body", "body"},
+		{"too long to buffer", "HTTP/1.1", plainRoute, header + long, long},
+		{"too long to buffer, to an HTTP/1.0 caller", "HTTP/1.0", plainRoute, header + long, long},
+	}
+}
+
+// Guards against a part of a response that looks whole, of a leaving server that was killed.
+func TestPartOfResponseOfLeavingServerDoesNotLookComplete(t *testing.T) {
+	for _, c := range unframedResponses() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var site *endSite
+			site = startEndSite(t, c.route, 1, func(backend *rawBackend, conn *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(conn, c.response)
+				endLeavingServer(site, backend)
+			})
+			got := site.call(t, c.protocol, false)
+			if got.err == nil && got.status == http.StatusOK {
+				t.Errorf("%d bytes, want a visibly incomplete response or an error", len(got.body))
+			}
+		})
+	}
+}
+
+// Guards against whole responses that are cut off, of a leaving server that refuses connections.
+func TestWholeResponseOfLeavingServerIsComplete(t *testing.T) {
+	for _, c := range unframedResponses() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var site *endSite
+			site = startEndSite(t, c.route, 1, func(backend *rawBackend, conn *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(conn, c.response)
+				leaveAndRefuse(site, backend)
+			})
+			checkComplete(t, site.call(t, c.protocol, false), c.body)
+		})
+	}
+}
+
+// Guards against whole responses that are cut off, of a leaving server that has closed its idle connections.
+func TestOtherRequestShowsThatLeavingServerRuns(t *testing.T) {
+	for _, c := range unframedResponses() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			otherBegun, responseRead := make(chan struct{}), make(chan struct{})
+			var site *endSite
+			site = startEndSite(t, c.route, 1, func(backend *rawBackend, conn *net.TCPConn, request *http.Request) {
+				if request.Method == http.MethodHead {
+					close(otherBegun)
+					<-responseRead
+					return
+				}
+				leaveAndRefuse(site, backend)
+				backend.closeOthers(conn, http.MethodHead)
+				_, _ = io.WriteString(conn, c.response)
+			})
+			otherEnded := make(chan struct{})
+			go func() {
+				defer close(otherEnded)
+				site.send(t, http.MethodHead, "HTTP/1.1", false)
+			}()
+			<-otherBegun
+			checkComplete(t, site.call(t, c.protocol, false), c.body)
+			close(responseRead)
+			<-otherEnded
+		})
+	}
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -30,6 +30,8 @@
 	events         eventstream.Sequence
 	scanner        eventstream.Scanner
 	weightsVersion string
+	// lastData is when the header or the last bytes of a response were received.
+	lastData time.Time
 	// lastRead is when the last bytes of a stream were read, longestGap the longest
 	// interval between two reads.
 	lastRead   time.Time
@@ -79,14 +81,10 @@
 	if len(body) > maxBufferedBytes {
 		return x.forwardOverflow(ctx, backend, response, body)
 	}
-	framing := forward.FramingLength
-	switch x.confirmEnd(ctx, backend, response) {
-	case endRefuted:
-		return x.responseLost(backend, response, errServerEnded)
-	case endUnconfirmed:
-		framing = forward.FramingConnection
+	if err := x.confirmEnd(ctx, backend, response).err(); err != nil {
+		return x.responseLost(backend, response, err)
 	}
-	if err := x.startResponse(response, framing, len(body)); err != nil {
+	if err := x.startResponse(response, forward.FramingLength, len(body)); err != nil {
 		return x.responseLost(backend, response, err)
 	}
 	_, _ = x.response.Write(body)
@@ -116,7 +114,7 @@
 // forwardOverflow streams a response without a length of which the buffer has the first
 // part.
 func (x *exchange) forwardOverflow(ctx context.Context, backend *server, response *forward.Response, first []byte) *attempt.Event {
-	if err := x.startResponse(response, response.Framing, len(first)); err != nil {
+	if err := x.startResponse(response, forward.FramingChunks, len(first)); err != nil {
 		return x.responseLost(backend, response, err)
 	}
 	if _, err := x.response.Write(first); err != nil {
@@ -130,8 +128,8 @@
 // continue.
 func (x *exchange) copyBody(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
 	_, err := io.Copy(x.response, watchedReader{ctx, x, response})
-	if err == nil && x.confirmEnd(ctx, backend, response) == endRefuted {
-		err = errServerEnded
+	if err == nil {
+		err = x.confirmEnd(ctx, backend, response).err()
 	}
 	if err != nil {
 		response.Close()
--- a/pkg/gateway/response_end.go
+++ b/pkg/gateway/response_end.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// err returns why a response with this evidence must not end as complete; nil if it may.
+func (e endEvidence) err() error {
+	switch e {
+	case endRefuted:
+		return errServerEnded
+	case endUnconfirmed:
+		return errEndUnconfirmed
+	default:
+		return nil
+	}
+}
+
 const (
 	// endSettleTime is how long the ends of a process's other connections may take to
 	// arrive after the first one.
@@ -60,7 +72,8 @@
 // endClues are what is known of a server when a response has ended with its connection.
 type endClues struct {
 	// watched is set if another connection to the server was open for long enough, and
-	// still when the last data arrived; open if it is now.
+	// still when the last data arrived. open is set if this one, or any other one from
+	// before the last data, is open now.
 	watched bool
 	open    bool
 	// accepts is set if the server accepted a new connection, refuses if it refused it.
@@ -88,6 +101,7 @@
 
 // watchServer begins to watch the server of a response that ends with its connection.
 func (x *exchange) watchServer(ctx context.Context, backend *server, response *forward.Response) {
+	x.progress.lastData = time.Now()
 	if response.Framing != forward.FramingConnection {
 		return
 	}
@@ -107,8 +121,9 @@
 	x.watch = nil
 }
 
-// checkWatch gives the watch up if its connection has ended before the response.
-func (x *exchange) checkWatch(ctx context.Context) {
+// dataReceived gives the watch up if its connection has ended before the response.
+func (x *exchange) dataReceived(ctx context.Context) {
+	x.progress.lastData = time.Now()
 	if x.watch == nil {
 		return
 	}
@@ -129,7 +144,7 @@
 func (r watchedReader) Read(p []byte) (int, error) {
 	n, err := r.response.Read(p)
 	if n > 0 {
-		r.exchange.checkWatch(r.ctx)
+		r.exchange.dataReceived(r.ctx)
 	}
 	return n, err
 }
@@ -161,7 +176,7 @@
 	known := x.handler.control.current().listed(target)
 	return endClues{
 		watched: x.watch != nil && x.watch.IsEstablished(),
-		open:    x.watch != nil && x.watch.IsOpen(),
+		open:    x.watch != nil && x.watch.IsOpen() || x.handler.pool.HasOpen(target.Address, x.progress.lastData),
 		accepts: err == nil,
 		refuses: errors.Is(err, syscall.ECONNREFUSED),
 		leaving: known == nil || known.State != fleet.BackendReady || x.handler.gate.Availability(target.incarnation()).Leaving,
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -42,7 +42,7 @@
 // are sent, so that another server can continue it.
 func (x *exchange) forwardStream(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
 	if !x.response.started() {
-		if err := x.startResponse(response, x.streamFraming(response), 0); err != nil {
+		if err := x.startResponse(response, forward.FramingChunks, 0); err != nil {
 			return x.responseLost(backend, response, err)
 		}
 		x.progress.weightsVersion = response.Info.WeightsVersion
@@ -63,17 +63,6 @@
 	return eventstream.After(x.caller.LastEventID)
 }
 
-// streamFraming returns what is to mark the end of a stream towards the caller. One that
-// ends with its server's connection and can't be resumed ends the same way here, so that
-// its end says no more than what was received.
-func (x *exchange) streamFraming(response *forward.Response) forward.Framing {
-	isResumable := x.route.Resumable && isEventStream(response)
-	if response.Framing == forward.FramingConnection && !isResumable {
-		return forward.FramingConnection
-	}
-	return forward.FramingChunks
-}
-
 // forwardEvents sends the events of a response. Of a stream that may be resumed, bytes are
 // held back until their event is complete.
 func (x *exchange) forwardEvents(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
@@ -128,7 +117,7 @@
 	if response.Framing == forward.FramingConnection && x.progress.events.Count() == 0 {
 		return x.streamBroken(response, errNoEvent)
 	}
-	if err := x.endError(x.confirmEnd(ctx, backend, response)); err != nil {
+	if err := x.confirmEnd(ctx, backend, response).err(); err != nil {
 		return x.streamBroken(response, err)
 	}
 	if x.sendPart(rest) {
@@ -137,18 +126,6 @@
 	return nil
 }
 
-// endError returns why a stream must not end as complete; nil if it may.
-func (x *exchange) endError(evidence endEvidence) error {
-	switch {
-	case evidence == endRefuted:
-		return errServerEnded
-	case evidence == endUnconfirmed && x.response.framing != forward.FramingConnection:
-		return errEndUnconfirmed
-	default:
-		return nil
-	}
-}
-
 // acceptEvents scans received bytes and records the events that they complete. It returns
 // where the last one of them ends. The error means that the next one doesn't follow it.
 func (x *exchange) acceptEvents(received []byte) (end int, err error) {
@@ -201,7 +178,7 @@
 			continue
 		}
 		if err == io.EOF {
-			err = x.endError(x.confirmEnd(ctx, backend, response))
+			err = x.confirmEnd(ctx, backend, response).err()
 		}
 		if err != nil {
 			x.sendError = err
@@ -239,7 +216,7 @@
 
 // recordRead records a read from a stream.
 func (x *exchange) recordRead(ctx context.Context, backend *server) {
-	x.checkWatch(ctx)
+	x.dataReceived(ctx)
 	now := time.Now()
 	x.handler.tracker.DataReceived(now, backend.ID)
 	if !x.progress.lastRead.IsZero() {
--- a/pkg/gateway/stream_joins_test.go
+++ b/pkg/gateway/stream_joins_test.go
@@ -152,13 +152,13 @@
 	}
 }
 
-// TestUnframedResponseOnResumableRouteIsNotCutOff has a leaving server respond on a route of
-// resumable streams with something else than events.
+// TestUnframedResponseOnResumableRouteIsNotCutOff has a leaving server, which refuses
+// connections and runs, respond on a route of resumable streams with something else than events.
 func TestUnframedResponseOnResumableRouteIsNotCutOff(t *testing.T) {
 	var site *endSite
 	site = startEndSite(t, streamRoute, 1, func(backend *rawBackend, conn *net.TCPConn, _ *http.Request) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+endSiteHeader+"\r\n{}")
-		endLeavingServer(site, backend)
+		leaveAndRefuse(site, backend)
 	})
 	checkComplete(t, site.call(t, "HTTP/1.1", false), "{}")
 }
