Remember late orders over a restart of the runner under its ID

What was seen: a runner that crashed and was back under its ID was ordered to load 145,400 MB of 140,000 (LIMIT), which makes it crash again.

Cause: an order without a response was forgotten for good once the runner's sequence number had passed the one that it expects, and at each restart. After a restart under the same ID the number counts anew, and neither the instance, the fencing token nor the number tells the incarnations apart: the late order is carried out when the number reaches its own again.

Change: orders without a response are remembered for 15 s, whatever the number and the incarnation, if they name the runner's ID. An order is sent only if those that may be executed right after it fit beside it: those that expect the number after it, the one after that, and so on. The rule holds for loads, adapters, their slots, and unloads, which also raise the number. It costs little room: orders that expect the same number as the next one exclude it or are excluded by it, and no longer take memory, and others are no reason to wait until the number is next to theirs.

The memory that a target may use is negative now if what may be executed doesn't fit; it was zero, which let a load go with the memory reserved for itself.

--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -56,13 +56,14 @@
 }
 
 // availableFor returns the memory that a target may use: the free memory plus what
-// an uncertain order for the same target has already reserved.
+// an order without a response for the same target has already reserved. It is negative if
+// the orders that may be executed don't fit.
 func (m *Manager) availableFor(wanted engine.Target) int64 {
-	return m.ledger.Free() + m.ledger.Get(wanted).MiB
+	return m.ledger.Capacity() - m.ledger.Used() + m.ledger.Get(wanted).MiB
 }
 
 // occupiedAdapterSlots counts the adapters that occupy a slot, including those of
-// uncertain load orders, but without the wanted one.
+// load orders that may still be executed, but without the wanted one.
 func (m *Manager) occupiedAdapterSlots(wanted adapterID) int {
 	count := 0
 	for _, a := range m.adapters {
@@ -105,6 +106,5 @@
 	if victim == (adapterID{}) {
 		return false
 	}
-	m.sendOrder(modelrunner.Unload, victim.model, victim.name)
-	return true
+	return m.orderUnload(engine.Target{Model: victim.model, Adapter: victim.name})
 }
--- a/pkg/residency/doc.go
+++ b/pkg/residency/doc.go
@@ -13,9 +13,11 @@
 // The runner's own reports are authoritative for what it holds. The memory ledger
 // is rebuilt from each report and from the pending orders. Only one order is
 // pending at a time, and each order names the sequence number of the last report.
-// An order whose response was lost may still be executed seconds later. It
-// becomes ineffective as soon as a later order is accepted, and counts as using
-// memory until then.
+// An order whose response was lost may still be executed seconds later, if the
+// runner then has the sequence number that it expects. A later order that was
+// accepted makes it ineffective until the runner starts again under its ID, which
+// resets the number. Such orders are remembered for uncertainTTL, and an order is
+// sent only if those that may be executed after it fit beside it.
 //
 // The package performs no I/O and reads no clock: times and events come in, actions
 // go out, and a single goroutine drives it.
--- a/pkg/residency/loads.go
+++ b/pkg/residency/loads.go
@@ -164,11 +164,7 @@
 }
 
 func (m *Manager) unloadFirst(victims []engine.Target) bool {
-	if len(victims) == 0 {
-		return false
-	}
-	m.sendOrder(modelrunner.Unload, victims[0].Model, "")
-	return true
+	return len(victims) > 0 && m.orderUnload(victims[0])
 }
 
 // unloadUnpermitted unloads an idle model whose permit was withdrawn.
@@ -182,6 +178,5 @@
 	if len(revoked) == 0 {
 		return false
 	}
-	m.sendOrder(modelrunner.Unload, slices.Min(revoked), "")
-	return true
+	return m.orderUnload(engine.Target{Model: slices.Min(revoked)})
 }
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -121,7 +121,7 @@
 	pendingOrder *modelrunner.Order
 	// activeChange is the accepted order for a model that is being executed.
 	activeChange *change
-	// uncertain are orders without a response that may still be executed.
+	// uncertain are orders without a response, by the time at which they were sent.
 	uncertain []uncertainOrder
 	// loadGrantWanted is the next model to be loaded, if it needs a load grant from
 	// the weight store; empty if there is none.
@@ -139,12 +139,6 @@
 	tier wire.CacheTier
 }
 
-// uncertainOrder is an order without a response.
-type uncertainOrder struct {
-	order modelrunner.Order
-	until time.Time
-}
-
 // NewManager returns the manager of an agent's incarnation. Orders carry the
 // holder's name and its fencing token.
 func NewManager(holder string, fence int64) *Manager {
@@ -201,6 +195,7 @@
 	}
 	m.instance = instance
 	m.instanceStartedAt = startedAtMillis
+	m.rebuildLedger()
 	return m.advance(now)
 }
 
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -58,7 +58,7 @@
 			m.activeChange = &change{order: order, started: now, tier: m.model(order.Model).tier}
 		}
 	case modelrunner.Unanswered:
-		m.uncertain = append(m.uncertain, uncertainOrder{order: order, until: now.Add(uncertainTTL)})
+		m.recordUncertain(now, order)
 	case modelrunner.Conflict, modelrunner.Invalid:
 		m.pausedUntil = now.Add(conflictDelay)
 	case modelrunner.StaleFence:
--- a/pkg/residency/reports.go
+++ b/pkg/residency/reports.go
@@ -10,9 +10,6 @@
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
-// uncertainTTL is how long an order without a response may still be executed.
-const uncertainTTL = 15 * time.Second
-
 // ReportReceived processes a report of the runner.
 func (m *Manager) ReportReceived(now time.Time, report modelrunner.Report) []Action {
 	m.applyReport(now, report)
@@ -30,10 +27,10 @@
 	if m.report != nil && m.report.StartedAtMillis != report.StartedAtMillis {
 		m.resetRunnerState()
 	}
-	m.resolveUncertain(report)
 	m.notRunning = false
 	m.report = &report
 	m.reportedAt = now
+	m.adoptExecutedOrder(now)
 	m.updateModels(now, report)
 	m.updateAdapters(report)
 	if report.InvalidLimit == "" {
@@ -66,12 +63,12 @@
 	})
 }
 
-// resetRunnerState discards what an earlier incarnation of the runner loaded.
+// resetRunnerState discards what an earlier incarnation of the runner loaded. Orders
+// without a response are kept, as they may reach the new incarnation if it has the same ID.
 func (m *Manager) resetRunnerState() {
 	m.reportedLimit = ratelimit.Record{}
 	m.observedLimit = ratelimit.Record{}
 	m.activeChange = nil
-	m.uncertain = nil
 	for _, known := range m.models {
 		known.loaded = false
 		known.loadGrantUntil = time.Time{}
@@ -127,27 +124,8 @@
 	}
 }
 
-// resolveUncertain drops the uncertain orders that can no longer be executed
-// because the runner's sequence number has passed them.
-func (m *Manager) resolveUncertain(report modelrunner.Report) {
-	m.uncertain = slices.DeleteFunc(m.uncertain, func(u uncertainOrder) bool {
-		if u.order.Expected >= report.Sequence {
-			return false
-		}
-		// This may be the order that advanced the sequence and is executed now.
-		if report.Busy && m.activeChange == nil && u.order.Adapter == "" && u.order.Expected == report.Sequence-1 {
-			m.activeChange = &change{order: u.order, started: m.reportedAt, tier: m.model(u.order.Model).tier}
-		}
-		return true
-	})
-}
-
-func (m *Manager) expireUncertain(now time.Time) {
-	m.uncertain = slices.DeleteFunc(m.uncertain, func(u uncertainOrder) bool { return !now.Before(u.until) })
-}
-
-// rebuildLedger computes the memory use from the runner's report and from pending
-// and uncertain load orders.
+// rebuildLedger computes the memory use from the runner's report and from the load orders
+// that may add to it.
 func (m *Manager) rebuildLedger() {
 	if m.placement == nil || m.report == nil {
 		return
@@ -184,17 +162,15 @@
 	_ = m.ledger.SyncFromEngine(state)
 }
 
-// pendingLoads returns the load orders that may add to what the runner reports.
+// pendingLoads returns the load orders that may add to what the runner reports by the time
+// the next order has been executed.
 func (m *Manager) pendingLoads() []modelrunner.Order {
-	var orders []modelrunner.Order
+	orders := m.followingOrders()
 	if m.activeChange != nil {
 		orders = append(orders, m.activeChange.order)
 	}
 	if m.pendingOrder != nil {
 		orders = append(orders, *m.pendingOrder)
 	}
-	for _, u := range m.uncertain {
-		orders = append(orders, u.order)
-	}
 	return slices.DeleteFunc(orders, func(o modelrunner.Order) bool { return o.Operation != modelrunner.Load })
 }
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -26,7 +26,7 @@
 			return adapterPoll
 		}
 	}
-	if m.activeChange != nil || len(m.uncertain) > 0 || (m.report != nil && m.report.Busy) {
+	if m.activeChange != nil || m.mayChangeUnasked() || (m.report != nil && m.report.Busy) {
 		return changePoll
 	}
 	if m.queue.Len() > 0 {
@@ -196,5 +196,5 @@
 		text += fmt.Sprintf(" adapter_loaded=%t adapter_coming=%t adapters_held=%d/%d", a.loaded, a.loading,
 			m.occupiedAdapterSlots(adapterID{}), m.placement.AdapterSlots)
 	}
-	return text + fmt.Sprintf(" free_mib=%d doubtful=%d calling=%t", m.ledger.Free(), len(m.uncertain), m.pendingOrder != nil)
+	return text + fmt.Sprintf(" free_mib=%d doubtful=%d following=%d calling=%t", m.ledger.Free(), len(m.uncertain), len(m.followingOrders()), m.pendingOrder != nil)
 }
