Don't pass a server's status on as a promise that it didn't make

What callers would see: a request that may run once is answered 408, 421, 429 or 503, which promise that it hasn't run, and has run (REFUSED).

Cause: a server states only by its own header that it didn't run a request. Without it, its 503 counted as a failure after a run, was not sent again, and was passed on unchanged, and its 408, 421 and 429 were forwarded like a result. Callers read the status alone.

Change: such a response becomes 502, without the server's seal, if the request may run once; to idempotent requests it is forwarded as it was.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -231,6 +231,11 @@
 	decision := x.machine.Step(time.Now(), event)
 	x.handler.observer.metrics.RetryDecision(decision.String())
 	x.logAttemptFailed(backend, event, decision, response)
+	if decision == attempt.ForwardFailure && response != nil && x.isFalsePromise(response) {
+		response.Close()
+		x.fail(x.unknownRefusal(ctx))
+		return true
+	}
 	if decision == attempt.ForwardFailure && response != nil {
 		x.forwardFailure(ctx, backend, response)
 		return true
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -139,6 +139,7 @@
 	switch {
 	case response.Info.NotRun:
 		event = attempt.NotRun
+	case x.isFalsePromise(response):
 	case response.Status < http.StatusMultipleChoices && !response.Info.Sealed:
 		// A success without the server's seal was not sent by a backend server.
 		event = attempt.Lost
