Play histories of requests that are refused, with real processes

Three entries, four runners that are just full, two servers without models, and one rejection of ten that arrives twice, where the next response is expected; entries are killed, stopped and frozen, agents killed and frozen, servers crashed and frozen; each request's runs are compared with what its caller got (TWICE, REFUSED).

The stand-in can send second copies late for that, and runners may have fewer places than the configuration names.

--- a/testkit/platformsite/site.go
+++ b/testkit/platformsite/site.go
@@ -5,6 +5,7 @@
 package platformsite
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -29,9 +30,15 @@
 	// Zones are assigned to them in turn.
 	Zones []string
 	// RunnerMB is the accelerator memory of each runner.
-	RunnerMB       float64
-	AdapterSlots   int
-	Slots          int
+	RunnerMB     float64
+	AdapterSlots int
+	Slots        int
+	// RunnerPlaces is the number of requests that a runner runs, RunnerQueue the number that
+	// may wait there; zero for Slots and twice as many. A runner with fewer places than the
+	// configuration names rejects requests that its agent lets through.
+	RunnerPlaces, RunnerQueue int
+	// CopyRejections is that of all backend servers.
+	CopyRejections int
 	LoadsPerSecond float64
 	Models         []backendserver.Model
 	// Work is the processing time of a plain request and of each event of a stream.
@@ -141,7 +148,7 @@
 func (s *Site) addPlainServer(ctx context.Context, i int) error {
 	options := backendserver.Options{
 		ID: fmt.Sprintf("p-%d", i+1), Service: PlainService, Zone: s.zone(i),
-		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work,
+		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work, CopyRejections: s.options.CopyRejections,
 	}
 	if s.options.ServerProcesses {
 		_, err := s.addServerProcess(ctx, options)
@@ -174,7 +181,8 @@
 	}
 	backend, address, err := s.startRunnerServer(ctx, backendserver.Options{
 		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Software: software, Engine: engine,
-		Slots: s.options.Slots, Queue: 2 * s.options.Slots, Work: s.options.Work, Events: s.options.Events,
+		Slots: cmp.Or(s.options.RunnerPlaces, s.options.Slots), Queue: cmp.Or(s.options.RunnerQueue, 2*s.options.Slots),
+		Work: s.options.Work, Events: s.options.Events, CopyRejections: s.options.CopyRejections,
 	})
 	if err != nil {
 		return nil, err
--- a/testkit/serverfaults/faults_test.go
+++ b/testkit/serverfaults/faults_test.go
@@ -180,10 +180,36 @@
 	return f.kill(append(f.h.site.EntryProcesses(), f.h.site.AgentProcesses()...)...)
 }
 
+// terminateEntry has an entry stop as planned, and starts it again.
+func (f *faults) terminateEntry() func() {
+	entries := f.h.site.EntryProcesses()
+	process := entries[f.random.IntN(len(entries))]
+	down := f.between(0, maxDown)
+	if !f.take(process) {
+		return nil
+	}
+	return func() {
+		defer f.giveBack(process)
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		f.log("terminate %s", process.Name)
+		f.report(process.Stop(ctx))
+		time.Sleep(down)
+		f.log("start %s", process.Name)
+		f.report(process.Start())
+	}
+}
+
 // freeze stops an entry or an agent for a time.
 func (f *faults) freeze() func() {
 	processes := append(f.h.site.EntryProcesses(), f.h.site.AgentProcesses()...)
-	process := processes[f.random.IntN(len(processes))]
+	return f.freezeProcess(processes[f.random.IntN(len(processes))])
+}
+
+// freezeServer stops a backend server for a time.
+func (f *faults) freezeServer() func() { return f.freezeProcess(f.randomServer().Process) }
+
+func (f *faults) freezeProcess(process *site.Process) func() {
 	frozen := f.between(0, 2*maxDown)
 	if !f.take(process) {
 		return nil
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -68,7 +68,7 @@
 	}
 	body, err := httpapi.ReadBody(w, r)
 	if err != nil || id == "" {
-		s.refuse(w, id, http.StatusBadRequest)
+		s.refuse(w, r, id, http.StatusBadRequest)
 		return
 	}
 	run := Run{
@@ -79,15 +79,15 @@
 	change := s.recordRun(run)
 	if remaining := s.rejectionTime(); remaining > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(remaining.Seconds(), 'f', 3, 64))
-		s.refuse(w, id, http.StatusServiceUnavailable)
+		s.refuse(w, r, id, http.StatusServiceUnavailable)
 		return
 	}
 	if status := s.refusalStatus(r); status != 0 {
-		s.refuse(w, id, status)
+		s.refuse(w, r, id, status)
 		return
 	}
 	if !s.acquireSlot(r) {
-		s.refuse(w, id, http.StatusServiceUnavailable)
+		s.refuse(w, r, id, http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-s.slots }()
@@ -114,9 +114,12 @@
 	return max(s.rejectUntil.Sub(now), 0)
 }
 
-func (s *Server) refuse(w http.ResponseWriter, id string, status int) {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, id string, status int) {
 	w.Header().Set(HeaderRequestID, id)
 	w.Header().Set(HeaderNotRun, "1")
+	if s.options.CopyRejections > 0 {
+		copyLater(r, id, status)
+	}
 	w.WriteHeader(status)
 }
 
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -54,6 +54,9 @@
 	Events int
 	// Engine is nil for plain services.
 	Engine *Engine
+	// CopyRejections has each n-th rejection arrive a second time, where the next response
+	// on its connection is expected; zero for none.
+	CopyRejections int
 	// Unregistered keeps the server out of the store until Register is called.
 	Unregistered bool
 	// OnRun is called with each request that the server begins to process; nil for none.
@@ -142,6 +145,9 @@
 		s.engine = newEngine(options.Engine)
 	}
 	s.http = &http.Server{Handler: s.routes()}
+	if options.CopyRejections > 0 {
+		listener = newCopyListener(s.http, listener, options.CopyRejections)
+	}
 	go func() { _ = s.http.Serve(listener) }()
 	if !options.Unregistered {
 		s.Register()
