Let registrations for unknown services take no address

What callers saw: bookings were refused 503 for as long as an entry of another writer stood that names a service without a configuration and the address of a sound server.

Cause: the registry gave an address to the newest registration, whatever service it names, and refused the server's own one as older from then on.

TestRegistrationOfUnknownServiceTakesNoAddress and TestServerTakesAddressOnceItsServiceIsKnown fail with the check taken out.

Change: the registry knows the configuration's services. Registrations for others neither take an address nor hold one, until a configuration names their service; before the first configuration nobody takes an address.

--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -31,6 +31,8 @@
 // Registry holds the registered backend servers. Use NewRegistry.
 type Registry struct {
 	registrations map[string]*registration
+	// services are those of the configuration; nil before there is one.
+	services map[string]bool
 	// unstableUntil is the end of the time in which missing registrations are kept.
 	unstableUntil time.Time
 }
@@ -46,6 +48,31 @@
 	r.unstableUntil = now.Add(storeGrace)
 }
 
+// SetServices sets the names of the services of the configuration. Registrations for other
+// services may come from another writer and take no address.
+func (r *Registry) SetServices(now time.Time, names []string) {
+	known := make(map[string]bool, len(names))
+	for _, name := range names {
+		known[name] = true
+	}
+	added := slices.ContainsFunc(names, func(name string) bool { return !r.services[name] })
+	r.services = known
+	if !added {
+		return
+	}
+	for _, registered := range r.registrations {
+		if registered.usable && !r.claimAddress(now, &registered.backend) {
+			registered.remove(now)
+		}
+	}
+}
+
+// isOfService reports whether a registration is for a service of the configuration, as far
+// as that is known.
+func (r *Registry) isOfService(backend *fleet.Backend) bool {
+	return r.services == nil || r.services[backend.Service]
+}
+
 // Put applies a registration and ignores writes that are older than the known
 // registration of the same server. It reports whether anything but the heartbeat's
 // sequence changed.
@@ -69,10 +96,14 @@
 }
 
 // claimAddress removes the servers that used an address before. It returns false if
-// a newer server uses the address.
+// a newer server uses the address. Registrations for unknown services neither take an
+// address nor hold one.
 func (r *Registry) claimAddress(now time.Time, backend *fleet.Backend) bool {
+	if !r.isOfService(backend) {
+		return true
+	}
 	for id, other := range r.registrations {
-		if id == backend.ID || other.backend.Address != backend.Address || !other.usable {
+		if id == backend.ID || other.backend.Address != backend.Address || !other.usable || !r.isOfService(&other.backend) {
 			continue
 		}
 		if other.backend.StartedAtMillis > backend.StartedAtMillis {
--- a/pkg/backends/registry_test.go
+++ b/pkg/backends/registry_test.go
@@ -126,3 +126,31 @@
 	}
 	wantUsable(t, r, "b", "c")
 }
+
+// Guards against a registration of another writer that displaces a sound server.
+func TestRegistrationOfUnknownServiceTakesNoAddress(t *testing.T) {
+	r := NewRegistry()
+	r.SetServices(testStart, []string{"s"})
+	r.Put(testStart, backend("a", "10.0.0.1:1", 100, 1))
+	foreign := backend("x", "10.0.0.1:1", 200, 1)
+	foreign.Service = "other"
+	r.Put(testStart, foreign)
+	wantUsable(t, r, "a", "x")
+	r.Put(testStart, backend("a", "10.0.0.1:1", 100, 2))
+	wantUsable(t, r, "a", "x")
+}
+
+// Guards against an address that stays with an ended server when its next server's service is added later.
+func TestServerTakesAddressOnceItsServiceIsKnown(t *testing.T) {
+	r := NewRegistry()
+	r.SetServices(testStart, nil)
+	r.Put(testStart, backend("a", "10.0.0.1:1", 100, 1))
+	next := backend("b", "10.0.0.1:1", 200, 1)
+	next.Service = "other"
+	r.Put(testStart, next)
+	wantUsable(t, r, "a", "b")
+	r.SetServices(testStart, []string{"s"})
+	wantUsable(t, r, "a", "b")
+	r.SetServices(testStart, []string{"s", "other"})
+	wantUsable(t, r, "b")
+}
--- a/pkg/fleet/configuration.go
+++ b/pkg/fleet/configuration.go
@@ -57,6 +57,15 @@
 	Destinations []Destination
 }
 
+// ServiceNames returns the names of the services.
+func (c *Configuration) ServiceNames() []string {
+	names := make([]string, 0, len(c.Services))
+	for i := range c.Services {
+		names = append(names, c.Services[i].Name)
+	}
+	return names
+}
+
 // Idempotent reports whether a request of the route may run more than once.
 func (r *Route) Idempotent() bool {
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -82,6 +82,8 @@
 		agents:   make(map[string]*agentState),
 		changed:  make(chan struct{}),
 	}
+	// Before there is a configuration, no server takes an address from another one.
+	c.registry.SetServices(time.Time{}, nil)
 	c.publish()
 	return c
 }
@@ -142,7 +144,10 @@
 	for _, service := range c.table.Engines() {
 		c.engines[service.Name] = wireEngine(configuration.Version, service.Engine)
 	}
+	before := c.registry.Backends()
+	c.registry.SetServices(time.Now(), configuration.ServiceNames())
 	c.publish()
+	c.logChanges(before, c.registry.Backends())
 	c.logger.Info("configuration activated", "belief", "configuration", "version", configuration.Version,
 		"routes", len(configuration.Routes), "services", len(configuration.Services))
 }
