Split files that had grown, and join the relay's translations

No change of behaviour: functions are moved as they are. What a relay sends and what its followers read of it stands in one file, each direction beside the other.

--- /dev/null
+++ b/pkg/engine/http_request.go
@@ -0,0 +1,91 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// requestParts contains the parts of an HTTP request.
+type requestParts struct {
+	method string
+	url    string
+	header http.Header
+	body   []byte
+}
+
+// set adds a header unless its value is empty.
+func (p *requestParts) set(name, value string) {
+	if value == "" {
+		return
+	}
+	if p.header == nil {
+		p.header = http.Header{}
+	}
+	p.header.Set(name, value)
+}
+
+// send sends a request once. Its error has NotRun set only if no connection was
+// made.
+func send(ctx context.Context, client *http.Client, op string, parts requestParts) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), parts.method, parts.url, nil)
+	if err != nil {
+		return nil, &Error{Op: op, NotRun: true, Err: err}
+	}
+	parts.set("Accept-Encoding", plainEncoding)
+	request.Header = parts.header
+	if len(parts.body) > 0 {
+		// GetBody stays nil, so that the transport can't send the request again.
+		request.Body = io.NopCloser(bytes.NewReader(parts.body))
+		request.ContentLength = int64(len(parts.body))
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, &Error{Op: op, NotRun: !connected.Load(), Err: err}
+	}
+	return response, nil
+}
+
+func isNotRun(response *http.Response) bool {
+	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(HeaderOutcome) == OutcomeNotRun
+}
+
+// checkStatus returns an *Error unless the status indicates success.
+func checkStatus(op string, response *http.Response) error {
+	if response.StatusCode >= 200 && response.StatusCode < 300 {
+		return nil
+	}
+	return statusError(op, response)
+}
+
+// statusError returns the error for a response with an unexpected status.
+func statusError(op string, response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	return &Error{
+		Op:     op,
+		NotRun: isNotRun(response),
+		Status: response.StatusCode,
+		Err:    fmt.Errorf("status %d: %s", response.StatusCode, bytes.TrimSpace(text)),
+	}
+}
+
+func newClient(keepAlive bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleConnTimeout,
+			DisableKeepAlives:   !keepAlive,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/directory"
-	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
-	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -218,21 +216,6 @@
 	return servers
 }
 
-func serverUpdate(b *fleet.Backend) wire.ServerUpdate {
-	return wire.ServerUpdate{
-		ID:              b.ID,
-		Service:         b.Service,
-		Address:         b.Address,
-		FailureDomain:   b.FailureDomain,
-		Software:        b.Software,
-		Slots:           b.Slots,
-		Draining:        b.State == fleet.BackendDraining,
-		ColdMillis:      uint32(b.WarmupRemaining.Milliseconds()),
-		StartedAtMillis: b.StartedAtMillis,
-		Sequence:        b.Sequence,
-	}
-}
-
 func entriesOf(v *view) map[string]wire.EntryUpdate {
 	entries := make(map[string]wire.EntryUpdate)
 	for id, host := range v.hosts {
@@ -242,13 +225,3 @@
 	}
 	return entries
 }
-
-func entryUpdate(host *roster.Host) wire.EntryUpdate {
-	return wire.EntryUpdate{
-		Host:            host.ID,
-		InternalAddress: host.InternalAddress,
-		FailureDomain:   host.FailureDomain,
-		Processor:       host.CPUShare,
-		Revision:        host.Revision,
-	}
-}
--- a/pkg/gateway/store_watcher.go
+++ b/pkg/gateway/store_watcher.go
@@ -5,11 +5,9 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
@@ -240,71 +238,3 @@
 		s.control.freshness.confirm(time.Now(), metrics.ViewConfiguration, table.Configuration().Version)
 	}
 }
-
-// registrationChange is one change of a backend server's registration.
-type registrationChange struct {
-	id      string
-	backend fleet.Backend
-	removed bool
-	// unreadable is set for a value that can't be decoded as a usable server.
-	unreadable bool
-}
-
-func (s *storeWatcher) handleRegistrations(read storeRead) {
-	now := time.Now()
-	changes := make([]registrationChange, 0, len(read.events))
-	for _, event := range read.events {
-		changes = append(changes, s.decodeRegistration(event))
-	}
-	s.control.loop.Do(func() {
-		s.control.updateRegistry(func(registry *backends.Registry) bool {
-			return applyRegistrations(now, registry, read.complete, changes)
-		})
-	})
-	s.control.freshness.confirm(now, metrics.ViewRegistrations, read.revision)
-}
-
-func (s *storeWatcher) decodeRegistration(event keyvalue.WatchEvent) registrationChange {
-	change := registrationChange{id: strings.TrimPrefix(event.Value.Key, s.codec.RegistrationPrefix), removed: event.Deleted}
-	if event.Deleted {
-		return change
-	}
-	backend, err := s.codec.DecodeRegistration(event.Value.Key, event.Value.Value)
-	if err != nil {
-		s.logger.Debug("registration ignored", "revision", event.Value.ModRevision, "error", err)
-		change.unreadable = true
-		return change
-	}
-	change.backend = backend
-	return change
-}
-
-// applyRegistrations applies changes in order and reports whether the set of usable
-// servers has changed.
-func applyRegistrations(now time.Time, registry *backends.Registry, complete bool, changes []registrationChange) bool {
-	changed := false
-	var listed []fleet.Backend
-	for _, change := range changes {
-		switch {
-		case change.removed:
-			changed = registry.Remove(now, change.id) || changed
-		case change.unreadable:
-			changed = registry.Drop(now, change.id) || changed
-		default:
-			changed = registry.Put(now, change.backend) || changed
-			listed = append(listed, change.backend)
-		}
-	}
-	if complete {
-		changed = registry.Replace(now, listed) || changed
-	}
-	return changed
-}
-
-// runExpiry removes expired servers until ctx ends.
-func (s *storeWatcher) runExpiry(ctx context.Context) {
-	for ctx.Err() == nil {
-		backoff.Sleep(ctx, expireInterval)
-		s.control.loop.Do(func() { s.control.expireBackends(time.Now()) })
-	}
-}
--- a/pkg/gateway/upstream.go
+++ b/pkg/gateway/upstream.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backends"
-	"teaselgauge.example/teaselgauge/pkg/fleet"
-	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -177,32 +175,3 @@
 	}
 	return changed
 }
-
-func backendOf(update *wire.ServerUpdate) fleet.Backend {
-	backend := fleet.Backend{
-		ID:              update.ID,
-		Service:         update.Service,
-		Address:         update.Address,
-		FailureDomain:   update.FailureDomain,
-		Software:        update.Software,
-		Slots:           update.Slots,
-		WarmupRemaining: time.Duration(update.ColdMillis) * time.Millisecond,
-		StartedAtMillis: update.StartedAtMillis,
-		Sequence:        update.Sequence,
-	}
-	if update.Draining {
-		backend.State = fleet.BackendDraining
-	}
-	return backend
-}
-
-func entryOf(update *wire.EntryUpdate) roster.Host {
-	return roster.Host{
-		ID:              update.Host,
-		Role:            keys.RoleEntry,
-		InternalAddress: update.InternalAddress,
-		FailureDomain:   update.FailureDomain,
-		CPUShare:        update.Processor,
-		Revision:        update.Revision,
-	}
-}
