Confirm the end of a response of a server that can't be watched

Change: a server that isn't watched and accepts a connection within 20 ms of the end, and another one after the ends of its other connections would have arrived, still runs: no other process can listen at its address so soon. This holds for leaving servers too. Nothing else opens a further connection.

Evidence: TestWholeResponseOfServerThatCannotBeWatchedIsComplete fails without it for all seven kinds of response; the cases of killed servers and of servers that are back at once are as before.

--- a/pkg/gateway/ends_harness_test.go
+++ b/pkg/gateway/ends_harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,9 @@
 	respond func(backend *rawBackend, conn *net.TCPConn, request *http.Request)
 	serving sync.WaitGroup
 
+	// full is set while the server closes new connections at once.
+	full atomic.Bool
+
 	mu    sync.Mutex
 	conns []net.Conn
 	// requests holds the method of the request that each connection serves.
@@ -94,6 +98,10 @@
 		if err != nil {
 			return
 		}
+		if b.full.Load() {
+			_ = conn.Close()
+			continue
+		}
 		b.mu.Lock()
 		b.conns = append(b.conns, conn)
 		b.mu.Unlock()
--- a/pkg/gateway/leaving_ends_test.go
+++ b/pkg/gateway/leaving_ends_test.go
@@ -117,3 +117,30 @@
 		})
 	}
 }
+
+// Guards against whole responses that are cut off, of a server that has no room for another connection.
+func TestWholeResponseOfServerThatCannotBeWatchedIsComplete(t *testing.T) {
+	for _, c := range unframedResponses() {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			site := startEndSite(t, c.route, 1, func(backend *rawBackend, conn *net.TCPConn, _ *http.Request) {
+				backend.full.Store(true)
+				half := len(c.response) / 2
+				_, _ = io.WriteString(conn, c.response[:half])
+				time.Sleep(4 * eventPause)
+				_, _ = io.WriteString(conn, c.response[half:])
+				time.Sleep(eventPause)
+				backend.full.Store(false)
+			})
+			// On a busy machine a connection can take longer than minRestartTime.
+			const tries = 3
+			var got received
+			for range tries {
+				if got = site.call(t, c.protocol, false); got.err == nil && got.status == http.StatusOK {
+					break
+				}
+			}
+			checkComplete(t, got, c.body)
+		})
+	}
+}
--- a/pkg/gateway/response_end.go
+++ b/pkg/gateway/response_end.go
@@ -65,6 +65,9 @@
 	// endSettleTime is how long the ends of a process's other connections may take to
 	// arrive after the first one.
 	endSettleTime = 10 * time.Millisecond
+	// minRestartTime is the shortest time in which another process can listen at the address
+	// of one that has ended.
+	minRestartTime = 20 * time.Millisecond
 	// clueTimeout limits the time to find out whether a server still runs.
 	clueTimeout = 200 * time.Millisecond
 )
@@ -79,6 +82,9 @@
 	// accepts is set if the server accepted a new connection, refuses if it refused it.
 	accepts bool
 	refuses bool
+	// acceptedAtOnce is set if a server that isn't watched accepted one within
+	// minRestartTime of the end.
+	acceptedAtOnce bool
 	// leaving is set if the server is leaving, or isn't registered, and so may refuse
 	// connections while it runs.
 	leaving bool
@@ -88,7 +94,7 @@
 // that ends, and in order, so that the end of one alone shows nothing.
 func (c endClues) evidence() endEvidence {
 	switch {
-	case c.open && (c.accepts || c.refuses && c.leaving):
+	case c.open && (c.accepts || c.refuses && c.leaving), !c.watched && c.acceptedAtOnce && c.accepts:
 		return endServerRunning
 	case c.open, c.leaving:
 		return endUnconfirmed
@@ -159,17 +165,32 @@
 	x.progress.evidence = clues.evidence()
 	x.handler.observer.metrics.UnframedEnd(x.progress.evidence.String())
 	x.logger.Info("response ended with its connection", "backend", backend.ID, "evidence", x.progress.evidence.String(),
-		"watched", clues.watched, "open", clues.open, "leaving", clues.leaving,
+		"watched", clues.watched, "open", clues.open, "accepted_at_once", clues.acceptedAtOnce, "leaving", clues.leaving,
 		"last_event", x.progress.events.LastID(), "error", err)
 	return x.progress.evidence
 }
 
+// lacksWatch reports whether no connection shows what became of the server: none was made, or
+// the server closed it at once, as beyond its limit.
+func (x *exchange) lacksWatch() bool {
+	return x.watch == nil || (!x.watch.IsOpen() && !x.watch.IsEstablished())
+}
+
+// acceptsAtOnce reports whether a server whose response has just ended accepts a connection
+// before another process could have taken its place.
+func (x *exchange) acceptsAtOnce(ctx context.Context, target *server) bool {
+	ctx, cancel := context.WithTimeout(ctx, minRestartTime)
+	defer cancel()
+	return x.handler.pool.CheckListening(ctx, target.Address) == nil
+}
+
 // gatherClues finds out whether the process of a server still runs. The error is that of a
 // new connection.
 func (x *exchange) gatherClues(ctx context.Context, target *server) (endClues, error) {
 	// A response that ends at its deadline is judged as well.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), clueTimeout)
 	defer cancel()
+	acceptedAtOnce := x.lacksWatch() && x.acceptsAtOnce(ctx, target)
 	// The ends of a process's connections don't arrive at the same moment.
 	backoff.Sleep(ctx, endSettleTime)
 	err := x.handler.pool.CheckListening(ctx, target.Address)
@@ -179,6 +200,9 @@
 		open:    x.watch != nil && x.watch.IsOpen() || x.handler.pool.HasOpen(target.Address, x.progress.lastData),
 		accepts: err == nil,
 		refuses: errors.Is(err, syscall.ECONNREFUSED),
+
+		acceptedAtOnce: acceptedAtOnce,
+
 		leaving: known == nil || known.State != fleet.BackendReady || x.handler.gate.Availability(target.incarnation()).Leaving,
 	}, err
 }
