Recover from a store that comes back from a copy

What callers saw: half of the models were refused 503 until each process was restarted, after the store had come back from a copy some seconds old.

Cause: processes entered themselves once, at their start, and nobody wrote their entries again; positions in the store were revisions, which go back with it, so that later writes counted as older; and a placement that the store had lost was not written again, as it hadn't changed.

Change: the store's era is read with each response, and a position is the pair of era and revision in one number, so that all comparisons hold over eras, those of fencing tokens too. Entries that aren't in the host list, and agents to which no entry is subscribed, look for their entry in the store and write it, and the secret, again. A lost placement is written again. An era that falls, is missing or isn't a number is logged, and the known one is kept. Stores that name no era are as before.

--- a/cmd/teaselgauge-agent/main.go
+++ b/cmd/teaselgauge-agent/main.go
@@ -54,7 +54,7 @@
 	processTelemetry := telemetry.New(state.Identity{Program: "teaselgauge-agent", Version: environment.Version, HostID: config.Host.ID})
 	defer processTelemetry.Close()
 	runnerMetrics := metrics.NewRunner(processTelemetry.Scope())
-	store := platform.NewStore(config.Store.Address).WithObserver(runnerMetrics.ObserveStore)
+	store := platform.NewStore(config.Store.Address).WithObserver(runnerMetrics.ObserveStore).WithEraObserver(command.LogStoreEra(environment.Logger))
 	defer store.Close()
 	runner := platform.NewRunner(config.Runner)
 	defer runner.Close()
--- a/cmd/teaselgauge-entry/main.go
+++ b/cmd/teaselgauge-entry/main.go
@@ -65,7 +65,7 @@
 	processTelemetry := telemetry.New(state.Identity{Program: "teaselgauge-entry", Version: environment.Version, HostID: config.Host.ID})
 	defer processTelemetry.Close()
 	gatewayMetrics := metrics.NewGateway(processTelemetry.Scope())
-	store := platform.NewStore(config.Store.Address).WithObserver(gatewayMetrics.ObserveStore)
+	store := platform.NewStore(config.Store.Address).WithObserver(gatewayMetrics.ObserveStore).WithEraObserver(command.LogStoreEra(environment.Logger))
 	defer store.Close()
 	return gateway.Run(ctx, config, gateway.Dependencies{
 		Store:             store,
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -56,6 +56,8 @@
 	leader  leaderState
 	// engines holds the engine description sent to agents, by service.
 	engines map[string]*wire.Engine
+	// placementLost is set if the store doesn't have the active placement any more.
+	placementLost bool
 	// asOf is the store revision up to which hosts and placement are known.
 	asOf int64
 
@@ -229,6 +231,10 @@
 		delete(c.hosts, id)
 	}
 	c.removeUnlistedAgents(change)
+	if change.complete && change.includesAgents && change.placement == nil && c.placement != nil {
+		c.logger.Warn("the store has lost the active placement", "belief", "placement", "revision", c.placement.Revision)
+		c.placementLost = true
+	}
 	if change.placement != nil && (c.placement == nil || change.placement.Revision >= c.placement.Revision) {
 		c.setPlacement(change.placement)
 	}
@@ -247,6 +253,7 @@
 		c.logger.Info("placement activated", "belief", "placement", "revision", placement.Revision, "models", len(placement.Models))
 	}
 	c.placement = placement
+	c.placementLost = false
 }
 
 func (c *control) setLeader(leader leaderState) {
--- a/pkg/gateway/decider.go
+++ b/pkg/gateway/decider.go
@@ -215,7 +215,7 @@
 	for _, service := range current.table.Engines() {
 		next.Models = append(next.Models, packing.Pack(d.problem(now, current, service))...)
 	}
-	if current.placement != nil && current.placement.Equal(next) {
+	if current.placement != nil && !current.placementLost && current.placement.Equal(next) {
 		return true
 	}
 	value, err := next.Encode()
@@ -224,7 +224,7 @@
 		return true
 	}
 	var before int64
-	if current.placement != nil {
+	if current.placement != nil && !current.placementLost {
 		before = current.placement.Revision
 	}
 	result, err := d.writeAsLeader(ctx, placementKey, before, value)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -216,17 +216,19 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	wait.Go(func() { f.run(ctx) })
-	_, err = roster.Register(ctx, d.Store, roster.Host{
+	host := roster.Host{
 		ID:              self,
 		Role:            keys.RoleEntry,
 		InternalAddress: g.config.Listen.Internal,
 		FailureDomain:   g.config.Host.FailureDomain,
 		CPUShare:        g.config.ProcessorShare,
-	}, failed)
-	if err != nil {
+	}
+	if _, err := roster.Register(ctx, d.Store, host, failed); err != nil {
 		return
 	}
 	g.logger.Info("host registered in the store")
+	keeper := &registrationKeeper{store: d.Store, secret: secret, host: host, control: g.control, logger: g.logger}
+	wait.Go(func() { keeper.run(leading) })
 	election.run(leading)
 }
 
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -89,6 +89,8 @@
 	// placement is nil before the first one, and at entries that get their state
 	// from a relay.
 	placement *packing.Placement
+	// placementLost is set if the store doesn't have the placement any more.
+	placementLost bool
 	// history is nil before it is known.
 	history *resumption.History
 	leader  leaderState
@@ -106,10 +108,12 @@
 		agents:      agents,
 		records:     sync.OnceValue(func() map[string]*directory.AgentRecord { return recordsOf(agents) }),
 		placement:   c.placement,
-		history:     c.history,
-		leader:      c.leader,
-		engines:     c.engines,
-		asOf:        c.asOf,
+
+		placementLost: c.placementLost,
+		history:       c.history,
+		leader:        c.leader,
+		engines:       c.engines,
+		asOf:          c.asOf,
 	}
 	c.agentsShared = true
 	agentOf := agentsByRunner(v)
--- a/pkg/keyvalue/errors.go
+++ b/pkg/keyvalue/errors.go
@@ -8,6 +8,9 @@
 // ErrLeaseEnded indicates that a lease has expired or was revoked.
 var ErrLeaseEnded = errors.New("lease in the store has ended")
 
+// ErrEra indicates that the store's era has fallen or is out of range.
+var ErrEra = errors.New("era of the store can't be used")
+
 // StoreError is a failure of the key-value service.
 type StoreError struct {
 	Op string
--- a/pkg/runneragent/agent.go
+++ b/pkg/runneragent/agent.go
@@ -111,19 +111,22 @@
 	if err != nil {
 		return nil, err
 	}
-	fence, err := roster.Register(ctx, a.dependencies.Store, roster.Host{
+	host := roster.Host{
 		ID:              a.config.Host.ID,
 		Role:            keys.RoleAgent,
 		InternalAddress: a.config.Listen.Internal,
 		FailureDomain:   a.config.Host.FailureDomain,
 		Runner:          a.config.Runner,
-	}, failed)
+	}
+	fence, err := roster.Register(ctx, a.dependencies.Store, host, failed)
 	if err != nil {
 		node.Close()
 		return nil, err
 	}
 	a.controller.loop.Do(func() { a.controller.setFence(time.Now(), fence) })
 	a.logger.Info("host registered in the store", "fence", fence)
+	keeper := &registrationKeeper{store: a.dependencies.Store, secret: secret, host: host, controller: a.controller, logger: a.logger}
+	a.wait.Go(func() { keeper.run(ctx) })
 	return node, nil
 }
 
