Log which missing registrations are kept, and how old the configuration is

There is now a line for each registration that is kept though it is missing, and the lines on requests, also those refused before processing, have the age of the configuration beside its version. No logic changes.

--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -35,6 +35,23 @@
 	services map[string]bool
 	// unstableUntil is the end of the time in which missing registrations are kept.
 	unstableUntil time.Time
+	// kept are the registrations that were kept though they are missing, since TakeKept was
+	// called last.
+	kept []Kept
+}
+
+// Kept is a registration that is kept for a time though it is missing.
+type Kept struct {
+	ID    string
+	Until time.Time
+}
+
+// TakeKept returns the registrations that were kept though they are missing since the last
+// call, for the log.
+func (r *Registry) TakeKept() []Kept {
+	kept := r.kept
+	r.kept = nil
+	return kept
 }
 
 // NewRegistry returns an empty registry.
@@ -146,6 +163,7 @@
 	if now.Before(r.unstableUntil) {
 		if known.missingUntil.IsZero() {
 			known.missingUntil = now.Add(storeGrace)
+			r.kept = append(r.kept, Kept{ID: id, Until: known.missingUntil})
 		}
 		return false
 	}
--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -157,6 +157,7 @@
 func (x *exchange) recordVersions(now time.Time, current *view) {
 	x.versions = stateVersions{
 		configuration:    current.table.Configuration().Version,
+		configurationAge: x.handler.control.freshness.age(now, metrics.ViewConfiguration),
 		registrationsAge: x.handler.control.freshness.age(now, metrics.ViewRegistrations),
 	}
 	if current.placement != nil {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -13,6 +13,7 @@
 	"teaselgauge.example/teaselgauge/pkg/directory"
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/packing"
 	"teaselgauge.example/teaselgauge/pkg/resumption"
 	"teaselgauge.example/teaselgauge/pkg/roster"
@@ -157,7 +158,9 @@
 // updateRegistry applies a change to the registered backend servers.
 func (c *control) updateRegistry(change func(registry *backends.Registry) bool) {
 	before := c.registry.Backends()
-	if !change(c.registry) {
+	changed := change(c.registry)
+	c.logKept()
+	if !changed {
 		return
 	}
 	c.publish()
@@ -166,6 +169,15 @@
 	c.logChanges(before, after)
 }
 
+// logKept logs which backend servers stay usable for a time though their registrations are
+// missing.
+func (c *control) logKept() {
+	for _, kept := range c.registry.TakeKept() {
+		c.logger.Info("missing registration kept", "belief", "backend:"+kept.ID, "kept_ms", time.Until(kept.Until).Milliseconds(),
+			"servers_age_ms", c.freshness.age(time.Now(), metrics.ViewRegistrations).Milliseconds())
+	}
+}
+
 // logChanges logs which backend servers were added, removed and changed. Both lists
 // are sorted by ID.
 func (c *control) logChanges(before, after []fleet.Backend) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -104,6 +104,9 @@
 	// configuration is the version, placement the revision.
 	configuration int64
 	placement     int64
+	// configurationAge is the time since the configuration was last confirmed to be the
+	// newest one.
+	configurationAge time.Duration
 	// registrationsAge is the time since the registrations of the backend servers
 	// were last confirmed.
 	registrationsAge time.Duration
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -15,6 +15,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -118,15 +119,16 @@
 	caller, err := h.headerCodec.DecodeRequest(r.Header)
 	h.awaitConfiguration(r.Context(), caller.Budget)
 	current := h.control.current()
-	var version int64
+	var versions stateVersions
 	reject := func(why refusal) (*exchange, *refusal) {
-		h.observer.requestRefused(r, caller.RequestID, arrived, version, why)
+		h.observer.requestRefused(r, caller.RequestID, arrived, versions, why)
 		return nil, &why
 	}
 	if current.table == nil {
 		return reject(refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: unconfiguredRetryAfter})
 	}
-	version = current.table.Configuration().Version
+	versions.configuration = current.table.Configuration().Version
+	versions.configurationAge = h.control.freshness.age(arrived, metrics.ViewConfiguration)
 	route := current.table.Match(r.Host, rawPath(r))
 	if route == nil {
 		return reject(refusal{status: http.StatusNotFound, reason: "no route"})
