Show that removed servers stay usable after a failed call to the store

The test plays an entry beside a store with delays, in virtual time. Allowed are 2 s, of which 0.5 s are kept for the send.

--- /dev/null
+++ b/pkg/gateway/registration_delay_test.go
@@ -0,0 +1,232 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/fleet"
+	"teaselgauge.example/teaselgauge/pkg/metrics"
+)
+
+const (
+	// drainBound is the shortest time that a deployment allows from the store's
+	// acknowledgement that a server leaves to the last request that reaches it.
+	drainBound = 2 * time.Second
+	// sendAllowance is the part of it for the send that was decided last: a connection is
+	// opened and the request is written.
+	sendAllowance = 500 * time.Millisecond
+	// heartbeat is how often a server writes its registration, calmAfter the time after a
+	// disruption of the store from which bounds hold.
+	heartbeat = time.Second
+	calmAfter = 3 * time.Second
+
+	testServers = 5
+)
+
+// registrationSite is a store, servers that register there, and an entry that reads it.
+type registrationSite struct {
+	t       *testing.T
+	store   *delayedStore
+	control *control
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+}
+
+// stop ends the entry and the servers.
+func (s *registrationSite) stop() {
+	s.cancel()
+	s.wait.Wait()
+}
+
+func testCodec() Codec {
+	return Codec{
+		ConfigurationKey:   "op/config",
+		RegistrationPrefix: "servers/",
+		DecodeConfiguration: func(value []byte) (*fleet.Configuration, error) {
+			version, err := strconv.ParseInt(string(value), 10, 64)
+			return &fleet.Configuration{Version: version}, err
+		},
+		DecodeRegistration: func(key string, value []byte) (fleet.Backend, error) {
+			sequence, err := strconv.ParseInt(string(value), 10, 64)
+			id := strings.TrimPrefix(key, "servers/")
+			return fleet.Backend{ID: id, Service: "s", Address: "address-of-" + id, StartedAtMillis: 1, Sequence: sequence}, err
+		},
+	}
+}
+
+// startRegistrationSite starts servers and an entry, in a bubble of synctest.
+func startRegistrationSite(t *testing.T) *registrationSite {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &registrationSite{t: t, store: newDelayedStore(), control: newControl(discardLogger()), cancel: cancel}
+	s.store.put("op/config", "1")
+	w := newStoreWatcher(Dependencies{
+		Store:             s.store.withWait(2 * time.Second),
+		RegistrationStore: s.store,
+		SiteStore:         s.store.withWait(10 * time.Second),
+		Codec:             testCodec(),
+	}, s.control, discardLogger())
+	s.wait.Go(func() { s.control.loop.Run(ctx) })
+	s.wait.Go(func() { w.followConfiguration(ctx) })
+	s.wait.Go(func() { w.followRegistrations(ctx) })
+	s.wait.Go(func() { w.runExpiry(ctx) })
+	for i := range testServers {
+		s.wait.Go(func() { s.runServer(ctx, i) })
+	}
+	time.Sleep(5 * time.Second)
+	s.requireUsable(testServers)
+	return s
+}
+
+// runServer writes a server's heartbeats until ctx ends. The store takes none while it is
+// silent, and the leases of servers have ended after three intervals without one.
+func (s *registrationSite) runServer(ctx context.Context, i int) {
+	backoff.Sleep(ctx, heartbeat*time.Duration(i)/testServers)
+	missed := 0
+	for sequence := 1; ctx.Err() == nil; sequence++ {
+		switch {
+		case s.hasLeft(i):
+			return
+		case !s.isSilent():
+			missed = 0
+			s.store.put(serverKey(i), strconv.Itoa(sequence))
+		case missed == 2:
+			s.store.remove(serverKey(i))
+			missed++
+		default:
+			missed++
+		}
+		backoff.Sleep(ctx, heartbeat)
+	}
+}
+
+func (s *registrationSite) isSilent() bool {
+	s.store.state.mu.Lock()
+	defer s.store.state.mu.Unlock()
+	return s.store.state.silent
+}
+
+func (s *registrationSite) hasLeft(i int) bool {
+	s.store.state.mu.Lock()
+	defer s.store.state.mu.Unlock()
+	return s.store.state.left == serverKey(i)
+}
+
+// remove lets a server leave without a notice: its registration is removed.
+func (s *registrationSite) remove(i int) {
+	s.store.state.mu.Lock()
+	s.store.state.left = serverKey(i)
+	s.store.state.mu.Unlock()
+	s.store.remove(serverKey(i))
+}
+
+func serverKey(i int) string { return fmt.Sprintf("servers/%c", 'a'+i) }
+
+func (s *registrationSite) usable() int { return len(s.control.current().servers["s"]) }
+
+func (s *registrationSite) requireUsable(want int) {
+	s.t.Helper()
+	if got := s.usable(); got != want {
+		s.t.Fatalf("%d servers usable, want %d", got, want)
+	}
+}
+
+// timeUntil returns how long it takes until a number of servers is usable.
+func (s *registrationSite) timeUntil(want int) time.Duration {
+	started := time.Now()
+	for s.usable() != want && time.Since(started) < 10*time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// outage lets the store answer nothing for a time, until calmAfter later.
+func (s *registrationSite) outage(d time.Duration) {
+	s.store.setSilent(true)
+	time.Sleep(d)
+	s.store.setSilent(false)
+	time.Sleep(calmAfter)
+}
+
+// Guards against a request to a server whose removal the entry has set aside.
+func TestRemovedServerIsUnusableWithinBound(t *testing.T) {
+	for name, disturb := range map[string]func(s *registrationSite){
+		"calm":                             func(*registrationSite) {},
+		"calm after an outage":             func(s *registrationSite) { s.outage(8 * time.Second) },
+		"calm after a short outage":        func(s *registrationSite) { s.outage(700 * time.Millisecond) },
+		"just after watches were cut":      func(s *registrationSite) { s.store.cutWatches(false) },
+		"just after the history's end":     func(s *registrationSite) { s.store.cutWatches(true) },
+		"in a gap that ends with a cut":    func(s *registrationSite) { s.gap(false) },
+		"in a gap that ends the history":   func(s *registrationSite) { s.gap(true) },
+		"calm after two outages in series": func(s *registrationSite) { s.outage(5 * time.Second); s.outage(2 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for phase := time.Duration(0); phase < 1200*time.Millisecond; phase += 97 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					s := startRegistrationSite(t)
+					defer s.stop()
+					time.Sleep(phase)
+					disturb(s)
+					s.requireUsable(testServers)
+					s.remove(0)
+					if took := s.timeUntil(testServers - 1); took > drainBound-sendAllowance {
+						t.Errorf("phase %s: usable for %s after its removal, want at most %s", phase, took, drainBound-sendAllowance)
+					}
+				})
+			}
+		})
+	}
+}
+
+// gap begins a second in which watches get no changes, and are cut after it.
+func (s *registrationSite) gap(dropHistory bool) {
+	s.store.setDeaf(true)
+	time.AfterFunc(time.Second, func() {
+		s.store.setDeaf(false)
+		s.store.cutWatches(dropHistory)
+	})
+}
+
+// Guards against sound servers that are dropped since their leases ended in an outage.
+func TestServersStayUsableWhileTheyRegisterAgain(t *testing.T) {
+	for _, length := range []time.Duration{4 * time.Second, 8 * time.Second, 20 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			s := startRegistrationSite(t)
+			defer s.stop()
+			s.store.setSilent(true)
+			time.Sleep(length)
+			s.store.setSilent(false)
+			for range 500 {
+				s.requireUsable(testServers)
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// Guards against a server that ended during an outage and stays usable after it.
+func TestServerGoneInOutageIsUnusableAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startRegistrationSite(t)
+		defer s.stop()
+		s.store.setSilent(true)
+		s.remove(0)
+		time.Sleep(8 * time.Second)
+		s.store.setSilent(false)
+		// The time until an entry sees the store's return, and that in which servers register
+		// again.
+		const most = readTimeout + maxStoreRetryDelay + 2500*time.Millisecond + sendAllowance
+		if took := s.timeUntil(testServers - 1); took > most {
+			t.Errorf("usable for %s after the store's return, want at most %s", took, most)
+		}
+		if age := s.control.freshness.age(time.Now(), metrics.ViewRegistrations); age > drainBound {
+			t.Errorf("registrations are %s old", age)
+		}
+	})
+}
