Keep missing registrations only after an outage in which leases can end

Callers got a 504 from a server that had left 2,077 ms before.

Cause: after any failed call to the store, each removal that was seen within 2.5 s was set aside for another 2.5 s, as the lease might have ended in an outage. The failure was dated at the end of the call, though it may have been sent a second before the store returned, and one failed call counts as much as an outage. The pause between two reads (up to 1.1 s) and the check interval (0.25 s) came on top.

Change: an outage lasts from the call that first got no response to the next read of all registrations. Only if that is long enough for a lease to end (two heartbeats, a setting that the deploy file fills in) may registrations have lapsed; these are kept until 2.5 s after the read, if they aren't seen before. A removal of a registration that was seen after the outage is applied at once. At entries behind a relay, the relay's reads end an outage.

No call to the store is added.

--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -12,9 +12,15 @@
 	// removedRetention is how long a removed server's incarnation and sequence are
 	// kept, so that a delayed write of its registration is recognised.
 	removedRetention = time.Minute
-	// storeGrace is how long a registration that is missing after an outage of the
-	// store is kept. Running servers register again within about two seconds.
+	// storeGrace is how long after an outage of the store a registration that has been
+	// missing since then is kept. Running servers register again within about two seconds.
 	storeGrace = 2500 * time.Millisecond
+	// minOutageHeartbeats is the length of the shortest outage in which the lease of a running
+	// server can end: it lasts three heartbeats, the last of which was up to one before.
+	minOutageHeartbeats = 2
+	// defaultHeartbeat is how often servers write their registrations, unless SetHeartbeat is
+	// called.
+	defaultHeartbeat = time.Second
 )
 
 // registration is the state of one server.
@@ -23,6 +29,9 @@
 	// usable is false once the registration was removed or overwritten with
 	// unreadable bytes.
 	usable bool
+	// mayHaveLapsed is set from the end of an outage of the store until the registration is
+	// seen again: if it is missing then, its lease may have ended in the outage.
+	mayHaveLapsed bool
 	// missingUntil is set while a missing registration is kept after a store outage.
 	missingUntil time.Time
 	removedAt    time.Time
@@ -32,9 +41,16 @@
 type Registry struct {
 	registrations map[string]*registration
 	// services are those of the configuration; nil before there is one.
-	services map[string]bool
-	// unstableUntil is the end of the time in which missing registrations are kept.
-	unstableUntil time.Time
+	services  map[string]bool
+	heartbeat time.Duration
+	// readAt is when the registrations were read last.
+	readAt time.Time
+	// failingSince is since when the store has failed; zero if the registrations were read
+	// since then.
+	failingSince time.Time
+	// keepUntil is until when registrations that were missing when the store came back are
+	// kept.
+	keepUntil time.Time
 	// kept are the registrations that were kept though they are missing, since TakeKept was
 	// called last.
 	kept []Kept
@@ -56,13 +72,48 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{registrations: make(map[string]*registration)}
+	return &Registry{registrations: make(map[string]*registration), heartbeat: defaultHeartbeat}
 }
 
-// StoreUnstable records a failure of the store. Registrations that go missing from
-// now until storeGrace after the last failure are kept for storeGrace.
-func (r *Registry) StoreUnstable(now time.Time) {
-	r.unstableUntil = now.Add(storeGrace)
+// SetHeartbeat sets how often servers write their registrations.
+func (r *Registry) SetHeartbeat(interval time.Duration) { r.heartbeat = interval }
+
+// StoreFailed records that the store didn't respond properly to a call. since is when it may
+// have begun to fail: when the call was sent if there was no response, else when it failed.
+func (r *Registry) StoreFailed(since time.Time) {
+	if r.failingSince.IsZero() {
+		r.failingSince = latest(since, r.readAt)
+	}
+}
+
+// StoreRead records that all registrations were read from the store. If that is the end of an
+// outage in which leases may have ended, registrations that are missing from now on are kept
+// until storeGrace later, unless they are seen before.
+func (r *Registry) StoreRead(now time.Time) {
+	if !r.failingSince.IsZero() && now.Sub(r.failingSince) >= minOutageHeartbeats*r.heartbeat {
+		r.keepUntil = now.Add(storeGrace)
+		for _, known := range r.registrations {
+			known.mayHaveLapsed = known.usable
+		}
+	}
+	r.failingSince = time.Time{}
+	r.readAt = latest(r.readAt, now)
+}
+
+// RelayRead records that a relay has read the registrations at a time. It decides which ones
+// have lapsed.
+func (r *Registry) RelayRead(at time.Time) {
+	if at.After(r.failingSince) {
+		r.failingSince = time.Time{}
+	}
+	r.readAt = latest(r.readAt, at)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // SetServices sets the names of the services of the configuration. Registrations for other
@@ -108,6 +159,7 @@
 	changed := !known.usable || !known.missingUntil.IsZero() || differs(&backend, &known.backend)
 	known.backend = backend
 	known.usable = true
+	known.mayHaveLapsed = false
 	known.missingUntil = time.Time{}
 	return changed
 }
@@ -152,17 +204,17 @@
 	return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
 
-// Remove applies the removal of a registration. Right after a store outage the
-// server is kept as missing instead. It reports whether the server is no longer
-// usable.
+// Remove applies the removal of a registration. One that may have lapsed in an outage of the
+// store, and hasn't been seen since, is kept as missing instead. It reports whether the server
+// is no longer usable.
 func (r *Registry) Remove(now time.Time, id string) bool {
 	known := r.registrations[id]
 	if known == nil || !known.usable {
 		return false
 	}
-	if now.Before(r.unstableUntil) {
+	if known.mayHaveLapsed && now.Before(r.keepUntil) {
 		if known.missingUntil.IsZero() {
-			known.missingUntil = now.Add(storeGrace)
+			known.missingUntil = r.keepUntil
 			r.kept = append(r.kept, Kept{ID: id, Until: known.missingUntil})
 		}
 		return false
@@ -184,6 +236,7 @@
 
 func (r *registration) remove(now time.Time) {
 	r.usable = false
+	r.mayHaveLapsed = false
 	r.missingUntil = time.Time{}
 	r.removedAt = now
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -203,8 +203,8 @@
 		"state", b.State.String(), "born_ms", b.StartedAtMillis, "sequence", b.Sequence)
 }
 
-// recordStoreFailure reports a failed call to the store to the registry.
-func (c *control) recordStoreFailure(now time.Time) { c.registry.StoreUnstable(now) }
+// recordStoreFailure reports to the registry that the store may have failed since a time.
+func (c *control) recordStoreFailure(since time.Time) { c.registry.StoreFailed(since) }
 
 // expireBackends removes the servers whose grace period has ended.
 func (c *control) expireBackends(now time.Time) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -116,6 +116,7 @@
 func (g *Gateway) initialize(d Dependencies) {
 	g.observer = newObserver(g.logger, d.Metrics)
 	g.control = newControl(g.logger)
+	g.control.registry.SetHeartbeat(time.Duration(g.config.HeartbeatMillis) * time.Millisecond)
 	g.control.statusThrottle.MinInterval = minStatusInterval
 	g.storeWatcher = newStoreWatcher(d, g.control, g.logger)
 	g.decider = &decider{store: d.Store, control: g.control, logger: g.logger}
--- a/pkg/gateway/registrations.go
+++ b/pkg/gateway/registrations.go
@@ -53,6 +53,9 @@
 // applyRegistrations applies changes in order and reports whether the set of usable
 // servers has changed.
 func applyRegistrations(now time.Time, registry *backends.Registry, complete bool, changes []registrationChange) bool {
+	if complete {
+		registry.StoreRead(now)
+	}
 	changed := false
 	var listed []fleet.Backend
 	for _, change := range changes {
--- a/pkg/gateway/store_watcher.go
+++ b/pkg/gateway/store_watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -168,7 +169,7 @@
 	delay := storeRetryDelay
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := s.followOnce(ctx, choose(), key, prefix, handle)
+		sentAt, err := s.followOnce(ctx, choose(), key, prefix, handle)
 		if ctx.Err() != nil {
 			return
 		}
@@ -176,7 +177,8 @@
 		if errors.Is(err, keyvalue.ErrCompacted) || errors.Is(err, errWatchRestarted) {
 			continue
 		}
-		s.control.loop.Post(func() { s.control.recordStoreFailure(time.Now()) })
+		since := failingSince(time.Now(), sentAt, err)
+		s.control.loop.Post(func() { s.control.recordStoreFailure(since) })
 		s.restartWatches()
 		if time.Since(started) > maxStoreRetryDelay {
 			delay = storeRetryDelay
@@ -186,13 +188,26 @@
 	}
 }
 
-func (s *storeWatcher) followOnce(ctx context.Context, store keyvalue.Store, key string, prefix bool, handle func(context.Context, storeRead)) error {
+// failingSince returns since when the store may have failed, after a call that was sent at
+// sentAt failed: one without a response doesn't show when that began.
+func failingSince(now, sentAt time.Time, err error) time.Time {
+	var timeout net.Error
+	if errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &timeout) && timeout.Timeout()) {
+		return sentAt
+	}
+	return now
+}
+
+// followOnce reads a key or prefix and then watches it until that fails. It returns when the
+// call that failed was sent.
+func (s *storeWatcher) followOnce(ctx context.Context, store keyvalue.Store, key string, prefix bool, handle func(context.Context, storeRead)) (sentAt time.Time, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	restart := s.restarts()
+	sentAt = time.Now()
 	result, err := store.Range(ctx, key, prefix)
 	if err != nil {
-		return err
+		return sentAt, err
 	}
 	go func() {
 		select {
@@ -207,13 +222,15 @@
 	}
 	handle(ctx, read)
 	s.logger.Info("store values read, watch starts", "belief", "store:"+key, "revision", result.Revision, "values", len(result.Values))
+	sentAt = time.Now()
 	err = store.Watch(ctx, key, result.Revision, func(revision int64, events []keyvalue.WatchEvent) {
 		handle(ctx, storeRead{revision: revision, events: events})
+		sentAt = time.Now()
 	})
 	if cause := context.Cause(ctx); cause != nil {
-		return cause
+		return sentAt, cause
 	}
-	return err
+	return sentAt, err
 }
 
 func (s *storeWatcher) handleConfiguration(_ context.Context, read storeRead) {
--- a/pkg/gateway/upstream.go
+++ b/pkg/gateway/upstream.go
@@ -115,6 +115,9 @@
 	storeReadAt := now.Add(-age)
 	u.storeReadAt.Store(&storeReadAt)
 	f.control.loop.Do(func() {
+		if u.domain == "" && age <= maxStoreAge {
+			f.control.registry.RelayRead(storeReadAt)
+		}
 		f.control.applyRelayUpdate(now, &u.source, update, update.Complete && u.domain == "")
 		if u.domain == "" {
 			u.applySite(now, update)
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -43,6 +43,9 @@
 	// entries with the largest shares become the relays of their failure domain. Zero
 	// means unknown.
 	ProcessorShare float64 `json:"processor_share,omitempty" validate:"min=0,max=1000000"`
+	// HeartbeatMillis is how often backend servers write their registrations, in milliseconds.
+	// Default 1000.
+	HeartbeatMillis int `json:"heartbeat_ms,omitempty" validate:"min=0,max=600000"`
 	// DrainMillis is the time between SIGTERM and SIGKILL, in milliseconds. Default
 	// 8000.
 	DrainMillis int `json:"drain_ms,omitempty" validate:"min=0,max=600000"`
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -28,9 +28,11 @@
 	DefaultAgentMaxQueued = 1024
 
 	DefaultGatewayDrain = 8 * time.Second
-	DefaultRetryRatio   = 0.2
-	DefaultRetrySlack   = 20.0
-	DefaultRetryWindow  = 10 * time.Second
+	// DefaultHeartbeat is how often backend servers write their registrations.
+	DefaultHeartbeat   = time.Second
+	DefaultRetryRatio  = 0.2
+	DefaultRetrySlack  = 20.0
+	DefaultRetryWindow = 10 * time.Second
 )
 
 // LoadEntry loads and validates the settings of teaselgauge-entry and fills in the
@@ -116,6 +118,7 @@
 
 func (g *Gateway) fillDefaults() {
 	setDefault(&g.DrainMillis, millis(DefaultGatewayDrain))
+	setDefault(&g.HeartbeatMillis, millis(DefaultHeartbeat))
 	setDefault(&g.Retries.Ratio, DefaultRetryRatio)
 	setDefault(&g.Retries.Slack, DefaultRetrySlack)
 	setDefault(&g.Retries.WindowSeconds, DefaultRetryWindow.Seconds())
