Check before a send that the server hasn't left while the request waited

Cause: after a wait for a lease or a rate token, only backpressure and a required software were checked again, not the registration. A server that had left, or started again under its ID, in the meantime was sent the request. Change: it must still be the same incarnation, registered as ready; else the lease goes back and a server is chosen anew, with a line in the log.

Measured: TestLeaseOfServerThatLeftWhileRequestWaitedIsNotUsed failed on in its three cases (draining, removed, started again) and passes. What callers lose: nothing is refused; a request that had waited at a leaving server waits again elsewhere. No call to the store.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -62,12 +62,15 @@
 }
 
 // maySend reports whether a server can still be sent the request, which may have waited
-// since the server was chosen: whether it accepts requests and runs the required software.
+// since the server was chosen: whether the same incarnation is registered as ready, accepts
+// requests and runs the required software.
 func (x *exchange) maySend(s *server) bool {
-	if !x.handler.gate.AcceptsRequests(time.Now(), s.incarnation()) {
+	sel := x.selection(time.Now())
+	if !sel.isStillReady(s) {
+		x.logger.Info("backend server left while the request waited", "backend", s.ID, "servers_age_ms", x.versions.registrationsAge.Milliseconds())
 		return false
 	}
-	return x.software == "" || x.selection(time.Now()).stillHasSoftware(s)
+	return sel.acceptsRequests(s) && sel.stillHasSoftware(s)
 }
 
 // selection returns the inputs for choosing a server now.
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -72,14 +72,17 @@
 	return sel.software == "" || (s.State == fleet.BackendReady && sel.isRegisteredSoftware(s))
 }
 
-// stillHasSoftware reports whether a server that was chosen earlier still is the same
-// incarnation and is known to run the required software.
-func (sel *selection) stillHasSoftware(chosen *server) bool {
-	if sel.software == "" {
-		return true
-	}
+// isStillReady reports whether a server that was chosen earlier still is the same incarnation
+// and registered as ready.
+func (sel *selection) isStillReady(chosen *server) bool {
 	listed := sel.view.listed(chosen)
-	return listed != nil && listed.incarnation() == chosen.incarnation() && sel.hasSoftware(listed)
+	return listed != nil && listed.incarnation() == chosen.incarnation() && listed.State == fleet.BackendReady
+}
+
+// stillHasSoftware reports whether a server that was chosen earlier is still ready and known
+// to run the required software.
+func (sel *selection) stillHasSoftware(chosen *server) bool {
+	return sel.software == "" || (sel.isStillReady(chosen) && sel.hasSoftware(sel.view.listed(chosen)))
 }
 
 // acceptsRequests reports whether a server currently accepts requests from this
--- a/pkg/gateway/switching_test.go
+++ b/pkg/gateway/switching_test.go
@@ -291,3 +291,38 @@
 		}
 	}
 }
+
+// Guards against a request that waits for a server's lease until after the server has left.
+func TestLeaseOfServerThatLeftWhileRequestWaitedIsNotUsed(t *testing.T) {
+	for name, leave := range map[string]func(c *control, leaving fleet.Backend){
+		"draining": func(c *control, leaving fleet.Backend) {
+			leaving.State, leaving.Sequence = fleet.BackendDraining, leaving.Sequence+1
+			c.updateRegistry(func(r *backends.Registry) bool { return r.Put(time.Now(), leaving) })
+		},
+		"removed": func(c *control, leaving fleet.Backend) {
+			c.updateRegistry(func(r *backends.Registry) bool { return r.Remove(time.Now(), leaving.ID) })
+		},
+		"started again": func(c *control, leaving fleet.Backend) {
+			leaving.StartedAtMillis++
+			c.updateRegistry(func(r *backends.Registry) bool { return r.Put(time.Now(), leaving) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestControl(time.Now(), loadedRunner("here"))
+			here := newFakeAgent(true)
+			leaving := *c.current().servers[testEngine][0].Backend
+			var once sync.Once
+			call := func() { once.Do(func() { leave(c, leaving) }) }
+			here.beforeReply.Store(&call)
+			x := newLeaseExchange(t, 0, c, map[string]*fakeAgent{"here": here})
+			x.deadline = time.Now().Add(300 * time.Millisecond)
+			ctx, cancel := context.WithDeadline(t.Context(), x.deadline)
+			defer cancel()
+			chosen, granted, ok := x.acquireServer(ctx)
+			if ok && chosen.StartedAtMillis == leaving.StartedAtMillis {
+				granted.release(false, 0)
+				t.Errorf("the request is sent to %s, which has left", chosen.ID)
+			}
+		})
+	}
+}
