Doubt a relay without news before a promise is broken

An entry that follows a relay has the relay's registrations only, and its own watch of the configuration may be dead for up to 10.7 s (a long poll whose response was lost). It read the store itself when the relay's last read was 2 s ago, and checked that each 0.25 s: with the read 2.25 s, where deployments allow 2 s from the store's acknowledgement.

Change: 1.7 s, and the check is due at that moment. A relay's reads are at most 1.1 s apart beside the call, and reported within 0.2 s.

At the store: nothing while relays are sound; an entry whose relay is silent reads 0.3 to 0.55 s sooner.

--- a/pkg/gateway/follower.go
+++ b/pkg/gateway/follower.go
@@ -22,8 +22,9 @@
 	// before it subscribes to the agents itself.
 	relayLossTimeout = 400 * time.Millisecond
 	// maxStoreAge is the maximum age of a relay's last read from the store at
-	// which its state of the backend servers is used.
-	maxStoreAge = 2 * time.Second
+	// which its state of the backend servers is used. A relay reads after
+	// minRegistrationReadInterval at the latest, and reports it within maxUpdateInterval.
+	maxStoreAge = 1700 * time.Millisecond
 )
 
 // follower keeps this entry's state of the site's agents up to date. A relay
@@ -69,8 +70,8 @@
 func (f *follower) run(ctx context.Context) {
 	defer f.agentConnections.wait.Wait()
 	defer f.wait.Wait()
-	ticker := time.NewTicker(reconcileInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(reconcileInterval)
+	defer timer.Stop()
 	started := time.Now()
 	for {
 		changed := f.control.changes()
@@ -78,16 +79,30 @@
 		if now := time.Now(); isListed || now.Sub(started) > listedTimeout {
 			f.reconcile(ctx, now)
 		}
+		timer.Reset(f.untilReconcile(time.Now()))
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-ticker.C:
+		case <-timer.C:
 		case <-f.wake:
 		}
 	}
 }
 
+// untilReconcile is the time until the next reconciliation, at the latest when the relay's
+// state of the backend servers becomes too old.
+func (f *follower) untilReconcile(now time.Time) time.Duration {
+	if !f.upstream.hasUpdate() {
+		return reconcileInterval
+	}
+	left := maxStoreAge - f.upstream.storeAge(now)
+	if left < 0 {
+		return reconcileInterval
+	}
+	return min(reconcileInterval, left+time.Millisecond)
+}
+
 // reconcile starts and stops subscriptions according to the topology.
 func (f *follower) reconcile(ctx context.Context, now time.Time) {
 	f.removeEnded(now)
--- a/pkg/gateway/registration_delay_test.go
+++ b/pkg/gateway/registration_delay_test.go
@@ -35,8 +35,11 @@
 	t       *testing.T
 	store   *delayedStore
 	control *control
-	cancel  context.CancelFunc
-	wait    sync.WaitGroup
+	watcher *storeWatcher
+	// relay is the relay that the entry follows; nil if there is none.
+	relay  *upstream
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
 }
 
 // stop ends the entry and the servers.
@@ -72,6 +75,7 @@
 		SiteStore:         s.store.withWait(10 * time.Second),
 		Codec:             testCodec(),
 	}, s.control, discardLogger())
+	s.watcher = w
 	s.wait.Go(func() { s.control.loop.Run(ctx) })
 	s.wait.Go(func() { w.followConfiguration(ctx) })
 	s.wait.Go(func() { w.followRegistrations(ctx) })
