Don't refuse a route for good by a configuration known to be out of date

A 404 is final: callers don't retry it. An entry whose relay had reported a newer version than it could read yet (one read of the store, up to 1.5 s and a retry where that isn't answered) refused added routes with it. It now answers 503, not run, with a Retry-After of 50 ms, while a newer version is known.

Measured: TestUnknownRouteIsRetriedWhileNewerConfigurationIsKnown failed (status 404, want 503) and passes. What callers lose: one that asks for a route that doesn't exist is refused again on its retry. No call to the store.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -65,6 +65,9 @@
 	// relayingSince is when this entry began to relay its state to other entries;
 	// nil if it does not relay.
 	relayingSince atomic.Pointer[time.Time]
+	// reportedVersion is the newest version of the configuration that a relay has
+	// reported.
+	reportedVersion atomic.Int64
 	// freshness may be used by any goroutine.
 	freshness freshness
 
@@ -108,6 +111,20 @@
 // goroutine may call it.
 func (c *control) isRelaying() bool { return c.relayingSince.Load() != nil }
 
+// reportVersion records a version of the configuration that a relay has reported, and returns
+// whether none as new was reported before. Any goroutine may call it.
+func (c *control) reportVersion(version int64) bool {
+	for {
+		newest := c.reportedVersion.Load()
+		if version <= newest {
+			return false
+		}
+		if c.reportedVersion.CompareAndSwap(newest, version) {
+			return true
+		}
+	}
+}
+
 // current returns the newest view. Any goroutine may call it.
 func (c *control) current() *view { return c.view.Load() }
 
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -32,8 +32,8 @@
 	configurationTimeout        = 500 * time.Millisecond
 	configurationTimeoutDivisor = 8
 	// unconfiguredRetryAfter is the Retry-After of an entry that has no
-	// configuration; it is short since the load balancer sends the caller to
-	// another entry.
+	// configuration, or knows of a newer one; it is short since the load balancer
+	// sends the caller to another entry.
 	unconfiguredRetryAfter = 50 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After of a stopping entry; it is short since the
 	// caller's next connection is to another entry.
@@ -130,6 +130,10 @@
 	versions.configuration = current.table.Configuration().Version
 	versions.configurationAge = h.control.freshness.age(arrived, metrics.ViewConfiguration)
 	route := current.table.Match(r.Host, rawPath(r))
+	if route == nil && h.control.reportedVersion.Load() > versions.configuration {
+		// A newer configuration may have the route, and is about to be read.
+		return reject(refusal{status: http.StatusServiceUnavailable, reason: "configuration out of date", retryAfter: unconfiguredRetryAfter})
+	}
 	if route == nil {
 		return reject(refusal{status: http.StatusNotFound, reason: "no route"})
 	}
--- a/pkg/gateway/startup_test.go
+++ b/pkg/gateway/startup_test.go
@@ -139,3 +139,33 @@
 		}
 	}
 }
+
+// Guards against a final refusal by a configuration that is known to be out of date.
+func TestUnknownRouteIsRetriedWhileNewerConfigurationIsKnown(t *testing.T) {
+	c := newControl(discardLogger())
+	c.applyConfiguration(&fleet.Configuration{Version: 3})
+	h := &handler{control: c, headerCodec: &recorder{}, observer: newObserver(discardLogger(), testMetrics(t))}
+	w := newStoreWatcher(Dependencies{}, c, discardLogger())
+	status := func() int {
+		request := httptest.NewRequest(http.MethodGet, "/x", nil)
+		_, failure := h.accept(newCallerResponse(httptest.NewRecorder(), request, discardLogger()), request, time.Now())
+		if failure == nil {
+			t.Fatal("accepted without a route")
+		}
+		return failure.status
+	}
+	for _, step := range []struct {
+		name   string
+		change func()
+		want   int
+	}{
+		{"relay has the same version", func() { w.refreshConfiguration(3) }, http.StatusNotFound},
+		{"relay has a newer version", func() { w.refreshConfiguration(4) }, http.StatusServiceUnavailable},
+		{"newer version read", func() { c.applyConfiguration(&fleet.Configuration{Version: 4}) }, http.StatusNotFound},
+	} {
+		step.change()
+		if got := status(); got != step.want {
+			t.Errorf("%s: status %d, want %d", step.name, got, step.want)
+		}
+	}
+}
--- a/pkg/gateway/store_watcher.go
+++ b/pkg/gateway/store_watcher.go
@@ -57,9 +57,6 @@
 	site          toggledTask
 
 	mu sync.Mutex
-	// requestedVersion is the newest version of the configuration that was read
-	// because a relay reported it.
-	requestedVersion int64
 	// restart is closed and replaced when a call to the store fails, so that all
 	// watches are restarted.
 	restart chan struct{}
@@ -115,11 +112,7 @@
 	if table := s.control.current().table; table != nil && table.Configuration().Version >= version {
 		return
 	}
-	s.mu.Lock()
-	isNewer := version > s.requestedVersion
-	s.requestedVersion = max(s.requestedVersion, version)
-	s.mu.Unlock()
-	if isNewer {
+	if s.control.reportVersion(version) {
 		s.restartWatches()
 	}
 }
