Play the delays of configurations, and refusals to callers that leave

The history of refusals also plays without second copies of rejections, with one caller of six that leaves in the middle and bodies of up to 256 KiB.

--- /dev/null
+++ b/pkg/gateway/configuration_delay_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// timeUntilVersion returns how long it takes until a version of the configuration is active.
+func (s *registrationSite) timeUntilVersion(want int64) time.Duration {
+	started := time.Now()
+	for s.control.current().table.Configuration().Version != want && time.Since(started) < 20*time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// Guards against a confirmed configuration that an entry which reads the store has late.
+func TestConfigurationIsActiveWithinBound(t *testing.T) {
+	for name, disturb := range disturbances() {
+		t.Run(name, func(t *testing.T) {
+			for phase := time.Duration(0); phase < 2*time.Second; phase += 163 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					s := startRegistrationSite(t)
+					defer s.stop()
+					time.Sleep(phase)
+					disturb(s)
+					s.store.put("op/config", "2")
+					if took := s.timeUntilVersion(2); took > configurationBound {
+						t.Errorf("phase %s: active after %s, want at most %s", phase, took, configurationBound)
+					}
+				})
+			}
+		})
+	}
+}
+
+// Guards against a new configuration that waits for an entry's own long poll, which is dead,
+// although its relay has the configuration or is lost.
+func TestConfigurationIsActiveWithinBoundBehindRelay(t *testing.T) {
+	for name, learn := range map[string]func(s *registrationSite){
+		"reported by the relay": func(s *registrationSite) {
+			time.Sleep(maxUpdateInterval)
+			s.watcher.refreshConfiguration(2)
+		},
+		"relay lost": func(s *registrationSite) {
+			time.Sleep(relayUpdateTimeout)
+			close(s.relay.ended)
+			s.relay.follower.requestReconcile()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startRegistrationSite(t)
+				defer s.stop()
+				s.followRelayWithDeadWatch()
+				s.store.put("op/config", "2")
+				started := time.Now()
+				learn(s)
+				if s.timeUntilVersion(2); time.Since(started) > configurationBound {
+					t.Errorf("active after %s, want at most %s", time.Since(started), configurationBound)
+				}
+			})
+		})
+	}
+}
--- a/pkg/gateway/registration_delay_test.go
+++ b/pkg/gateway/registration_delay_test.go
@@ -158,9 +158,9 @@
 	time.Sleep(calmAfter)
 }
 
-// Guards against a request to a server whose removal the entry has set aside.
-func TestRemovedServerIsUnusableWithinBound(t *testing.T) {
-	for name, disturb := range map[string]func(s *registrationSite){
+// disturbances returns what may happen at the store before a change that must be known in time.
+func disturbances() map[string]func(s *registrationSite) {
+	return map[string]func(s *registrationSite){
 		"calm":                             func(*registrationSite) {},
 		"calm after an outage":             func(s *registrationSite) { s.outage(8 * time.Second) },
 		"calm after a short outage":        func(s *registrationSite) { s.outage(700 * time.Millisecond) },
@@ -169,7 +169,12 @@
 		"in a gap that ends with a cut":    func(s *registrationSite) { s.gap(false) },
 		"in a gap that ends the history":   func(s *registrationSite) { s.gap(true) },
 		"calm after two outages in series": func(s *registrationSite) { s.outage(5 * time.Second); s.outage(2 * time.Second) },
-	} {
+	}
+}
+
+// Guards against a request to a server whose removal the entry has set aside.
+func TestRemovedServerIsUnusableWithinBound(t *testing.T) {
+	for name, disturb := range disturbances() {
 		t.Run(name, func(t *testing.T) {
 			for phase := time.Duration(0); phase < 1200*time.Millisecond; phase += 97 * time.Millisecond {
 				synctest.Test(t, func(t *testing.T) {
--- a/pkg/gateway/relay_delay_test.go
+++ b/pkg/gateway/relay_delay_test.go
@@ -49,28 +49,32 @@
 	s.relayReads()
 }
 
+// followRelayWithDeadWatch has the entry follow a relay that reads the store, while its own long
+// poll of the configuration gets no response any more, until calmAfter later.
+func (s *registrationSite) followRelayWithDeadWatch() {
+	s.followRelay()
+	s.keepRelayReading(time.Second)
+	// The next watch is a long poll, as the entry follows a relay now.
+	s.watcher.restartWatches()
+	s.keepRelayReading(time.Second)
+	s.store.setSilent(true)
+	time.Sleep(10 * time.Millisecond)
+	s.store.setSilent(false)
+	s.keepRelayReading(calmAfter)
+}
+
 // Guards against an entry that trusts a relay without news for longer than a promise allows.
 func TestEntryBehindRelayWithoutNewsKeepsBounds(t *testing.T) {
 	for phase := time.Duration(0); phase < time.Second; phase += 83 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
 			s := startRegistrationSite(t)
 			defer s.stop()
-			s.followRelay()
-			s.keepRelayReading(time.Second)
-			s.watcher.restartWatches()
-			s.keepRelayReading(time.Second)
-			// The entry's own long poll gets no response any more, unlike the relay's.
-			s.store.setSilent(true)
-			time.Sleep(10 * time.Millisecond)
-			s.store.setSilent(false)
-			s.keepRelayReading(calmAfter + phase)
+			s.followRelayWithDeadWatch()
+			s.keepRelayReading(phase)
 			s.store.put("op/config", "2")
 			s.remove(0)
 			started := time.Now()
-			for s.control.current().table.Configuration().Version != 2 && time.Since(started) < 20*time.Second {
-				time.Sleep(time.Millisecond)
-			}
-			if took := time.Since(started); took > configurationBound {
+			if took := s.timeUntilVersion(2); took > configurationBound {
 				t.Errorf("phase %s: configuration active after %s, want at most %s", phase, took, configurationBound)
 			}
 			if took := time.Since(started) + s.timeUntil(testServers-1); took > drainBound {
--- a/testkit/serverfaults/refusals_test.go
+++ b/testkit/serverfaults/refusals_test.go
@@ -27,6 +27,11 @@
 	runnerPlaces = 6
 	// copiedRejection is the number of rejections of which one arrives twice.
 	copiedRejection = 10
+	// leavingCaller is the number of requests of which one is left by its caller, where
+	// callers leave.
+	leavingCaller = 6
+	// longestBody is the length of the longest body where callers leave, in bytes.
+	longestBody = 256 << 10
 	// shortestWait and longestWait bound the time for which a caller waits.
 	shortestWait = 300 * time.Millisecond
 	longestWait  = 3 * time.Second
@@ -38,6 +43,8 @@
 // refusalHistory is a play of requests that may run once, with processes that fail.
 type refusalHistory struct {
 	site *platformsite.Site
+	// callersLeave has callers leave in the middle, and bodies of all lengths.
+	callersLeave bool
 
 	mu      sync.Mutex
 	results map[string]refusalResult
@@ -69,14 +76,24 @@
 // full servers, second copies of rejections, and processes that are killed, stopped or frozen.
 func TestHistoryOfRefusalsKeepsTheirPromise(t *testing.T) {
 	for _, seed := range randomSeeds(t) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRefusals(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRefusals(t, seed, refusalsOptions(), false) })
 	}
 }
 
-func playRefusals(t *testing.T, seed uint64) {
+// Guards against the same without second copies, beside callers that leave and bodies of all
+// lengths.
+func TestHistoryOfRefusalsToLeavingCallersKeepsTheirPromise(t *testing.T) {
+	options := refusalsOptions()
+	options.CopyRejections = 0
+	for _, seed := range randomSeeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRefusals(t, seed, options, true) })
+	}
+}
+
+func playRefusals(t *testing.T, seed uint64, options platformsite.Options, callersLeave bool) {
 	t.Helper()
-	s := startSite(t, refusalsOptions())
-	r := &refusalHistory{site: s, results: map[string]refusalResult{}}
+	s := startSite(t, options)
+	r := &refusalHistory{site: s, callersLeave: callersLeave, results: map[string]refusalResult{}}
 	h := &history{site: s, ends: time.Now().Add(refusalsLength)}
 	f := newFaults(t, h, random(seed, 0))
 	f.kinds = []faultKind{
@@ -118,7 +135,14 @@
 		// Longer than what is written before the response is read.
 		request.Body = fmt.Sprintf("%q", strings.Repeat("x", 8<<10))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), budget)
+	patience := budget
+	if r.callersLeave {
+		request.Body = fmt.Sprintf("%q", strings.Repeat("x", random.IntN(longestBody)))
+		if random.IntN(leavingCaller) == 0 {
+			patience = time.Duration(random.Int64N(int64(budget)))
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	result := r.site.Entries[random.IntN(len(r.site.Entries))].Send(ctx, request)
 	status := result.Status
