Log an age that was never confirmed as -1

It was logged as 0, like one that was confirmed just now. The tests of delays use neutral keys, as the platform's are known in platform/ alone.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -67,7 +67,7 @@
 func (x *exchange) maySend(s *server) bool {
 	sel := x.selection(time.Now())
 	if !sel.isStillReady(s) {
-		x.logger.Info("backend server left while the request waited", "backend", s.ID, "servers_age_ms", x.versions.registrationsAge.Milliseconds())
+		x.logger.Info("backend server left while the request waited", "backend", s.ID, "servers_age_ms", loggedAge(x.versions.registrationsAge))
 		return false
 	}
 	return sel.acceptsRequests(s) && sel.stillHasSoftware(s)
--- a/pkg/gateway/configuration_delay_test.go
+++ b/pkg/gateway/configuration_delay_test.go
@@ -25,7 +25,7 @@
 					defer s.stop()
 					time.Sleep(phase)
 					disturb(s)
-					s.store.put("op/config", "2")
+					s.store.put("configuration", "2")
 					if took := s.timeUntilVersion(2); took > configurationBound {
 						t.Errorf("phase %s: active after %s, want at most %s", phase, took, configurationBound)
 					}
@@ -54,7 +54,7 @@
 				s := startRegistrationSite(t)
 				defer s.stop()
 				s.followRelayWithDeadWatch()
-				s.store.put("op/config", "2")
+				s.store.put("configuration", "2")
 				started := time.Now()
 				learn(s)
 				if s.timeUntilVersion(2); time.Since(started) > configurationBound {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -191,7 +191,7 @@
 func (c *control) logKept() {
 	for _, kept := range c.registry.TakeKept() {
 		c.logger.Info("missing registration kept", "belief", "backend:"+kept.ID, "kept_ms", time.Until(kept.Until).Milliseconds(),
-			"servers_age_ms", c.freshness.age(time.Now(), metrics.ViewRegistrations).Milliseconds())
+			"servers_age_ms", loggedAge(c.freshness.age(time.Now(), metrics.ViewRegistrations)))
 	}
 }
 
--- a/pkg/gateway/freshness.go
+++ b/pkg/gateway/freshness.go
@@ -10,6 +10,14 @@
 // neverConfirmed is the age of state that was never received.
 const neverConfirmed = -1
 
+// loggedAge returns an age for the log, in milliseconds; -1 for neverConfirmed.
+func loggedAge(age time.Duration) int64 {
+	if age == neverConfirmed {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 // confirmation is a version and when it was last known to be the newest.
 type confirmation struct {
 	version int64
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -119,7 +119,7 @@
 	caller, err := h.headerCodec.DecodeRequest(r.Header)
 	h.awaitConfiguration(r.Context(), caller.Budget)
 	current := h.control.current()
-	var versions stateVersions
+	versions := stateVersions{configurationAge: neverConfirmed}
 	reject := func(why refusal) (*exchange, *refusal) {
 		h.observer.requestRefused(r, caller.RequestID, arrived, versions, why)
 		return nil, &why
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -79,7 +79,7 @@
 	elapsed := time.Since(arrived)
 	o.metrics.RequestDone(noRoute, noRoute, string(outcomeOf(why)), elapsed)
 	o.logger.Info("request refused before processing", "request", requestID, "authority", r.Host, "path", rawPath(r), "status", why.status,
-		"cause", why.reason, "configuration", versions.configuration, "configuration_age_ms", versions.configurationAge.Milliseconds(),
+		"cause", why.reason, "configuration", versions.configuration, "configuration_age_ms", loggedAge(versions.configurationAge),
 		"retry_after_ms", why.retryAfter.Milliseconds(),
 		"took_ms", elapsed.Milliseconds())
 }
@@ -109,7 +109,7 @@
 		"outcome", string(end.outcome), "status", end.status, "cause", end.cause,
 		"retry_after_ms", end.retryAfter.Milliseconds(), "budget_ms", x.deadline.Sub(x.arrived).Milliseconds(),
 		"backend", x.lastServer, "software", x.lastSoftware, "resumes", x.caller.Resumes, "resumed_after", x.caller.LastEventID, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "rate_tokens", x.rateTokens,
-		"configuration", x.versions.configuration, "configuration_age_ms", x.versions.configurationAge.Milliseconds(), "placement", x.versions.placement, "servers_age_ms", x.versions.registrationsAge.Milliseconds(),
+		"configuration", x.versions.configuration, "configuration_age_ms", loggedAge(x.versions.configurationAge), "placement", x.versions.placement, "servers_age_ms", loggedAge(x.versions.registrationsAge),
 		"responses", x.progress.responses, "framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "end", x.progress.evidence.String(),
 		"leased_ms", x.leaseWait.Milliseconds(), "first_ms", x.timeToFirstByte.Milliseconds(), "gap_ms", x.progress.longestGap.Milliseconds(),
 		"took_ms", elapsed.Milliseconds())
--- a/pkg/gateway/registration_delay_test.go
+++ b/pkg/gateway/registration_delay_test.go
@@ -50,15 +50,15 @@
 
 func testCodec() Codec {
 	return Codec{
-		ConfigurationKey:   "op/config",
-		RegistrationPrefix: "servers/",
+		ConfigurationKey:   "configuration",
+		RegistrationPrefix: "registrations/",
 		DecodeConfiguration: func(value []byte) (*fleet.Configuration, error) {
 			version, err := strconv.ParseInt(string(value), 10, 64)
 			return &fleet.Configuration{Version: version}, err
 		},
 		DecodeRegistration: func(key string, value []byte) (fleet.Backend, error) {
 			sequence, err := strconv.ParseInt(string(value), 10, 64)
-			id := strings.TrimPrefix(key, "servers/")
+			id := strings.TrimPrefix(key, "registrations/")
 			return fleet.Backend{ID: id, Service: "s", Address: "address-of-" + id, StartedAtMillis: 1, Sequence: sequence}, err
 		},
 	}
@@ -68,7 +68,7 @@
 func startRegistrationSite(t *testing.T) *registrationSite {
 	ctx, cancel := context.WithCancel(t.Context())
 	s := &registrationSite{t: t, store: newDelayedStore(), control: newControl(discardLogger()), cancel: cancel}
-	s.store.put("op/config", "1")
+	s.store.put("configuration", "1")
 	w := newStoreWatcher(Dependencies{
 		Store:             s.store.withWait(2 * time.Second),
 		RegistrationStore: s.store,
@@ -130,7 +130,7 @@
 	s.store.remove(serverKey(i))
 }
 
-func serverKey(i int) string { return fmt.Sprintf("servers/%c", 'a'+i) }
+func serverKey(i int) string { return fmt.Sprintf("registrations/%c", 'a'+i) }
 
 func (s *registrationSite) usable() int { return len(s.control.current().servers["s"]) }
 
--- a/pkg/gateway/relay_delay_test.go
+++ b/pkg/gateway/relay_delay_test.go
@@ -71,7 +71,7 @@
 			defer s.stop()
 			s.followRelayWithDeadWatch()
 			s.keepRelayReading(phase)
-			s.store.put("op/config", "2")
+			s.store.put("configuration", "2")
 			s.remove(0)
 			started := time.Now()
 			if took := s.timeUntilVersion(2); took > configurationBound {
