--- a/pkg/gateway/registrations.go
+++ b/pkg/gateway/registrations.go
@@ -21,6 +21,33 @@
 	unreadable bool
 }
 
+// followRegistrations keeps the registered servers up to date while it is switched
+// on.
+func (s *storeWatcher) followRegistrations(ctx context.Context) {
+	s.registrations.run(ctx, func(ctx context.Context) {
+		choose := func() keyvalue.Store { return s.registrationStore }
+		s.follow(ctx, choose, s.codec.RegistrationPrefix, true, func(ctx context.Context, read storeRead) {
+			s.handleRegistrations(read)
+			if !read.complete && len(read.events) > 0 {
+				backoff.Sleep(ctx, minRegistrationReadInterval)
+			}
+		})
+	})
+}
+
+// setReadRegistrations sets whether this entry reads registrations from the store.
+func (s *storeWatcher) setReadRegistrations(on bool) {
+	if !s.registrations.set(on) {
+		return
+	}
+	s.logger.Info("source of registrations changed", "belief", "registrations", "from_store", on)
+	if on {
+		// No relay notifies of a new configuration now, so its watch is restarted
+		// with the shorter long-poll timeout.
+		s.restartWatches()
+	}
+}
+
 func (s *storeWatcher) handleRegistrations(read storeRead) {
 	now := time.Now()
 	changes := make([]registrationChange, 0, len(read.events))
--- a/pkg/gateway/store_watcher.go
+++ b/pkg/gateway/store_watcher.go
@@ -12,7 +12,6 @@
 	"teaselgauge.example/teaselgauge/pkg/backoff"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
-	"teaselgauge.example/teaselgauge/pkg/metrics"
 )
 
 const (
@@ -93,57 +92,6 @@
 	s.restart = make(chan struct{})
 }
 
-// followConfiguration keeps the newest configuration active until ctx ends. An
-// entry with a relay is notified of new versions, so its calls to the store may
-// take longer.
-func (s *storeWatcher) followConfiguration(ctx context.Context) {
-	choose := func() keyvalue.Store {
-		if s.registrations.isOn() {
-			return s.store
-		}
-		return s.siteStore
-	}
-	s.follow(ctx, choose, s.codec.ConfigurationKey, false, s.handleConfiguration)
-}
-
-// refreshConfiguration reads the configuration if a relay reports a newer version
-// than the active one.
-func (s *storeWatcher) refreshConfiguration(version int64) {
-	if table := s.control.current().table; table != nil && table.Configuration().Version >= version {
-		return
-	}
-	if s.control.reportVersion(version) {
-		s.restartWatches()
-	}
-}
-
-// followRegistrations keeps the registered servers up to date while it is switched
-// on.
-func (s *storeWatcher) followRegistrations(ctx context.Context) {
-	s.registrations.run(ctx, func(ctx context.Context) {
-		choose := func() keyvalue.Store { return s.registrationStore }
-		s.follow(ctx, choose, s.codec.RegistrationPrefix, true, func(ctx context.Context, read storeRead) {
-			s.handleRegistrations(read)
-			if !read.complete && len(read.events) > 0 {
-				backoff.Sleep(ctx, minRegistrationReadInterval)
-			}
-		})
-	})
-}
-
-// setReadRegistrations sets whether this entry reads registrations from the store.
-func (s *storeWatcher) setReadRegistrations(on bool) {
-	if !s.registrations.set(on) {
-		return
-	}
-	s.logger.Info("source of registrations changed", "belief", "registrations", "from_store", on)
-	if on {
-		// No relay notifies of a new configuration now, so its watch is restarted
-		// with the shorter long-poll timeout.
-		s.restartWatches()
-	}
-}
-
 // storeRead is the result of a read or a watch event.
 type storeRead struct {
 	// complete is set if events are all present keys, and not set if they are
@@ -225,26 +173,3 @@
 	}
 	return sentAt, err
 }
-
-func (s *storeWatcher) handleConfiguration(_ context.Context, read storeRead) {
-	defer s.confirmConfiguration()
-	for _, event := range read.events {
-		if event.Deleted || event.Value.Key != s.codec.ConfigurationKey {
-			continue
-		}
-		configuration, err := s.codec.DecodeConfiguration(event.Value.Value)
-		if err != nil {
-			s.logger.Error("configuration unreadable, keeping the active one", "revision", event.Value.ModRevision, "error", err)
-			continue
-		}
-		s.control.loop.Do(func() { s.control.applyConfiguration(configuration) })
-	}
-}
-
-// confirmConfiguration records that the active configuration is the newest as of
-// now.
-func (s *storeWatcher) confirmConfiguration() {
-	if table := s.control.current().table; table != nil {
-		s.control.freshness.confirm(time.Now(), metrics.ViewConfiguration, table.Configuration().Version)
-	}
-}
