Take an outage from half a heartbeat on for one in which leases may have ended

By the platform's page no lease of three heartbeats ends so soon, but the older promise is that callers lose nothing then.

Change: half a heartbeat. What must not count is a call that failed once: it is repeated after 0.3 s at most.

--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -15,9 +15,9 @@
 	// storeGrace is how long after an outage of the store a registration that has been
 	// missing since then is kept. Running servers register again within about two seconds.
 	storeGrace = 2500 * time.Millisecond
-	// minOutageHeartbeats is the length of the shortest outage in which the lease of a running
-	// server can end: it lasts three heartbeats, the last of which was up to one before.
-	minOutageHeartbeats = 2
+	// outageDivisor is the part of a heartbeat that the shortest outage lasts. A shorter one is
+	// a call that failed once and was repeated; it keeps no server from more than a heartbeat.
+	outageDivisor = 2
 	// defaultHeartbeat is how often servers write their registrations, unless SetHeartbeat is
 	// called.
 	defaultHeartbeat = time.Second
@@ -90,7 +90,7 @@
 // outage in which leases may have ended, registrations that are missing from now on are kept
 // until storeGrace later, unless they are seen before.
 func (r *Registry) StoreRead(now time.Time) {
-	if !r.failingSince.IsZero() && now.Sub(r.failingSince) >= minOutageHeartbeats*r.heartbeat {
+	if !r.failingSince.IsZero() && now.Sub(r.failingSince) >= r.heartbeat/outageDivisor {
 		r.keepUntil = now.Add(storeGrace)
 		for _, known := range r.registrations {
 			known.mayHaveLapsed = known.usable
--- a/pkg/backends/registry_test.go
+++ b/pkg/backends/registry_test.go
@@ -108,7 +108,7 @@
 	r := NewRegistry()
 	r.Put(testStart, backend("a", "1", 1, 1))
 	r.Put(testStart, backend("b", "2", 1, 1))
-	returned := readAfterOutage(r, minOutageHeartbeats*defaultHeartbeat)
+	returned := readAfterOutage(r, defaultHeartbeat/outageDivisor)
 	wantUsable(t, r, "a", "b")
 	if r.Remove(returned.Add(time.Second), "a") {
 		t.Error("a missing registration was removed immediately")
@@ -147,7 +147,7 @@
 	r := NewRegistry()
 	r.SetHeartbeat(2 * time.Second)
 	r.Put(testStart, backend("a", "1", 1, 1))
-	readAfterOutage(r, 4*time.Second-time.Millisecond)
+	readAfterOutage(r, time.Second-time.Millisecond)
 	wantUsable(t, r)
 }
 
@@ -157,8 +157,8 @@
 	r.Put(testStart, backend("a", "1", 1, 1))
 	r.RelayRead(testStart)
 	r.StoreFailed(testStart.Add(-10 * time.Second))
-	r.StoreRead(testStart.Add(time.Second))
-	r.Replace(testStart.Add(time.Second), nil)
+	r.StoreRead(testStart.Add(300*time.Millisecond))
+	r.Replace(testStart.Add(300*time.Millisecond), nil)
 	wantUsable(t, r)
 }
 
