--- a/pkg/backends/registry_test.go
+++ b/pkg/backends/registry_test.go
@@ -157,7 +157,7 @@
 	r.Put(testStart, backend("a", "1", 1, 1))
 	r.RelayRead(testStart)
 	r.StoreFailed(testStart.Add(-10 * time.Second))
-	r.StoreRead(testStart.Add(300*time.Millisecond))
+	r.StoreRead(testStart.Add(300 * time.Millisecond))
 	r.Replace(testStart.Add(300*time.Millisecond), nil)
 	wantUsable(t, r)
 }
