--- a/pkg/fleet/configuration.go
+++ b/pkg/fleet/configuration.go
@@ -52,8 +52,10 @@
 	// MaxAttempts is the maximum number of backend servers that one request may run on.
 	MaxAttempts int
 	// Priority ranks routes; 0 is the highest priority.
-	Priority     int
-	Resumable    bool
+	Priority  int
+	Resumable bool
+	// Public routes serve callers without a key.
+	Public       bool
 	Destinations []Destination
 }
 
@@ -138,4 +140,6 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations is empty on a site whose callers have no keys.
+	Organisations []Organisation
 }
