Don't join streams of servers without a version to others

What callers saw: a stream of a server whose registration names no version of its software went on, after a break, at a server of any version. Cause: the empty version also means that any version will do, so that a stream which began there required none. Change: the registry names the version of such servers; they count as one version of their own (fleet.UnnamedSoftware).

--- a/pkg/backends/registry.go
+++ b/pkg/backends/registry.go
@@ -148,6 +148,7 @@
 	if !r.claimAddress(now, &backend) {
 		return false
 	}
+	backend.Software = cmp.Or(backend.Software, fleet.UnnamedSoftware)
 	known := r.registrations[backend.ID]
 	if known == nil {
 		r.registrations[backend.ID] = &registration{backend: backend, usable: true}
--- a/pkg/fleet/backend.go
+++ b/pkg/fleet/backend.go
@@ -28,6 +28,10 @@
 	Adapters []string `json:"adapters,omitempty"`
 }
 
+// UnnamedSoftware is the version of servers whose registration names none. They are taken to
+// run the same software as each other, and other software than servers that name theirs.
+const UnnamedSoftware = "unnamed"
+
 // Backend is a backend server's registration.
 type Backend struct {
 	// ID is unique among the running servers.
