Ask all agents for a stream's origin while what is known isn't confirmed

What callers saw: a resumed stream went on at the wrong version of the servers' software. Cause: agents of runners without the model were asked only if the others knew nothing. An attempt whose end wasn't reported counted, though a later one had gone to a runner that has no copy of the model any more.

--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -151,8 +151,8 @@
 }
 
 // lookUpOrigin looks for the origin of the stream: in this entry's own records, then at
-// the agents of the model, and then at the other agents of the service if the version
-// isn't known yet.
+// the agents of the model, and then at the other agents of the service if what they know may
+// change the version.
 func (x *exchange) lookUpOrigin(ctx context.Context) originLookup {
 	found := originLookup{recent: x.recentVersions(time.Now())}
 	if x.caller.Resumes == "" {
@@ -169,7 +169,7 @@
 	for _, agents := range [][]agentAddress{likely, others} {
 		x.askAgents(ctx, agents, &found.inquiry)
 		found.Resolution = found.inquiry.Resolve(found.recent)
-		if found.IsKnown() {
+		if found.inquiry.IsSettled(found.recent) {
 			break
 		}
 	}
--- a/pkg/resumption/resolve.go
+++ b/pkg/resumption/resolve.go
@@ -109,6 +109,13 @@
 	return q.answered+q.failed >= q.asked || (q.latest != nil && q.latest.Confirmed)
 }
 
+// IsSettled reports whether places that weren't asked yet can't change the resolution: if an
+// answer is confirmed, or only one version was in service. An attempt that isn't confirmed
+// may have been followed by a later one elsewhere.
+func (q *Inquiry) IsSettled(recent []string) bool {
+	return (q.latest != nil && q.latest.Confirmed) || (!q.conflict && len(recent) == 1)
+}
+
 // Asked returns the number of places that were asked.
 func (q *Inquiry) Asked() int { return q.asked }
 
