Send streams to faster runners more often

Cause: runners differ in speed, and entries chose among ready runners of a model by load alone. Change: entries report the mean interval between a stream's events with the end of its lease, the runner's agent publishes the mean for each model, and entries draw faster runners more often and scale loads by the relative times (pkg/speed). Only routes with a target for the gaps between events are chosen so.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -91,6 +91,7 @@
 		random:   rand.IntN,
 
 		isOnlySoftware: x.isOnlySoftware(now),
+		limitsEventGap: x.route.MaxEventGap > 0,
 	}
 }
 
--- a/pkg/gateway/candidate.go
+++ b/pkg/gateway/candidate.go
@@ -34,6 +34,9 @@
 	permitRank int
 	// wait is the expected time until the model is loaded.
 	wait time.Duration
+	// eventInterval is the mean interval between the events of the model's streams at the
+	// runner lately; zero if it isn't known.
+	eventInterval time.Duration
 }
 
 // noPermitRank is the rank of a runner without a permit.
@@ -71,6 +74,7 @@
 	known := s.model(model)
 	if known != nil {
 		c.wait = time.Duration(known.WaitMillis) * time.Millisecond
+		c.eventInterval = time.Duration(known.EventMillis) * time.Millisecond
 		if known.PermitRank > 0 {
 			c.permitRank = known.PermitRank
 		}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -9,6 +9,7 @@
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
+	"teaselgauge.example/teaselgauge/pkg/speed"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
 
@@ -33,6 +34,8 @@
 	domain string
 	// excluded holds the IDs of the servers that must not be chosen.
 	excluded []string
+	// limitsEventGap is set if the events of the response may not come too far apart.
+	limitsEventGap bool
 	// random returns a random number below n.
 	random func(n int) int
 }
@@ -178,12 +181,25 @@
 	equals := slices.DeleteFunc(candidates, func(c candidate) bool {
 		return c.ready != readyNow || c.healthPenalty() != best.healthPenalty()
 	})
-	first := equals[sel.random(len(equals))]
-	second := equals[sel.random(len(equals))]
-	if second.effectiveLoad() < first.effectiveLoad() {
-		return &second
+	relative := sel.relativeTimes(equals)
+	load := func(i int) float64 { return speed.ScaleLoad(equals[i].effectiveLoad(), relative[i]) }
+	first, second := speed.Draw(relative, sel.random), speed.Draw(relative, sel.random)
+	if load(second) < load(first) {
+		first = second
 	}
-	return &first
+	return &equals[first]
+}
+
+// relativeTimes returns the time that equally ready runners take for an event, relative to
+// each other. They count as equal for a request without a limit on the gaps between events.
+func (sel *selection) relativeTimes(candidates []candidate) []float64 {
+	intervals := make([]time.Duration, len(candidates))
+	for i := range candidates {
+		if sel.limitsEventGap {
+			intervals[i] = candidates[i].eventInterval
+		}
+	}
+	return speed.Relative(intervals)
 }
 
 // startsTooLate reports whether a runner is expected to have the model loaded only after the
--- a/pkg/gateway/choose_test.go
+++ b/pkg/gateway/choose_test.go
@@ -154,3 +154,30 @@
 		}
 	}
 }
+
+func TestStreamGoesToFasterRunner(t *testing.T) {
+	fast := wire.RunnerModel{State: wire.ModelLoaded, EventMillis: 30}
+	slow := wire.RunnerModel{State: wire.ModelLoaded, EventMillis: 80}
+	c := newTestControl(testStart, testRunner{id: "a", status: statusOf(1, slow)}, testRunner{id: "b", status: statusOf(2, fast)})
+	for _, test := range []struct {
+		limitsEventGap bool
+		want           string
+	}{{true, "b"}, {false, "a"}} {
+		sel := selectionAt(testStart, c, backends.NewTracker())
+		sel.limitsEventGap = test.limitsEventGap
+		sel.random = drawEach()
+		if got := pickRunner(sel).ID; got != test.want {
+			t.Errorf("with a limit on gaps %t: chose %q, want %q", test.limitsEventGap, got, test.want)
+		}
+	}
+}
+
+// drawEach returns a source of random numbers by which two draws give the first and the
+// last runner.
+func drawEach() func(n int) int {
+	calls := 0
+	return func(n int) int {
+		calls++
+		return (calls - 1) % 2 * (n - 1)
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -209,6 +209,7 @@
 		}
 		x.endLeaseWatch()
 		granted.setBegun(x.hasEvents())
+		granted.setEventInterval(x.progress.eventInterval())
 		granted.release(event != nil && event.IsFailure() && !x.callerLeft(), x.responseLatency)
 		if event == nil || x.handleFailure(ctx, target, *event, response) {
 			return
--- a/pkg/gateway/leases.go
+++ b/pkg/gateway/leases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"syscall"
 	"time"
 
@@ -26,6 +27,9 @@
 	// isRateToken is set for the permission to send one request to a server with a
 	// rate limit.
 	isRateToken bool
+	// eventInterval is the mean interval between the events of the stream; zero if there
+	// were too few.
+	eventInterval time.Duration
 	// begun is set if the caller has an event of the stream that the request is for.
 	begun bool
 	// stream is nil if this entry itself has issued the token.
@@ -59,6 +63,14 @@
 	}
 }
 
+// setEventInterval sets the mean interval between the events of the stream. It does nothing
+// on nil.
+func (l *lease) setEventInterval(interval time.Duration) {
+	if l != nil {
+		l.eventInterval = interval
+	}
+}
+
 // release ends the lease and reports to the agent whether the runner failed at the
 // request, and the time from the send to the response header, zero if there was
 // none. It does nothing on nil, the lease at servers without agents.
@@ -67,7 +79,12 @@
 		return
 	}
 	// If the frame is lost, the agent still detects the end of the stream.
-	_ = l.stream.Send(&wire.Frame{Released: &wire.Released{Failed: failed, FirstMillis: uint32(first.Milliseconds()), Begun: l.begun}})
+	_ = l.stream.Send(&wire.Frame{Released: &wire.Released{
+		Failed:      failed,
+		FirstMillis: uint32(first.Milliseconds()),
+		Begun:       l.begun,
+		EventMicros: uint32(min(l.eventInterval.Microseconds(), math.MaxUint32)),
+	}})
 	l.stream.Close()
 }
 
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -111,7 +111,7 @@
 		"backend", x.lastServer, "software", x.lastSoftware, "resumes", x.caller.Resumes, "resumed_after", x.caller.LastEventID, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "rate_tokens", x.rateTokens,
 		"configuration", x.versions.configuration, "configuration_age_ms", loggedAge(x.versions.configurationAge), "placement", x.versions.placement, "servers_age_ms", loggedAge(x.versions.registrationsAge),
 		"responses", x.progress.responses, "framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "end", x.progress.evidence.String(),
-		"leased_ms", x.leaseWait.Milliseconds(), "first_ms", x.timeToFirstByte.Milliseconds(), "gap_ms", x.progress.longestGap.Milliseconds(),
+		"leased_ms", x.leaseWait.Milliseconds(), "first_ms", x.timeToFirstByte.Milliseconds(), "gap_ms", x.progress.longestGap.Milliseconds(), "event_ms", x.progress.eventInterval().Milliseconds(),
 		"took_ms", elapsed.Milliseconds())
 }
 
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -42,6 +42,19 @@
 	evidence endEvidence
 }
 
+// minTimedEvents is the number of events of a stream from which the mean interval between
+// them is known well enough.
+const minTimedEvents = 4
+
+// eventInterval returns the mean interval between the events of a stream; zero if there
+// were too few, or if they came from several servers.
+func (p *progress) eventInterval() time.Duration {
+	if p.responses != 1 || p.events.Count() < minTimedEvents {
+		return 0
+	}
+	return p.lastRead.Sub(p.firstEvent) / time.Duration(p.events.Count()-1)
+}
+
 // forwardResponse sends a response to the caller. It returns nil when the caller
 // has all of it, and the failure otherwise.
 func (x *exchange) forwardResponse(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
--- a/pkg/residency/manager.go
+++ b/pkg/residency/manager.go
@@ -39,8 +39,10 @@
 	interactive decayingRate
 	batch       decayingRate
 	// prefill is the share of the runner's time spent on prefill for the model.
-	prefill  prefillShare
-	lastUsed time.Time
+	prefill prefillShare
+	// eventInterval is the mean interval between the events of the model's streams.
+	eventInterval eventInterval
+	lastUsed      time.Time
 	// loadGrantUntil is the expiry of a load grant from the weight store.
 	loadGrantUntil time.Time
 	// wantedSince is the start of the current demand; zero after the model was
--- a/pkg/residency/status.go
+++ b/pkg/residency/status.go
@@ -113,6 +113,7 @@
 		WaitMillis:      m.waitMillis(now, known),
 		PermitRank:      known.Permit.Rank,
 		PrefillShare:    known.prefill.current(now),
+		EventMillis:     known.eventInterval.publishedMillis(now),
 	}
 }
 
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -166,7 +166,9 @@
 		case frame.Released != nil:
 			latency := time.Duration(frame.Released.FirstMillis) * time.Millisecond
 			s.controller.loop.Do(func() {
-				s.controller.manager.RequestEnded(time.Now(), id, frame.Released.Failed, latency)
+				now := time.Now()
+				s.controller.manager.RequestEnded(now, id, frame.Released.Failed, latency)
+				s.controller.manager.StreamEnded(now, id, time.Duration(frame.Released.EventMicros)*time.Microsecond)
 				s.controller.leaseEnded(acquire, frame.Released.Begun)
 			})
 			return
--- a/pkg/wire/runner_messages.go
+++ b/pkg/wire/runner_messages.go
@@ -107,6 +107,9 @@
 	// PrefillShare is the share of time that the runner spends on prefill for the
 	// model.
 	PrefillShare float64 `cbor:"13,keyasint,omitempty" json:"Reading"`
+	// EventMillis is the mean interval between the events of the model's streams lately, in
+	// milliseconds; zero if there were too few.
+	EventMillis uint32 `cbor:"14,keyasint,omitempty"`
 }
 
 // RunnerStatus is an agent's report of its runner's state. Models that are neither
@@ -206,6 +209,9 @@
 	FirstMillis uint32 `cbor:"2,keyasint,omitempty"`
 	// Begun is set if the caller has an event of the stream that the request is for.
 	Begun bool `cbor:"3,keyasint,omitempty"`
+	// EventMicros is the mean interval between the events of the stream, in microseconds;
+	// zero if there were too few.
+	EventMicros uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Granted reports that the request may be sent to the runner now.
