--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -13,6 +13,8 @@
 	// hosts maps each host to its routes, sorted by descending length of the prefix.
 	hosts    map[string][]*Route
 	services map[string]*Service
+	// organisations maps the digest of each key to the organisation that holds it.
+	organisations map[string]*Organisation
 }
 
 // NewTable indexes a configuration.
@@ -21,6 +23,7 @@
 		configuration: configuration,
 		hosts:         make(map[string][]*Route),
 		services:      make(map[string]*Service, len(configuration.Services)),
+		organisations: make(map[string]*Organisation),
 	}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
@@ -35,6 +38,12 @@
 	for i := range configuration.Services {
 		t.services[configuration.Services[i].Name] = &configuration.Services[i]
 	}
+	for i := range configuration.Organisations {
+		organisation := &configuration.Organisations[i]
+		for _, hash := range organisation.KeyHashes {
+			t.organisations[hash] = organisation
+		}
+	}
 	return t
 }
 
@@ -55,6 +64,13 @@
 // Service returns a listed service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// HasOrganisations reports whether callers identify themselves by keys.
+func (t *Table) HasOrganisations() bool { return len(t.configuration.Organisations) > 0 }
+
+// Organisation returns the organisation that holds a key, by the key's digest, or nil.
+// That the digests are looked up reveals nothing about the keys by its duration.
+func (t *Table) Organisation(keyHash string) *Organisation { return t.organisations[keyHash] }
+
 // Engines returns the services with model runners, in configuration order.
 func (t *Table) Engines() []*Service {
 	var engines []*Service
--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -30,6 +30,8 @@
 	// CallerKey is the secret by which the caller identifies itself; empty where the
 	// platform has none. It must not be logged.
 	CallerKey string
+	// ManyKeys is set if the request has more than one secret; CallerKey is the first.
+	ManyKeys bool
 }
 
 // BackendHeaders are the values sent to a backend server in addition to the
@@ -46,6 +48,12 @@
 	// WeightsVersion makes a server with another version reject the request; empty allows
 	// any version.
 	WeightsVersion string
+	// CallersHaveKeys is set on a site with organisations. The caller's secret and the
+	// organisation that it states are then not forwarded.
+	CallersHaveKeys bool
+	// Organisation is the name of the organisation that the caller belongs to; empty if
+	// there is none.
+	Organisation string
 }
 
 // Load is the load that a backend server reports.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -158,7 +158,7 @@
 	c.publish()
 	c.logChanges(before, c.registry.Backends())
 	c.logger.Info("configuration activated", "belief", "configuration", "version", configuration.Version,
-		"routes", len(configuration.Routes), "services", len(configuration.Services))
+		"routes", len(configuration.Routes), "services", len(configuration.Services), "organisations", len(configuration.Organisations))
 }
 
 // updateRegistry applies a change to the registered backend servers.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -25,6 +25,7 @@
 	request  *http.Request
 	route    *fleet.Route
 	caller   forward.RequestInfo
+	identity
 	// outgoing is the request as it is sent to backend servers.
 	outgoing *forward.Request
 	arrived  time.Time
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -130,12 +130,12 @@
 	versions.configuration = current.table.Configuration().Version
 	versions.configurationAge = h.control.freshness.age(arrived, metrics.ViewConfiguration)
 	route := current.table.Match(r.Host, rawPath(r))
-	if route == nil && h.control.reportedVersion.Load() > versions.configuration {
-		// A newer configuration may have the route, and is about to be read.
-		return reject(refusal{status: http.StatusServiceUnavailable, reason: "configuration out of date", retryAfter: unconfiguredRetryAfter})
-	}
 	if route == nil {
-		return reject(refusal{status: http.StatusNotFound, reason: "no route"})
+		return reject(h.refusalByConfiguration(versions.configuration, refusal{status: http.StatusNotFound, reason: "no route"}))
+	}
+	who, failure := h.identify(current.table, route, caller)
+	if failure != nil {
+		return reject(*failure)
 	}
 	if err != nil {
 		return reject(refusal{status: http.StatusBadRequest, reason: err.Error()})
@@ -145,12 +145,23 @@
 		return reject(*failure)
 	}
 	x := h.newExchange(response, r, route, caller, body, arrived)
+	x.identity = who
 	if end := h.drainEnd.Load(); end != nil && x.deadline.After(*end) {
 		return reject(refusal{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stoppingRetryAfter})
 	}
 	return x, nil
 }
 
+// refusalByConfiguration returns the refusal of a request that a version of the
+// configuration doesn't allow: final, or for a time if a newer version is known, which may
+// allow it and is about to be read.
+func (h *handler) refusalByConfiguration(version int64, final refusal) refusal {
+	if h.control.reportedVersion.Load() > version {
+		return refusal{status: http.StatusServiceUnavailable, reason: "configuration out of date", retryAfter: unconfiguredRetryAfter}
+	}
+	return final
+}
+
 // awaitConfiguration delays a request to an entry that has just started until the
 // configuration is available or a timeout has passed.
 func (h *handler) awaitConfiguration(ctx context.Context, callerTimeout time.Duration) {
--- a/pkg/gateway/leases.go
+++ b/pkg/gateway/leases.go
@@ -244,7 +244,7 @@
 		Model:          x.caller.Model,
 		Adapter:        x.caller.Adapter,
 		Route:          x.route.Name,
-		Priority:       x.route.Priority,
+		Priority:       x.priority(),
 		DeadlineMillis: remainingMillis(now, x.deadline),
 		StartMillis:    remainingMillis(now, x.startDeadline()),
 		TargetMillis:   uint32(x.route.TargetLatency.Milliseconds()),
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -97,6 +97,9 @@
 	elapsed := now.Sub(x.arrived)
 	kind := x.route.Kind.String()
 	o.metrics.RequestDone(x.route.Name, kind, string(end.outcome), elapsed)
+	if x.organisation != nil {
+		o.metrics.OrganisationRequest(x.organisation.Name, string(end.outcome))
+	}
 	if x.progress.responses > 0 {
 		o.metrics.FirstByte(kind, x.timeToFirstByte)
 		o.metrics.ResponseEnd(x.progress.framing.String(), string(end.outcome))
@@ -105,7 +108,7 @@
 		o.metrics.ResponseNotLogged()
 		return
 	}
-	o.logger.Info("request", "request", x.caller.RequestID, "route", x.route.Name, "kind", kind,
+	o.logger.Info("request", "request", x.caller.RequestID, "route", x.route.Name, "kind", kind, "organisation", nameOf(x.organisation), "priority", x.priority(),
 		"outcome", string(end.outcome), "status", end.status, "cause", end.cause,
 		"retry_after_ms", end.retryAfter.Milliseconds(), "budget_ms", x.deadline.Sub(x.arrived).Milliseconds(),
 		"backend", x.lastServer, "software", x.lastSoftware, "resumes", x.caller.Resumes, "resumed_after", x.caller.LastEventID, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "rate_tokens", x.rateTokens,
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -117,10 +117,13 @@
 	x.outgoing.Header = x.handler.headerCodec.EncodeRequest(x.request.Header, forward.BackendHeaders{
 		Budget:      x.deadline.Sub(now),
 		Instance:    backend.ID,
-		Priority:    x.route.Priority,
+		Priority:    x.priority(),
 		LastEventID: x.progress.events.LastID(),
 
 		WeightsVersion: x.progress.weightsVersion,
+
+		CallersHaveKeys: x.callersHaveKeys,
+		Organisation:    nameOf(x.keyHolder),
 	})
 	return x.outgoing
 }
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -88,6 +88,9 @@
 	resumptions        *vector[tally.Counter]
 	origins            tally.Gauge
 	originsDropped     tally.Counter
+	unidentified       *vector[tally.Counter]
+	organisations      *vector[tally.Counter]
+	organisationNames  *nameLimit
 }
 
 // NewGateway registers a gateway's metrics in scope.
@@ -121,6 +124,9 @@
 		resumptions:        newCounters(gateway, "resumptions_total", "outcome"),
 		origins:            gateway.Gauge("stream_origins"),
 		originsDropped:     gateway.Counter("dropped_stream_origins_total"),
+		unidentified:       newCounters(gateway, "unidentified_requests_total", "reason"),
+		organisations:      newCounters(gateway, "organisation_requests_total", "organisation", "outcome"),
+		organisationNames:  newNameLimit(maxOrganisations, otherOrganisations),
 	}
 }
 
@@ -224,3 +230,12 @@
 
 // OriginDropped counts an origin of a stream that was dropped, as there were too many.
 func (g *Gateway) OriginDropped() { g.originsDropped.Inc(1) }
+
+// Unidentified counts a request that was refused since it has no valid key.
+func (g *Gateway) Unidentified(reason string) { g.unidentified.with(labels{reason}).Inc(1) }
+
+// OrganisationRequest counts a finished request of an organisation. Once there are too many
+// organisations, further ones are counted together.
+func (g *Gateway) OrganisationRequest(organisation, outcome string) {
+	g.organisations.with(labels{g.organisationNames.tag(organisation), outcome}).Inc(1)
+}
