Test keys of organisations with processes, and show a 401 in the demo

Cause: no test ran the programs with organisations; the demo had none.

Change: the stand-ins' configuration has organisations and public routes, backend servers record the key header and the organisation that they receive.

--- a/testkit/cmd/demo/run.go
+++ b/testkit/cmd/demo/run.go
@@ -41,6 +41,9 @@
 			failures = append(failures, fmt.Errorf("%s: %w", step.title, err))
 		}
 	}
+	if err := runPlatformDemo(ctx); err != nil {
+		failures = append(failures, fmt.Errorf("operator's platform: %w", err))
+	}
 	if len(failures) > 0 {
 		return fmt.Errorf("wrong responses: %w", errors.Join(failures...))
 	}
--- a/testkit/platformsite/configuration.go
+++ b/testkit/platformsite/configuration.go
@@ -31,6 +31,7 @@
 	MaxAttempts  int     `json:"maxAttempts"`
 	Priority     int     `json:"priority"`
 	Resumable    bool    `json:"resumable,omitempty"`
+	Public       bool    `json:"public,omitempty"`
 	GapAimMs     float64 `json:"gapAimMs,omitempty"`
 	Service      string  `json:"service,omitempty"`
 	TrafficSplit []Split `json:"trafficSplit,omitempty"`
@@ -48,6 +49,18 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	Tenants  []Tenant  `json:"tenants,omitempty"`
+}
+
+// Tenant is an organisation in the operator's format.
+type Tenant struct {
+	Name        string   `json:"name"`
+	APIKeys     []string `json:"apiKeys"`
+	Priority    *int     `json:"priority,omitempty"`
+	Unit        string   `json:"unit,omitempty"`
+	PlainTokens float64  `json:"plainTokens,omitempty"`
+	RatePerS    float64  `json:"ratePerS,omitempty"`
+	Burst       float64  `json:"burst,omitempty"`
 }
 
 // Service is a service in the operator's format.
--- a/testkit/standin/backendserver/journal.go
+++ b/testkit/standin/backendserver/journal.go
@@ -18,6 +18,10 @@
 	Budget string
 	// LastEventID is the event after which the caller resumes a stream.
 	LastEventID string
+	// Keys are the values of the key header, which no server may receive; Organisation is
+	// that of the caller.
+	Keys         []string
+	Organisation string
 	// Prompt lists the parts of the prompt.
 	Prompt string
 	// At is the time of arrival.
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -27,6 +27,9 @@
 	HeaderLimit     = "Server-Limit"
 	HeaderPrompt    = "Teaselgauge-Prompt-Prefix"
 	HeaderLastEvent = "Last-Event-Id"
+	// HeaderKey is a caller's key, HeaderOrganisation the name of its organisation.
+	HeaderKey          = "Api-Key"
+	HeaderOrganisation = "Teaselgauge-Tenant"
 	// HeaderResumes is the HeaderRequestID of the attempt that brought the first event of
 	// a stream that is resumed.
 	HeaderResumes = "Resumes"
@@ -75,6 +78,7 @@
 		ID: id, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body), Model: r.Header.Get(HeaderModel),
 		Priority: r.Header.Get(HeaderPriority), Budget: r.Header.Get(HeaderBudget),
 		LastEventID: r.Header.Get("Last-Event-Id"), Prompt: r.Header.Get(HeaderPrompt), At: time.Now(),
+		Keys: r.Header.Values(HeaderKey), Organisation: strings.Join(r.Header.Values(HeaderOrganisation), ","),
 	}
 	change := s.recordRun(run)
 	if remaining := s.rejectionTime(); remaining > 0 {
