--- a/testkit/platformprocess/keys_test.go
+++ b/testkit/platformprocess/keys_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/adminapi"
 	"teaselgauge.example/teaselgauge/pkg/keys"
@@ -202,3 +203,44 @@
 		t.Error("the log has a key")
 	}
 }
+
+// TestOpenStreamOutlivesItsKey removes the key of a caller whose stream is open.
+func TestOpenStreamOutlivesItsKey(t *testing.T) {
+	s := start(t, func(o *platformsite.Options) {
+		o.Entries, o.Work, o.Events = 1, 100*time.Millisecond, 30
+	})
+	entry := s.Entries[0]
+	s.Configure(withKeys([]string{inkKey}, []string{paintKey}))
+	awaitStatus(t, s, entry, unknownKey, http.StatusUnauthorized)
+	eventually(t, func() error {
+		if got := entry.Send(testContext(t), keyed(s, platformsite.AdvicePath, "m1", inkKey)); got.Status != http.StatusOK {
+			return errNotYet(got)
+		}
+		return nil
+	})
+	request := keyed(s, platformsite.AdvicePath, "m1", paintKey)
+	ended := make(chan platformsite.Result, 1)
+	go func() { ended <- entry.Send(testContext(t), request) }()
+	eventually(t, func() error {
+		if len(s.Runs(request.ID)) == 0 {
+			return errNotYet("no run")
+		}
+		return nil
+	})
+	s.Configure(withKeys([]string{inkKey}, []string{}))
+	awaitStatus(t, s, entry, paintKey, http.StatusUnauthorized)
+	select {
+	case result := <-ended:
+		t.Fatalf("the stream has ended before the key was refused: %s", result)
+	default:
+	}
+	result := <-ended
+	if err := s.Check(request, result); err != nil {
+		t.Error(err)
+	}
+	rest := keyed(s, platformsite.AdvicePath, "m1", paintKey)
+	rest.Header.Set(backendserver.HeaderLastEvent, "12")
+	if got := entry.Send(testContext(t), rest); got.Status != http.StatusUnauthorized {
+		t.Errorf("a caller with a removed key comes back for its stream: %s, want status 401", got)
+	}
+}
