--- a/pkg/gateway/dump.go
+++ b/pkg/gateway/dump.go
@@ -26,6 +26,8 @@
 	Entries   int                            `json:"entries"`
 	Servers   []ServerDump                   `json:"servers"`
 	Models    []ModelDump                    `json:"models"`
+	// Organisations is empty on a site whose callers have no keys.
+	Organisations []OrganisationDump `json:"organisations,omitempty"`
 	// Blocked are the signatures of the requests that are refused since requests like
 	// them crash servers.
 	Blocked []quarantine.Signature `json:"blocked_signatures,omitempty"`
@@ -39,6 +41,15 @@
 	AgeMillis int64 `json:"age_ms"`
 }
 
+// OrganisationDump describes an organisation without its keys.
+type OrganisationDump struct {
+	Name string `json:"name"`
+	// Keys is the number of its keys.
+	Keys int `json:"keys"`
+	// Priority is nil if the routes' priorities apply.
+	Priority *int `json:"priority,omitempty"`
+}
+
 // ServerDump is the state of one backend server.
 type ServerDump struct {
 	ID            string `json:"id"`
@@ -96,6 +107,7 @@
 		return d
 	}
 	d.Configuration = current.table.Configuration().Version
+	d.Organisations = dumpOrganisations(current.table.Configuration().Organisations)
 	for _, servers := range current.servers {
 		for _, s := range servers {
 			dumped := dumpServer(now, s, g.handler.tracker)
@@ -116,6 +128,15 @@
 	return d
 }
 
+func dumpOrganisations(organisations []fleet.Organisation) []OrganisationDump {
+	dumped := make([]OrganisationDump, 0, len(organisations))
+	for i := range organisations {
+		organisation := &organisations[i]
+		dumped = append(dumped, OrganisationDump{Name: organisation.Name, Keys: len(organisation.KeyHashes), Priority: organisation.Priority})
+	}
+	return dumped
+}
+
 func (f *freshness) dump(now time.Time) map[metrics.View]FreshnessDump {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/testkit/platformprocess/keys_test.go
+++ b/testkit/platformprocess/keys_test.go
@@ -176,6 +176,9 @@
 		if log := texts["log of "+entry.ID]; !strings.Contains(log, `cause="unknown key"`) || !strings.Contains(log, "organisation=ink") {
 			t.Errorf("the log of %s has no refusal for an unknown key, or no organisation", entry.ID)
 		}
+		if dump := texts[adminapi.DumpPath+" of "+entry.ID]; !strings.Contains(dump, `"ink"`) {
+			t.Errorf("the dump of %s has no organisation", entry.ID)
+		}
 		if !strings.Contains(texts[telemetry.MetricsPath+" of "+entry.ID], `organisation="ink"`) {
 			t.Errorf("the metrics of %s count no request of the organisation", entry.ID)
 		}
