Play histories of requests that crash servers against processes

Change: a stand-in server that is a process exits at a deadly request, and logs what it has received; testkit/crashhistory starts it again, plays kills, freezes and planned restarts of agents, entries and servers and silence of the store by the plan of a seed, and counts late sends, sound requests that are refused for their content, and the share of sound ones that is served. make soak plays other seeds.

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,12 @@
 		done; \
 	done
 
+# soak plays SEEDS histories of requests that crash servers from the seed SEED on, or those
+# of CI.
+.PHONY: soak
+soak:
+	cd testkit && SOAK_SEEDS=$(SEEDS) SOAK_SEED=$(SEED) go test -count=1 -v -timeout 60m ./crashhistory
+
 # bench compares the policies with their baselines in virtual time.
 bench:
 	go run ./testkit/bench/pacing
--- a/testkit/cmd/standin/backend.go
+++ b/testkit/cmd/standin/backend.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"os"
+	"sync"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -26,8 +28,22 @@
 	}
 }
 
+// crashStatus is the exit status of a server that a request has ended.
+const crashStatus = 3
+
+// logRecord writes a record to standard output, after a mark.
+func logRecord(mark string, record any) {
+	line, err := json.Marshal(record)
+	if err != nil {
+		slog.Error("record not logged", "error", err)
+		return
+	}
+	fmt.Printf("%s%s\n", mark, line)
+}
+
 // runBackend serves requests until ctx ends, and then completes those that it has. It
-// logs each request that it begins to process.
+// logs each request that it begins to process. With deadly requests, it also logs each
+// that it receives, and exits at a deadly one.
 func runBackend(ctx context.Context, address, encoded string) error {
 	if err := checkLoopback(address); err != nil {
 		return err
@@ -37,13 +53,16 @@
 		return fmt.Errorf("--options: %w", err)
 	}
 	options.Unregistered = true
-	options.OnRun = func(run backendserver.Run) {
-		line, err := json.Marshal(run)
-		if err != nil {
-			slog.Error("run not logged", "error", err)
-			return
+	options.OnRun = func(run backendserver.Run) { logRecord("", run) }
+	if options.Deadly != nil {
+		options.OnArrival = func(run backendserver.Run) { logRecord(backendserver.ArrivalMark, run) }
+		var once sync.Once
+		options.OnDeadly = func(crash backendserver.Crash) {
+			once.Do(func() {
+				logRecord(backendserver.CrashMark, crash)
+				os.Exit(crashStatus)
+			})
 		}
-		fmt.Printf("%s\n", line)
 	}
 	server, err := backendserver.Start(address, nil, options)
 	if err != nil {
--- /dev/null
+++ b/testkit/crashhistory/soak_test.go
@@ -0,0 +1,168 @@
+// Package crashhistory plays histories of requests that crash backend servers against
+// processes: backend servers exit at such requests and are started again, while agents,
+// entries and servers are killed, frozen and restarted and the store is silent. What
+// servers received and callers got is checked at the end of each history.
+//
+// Run `make soak SEEDS=50 SEED=1000` for other seeds than those of a run of CI: SOAK_SEEDS
+// and SOAK_SEED are the number of seeds and the first one, SOAK_SEED alone is that one
+// seed. SOAK_LOGS names a directory that receives the logs of all processes. The plan of a
+// seed depends on the seed alone, the history also on the speed of the processes: repeat a
+// seed that failed once.
+//
+// A failed history prints its plan, each fault and crash with its time, the sends that were
+// too late with their entries, and the decisions in the processes' logs. Read it from the
+// first late send back: which entry sent it, whether it had the block
+// (`request refused`, `block changed`), which detectors had it, and what became of them.
+//
+// A fault is a function in faultKinds and its name in the plan; it reports when it disturbs
+// an entry or the store, as sends during such time and shortly after it don't count. A
+// checker reads the record of a history: see check.
+package crashhistory
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"teaselgauge.example/teaselgauge/testkit/platformsite"
+	"teaselgauge.example/teaselgauge/testkit/site"
+	"teaselgauge.example/teaselgauge/testkit/standin/backendserver"
+)
+
+// regressionSeeds are seeds that failed once, each with its cause.
+var regressionSeeds = []uint64{}
+
+const (
+	// firstSeed is the first seed of a run of CI apart from those that failed once,
+	// defaultSeeds the number of seeds.
+	firstSeed    = 1
+	defaultSeeds = 2
+	// entryCount and runnerCount are the numbers of processes; a site has as many plain
+	// servers as runners. disturbedEntries is the number of entries that faults may
+	// disturb: what the others send counts all the time.
+	entryCount       = 4
+	runnerCount      = 4
+	disturbedEntries = 2
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	site.CleanShared()
+	os.Exit(code)
+}
+
+// number returns the number in an environment variable; present is false without one.
+func number(t *testing.T, name string) (value uint64, present bool) {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return 0, false
+	}
+	value, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return value, true
+}
+
+// seeds returns the seeds to play.
+func seeds(t *testing.T) []uint64 {
+	t.Helper()
+	count, counted := number(t, "SOAK_SEEDS")
+	first, isSet := number(t, "SOAK_SEED")
+	var all []uint64
+	switch {
+	case !counted && !isSet:
+		first, count = firstSeed, defaultSeeds
+		all = append(all, regressionSeeds...)
+	case !counted:
+		count = 1
+	case !isSet:
+		first = firstSeed
+	}
+	for i := range count {
+		all = append(all, first+i)
+	}
+	return all
+}
+
+func TestHistoryHasFewSendsOfRequestsThatCrashServers(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playHistory(t, newPlan(seed)) })
+	}
+}
+
+// startSite starts the site of a history.
+func startSite(t *testing.T, p *plan) *platformsite.Site {
+	t.Helper()
+	binaries, err := site.Shared()
+	if err != nil {
+		t.Fatal(err)
+	}
+	options := platformsite.DefaultOptions()
+	options.Entries, options.Runners, options.Plain = entryCount, runnerCount, runnerCount
+	options.Slots = 32
+	options.Models = options.Models[:1]
+	options.ConfigureEngine = func(_ int, engine *backendserver.Engine) { engine.OnDisk = []string{modelName} }
+	options.Work = 20 * time.Millisecond
+	options.LogLevel = "info"
+	options.DrainMillis = int(maxDown.Milliseconds())
+	options.ServerProcesses = true
+	options.Deadly = &backendserver.Deadly{Marks: p.marks, Events: p.events, AfterMillis: int(p.after.Milliseconds())}
+	s, err := platformsite.Start(t.Context(), binaries, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		saveLogs(t, s, p.seed)
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+// saveLogs writes the logs of all processes to the directory that SOAK_LOGS names.
+func saveLogs(t *testing.T, s *platformsite.Site, seed uint64) {
+	t.Helper()
+	dir := os.Getenv("SOAK_LOGS")
+	if dir == "" {
+		return
+	}
+	dir = filepath.Join(dir, fmt.Sprint(seed))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Error(err)
+		return
+	}
+	for _, process := range s.Processes() {
+		if err := os.WriteFile(filepath.Join(dir, process.Name+".log"), []byte(process.Log()), 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// playHistory plays the plan of a seed and checks it.
+func playHistory(t *testing.T, p *plan) {
+	t.Helper()
+	t.Log(p)
+	s := startSite(t, p)
+	h := &history{plan: p, site: s}
+	h.awaitService(t)
+	h.begin = time.Now()
+	running := h.keepServersRunning(t)
+	h.playFaults(t)
+	h.playRequests(t.Context())
+	h.wait.Wait()
+	running()
+	h.check(t)
+}
+
+// random returns the source of random numbers of a plan.
+func random(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
--- a/testkit/platformsite/server_process.go
+++ b/testkit/platformsite/server_process.go
@@ -149,6 +149,31 @@
 	return nil
 }
 
+// Arrivals returns the requests that all incarnations of the server have received, if
+// some requests end it.
+func (p *ServerProcess) Arrivals() []backendserver.Run {
+	return records[backendserver.Run](p.Log(), backendserver.ArrivalMark)
+}
+
+// Crashes returns the ends of the server's incarnations that requests have caused.
+func (p *ServerProcess) Crashes() []backendserver.Crash {
+	return records[backendserver.Crash](p.Log(), backendserver.CrashMark)
+}
+
+// records returns the records of a log that have a mark. A line that its process didn't
+// complete is none.
+func records[T any](log, mark string) []T {
+	var all []T
+	for line := range strings.Lines(log) {
+		encoded, marked := strings.CutPrefix(line, mark)
+		var record T
+		if marked && json.Unmarshal([]byte(encoded), &record) == nil {
+			all = append(all, record)
+		}
+	}
+	return all
+}
+
 // Runs returns the runs of a request in all incarnations of the server.
 func (p *ServerProcess) Runs(requestID string) []backendserver.Run {
 	var runs []backendserver.Run
--- a/testkit/platformsite/site.go
+++ b/testkit/platformsite/site.go
@@ -56,6 +56,8 @@
 	Software func(i int) string
 	// ServerProcesses runs each backend server as a process of its own.
 	ServerProcesses bool
+	// Deadly are the requests that end server processes; nil for none.
+	Deadly *backendserver.Deadly
 	// RelayTo returns the address at which entries reach the server process that listens
 	// on an address; nil: its own.
 	RelayTo func(address string) (string, error)
@@ -148,7 +150,7 @@
 func (s *Site) addPlainServer(ctx context.Context, i int) error {
 	options := backendserver.Options{
 		ID: fmt.Sprintf("p-%d", i+1), Service: PlainService, Zone: s.zone(i),
-		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work, CopyRejections: s.options.CopyRejections,
+		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work, CopyRejections: s.options.CopyRejections, Deadly: s.options.Deadly,
 	}
 	if s.options.ServerProcesses {
 		_, err := s.addServerProcess(ctx, options)
@@ -183,6 +185,7 @@
 		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Software: software, Engine: engine,
 		Slots: cmp.Or(s.options.RunnerPlaces, s.options.Slots), Queue: cmp.Or(s.options.RunnerQueue, 2*s.options.Slots),
 		Work: s.options.Work, Events: s.options.Events, CopyRejections: s.options.CopyRejections,
+		Deadly: s.options.Deadly,
 	})
 	if err != nil {
 		return nil, err
--- a/testkit/standin/backendserver/process.go
+++ b/testkit/standin/backendserver/process.go
@@ -14,6 +14,10 @@
 	// ReleasePath is the prefix of the paths at which the stalled responses to a request
 	// are released.
 	ReleasePath = "/standin/release/"
+	// ArrivalMark and CrashMark precede the records of requests that a process has
+	// received and of its end in its log.
+	ArrivalMark = "arrival "
+	CrashMark   = "crash "
 )
 
 // lastResponsesDelay is the time between the end of listening and the release of stalled
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -77,6 +77,9 @@
 		LastEventID: r.Header.Get("Last-Event-Id"), Prompt: r.Header.Get(HeaderPrompt), At: time.Now(),
 	}
 	change := s.recordRun(run)
+	if s.options.OnArrival != nil {
+		s.options.OnArrival(run)
+	}
 	if remaining := s.rejectionTime(); remaining > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(remaining.Seconds(), 'f', 3, 64))
 		s.refuse(w, r, id, http.StatusServiceUnavailable)
@@ -198,6 +201,7 @@
 	}
 	isStream := strings.HasPrefix(r.URL.Path, StreamPath)
 	s.crashIfDeadly(w, r, body, isStream)
+	s.endIfDeadly(w, r, body, isStream)
 	truncate := s.consumeFault(func(f *Faults) *int { return &f.CutNext })
 	if isStream && drip > 0 {
 		s.stallStream(w, r, drip)
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -59,8 +59,13 @@
 	CopyRejections int
 	// Unregistered keeps the server out of the store until Register is called.
 	Unregistered bool
-	// OnRun is called with each request that the server begins to process; nil for none.
-	OnRun func(Run) `json:"-"`
+	// OnRun is called with each request that the server begins to process, OnArrival with
+	// each that it receives; nil for none.
+	OnRun, OnArrival func(Run) `json:"-"`
+	// Deadly are the requests that end the server's process; nil for none.
+	Deadly *Deadly
+	// OnDeadly ends the process.
+	OnDeadly func(Crash) `json:"-"`
 }
 
 // Faults are the failures that the stand-in injects.
