--- a/Makefile
+++ b/Makefile
@@ -55,8 +55,8 @@
 		done; \
 	done
 
-# soak plays SEEDS histories of requests that crash servers from the seed SEED on, or those
-# of CI.
+# soak plays SEEDS histories of requests that crash servers from the seed SEED on, all
+# that failed once (SEEDS=failed), or those of CI.
 .PHONY: soak
 soak:
 	cd testkit && SOAK_SEEDS=$(SEEDS) SOAK_SEED=$(SEED) go test -count=1 -v -timeout 60m ./crashhistory
--- a/testkit/crashhistory/soak_traffic_test.go
+++ b/testkit/crashhistory/soak_traffic_test.go
@@ -40,6 +40,8 @@
 	// disturbances are the times at which entries were disturbed.
 	disturbances []disturbance
 	notes        []string
+	// killed holds how long servers that were killed are down.
+	killed map[*platformsite.ServerProcess]time.Duration
 }
 
 // sentRequest is a request with its result and the entry that it was sent to.
