--- a/testkit/crashhistory/soak_faults_test.go
+++ b/testkit/crashhistory/soak_faults_test.go
@@ -153,6 +153,7 @@
 	}
 	h.mu.Lock()
 	h.killed[server] = f.down
+	h.kills = append(h.kills, serverKill{server, time.Now()})
 	h.mu.Unlock()
 	return server.Signal(syscall.SIGKILL)
 }
--- a/testkit/crashhistory/soak_traffic_test.go
+++ b/testkit/crashhistory/soak_traffic_test.go
@@ -42,6 +42,13 @@
 	notes        []string
 	// killed holds how long servers that were killed are down.
 	killed map[*platformsite.ServerProcess]time.Duration
+	kills  []serverKill
+}
+
+// serverKill is the kill of a server by a fault.
+type serverKill struct {
+	server *platformsite.ServerProcess
+	at     time.Time
 }
 
 // sentRequest is a request with its result and the entry that it was sent to.
