--- a/testkit/crashhistory/soak_test.go
+++ b/testkit/crashhistory/soak_test.go
@@ -39,10 +39,19 @@
 var failedSeeds = []uint64{
 	1, // All agents are killed every 1.05 s: no detector lives until it has three crashes.
 	2, // One agent after the other is killed: the next detectors don't have the blocks.
+	// Entries hand over reports of others without the starts that these know, so that sound
+	// parts are blocked; a deadly stream that sends an event before its server exits isn't
+	// among those that had just begun.
+	9,
 }
 
-// ciSeeds are the seeds that a run of CI plays.
-var ciSeeds = []uint64{1, 2}
+var (
+	// ciSeeds are the seeds that a run of CI plays.
+	ciSeeds = []uint64{1, 2}
+	// openSeeds are failed seeds whose causes aren't mended yet. KNOWN-RED.txt names their
+	// test.
+	openSeeds = []uint64{9}
+)
 
 const (
 	// entryCount and runnerCount are the numbers of processes; a site has as many plain
@@ -90,11 +99,21 @@
 	return all
 }
 
-func TestHistoryHasFewSendsOfRequestsThatCrashServers(t *testing.T) {
+func TestHistoryHasFewSendsOfRequestsThatCrashServers(t *testing.T) { playHistories(t, seeds(t)) }
+
+func TestHistoryOfOpenSeedsHasFewSendsOfRequestsThatCrashServers(t *testing.T) {
+	if os.Getenv("SOAK_SEEDS") != "" || os.Getenv("SOAK_SEED") != "" {
+		t.Skip("other seeds are played")
+	}
+	playHistories(t, openSeeds)
+}
+
+func playHistories(t *testing.T, seeds []uint64) {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	for _, seed := range seeds(t) {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playHistory(t, newPlan(seed)) })
 	}
 }
