Say what an entry does with a block, and write the hypotheses on lost evidence

What an entry learned or dropped was not in its log, nor that a detector began without evidence, so the hypotheses of docs/incidents/crash-evidence.md couldn't be told apart. Entries log both now, with the reason. No decision changes; go test ./pkg/quarantine passes.

--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -82,7 +82,14 @@
 			states[detectorLabel+service] = state
 		}
 	}
-	c.list.Update(now, states)
+	for _, change := range c.list.Update(now, states) {
+		if change.Reason == "" {
+			c.logger.Info("block learned", "belief", "block", "signature", change.Signature, "agent", change.Detector)
+			continue
+		}
+		c.logger.Info("block dropped", "belief", "block", "signature", change.Signature, "agent", change.Detector,
+			"reason", change.Reason, "block_age_ms", change.Age.Milliseconds())
+	}
 }
 
 // reportCrash sends a crash to the detectors of its service.
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -32,24 +32,55 @@
 	reported map[Fingerprint]time.Time
 }
 
+// ListChange is a block that a host has learned or dropped.
+type ListChange struct {
+	Signature Signature
+	Detector  string
+	// Reason is why it was dropped; empty if it was learned.
+	Reason DropReason
+	// Age is how long this host has known the block.
+	Age time.Duration
+}
+
+// DropReason is why a host drops a block.
+type DropReason string
+
+// The reasons.
+const (
+	// Unlisted: its detector doesn't publish it any more.
+	Unlisted DropReason = "unlisted"
+	// DetectorLost: its detector publishes nothing for too long.
+	DetectorLost DropReason = "detector lost"
+)
+
 // Update replaces the states of the detectors, by detector. Blocks of a detector that is
 // missing stay for listHoldTime.
-func (l *List) Update(now time.Time, states map[string]*State) {
+func (l *List) Update(now time.Time, states map[string]*State) []ListChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.watched = make(map[Fingerprint]bool)
+	var changes []ListChange
 	l.blocks = slices.DeleteFunc(l.blocks, func(b listed) bool {
-		if state := states[b.detector]; state != nil {
-			return !state.lists(b.signature)
+		state, reason := states[b.detector], DropReason("")
+		switch {
+		case state != nil && !state.lists(b.signature):
+			reason = Unlisted
+		case state == nil && now.Sub(b.at) > listHoldTime:
+			reason = DetectorLost
+		default:
+			return false
 		}
-		return now.Sub(b.at) > listHoldTime
+		changes = append(changes, ListChange{b.signature, b.detector, reason, now.Sub(b.since)})
+		return true
 	})
 	for detector, state := range states {
 		for _, fingerprint := range state.Watched {
 			l.watched[fingerprint] = true
 		}
 		for _, signature := range state.Blocks {
-			l.add(now, detector, signature)
+			if l.add(now, detector, signature) {
+				changes = append(changes, ListChange{Signature: signature, Detector: detector})
+			}
 		}
 	}
 	for fingerprint := range l.reported {
@@ -57,15 +88,18 @@
 			delete(l.reported, fingerprint)
 		}
 	}
+	return changes
 }
 
-func (l *List) add(now time.Time, detector string, signature Signature) {
+// add adds a block and reports whether it is new.
+func (l *List) add(now time.Time, detector string, signature Signature) bool {
 	at := slices.IndexFunc(l.blocks, func(b listed) bool { return b.detector == detector && slices.Equal(b.signature, signature) })
 	if at >= 0 {
 		l.blocks[at].at = now
-		return
+		return false
 	}
 	l.blocks = append(l.blocks, listed{detector: detector, signature: signature, since: now, at: now})
+	return true
 }
 
 // Refusal is the block because of which a request is refused.
--- a/pkg/runneragent/detection.go
+++ b/pkg/runneragent/detection.go
@@ -17,6 +17,7 @@
 func (c *controller) detectorOf(service string) *quarantine.Detector {
 	detector := c.detectors[service]
 	if detector == nil && len(c.detectors) < maxDetectors {
+		c.logger.Info("detector begins without evidence", "belief", "quarantine:"+service, "service", service)
 		detector = &quarantine.Detector{}
 		c.detectors[service] = detector
 	}
