Give detectors that begin anew the evidence, and keep blocks without them

Cause: an entry couldn't distinguish the next process of a detector, which knows nothing, from one that had lifted a block, and dropped the block; and each report of a crash was sent once, unconfirmed, to the two agents that responded at that moment, so the next ones began with nothing.

An agent now publishes an identity of its process with its decisions, with the ages of blocks and with the blocks that a start has ended. Entries keep their reports for ten minutes and their blocks for as long as these would have lasted, and give both to each detector process that lacks them, with confirmation. Reports have identities, so that a crash counts once however often it is reported; of one crash, the earlier of two times is taken, so that a block doesn't get younger by being handed on; a start after the last crash beats a block that arrives later. Nothing is blocked within 400 ms of a handover, so that starts known to other entries arrive first.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -160,6 +160,7 @@
 	g.wait.Go(func() { g.pool.Run(ctx) })
 	g.wait.Go(func() { g.syncRequestPath(ctx) })
 	g.wait.Go(func() { telemetry.RunPeriodically(ctx, gaugeInterval, g.updateGauges) })
+	g.wait.Go(func() { telemetry.RunPeriodically(ctx, deliveryInterval, g.handler.quarantine.tick) })
 	g.wait.Go(func() { g.join(ctx, leading, d) })
 }
 
--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,6 +20,9 @@
 	detectorsPerService = 2
 	// evidenceTimeout limits the time to send evidence to a detector.
 	evidenceTimeout = time.Second
+	// listUpdateInterval is the maximum time between two updates of the list, as blocks end
+	// with time and detectors are lost with time.
+	listUpdateInterval = 250 * time.Millisecond
 	// detectorLabel separates the choice of detectors from other choices among the agents.
 	detectorLabel = "detector "
 )
@@ -34,14 +37,36 @@
 	list    quarantine.List
 
 	mu sync.Mutex
-	// applied is the view whose statuses the list contains.
-	applied *view
-	// local holds the detectors of a site without agents, by service.
-	local map[string]*quarantine.Detector
+	// applied is the view whose statuses the list contains, as of appliedAt.
+	applied   *view
+	appliedAt time.Time
+	// decoded holds the agents' last decisions, by host.
+	decoded map[string]decodedState
+	// local holds this entry's own detectors while no agent responds, by service, and
+	// retired those that have ended since the last update.
+	local   map[string]*quarantine.Detector
+	retired []string
+	// memory is this entry's evidence, deliveries is what each detector was given of it.
+	memory     quarantine.Memory
+	deliveries map[deliveryKey]*delivery
+}
+
+// decodedState is what an agent has published, with times instead of ages. Ages hold for
+// the moment of receipt only, so each value is decoded once.
+type decodedState struct {
+	published *wire.Quarantine
+	state     *quarantine.State
 }
 
 func newQuarantineClient(c *control, node *atomic.Pointer[wire.Node], logger *slog.Logger) *quarantineClient {
-	return &quarantineClient{control: c, node: node, logger: logger, local: make(map[string]*quarantine.Detector)}
+	return &quarantineClient{
+		control:    c,
+		node:       node,
+		logger:     logger,
+		decoded:    make(map[string]decodedState),
+		local:      make(map[string]*quarantine.Detector),
+		deliveries: make(map[deliveryKey]*delivery),
+	}
 }
 
 // check returns the block that a request matches; false if there is none.
@@ -64,18 +89,15 @@
 	current := c.control.current()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.applied == current && len(c.local) == 0 {
+	if c.applied == current && len(c.local) == 0 && now.Sub(c.appliedAt) < listUpdateInterval {
 		return
 	}
-	c.applied = current
-	states := make(map[string]*quarantine.State)
-	for host, state := range current.agents {
-		if state.AgentRecord == nil || state.Status == nil || state.Status.Quarantine == nil {
-			continue
-		}
-		published := state.Status.Quarantine
-		states[host] = &quarantine.State{Watched: published.Watched, Blocks: published.Blocks}
+	c.applied, c.appliedAt = current, now
+	states := c.publishedStates(now, current)
+	for _, service := range c.retired {
+		states[detectorLabel+service] = &quarantine.State{}
 	}
+	c.retired = nil
 	for service, detector := range c.local {
 		c.logBlockChanges(now, service, detector.Update(now))
 		if state := detector.State(); state != nil {
@@ -92,6 +114,38 @@
 	}
 }
 
+// publishedStates returns the decisions of the agents that respond, by host.
+func (c *quarantineClient) publishedStates(now time.Time, current *view) map[string]*quarantine.State {
+	states := make(map[string]*quarantine.State)
+	for host, agent := range current.agents {
+		if agent.AgentRecord == nil || agent.Status == nil || agent.Status.Quarantine == nil || !agent.isFresh(now) {
+			continue
+		}
+		known := c.decoded[host]
+		if known.published != agent.Status.Quarantine {
+			known = decodedState{agent.Status.Quarantine, decodeState(now, agent.Status.Quarantine)}
+			c.decoded[host] = known
+		}
+		states[host] = known.state
+	}
+	for host := range c.decoded {
+		if current.agents[host] == nil {
+			delete(c.decoded, host)
+		}
+	}
+	return states
+}
+
+func decodeState(now time.Time, published *wire.Quarantine) *quarantine.State {
+	state := &quarantine.State{
+		Watched: published.Watched, Blocks: published.Blocks, Ended: published.Ended, Instance: published.Instance,
+	}
+	for _, kept := range published.Kept {
+		state.Kept = append(state.Kept, kept.Decode(now))
+	}
+	return state
+}
+
 // reportCrash sends a crash to the detectors of its service.
 func (c *quarantineClient) reportCrash(observed crash) {
 	now := time.Now()
@@ -102,21 +156,24 @@
 	// A detector that can't keep all suspects keeps the first ones.
 	slices.SortStableFunc(suspects, func(a, b quarantine.Suspect) int { return compareBool(b.Begun, a.Begun) })
 	starts := c.list.Starts(now, suspects)
-	detectors := c.detectorsOf(now, observed.service)
-	if len(detectors) == 0 {
+	reported := quarantine.Crash{Report: rand.Uint64(), Server: observed.server, At: observed.at, Suspects: suspects, Starts: starts}
+	c.keep(now, observed.service, reported)
+	if len(c.detectorsOf(now, observed.service)) == 0 {
 		c.detectLocally(now, observed.service, func(detector *quarantine.Detector) []quarantine.BlockChange {
-			return detector.RecordCrash(now, quarantine.Crash{Server: observed.server, At: observed.at, Suspects: suspects, Starts: starts})
+			return detector.RecordCrash(now, reported)
 		})
 		return
 	}
-	c.sendAll(detectors, &wire.Frame{CrashReport: &wire.CrashReport{
-		Service:         observed.service,
-		Server:          observed.server.ID,
-		StartedAtMillis: observed.server.StartedAtMillis,
-		AgeMillis:       ageMillis(now, observed.at),
-		Suspects:        encodeSuspects(suspects),
-		Starts:          encodeStarts(now, starts),
-	}})
+	c.deliver(now)
+}
+
+// keep records a crash, to be given to the detectors.
+func (c *quarantineClient) keep(now time.Time, service string, reported quarantine.Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.memory.RecordCrash(now, service, reported) {
+		c.logger.Warn("crash not reported, too many services", "service", service, "backend", reported.Server.ID)
+	}
 }
 
 // recordStart records the start of a response, and reports it to the detectors if the
@@ -138,6 +195,9 @@
 		})
 		return
 	}
+	c.mu.Lock()
+	c.memory.RecordStarts(service, starts)
+	c.mu.Unlock()
 	c.sendAll(detectors, &wire.Frame{StartReport: &wire.StartReport{Service: service, Starts: encodeStarts(now, starts)}})
 }
 
@@ -212,16 +272,11 @@
 func encodeStarts(now time.Time, starts []quarantine.Start) []wire.ResponseStart {
 	encoded := make([]wire.ResponseStart, len(starts))
 	for i, start := range starts {
-		encoded[i] = wire.ResponseStart{Fingerprint: start.Fingerprint, AgeMillis: ageMillis(now, start.At)}
+		encoded[i] = wire.ResponseStart{Fingerprint: start.Fingerprint, AgeMillis: wire.AgeMillis(now, start.At)}
 	}
 	return encoded
 }
 
-// ageMillis returns the time since an event, in milliseconds.
-func ageMillis(now, at time.Time) uint32 {
-	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
-}
-
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/pkg/metrics/runner.go
+++ b/pkg/metrics/runner.go
@@ -22,6 +22,7 @@
 	running    tally.Gauge
 	gateways   tally.Gauge
 	blocks     *vector[tally.Counter]
+	handovers  tally.Counter
 	origins    tally.Gauge
 	dropped    tally.Counter
 }
@@ -43,6 +44,7 @@
 		running:    runner.Gauge("uses_running"),
 		gateways:   runner.Gauge("gateways"),
 		blocks:     newCounters(runner, "block_changes_total", "change"),
+		handovers:  runner.Counter("evidence_handovers_total"),
 		origins:    runner.Gauge("stream_origins"),
 		dropped:    runner.Counter("dropped_stream_origins_total"),
 	}
@@ -80,6 +82,9 @@
 // BlockChange counts a change of a block on requests that crash servers.
 func (r *Runner) BlockChange(change string) { r.blocks.with(labels{change}).Inc(1) }
 
+// EvidenceHandover counts a gateway's handover of what it knows of crashes.
+func (r *Runner) EvidenceHandover() { r.handovers.Inc(1) }
+
 // Origins sets the number of streams whose origin is kept for callers that resume them.
 func (r *Runner) Origins(count int) { r.origins.Update(float64(count)) }
 
--- a/pkg/quarantine/block.go
+++ b/pkg/quarantine/block.go
@@ -38,6 +38,8 @@
 	// Expired: requests with the signature are accepted again. The next crash
 	// blocks it again.
 	Expired
+	// Adopted: an earlier detector has made the block, and a host still has it.
+	Adopted
 )
 
 // String returns the change's name in logs and metrics.
@@ -49,6 +51,8 @@
 		return "narrowed"
 	case Lifted:
 		return "lifted"
+	case Adopted:
+		return "adopted"
 	default:
 		return "expired"
 	}
@@ -83,8 +87,7 @@
 type block struct {
 	signature Signature
 	evidence  Evidence
-	at        time.Time
-	lastCrash time.Time
+	KeptBlock
 }
 
 // changed returns the block after a change.
@@ -92,7 +95,7 @@
 	return BlockChange{Change: change, Signature: b.signature, Evidence: b.evidence}
 }
 
-func (b *block) isActive(now time.Time) bool { return now.Sub(b.at) < BlockTTL }
+func (b *block) isActive(now time.Time) bool { return now.Sub(b.MadeAt) < BlockTTL }
 
 // State is what a detector publishes. It is immutable.
 type State struct {
@@ -101,9 +104,29 @@
 	Watched []Fingerprint
 	// Blocks are the signatures of the requests to refuse.
 	Blocks []Signature
+	// Kept says of each of Blocks, in the same order, since when it holds; empty if that
+	// isn't known.
+	Kept []KeptBlock
+	// Ended are the signatures of blocks that a start has ended lately.
+	Ended []Signature
+	// Instance identifies the process of the detector; 0 if it is unknown. The next
+	// process doesn't know what the one before has decided until it is given it.
+	Instance uint64
+}
+
+// equal reports whether two states say the same.
+func (s *State) equal(other *State) bool {
+	same := func(a, b Signature) bool { return slices.Equal(a, b) }
+	return slices.Equal(s.Watched, other.Watched) && slices.Equal(s.Kept, other.Kept) &&
+		slices.EqualFunc(s.Blocks, other.Blocks, same) && slices.EqualFunc(s.Ended, other.Ended, same)
 }
 
 // lists reports whether a state contains a block.
-func (s *State) lists(signature Signature) bool {
-	return slices.ContainsFunc(s.Blocks, func(known Signature) bool { return slices.Equal(known, signature) })
+func (s *State) lists(signature Signature) bool { return hasSignature(s.Blocks, signature) }
+
+// hasEnded reports whether a start has ended a block.
+func (s *State) hasEnded(signature Signature) bool { return hasSignature(s.Ended, signature) }
+
+func hasSignature(signatures []Signature, signature Signature) bool {
+	return slices.ContainsFunc(signatures, func(known Signature) bool { return slices.Equal(known, signature) })
 }
--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -30,9 +30,12 @@
 	incidents []*incident
 	starts    History
 	blocks    []*block
+	ended     []endedBlock
 	state     *State
 	// reviewAt is when the passing of time may change a block.
 	reviewAt time.Time
+	// settledAt is the time before which nothing is blocked after a handover.
+	settledAt time.Time
 }
 
 // State returns what all hosts need to know; nil before the first crash.
@@ -40,17 +43,29 @@
 
 // RecordCrash records what a host reports of a crash.
 func (d *Detector) RecordCrash(now time.Time, crash Crash) []BlockChange {
+	return append(d.record(now, &crash), d.review(now)...)
+}
+
+// Knows reports whether a report of a crash has arrived before.
+func (d *Detector) Knows(report uint64) bool {
+	return report != 0 && slices.ContainsFunc(d.incidents, func(i *incident) bool { return slices.Contains(i.reports, report) })
+}
+
+// record adds what a host reports of a crash to the evidence, once.
+func (d *Detector) record(now time.Time, crash *Crash) []BlockChange {
 	for _, start := range crash.Starts {
 		d.starts.Record(start.Fingerprint, start.At)
 	}
-	at := slices.IndexFunc(d.incidents, func(i *incident) bool { return i.isOf(&crash) })
+	if d.Knows(crash.Report) || now.Sub(crash.At) > incidentRetention {
+		return nil
+	}
+	at := slices.IndexFunc(d.incidents, func(i *incident) bool { return i.isOf(crash) })
 	if at < 0 {
 		at = len(d.incidents)
 		d.incidents = append(d.incidents, newIncident(crash.At))
 	}
-	d.incidents[at].add(&crash)
-	changes := d.renew(now, &crash)
-	return append(changes, d.review(now)...)
+	d.incidents[at].add(crash)
+	return d.renew(now, crash)
 }
 
 // RecordStarts records that responses have started.
@@ -58,7 +73,7 @@
 	var changes []BlockChange
 	for _, start := range starts {
 		d.starts.Record(start.Fingerprint, start.At)
-		changes = append(changes, d.reconsider(start)...)
+		changes = append(changes, d.reconsider(now, start)...)
 	}
 	return append(changes, d.review(now)...)
 }
@@ -75,8 +90,12 @@
 // expired.
 func (d *Detector) review(now time.Time) []BlockChange {
 	d.reviewAt = now.Add(reviewInterval)
+	isSettled := !now.Before(d.settledAt)
+	if !isSettled && d.settledAt.Before(d.reviewAt) {
+		d.reviewAt = d.settledAt
+	}
 	changes := d.expire(now)
-	for {
+	for isSettled {
 		blocked, ok := d.blockNext(now)
 		if !ok {
 			break
@@ -89,11 +108,12 @@
 
 // expire discards old evidence and ends blocks.
 func (d *Detector) expire(now time.Time) []BlockChange {
+	slices.SortStableFunc(d.incidents, func(a, b *incident) int { return a.at.Compare(b.at) })
 	d.incidents = slices.DeleteFunc(d.incidents, func(i *incident) bool { return now.Sub(i.at) > incidentRetention })
 	if excess := len(d.incidents) - maxIncidents; excess > 0 {
 		d.incidents = slices.Delete(d.incidents, 0, excess)
 	}
-	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool { return now.Sub(b.at) > BlockTTL+renewalTTL })
+	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool { return now.Sub(b.MadeAt) > BlockTTL+renewalTTL })
 	if excess := len(d.blocks) - maxBlocks; excess > 0 {
 		d.blocks = slices.Delete(d.blocks, 0, excess)
 	}
@@ -108,12 +128,13 @@
 
 // reconsider applies a start to the blocks: what has started since the last crash
 // doesn't crash servers.
-func (d *Detector) reconsider(start Start) []BlockChange {
+func (d *Detector) reconsider(now time.Time, start Start) []BlockChange {
 	var changes []BlockChange
 	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool {
-		if !slices.Contains(b.signature, start.Fingerprint) || !start.At.After(b.lastCrash) {
+		if !slices.Contains(b.signature, start.Fingerprint) || !start.At.After(b.LastCrash) {
 			return false
 		}
+		d.end(now, b.signature, b.LastCrash)
 		if len(b.signature) > 1 {
 			b.signature = b.signature.without(start.Fingerprint)
 			changes = append(changes, b.changed(Narrowed))
@@ -131,12 +152,12 @@
 	var changes []BlockChange
 	for _, suspect := range crash.Suspects {
 		for _, known := range d.blocks {
-			if !known.signature.Matches(suspect.Fingerprints) {
+			if !known.signature.Matches(suspect.Fingerprints) || !crash.At.After(known.LastCrash) {
 				continue
 			}
-			known.lastCrash = crash.At
+			known.LastCrash, known.CrashReport = crash.At, crash.Report
 			if !known.isActive(now) {
-				known.at = now
+				known.MadeAt = now
 				known.evidence = Evidence{Crashes: 1, FirstCrash: crash.At}
 				changes = append(changes, known.changed(Added))
 			}
@@ -149,7 +170,6 @@
 // explains counts only for the fingerprints of the block's signature, as not all of
 // them may be needed to explain it.
 func (d *Detector) collect(now time.Time) map[Fingerprint]*suspicion {
-	slices.SortStableFunc(d.incidents, func(a, b *incident) int { return a.at.Compare(b.at) })
 	all := make(map[Fingerprint]*suspicion)
 	for _, i := range d.incidents {
 		explained := d.explanation(i)
@@ -227,11 +247,11 @@
 	if best == nil {
 		return BlockChange{}, false
 	}
+	last := grounds.incidents[len(grounds.incidents)-1]
 	blocked := &block{
 		signature: best,
 		evidence:  Evidence{Crashes: len(grounds.incidents), Begun: grounds.begun, FirstCrash: grounds.incidents[0].at},
-		at:        now,
-		lastCrash: grounds.incidents[len(grounds.incidents)-1].at,
+		KeptBlock: KeptBlock{MadeAt: now, LastCrash: last.at, CrashReport: last.report()},
 	}
 	d.blocks = append(d.blocks, blocked)
 	d.dropRedundant()
@@ -240,15 +260,18 @@
 
 // publish replaces the published state if it has changed.
 func (d *Detector) publish(now time.Time) {
+	d.forgetEnded(now)
 	next := &State{Watched: d.watched(now)}
 	for _, b := range d.blocks {
 		if b.isActive(now) {
 			next.Blocks = append(next.Blocks, b.signature)
+			next.Kept = append(next.Kept, b.KeptBlock)
 		}
 	}
-	isSame := d.state != nil && slices.Equal(d.state.Watched, next.Watched) &&
-		slices.EqualFunc(d.state.Blocks, next.Blocks, func(a, b Signature) bool { return slices.Equal(a, b) })
-	if !isSame {
+	for _, e := range d.ended {
+		next.Ended = append(next.Ended, e.signature)
+	}
+	if d.state == nil || !d.state.equal(next) {
 		d.state = next
 	}
 }
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -23,6 +23,8 @@
 
 // Crash is what one host reports of the crash of a server.
 type Crash struct {
+	// Report identifies the report, which may arrive more than once; 0 if it doesn't.
+	Report   uint64
 	Server   backpressure.Incarnation
 	At       time.Time
 	Suspects []Suspect
@@ -45,6 +47,7 @@
 type incident struct {
 	at       time.Time
 	servers  []backpressure.Incarnation
+	reports  []uint64
 	suspects []Suspect
 	// begun holds the fingerprints of the suspects, and whether the response to one
 	// with it had begun.
@@ -60,6 +63,14 @@
 	return &incident{at: at, begun: make(map[Fingerprint]bool)}
 }
 
+// report returns the first report of the incident; 0 if it isn't known.
+func (i *incident) report() uint64 {
+	if len(i.reports) == 0 {
+		return 0
+	}
+	return i.reports[0]
+}
+
 // isOf reports whether the incident includes a crash.
 func (i *incident) isOf(crash *Crash) bool {
 	return slices.Contains(i.servers, crash.Server) || crash.At.Sub(i.at).Abs() <= simultaneousWindow
@@ -70,6 +81,9 @@
 	if !slices.Contains(i.servers, crash.Server) {
 		i.servers = append(i.servers, crash.Server)
 	}
+	if crash.Report != 0 {
+		i.reports = append(i.reports, crash.Report)
+	}
 	for _, suspect := range crash.Suspects {
 		if i.size+len(suspect.Fingerprints) > maxFingerprintsPerIncident {
 			return
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -7,26 +7,47 @@
 )
 
 const (
-	// listHoldTime is how long blocks stay in force after their detector was lost.
-	listHoldTime = time.Minute
+	// listHoldTime is how long blocks stay in force after their detector was lost: as long
+	// as if it were there.
+	listHoldTime = BlockTTL
 	// startReportInterval is the minimum time between two reports of starts with the
 	// same fingerprint.
 	startReportInterval = 200 * time.Millisecond
+	// lostWatchTime is how long fingerprints count as under suspicion after their detector
+	// was lost. The next one gets the evidence in this time.
+	lostWatchTime = 2 * time.Second
 )
 
-// listed is a block of one detector.
+// publisher is one process of a detector that publishes a block.
+type publisher struct {
+	detector string
+	instance uint64
+}
+
+// listed is a block that is in force at this host.
 type listed struct {
-	detector  string
-	signature Signature
-	// since is when the block was first received, at when it was last received.
-	since, at time.Time
+	signature  Signature
+	publishers []publisher
+	// since is when this host learned the block.
+	since time.Time
+	kept  KeptBlock
+}
+
+// watch is what a detector has under suspicion.
+type watch struct {
+	fingerprints []Fingerprint
+	at           time.Time
 }
 
 // List holds what a host knows of the blocks of all detectors, and of the starts of its
 // own requests. It is safe for concurrent use. The zero value is empty.
+//
+// A block ends when a detector that has published it ends it. One that was lost with the
+// processes of its detectors stays until its time is over.
 type List struct {
 	mu       sync.Mutex
 	blocks   []listed
+	watches  map[publisher]watch
 	watched  map[Fingerprint]bool
 	starts   History
 	reported map[Fingerprint]time.Time
@@ -35,7 +56,8 @@
 // ListChange is a block that a host has learned or dropped.
 type ListChange struct {
 	Signature Signature
-	Detector  string
+	// Detector is who published the block or ended it; empty if its time is over.
+	Detector string
 	// Reason is why it was dropped; empty if it was learned.
 	Reason DropReason
 	// Age is how long this host has known the block.
@@ -47,59 +69,137 @@
 
 // The reasons.
 const (
-	// Unlisted: its detector doesn't publish it any more.
+	// Unlisted: a detector doesn't publish it any more.
 	Unlisted DropReason = "unlisted"
-	// DetectorLost: its detector publishes nothing for too long.
+	// EndedByStart: its detectors are lost, and another one knows of a start with it.
+	EndedByStart DropReason = "ended by start"
+	// DetectorLost: its detectors are lost, and its time is over.
 	DetectorLost DropReason = "detector lost"
 )
 
-// Update replaces the states of the detectors, by detector. Blocks of a detector that is
-// missing stay for listHoldTime.
+// Update replaces the states of the detectors that respond, by detector, and returns the
+// changed blocks.
 func (l *List) Update(now time.Time, states map[string]*State) []ListChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.watched = make(map[Fingerprint]bool)
 	var changes []ListChange
 	l.blocks = slices.DeleteFunc(l.blocks, func(b listed) bool {
-		state, reason := states[b.detector], DropReason("")
-		switch {
-		case state != nil && !state.lists(b.signature):
-			reason = Unlisted
-		case state == nil && now.Sub(b.at) > listHoldTime:
-			reason = DetectorLost
-		default:
-			return false
+		detector, reason := b.ended(now, states)
+		if reason != "" {
+			changes = append(changes, ListChange{b.signature, detector, reason, now.Sub(b.since)})
 		}
-		changes = append(changes, ListChange{b.signature, b.detector, reason, now.Sub(b.since)})
-		return true
+		return reason != ""
 	})
 	for detector, state := range states {
-		for _, fingerprint := range state.Watched {
-			l.watched[fingerprint] = true
-		}
-		for _, signature := range state.Blocks {
-			if l.add(now, detector, signature) {
-				changes = append(changes, ListChange{Signature: signature, Detector: detector})
+		for i := range state.Blocks {
+			if l.add(now, detector, state, i) {
+				changes = append(changes, ListChange{Signature: state.Blocks[i], Detector: detector})
 			}
 		}
 	}
+	l.updateWatched(now, states)
+	return changes
+}
+
+// ended returns the detector that ended a block, and the reason; "" if it is in force.
+func (b *listed) ended(now time.Time, states map[string]*State) (detector string, reason DropReason) {
+	for _, state := range states {
+		if state.lists(b.signature) {
+			return "", ""
+		}
+	}
+	for _, p := range b.publishers {
+		if state := states[p.detector]; state != nil && state.Instance == p.instance {
+			return p.detector, Unlisted
+		}
+	}
+	for detector, state := range states {
+		if state.hasEnded(b.signature) {
+			return detector, EndedByStart
+		}
+	}
+	if now.Sub(b.kept.MadeAt) >= listHoldTime {
+		return "", DetectorLost
+	}
+	return "", ""
+}
+
+// updateWatched updates the fingerprints under suspicion, and those of which no starts are
+// reported any more.
+func (l *List) updateWatched(now time.Time, states map[string]*State) {
+	if l.watches == nil {
+		l.watches = make(map[publisher]watch)
+	}
+	for detector, state := range states {
+		l.watches[publisher{detector, state.Instance}] = watch{state.Watched, now}
+	}
+	l.watched = make(map[Fingerprint]bool)
+	for p, w := range l.watches {
+		if now.Sub(w.at) > lostWatchTime {
+			delete(l.watches, p)
+			continue
+		}
+		for _, fingerprint := range w.fingerprints {
+			l.watched[fingerprint] = true
+		}
+	}
 	for fingerprint := range l.reported {
 		if !l.watched[fingerprint] {
 			delete(l.reported, fingerprint)
 		}
 	}
-	return changes
 }
 
-// add adds a block and reports whether it is new.
-func (l *List) add(now time.Time, detector string, signature Signature) bool {
-	at := slices.IndexFunc(l.blocks, func(b listed) bool { return b.detector == detector && slices.Equal(b.signature, signature) })
-	if at >= 0 {
-		l.blocks[at].at = now
-		return false
+// add adds a detector's i-th block and reports whether it is new.
+func (l *List) add(now time.Time, detector string, state *State, i int) bool {
+	signature, kept := state.Blocks[i], KeptBlock{MadeAt: now, LastCrash: now}
+	isDated := len(state.Kept) == len(state.Blocks)
+	if isDated {
+		kept = state.Kept[i]
+	}
+	by := publisher{detector, state.Instance}
+	at := slices.IndexFunc(l.blocks, func(b listed) bool { return slices.Equal(b.signature, signature) })
+	if at < 0 {
+		l.blocks = append(l.blocks, listed{signature: signature, publishers: []publisher{by}, since: now, kept: kept})
+		return true
+	}
+	b := &l.blocks[at]
+	switch {
+	case isDated && b.kept.Service == "":
+		b.kept = kept
+	case isDated:
+		b.kept = b.kept.merged(kept)
+	}
+	b.publishers = slices.DeleteFunc(b.publishers, func(p publisher) bool { return p.detector == detector })
+	b.publishers = append(b.publishers, by)
+	return false
+}
+
+// Kept returns the blocks in force of a service, to be given to another detector.
+func (l *List) Kept(service string) []Block {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var kept []Block
+	for _, b := range l.blocks {
+		if b.kept.Service == service {
+			kept = append(kept, Block{b.signature, b.kept})
+		}
+	}
+	return kept
+}
+
+// Services returns the services of the blocks in force, as far as they are known.
+func (l *List) Services() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var services []string
+	for _, b := range l.blocks {
+		if b.kept.Service != "" {
+			services = append(services, b.kept.Service)
+		}
 	}
-	l.blocks = append(l.blocks, listed{detector: detector, signature: signature, since: now, at: now})
-	return true
+	slices.Sort(services)
+	return slices.Compact(services)
 }
 
 // Refusal is the block because of which a request is refused.
@@ -117,8 +217,8 @@
 	defer l.mu.Unlock()
 	for _, b := range l.blocks {
 		if b.signature.Matches(fingerprints) {
-			age := now.Sub(b.since)
-			return Refusal{Signature: b.signature, Age: age, Remaining: max(BlockTTL-age, 0)}, true
+			remaining := BlockTTL - now.Sub(b.kept.MadeAt)
+			return Refusal{Signature: b.signature, Age: now.Sub(b.since), Remaining: max(remaining, 0)}, true
 		}
 	}
 	return Refusal{}, false
@@ -166,15 +266,13 @@
 	return starts
 }
 
-// Blocks returns the signatures in force, each once.
+// Blocks returns the signatures in force.
 func (l *List) Blocks() []Signature {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var signatures []Signature
 	for _, b := range l.blocks {
-		if !slices.ContainsFunc(signatures, func(known Signature) bool { return slices.Equal(known, b.signature) }) {
-			signatures = append(signatures, b.signature)
-		}
+		signatures = append(signatures, b.signature)
 	}
 	return signatures
 }
--- a/pkg/quarantine/simulation_test.go
+++ b/pkg/quarantine/simulation_test.go
@@ -39,7 +39,10 @@
 	downTime     time.Duration
 	// together is the number of servers that crash at once for other causes.
 	together int
-	duration time.Duration
+	// restartPeriod is the time between two restarts of the detector, which lose its
+	// evidence; zero for none.
+	restartPeriod time.Duration
+	duration      time.Duration
 }
 
 // simulatedRequest is a request in a simulation.
@@ -83,7 +86,11 @@
 	now      time.Time
 	queue    eventQueue
 	detector Detector
+	// instance numbers the detector's processes; isDown is set while none runs.
+	instance uint64
+	isDown   bool
 	lists    []*List
+	memories []*Memory
 	servers  []*simulatedServer
 	// crashes are the times of the crashes by requests, deadlySends the times at which
 	// requests that crash servers reached one.
@@ -93,6 +100,8 @@
 	changes []BlockChange
 	// lastWhole numbers the requests.
 	lastWhole uint64
+	// lastReport numbers the reports of crashes.
+	lastReport uint64
 	// inFlight sums the requests on a server at each crash.
 	inFlight, allCrashes int
 }
@@ -101,6 +110,7 @@
 	s := &simulation{world: w, random: rand.New(rand.NewPCG(seed, 1)), now: testStart}
 	for range w.entries {
 		s.lists = append(s.lists, &List{})
+		s.memories = append(s.memories, &Memory{})
 	}
 	for range w.servers {
 		s.servers = append(s.servers, &simulatedServer{running: map[*simulatedRequest]bool{}})
@@ -145,6 +155,9 @@
 		s.after(tick, review)
 	}
 	s.after(tick, review)
+	if s.restartPeriod > 0 {
+		s.after(s.restartPeriod, s.restartDetector)
+	}
 	for end := testStart.Add(s.duration); len(s.queue) > 0 && s.queue[0].at.Before(end); {
 		next := heap.Pop(&s.queue).(event)
 		s.now = next.at
@@ -157,9 +170,10 @@
 // publish sends the detector's state to each entry after a delay.
 func (s *simulation) publish() {
 	state := s.detector.State()
-	if state == nil {
+	if state == nil || s.isDown {
 		return
 	}
+	state = s.published(state)
 	for _, list := range s.lists {
 		s.after(s.between(50*time.Millisecond, 300*time.Millisecond), func() { list.Update(s.now, map[string]*State{"detector": state}) })
 	}
@@ -241,7 +255,12 @@
 		starts = append(starts, Start{fingerprint, request.eventAt})
 	}
 	if len(starts) > 0 {
-		s.after(s.between(time.Millisecond, 50*time.Millisecond), func() { s.record(s.detector.RecordStarts(s.now, starts)) })
+		s.memories[request.entry].RecordStarts(simulatedService, starts)
+		s.after(s.between(time.Millisecond, 50*time.Millisecond), func() {
+			if !s.isDown {
+				s.record(s.detector.RecordStarts(s.now, starts))
+			}
+		})
 	}
 }
 
@@ -278,7 +297,7 @@
 			continue
 		}
 		s.after(s.between(50*time.Millisecond, 350*time.Millisecond), func() {
-			s.record(s.detector.RecordCrash(s.now, Crash{Server: incarnation, At: at, Suspects: of, Starts: s.lists[entry].Starts(s.now, of)}))
+			s.report(entry, Crash{Server: incarnation, At: at, Suspects: of, Starts: s.lists[entry].Starts(s.now, of)})
 		})
 	}
 }
--- a/pkg/runneragent/controller.go
+++ b/pkg/runneragent/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/eventloop"
@@ -61,8 +62,9 @@
 	limit ratelimit.Limit
 	// detectors decide which requests crash the servers of a service, by service.
 	detectors map[string]*quarantine.Detector
-	// quarantine is what they have decided; nil before the first evidence.
-	quarantine *wire.Quarantine
+	// quarantine is what they have decided, published at quarantinedAt.
+	quarantine    *wire.Quarantine
+	quarantinedAt time.Time
 	// origins holds where the streams of the runner's leases began, and those handed over
 	// by gateways. originSampler samples the log lines on those that are dropped.
 	origins       resumption.Records
@@ -82,6 +84,7 @@
 		originSampler:  logging.NewSampler(maxDropLogsPerSecond),
 		waiting:        make(map[string]waitingLease),
 		detectors:      make(map[string]*quarantine.Detector),
+		quarantine:     &wire.Quarantine{Instance: rand.Uint64()},
 		statusThrottle: eventloop.Throttle{MinInterval: minStatusInterval},
 	}
 }
--- a/pkg/runneragent/server.go
+++ b/pkg/runneragent/server.go
@@ -34,6 +34,8 @@
 		s.controller.loop.Do(func() { s.controller.loadGranted(time.Now(), first.RunnerLoadGrant.Model) })
 	case first.CrashReport != nil:
 		s.controller.loop.Do(func() { s.controller.crashReported(time.Now(), peer.Host, first.CrashReport) })
+	case first.EvidenceHandover != nil:
+		s.controller.loop.Do(func() { s.controller.evidenceHandedOver(time.Now(), peer.Host, first.EvidenceHandover) })
 	case first.OriginQuery != nil:
 		s.serveOriginQuery(stream, first.OriginQuery)
 	case first.OriginHandover != nil:
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -37,6 +37,8 @@
 	CrashReport *CrashReport `cbor:"25,keyasint,omitempty"`
 	StartReport *StartReport `cbor:"26,keyasint,omitempty"`
 
+	EvidenceHandover *EvidenceHandover `cbor:"30,keyasint,omitempty"`
+
 	// The messages about the origins of streams that callers may resume.
 	OriginQuery    *OriginQuery    `cbor:"27,keyasint,omitempty"`
 	OriginAnswer   *OriginAnswer   `cbor:"28,keyasint,omitempty"`
--- a/pkg/wire/quarantine_messages.go
+++ b/pkg/wire/quarantine_messages.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"math"
 	"slices"
+	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
 )
@@ -19,6 +21,31 @@
 	// Starts are the last starts of responses to requests with the suspects'
 	// fingerprints.
 	Starts []ResponseStart `cbor:"6,keyasint,omitempty"`
+	// Report identifies the report, which may be sent more than once.
+	Report uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// EvidenceHandover gives a detector that has begun anew what the sending gateway knows of
+// the crashes of a service's servers. The sender waits until the stream is closed, which
+// confirms it, as it does after a CrashReport.
+type EvidenceHandover struct {
+	Service string          `cbor:"1,keyasint"`
+	Crashes []CrashReport   `cbor:"2,keyasint,omitempty"`
+	Starts  []ResponseStart `cbor:"3,keyasint,omitempty"`
+	// Blocks are the signatures that the gateway refuses, Kept says more on each of them,
+	// in the same order.
+	Blocks []quarantine.Signature `cbor:"4,keyasint,omitempty"`
+	Kept   []KeptBlock            `cbor:"5,keyasint,omitempty"`
+}
+
+// KeptBlock is what a gateway needs to know of a block to give it to another detector.
+type KeptBlock struct {
+	Service string `cbor:"1,keyasint"`
+	// MadeMillis is the time since the block was made or renewed, CrashMillis that since
+	// the last crash with its signature, of which CrashReport identifies a report.
+	MadeMillis  uint32 `cbor:"2,keyasint"`
+	CrashMillis uint32 `cbor:"3,keyasint"`
+	CrashReport uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashSuspect is a request that may have crashed its server.
@@ -48,6 +75,13 @@
 	// Blocks are the signatures of the requests to refuse: those that have all
 	// fingerprints of one of them.
 	Blocks []quarantine.Signature `cbor:"2,keyasint,omitempty"`
+	// Instance identifies the agent's process. The next one has none of its evidence.
+	Instance uint64 `cbor:"3,keyasint,omitempty"`
+	// Kept says more on each of Blocks, in the same order. The ages are those at the time
+	// at which the agent published the value.
+	Kept []KeptBlock `cbor:"4,keyasint,omitempty"`
+	// Ended are the signatures of blocks that a start has ended lately.
+	Ended []quarantine.Signature `cbor:"5,keyasint,omitempty"`
 }
 
 // Equal reports whether two values are the same. Both may be nil.
@@ -55,5 +89,44 @@
 	if q == other || q == nil || other == nil {
 		return q == other
 	}
-	return slices.Equal(q.Watched, other.Watched) && slices.EqualFunc(q.Blocks, other.Blocks, slices.Equal[quarantine.Signature])
+	return q.SameDecisions(other) && slices.Equal(q.Kept, other.Kept)
+}
+
+// SameDecisions reports whether two values differ in the ages of blocks at most.
+func (q *Quarantine) SameDecisions(other *Quarantine) bool {
+	isSameCrash := func(a, b KeptBlock) bool { return a.Service == b.Service && a.CrashReport == b.CrashReport }
+	return q.Instance == other.Instance && slices.Equal(q.Watched, other.Watched) &&
+		slices.EqualFunc(q.Blocks, other.Blocks, slices.Equal[quarantine.Signature]) &&
+		slices.EqualFunc(q.Ended, other.Ended, slices.Equal[quarantine.Signature]) &&
+		slices.EqualFunc(q.Kept, other.Kept, isSameCrash)
+}
+
+// EncodeKeptBlock returns the message on a block.
+func EncodeKeptBlock(now time.Time, kept quarantine.KeptBlock) KeptBlock {
+	return KeptBlock{
+		Service:     kept.Service,
+		MadeMillis:  AgeMillis(now, kept.MadeAt),
+		CrashMillis: AgeMillis(now, kept.LastCrash),
+		CrashReport: kept.CrashReport,
+	}
+}
+
+// Decode returns the block that a message received now is about.
+func (k KeptBlock) Decode(now time.Time) quarantine.KeptBlock {
+	return quarantine.KeptBlock{
+		Service:     k.Service,
+		MadeAt:      Ago(now, k.MadeMillis),
+		LastCrash:   Ago(now, k.CrashMillis),
+		CrashReport: k.CrashReport,
+	}
+}
+
+// AgeMillis returns the time since an event, in milliseconds.
+func AgeMillis(now, at time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+}
+
+// Ago returns the time of an event from the time since it, in milliseconds.
+func Ago(now time.Time, ageMillis uint32) time.Time {
+	return now.Add(-time.Duration(ageMillis) * time.Millisecond)
 }
