Keep an entry's evidence at two others, and have entries learn blocks at their start

Cause: the reports of a killed entry were lost if the detectors were killed with it, so each pair of detectors counted a part of the crashes; and an entry that had just started knew no block until a detector that had one was connected, and sent meanwhile.

Each report goes to two other entries too, chosen by rendezvous hashing, which hand it over as their own to a detector that begins anew. An entry that starts asks up to five others which requests they refuse; requests wait until two have answered, for 0.4 s at most. Nothing waits for the store.

--- a/pkg/gateway/evidence_delivery.go
+++ b/pkg/gateway/evidence_delivery.go
@@ -176,25 +176,25 @@
 func (c *quarantineClient) callDetector(node *wire.Node, service string, detector *agentState, lacking *evidence) error {
 	now := time.Now()
 	if !lacking.isNew(now) {
-		return confirm(node, detector, &wire.Frame{EvidenceHandover: c.encodeHandover(now, service, lacking)})
+		return confirm(node, detector.Host, detector.InternalAddress, &wire.Frame{EvidenceHandover: c.encodeHandover(now, service, lacking)})
 	}
 	for i := range lacking.crashes {
-		if err := confirm(node, detector, &wire.Frame{CrashReport: c.encodeCrash(now, service, &lacking.crashes[i])}); err != nil {
+		if err := confirm(node, detector.Host, detector.InternalAddress, &wire.Frame{CrashReport: c.encodeCrash(now, service, &lacking.crashes[i])}); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// confirm sends a frame to an agent, which ends the call once it has applied it.
-func confirm(node *wire.Node, agent *agentState, frame *wire.Frame) error {
+// confirm sends a frame to a host, which ends the call once it has applied it.
+func confirm(node *wire.Node, host, internalAddress string, frame *wire.Frame) error {
 	ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
 	defer cancel()
-	_, err := node.Call(ctx, agent.Host, agent.InternalAddress, frame)
+	_, err := node.Call(ctx, host, internalAddress, frame)
 	if err == nil || errors.Is(err, io.EOF) {
 		return nil
 	}
-	return fmt.Errorf("send evidence to %s: %w", agent.Host, err)
+	return fmt.Errorf("send evidence to %s: %w", host, err)
 }
 
 func (c *quarantineClient) encodeHandover(now time.Time, service string, lacking *evidence) *wire.EvidenceHandover {
@@ -202,10 +202,7 @@
 	for i := range lacking.crashes {
 		handover.Crashes = append(handover.Crashes, *c.encodeCrash(now, service, &lacking.crashes[i]))
 	}
-	for _, block := range lacking.blocks {
-		handover.Blocks = append(handover.Blocks, block.Signature)
-		handover.Kept = append(handover.Kept, wire.EncodeKeptBlock(now, block.KeptBlock))
-	}
+	handover.Blocks, handover.Kept = wire.EncodeBlocks(now, lacking.blocks)
 	return handover
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -135,6 +135,8 @@
 		observer:    g.observer,
 	}
 	g.handler.quarantine = newQuarantineClient(g.control, &g.handler.node, g.logger)
+	g.handler.quarantine.self = g.config.Host.ID
+	g.handler.quarantine.startup = newStartup(time.Now())
 	g.handler.crashes.reportCrash = g.handler.quarantine.reportCrash
 	g.handler.limiters = newLimiterClient(g.config.Host.ID, g.control)
 	d.Telemetry.Register(DumpName, g.dump)
@@ -218,6 +220,7 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	wait.Go(func() { f.run(ctx) })
+	wait.Go(func() { g.handler.quarantine.learnBlocks(ctx, node) })
 	host := roster.Host{
 		ID:              self,
 		Role:            keys.RoleEntry,
@@ -244,7 +247,7 @@
 		ServerTLS: ephemeral.ServerConfig(keys.RoleAgent, keys.RoleEntry),
 		ClientTLS: ephemeral.ClientConfig(keys.RoleAgent, keys.RoleEntry),
 		Identify:  keys.Identify,
-		Handler:   &peerServer{relay: &relayServer{control: g.control}, limiter: g.handler.limiters.server, logger: g.logger},
+		Handler:   &peerServer{relay: &relayServer{control: g.control}, limiter: g.handler.limiters.server, quarantine: g.handler.quarantine, logger: g.logger},
 		ResetKey:  ephemeral.ResetKey(),
 		Logger:    g.logger,
 	})
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -144,6 +144,7 @@
 	if failure != nil {
 		return reject(*failure)
 	}
+	h.quarantine.awaitBlocks(r.Context(), caller.Budget)
 	x := h.newExchange(response, r, route, caller, body, arrived)
 	if end := h.drainEnd.Load(); end != nil && x.deadline.After(*end) {
 		return reject(refusal{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stoppingRetryAfter})
--- a/pkg/gateway/peer_server.go
+++ b/pkg/gateway/peer_server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/wire"
@@ -10,9 +11,10 @@
 
 // peerServer serves the streams that other entries open.
 type peerServer struct {
-	relay   *relayServer
-	limiter *limiterServer
-	logger  *slog.Logger
+	relay      *relayServer
+	limiter    *limiterServer
+	quarantine *quarantineClient
+	logger     *slog.Logger
 }
 
 var _ wire.Handler = (*peerServer)(nil)
@@ -29,6 +31,12 @@
 	case peer.Role == keys.RoleEntry && frame.RateTokenRequest != nil:
 		defer stream.Close()
 		s.limiter.serve(stream, frame.RateTokenRequest)
+	case peer.Role == keys.RoleEntry && frame.CrashReport != nil:
+		defer stream.Close()
+		s.quarantine.keepForPeer(time.Now(), frame.CrashReport)
+	case peer.Role == keys.RoleEntry && frame.BlockQuery != nil:
+		defer stream.Close()
+		s.quarantine.answerQuery(time.Now(), stream)
 	default:
 		s.logger.Warn("unexpected frame received from a peer", "peer", peer.Host)
 		stream.Cancel()
--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -35,6 +35,9 @@
 	node    *atomic.Pointer[wire.Node]
 	logger  *slog.Logger
 	list    quarantine.List
+	// self is this entry's host. startup is nil if blocks aren't learned from other entries.
+	self    string
+	startup *startup
 
 	mu sync.Mutex
 	// applied is the view whose statuses the list contains, as of appliedAt.
@@ -104,7 +107,12 @@
 			states[detectorLabel+service] = state
 		}
 	}
-	for _, change := range c.list.Update(now, states) {
+	c.logListChanges(c.list.Update(now, states))
+}
+
+// logListChanges logs the blocks that this entry has learned or dropped.
+func (c *quarantineClient) logListChanges(changes []quarantine.ListChange) {
+	for _, change := range changes {
 		if change.Reason == "" {
 			c.logger.Info("block learned", "belief", "block", "signature", change.Signature, "agent", change.Detector)
 			continue
@@ -158,6 +166,7 @@
 	starts := c.list.Starts(now, suspects)
 	reported := quarantine.Crash{Report: rand.Uint64(), Server: observed.server, At: observed.at, Suspects: suspects, Starts: starts}
 	c.keep(now, observed.service, reported)
+	c.giveToKeepers(observed.service, &reported)
 	if len(c.detectorsOf(now, observed.service)) == 0 {
 		c.detectLocally(now, observed.service, func(detector *quarantine.Detector) []quarantine.BlockChange {
 			return detector.RecordCrash(now, reported)
--- a/pkg/quarantine/handover_test.go
+++ b/pkg/quarantine/handover_test.go
@@ -152,3 +152,40 @@
 	}
 	return starts
 }
+
+func TestForeignCrashIsGivenOnlyToDetectorThatBeginsAnew(t *testing.T) {
+	var m Memory
+	m.RecordCrash(at(0), "s", crashBy(1, "a", 0, deadly))
+	m.RecordForeignCrash(at(1), "s", crashBy(2, "b", 1, deadly))
+	if crashes, last := m.Since(at(2), "s", 1); len(crashes) != 0 || last != 1 {
+		t.Errorf("%d crashes up to %d for a detector that has the first one, want none", len(crashes), last)
+	}
+	if crashes, last := m.Since(at(2), "s", 0); len(crashes) != 2 || last != 2 {
+		t.Errorf("%d crashes up to %d for a detector without evidence, want 2", len(crashes), last)
+	}
+}
+
+func TestBlockLearnedFromAnotherHostEndsAsIfSeenFromTheStart(t *testing.T) {
+	kept := KeptBlock{Service: "s", MadeAt: at(0), LastCrash: at(-1), CrashReport: 1}
+	learned := []Block{{Signature{deadly}, kept}, {Signature{subject}, KeptBlock{Service: "s", MadeAt: at(-BlockTTL.Seconds())}}}
+	for _, c := range []struct {
+		name    string
+		seconds float64
+		state   *State
+		want    bool
+	}{
+		{"detector without evidence", 100, &State{Instance: 1}, true},
+		{"ended by a start", 100, &State{Instance: 1, Ended: []Signature{{deadly}}}, false},
+		{"time over", BlockTTL.Seconds(), &State{Instance: 1}, false},
+	} {
+		l := &List{}
+		l.Learn(at(10), learned)
+		if blocked(l, 10, subject) {
+			t.Errorf("%s: a block whose time is over was learned", c.name)
+		}
+		l.Update(at(c.seconds), map[string]*State{"a": c.state})
+		if blocked(l, c.seconds, deadly) != c.want {
+			t.Errorf("%s: blocked %t, want %t", c.name, !c.want, c.want)
+		}
+	}
+}
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -175,6 +175,30 @@
 	return false
 }
 
+// Learn adds blocks that another host has, and returns those that are new.
+func (l *List) Learn(now time.Time, blocks []Block) []ListChange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changes []ListChange
+	for _, b := range blocks {
+		isKnown := slices.ContainsFunc(l.blocks, func(known listed) bool { return slices.Equal(known.signature, b.Signature) })
+		if !isKnown && now.Sub(b.MadeAt) < listHoldTime {
+			l.blocks = append(l.blocks, listed{signature: b.Signature, since: now, kept: b.KeptBlock})
+			changes = append(changes, ListChange{Signature: b.Signature})
+		}
+	}
+	return changes
+}
+
+// All returns the blocks in force whose services are known, to be given to another host.
+func (l *List) All() []Block {
+	var all []Block
+	for _, service := range l.Services() {
+		all = append(all, l.Kept(service)...)
+	}
+	return all
+}
+
 // Kept returns the blocks in force of a service, to be given to another detector.
 func (l *List) Kept(service string) []Block {
 	l.mu.Lock()
--- a/pkg/quarantine/memory.go
+++ b/pkg/quarantine/memory.go
@@ -8,7 +8,7 @@
 const (
 	// maxCrashesKept and maxStartsKept limit what a host keeps of one service for
 	// incidentRetention; maxServicesKept limits the services.
-	maxCrashesKept  = 32
+	maxCrashesKept  = 96
 	maxStartsKept   = 256
 	maxServicesKept = 256
 )
@@ -17,6 +17,8 @@
 type keptCrash struct {
 	Crash
 	number uint64
+	// isForeign is set if another host has seen it, which may be lost.
+	isForeign bool
 }
 
 // serviceEvidence is what a host has seen of the crashes of one service's servers.
@@ -35,12 +37,22 @@
 // RecordCrash keeps a crash that the host has seen, and reports whether it has room for
 // the service.
 func (m *Memory) RecordCrash(now time.Time, service string, crash Crash) bool {
+	return m.record(now, service, keptCrash{Crash: crash})
+}
+
+// RecordForeignCrash keeps a crash that another host has seen, which may be lost.
+func (m *Memory) RecordForeignCrash(now time.Time, service string, crash Crash) bool {
+	return m.record(now, service, keptCrash{Crash: crash, isForeign: true})
+}
+
+func (m *Memory) record(now time.Time, service string, crash keptCrash) bool {
 	evidence := m.service(service)
 	if evidence == nil {
 		return false
 	}
 	m.last++
-	evidence.crashes = append(evidence.crashes, keptCrash{crash, m.last})
+	crash.number = m.last
+	evidence.crashes = append(evidence.crashes, crash)
 	m.expire(now)
 	if excess := len(evidence.crashes) - maxCrashesKept; excess > 0 {
 		evidence.crashes = slices.Delete(evidence.crashes, 0, excess)
@@ -108,20 +120,24 @@
 }
 
 // Since returns the crashes of a service after a number, oldest first, and the number of
-// the last one; 0 for all of them.
-func (m *Memory) Since(now time.Time, service string, number uint64) ([]Crash, uint64) {
+// the last one. 0 stands for all of them; after another number, those that other hosts have
+// seen are left out, as these report them.
+func (m *Memory) Since(now time.Time, service string, after uint64) (crashes []Crash, last uint64) {
 	evidence := m.services[service]
 	if evidence == nil {
-		return nil, number
+		return nil, after
 	}
-	var crashes []Crash
+	last = after
 	for _, kept := range evidence.crashes {
-		if kept.number > number && now.Sub(kept.At) <= incidentRetention {
+		if kept.number <= after || (kept.isForeign && after > 0) {
+			continue
+		}
+		if now.Sub(kept.At) <= incidentRetention {
 			crashes = append(crashes, kept.Crash)
-			number = kept.number
+			last = kept.number
 		}
 	}
-	return crashes, number
+	return crashes, last
 }
 
 // Starts returns the last starts of a service that were under suspicion.
--- a/pkg/runneragent/detection.go
+++ b/pkg/runneragent/detection.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -36,7 +35,12 @@
 		c.logger.Warn("crash report ignored, too many services", "service", report.Service)
 		return
 	}
-	crash, begun := crashOf(now, report)
+	crash, begun := report.Decode(now), 0
+	for _, suspect := range crash.Suspects {
+		if suspect.Begun {
+			begun++
+		}
+	}
 	c.logger.Info("crash of a backend server reported", "entry", gateway, "service", report.Service, "backend", report.Server,
 		"age_ms", report.AgeMillis, "suspects", len(crash.Suspects), "begun", begun, "known_starts", len(crash.Starts))
 	c.applyBlockChanges(now, report.Service, detector.RecordCrash(now, crash))
@@ -49,45 +53,28 @@
 		c.logger.Warn("evidence ignored, too many services", "service", handover.Service, "entry", gateway)
 		return
 	}
-	received := quarantine.Handover{Starts: startsOf(now, handover.Starts)}
+	received := quarantine.Handover{
+		Starts: wire.DecodeStarts(now, handover.Starts),
+		Blocks: wire.DecodeBlocks(now, handover.Blocks, handover.Kept),
+	}
 	known := 0
 	for i := range handover.Crashes {
-		crash, _ := crashOf(now, &handover.Crashes[i])
+		crash := handover.Crashes[i].Decode(now)
 		received.Crashes = append(received.Crashes, crash)
 		if detector.Knows(crash.Report) {
 			known++
 		}
 	}
-	for i, signature := range handover.Blocks[:min(len(handover.Blocks), len(handover.Kept))] {
-		received.Blocks = append(received.Blocks, quarantine.Block{Signature: signature, KeptBlock: handover.Kept[i].Decode(now)})
-	}
 	c.logger.Info("evidence on crashes handed over", "belief", "quarantine:"+handover.Service, "entry", gateway, "service", handover.Service,
 		"crashes", len(received.Crashes), "known", known, "starts", len(received.Starts), "blocks", len(received.Blocks))
 	c.metrics.EvidenceHandover()
 	c.applyBlockChanges(now, handover.Service, detector.HandOver(now, received))
 }
 
-// crashOf returns a reported crash, and the number of its suspects whose responses had begun.
-func crashOf(now time.Time, report *wire.CrashReport) (crash quarantine.Crash, begun int) {
-	crash = quarantine.Crash{
-		Report: report.Report,
-		Server: backpressure.Incarnation{ID: report.Server, StartedAtMillis: report.StartedAtMillis},
-		At:     wire.Ago(now, report.AgeMillis),
-		Starts: startsOf(now, report.Starts),
-	}
-	for _, suspect := range report.Suspects {
-		crash.Suspects = append(crash.Suspects, quarantine.Suspect{Fingerprints: suspect.Fingerprints, Begun: suspect.Begun})
-		if suspect.Begun {
-			begun++
-		}
-	}
-	return crash, begun
-}
-
 // startsReported records responses that have started.
 func (c *controller) startsReported(now time.Time, report *wire.StartReport) {
 	if detector := c.detectors[report.Service]; detector != nil {
-		c.applyBlockChanges(now, report.Service, detector.RecordStarts(now, startsOf(now, report.Starts)))
+		c.applyBlockChanges(now, report.Service, detector.RecordStarts(now, wire.DecodeStarts(now, report.Starts)))
 	}
 }
 
@@ -132,11 +119,3 @@
 	slices.Sort(published.Watched)
 	return published
 }
-
-func startsOf(now time.Time, reported []wire.ResponseStart) []quarantine.Start {
-	starts := make([]quarantine.Start, len(reported))
-	for i, start := range reported {
-		starts[i] = quarantine.Start{Fingerprint: start.Fingerprint, At: wire.Ago(now, start.AgeMillis)}
-	}
-	return starts
-}
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -38,6 +38,8 @@
 	StartReport *StartReport `cbor:"26,keyasint,omitempty"`
 
 	EvidenceHandover *EvidenceHandover `cbor:"30,keyasint,omitempty"`
+	BlockQuery       *BlockQuery       `cbor:"31,keyasint,omitempty"`
+	BlockAnswer      *BlockAnswer      `cbor:"32,keyasint,omitempty"`
 
 	// The messages about the origins of streams that callers may resume.
 	OriginQuery    *OriginQuery    `cbor:"27,keyasint,omitempty"`
--- a/pkg/wire/quarantine_messages.go
+++ b/pkg/wire/quarantine_messages.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
 )
 
@@ -38,6 +39,16 @@
 	Kept   []KeptBlock            `cbor:"5,keyasint,omitempty"`
 }
 
+// BlockQuery asks another gateway which requests it refuses. A gateway that has just
+// started sends it.
+type BlockQuery struct{}
+
+// BlockAnswer is the answer: the signatures, and more on each of them, in the same order.
+type BlockAnswer struct {
+	Blocks []quarantine.Signature `cbor:"1,keyasint,omitempty"`
+	Kept   []KeptBlock            `cbor:"2,keyasint,omitempty"`
+}
+
 // KeptBlock is what a gateway needs to know of a block to give it to another detector.
 type KeptBlock struct {
 	Service string `cbor:"1,keyasint"`
@@ -101,6 +112,47 @@
 		slices.EqualFunc(q.Kept, other.Kept, isSameCrash)
 }
 
+// Decode returns the crash that a report received now is about.
+func (r *CrashReport) Decode(now time.Time) quarantine.Crash {
+	crash := quarantine.Crash{
+		Report: r.Report,
+		Server: backpressure.Incarnation{ID: r.Server, StartedAtMillis: r.StartedAtMillis},
+		At:     Ago(now, r.AgeMillis),
+		Starts: DecodeStarts(now, r.Starts),
+	}
+	for _, suspect := range r.Suspects {
+		crash.Suspects = append(crash.Suspects, quarantine.Suspect{Fingerprints: suspect.Fingerprints, Begun: suspect.Begun})
+	}
+	return crash
+}
+
+// DecodeStarts returns the starts that a message received now is about.
+func DecodeStarts(now time.Time, reported []ResponseStart) []quarantine.Start {
+	starts := make([]quarantine.Start, len(reported))
+	for i, start := range reported {
+		starts[i] = quarantine.Start{Fingerprint: start.Fingerprint, At: Ago(now, start.AgeMillis)}
+	}
+	return starts
+}
+
+// EncodeBlocks returns the signatures of blocks, and more on each of them.
+func EncodeBlocks(now time.Time, blocks []quarantine.Block) ([]quarantine.Signature, []KeptBlock) {
+	signatures, kept := make([]quarantine.Signature, len(blocks)), make([]KeptBlock, len(blocks))
+	for i, block := range blocks {
+		signatures[i], kept[i] = block.Signature, EncodeKeptBlock(now, block.KeptBlock)
+	}
+	return signatures, kept
+}
+
+// DecodeBlocks returns the blocks that a message received now is about.
+func DecodeBlocks(now time.Time, signatures []quarantine.Signature, kept []KeptBlock) []quarantine.Block {
+	blocks := make([]quarantine.Block, min(len(signatures), len(kept)))
+	for i := range blocks {
+		blocks[i] = quarantine.Block{Signature: signatures[i], KeptBlock: kept[i].Decode(now)}
+	}
+	return blocks
+}
+
 // EncodeKeptBlock returns the message on a block.
 func EncodeKeptBlock(now time.Time, kept quarantine.KeptBlock) KeptBlock {
 	return KeptBlock{
