--- a/pkg/gateway/evidence_delivery.go
+++ b/pkg/gateway/evidence_delivery.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -75,6 +76,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	agents := c.control.current().agents
+	maps.DeleteFunc(c.deliveries, func(key deliveryKey, _ *delivery) bool { return agents[key.host] == nil })
 	services := append(c.memory.Services(), c.list.Services()...)
 	slices.Sort(services)
 	for _, service := range slices.Compact(services) {
@@ -151,7 +154,11 @@
 
 // sendEvidence sends evidence to a detector and records what it has confirmed.
 func (c *quarantineClient) sendEvidence(node *wire.Node, service string, detector *agentState, to *delivery, lacking *evidence) {
-	err := c.callDetector(node, service, detector, lacking)
+	if to.instance == 0 {
+		// An agent of an earlier version doesn't know handovers.
+		lacking.starts, lacking.blocks = nil, nil
+	}
+	err := c.callDetector(node, service, detector, to.instance != 0, lacking)
 	now := time.Now()
 	c.mu.Lock()
 	to.isSending = false
@@ -173,9 +180,9 @@
 }
 
 // callDetector sends evidence and waits until the agent has applied it.
-func (c *quarantineClient) callDetector(node *wire.Node, service string, detector *agentState, lacking *evidence) error {
+func (c *quarantineClient) callDetector(node *wire.Node, service string, detector *agentState, mayHandOver bool, lacking *evidence) error {
 	now := time.Now()
-	if !lacking.isNew(now) {
+	if mayHandOver && !lacking.isNew(now) {
 		return confirm(node, detector.Host, detector.InternalAddress, &wire.Frame{EvidenceHandover: c.encodeHandover(now, service, lacking)})
 	}
 	for i := range lacking.crashes {
--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -125,10 +125,14 @@
 // publishedStates returns the decisions of the agents that respond, by host.
 func (c *quarantineClient) publishedStates(now time.Time, current *view) map[string]*quarantine.State {
 	states := make(map[string]*quarantine.State)
+	hasBlocks := c.list.HasBlocks()
 	for host, agent := range current.agents {
 		if agent.AgentRecord == nil || agent.Status == nil || agent.Status.Quarantine == nil || !agent.isFresh(now) {
 			continue
 		}
+		if !hasBlocks && agent.Status.Quarantine.IsEmpty() {
+			continue
+		}
 		known := c.decoded[host]
 		if known.published != agent.Status.Quarantine {
 			known = decodedState{agent.Status.Quarantine, decodeState(now, agent.Status.Quarantine)}
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -175,6 +175,13 @@
 	return false
 }
 
+// HasBlocks reports whether any block is in force.
+func (l *List) HasBlocks() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.blocks) > 0
+}
+
 // Learn adds blocks that another host has, and returns those that are new.
 func (l *List) Learn(now time.Time, blocks []Block) []ListChange {
 	l.mu.Lock()
--- a/pkg/wire/quarantine_messages.go
+++ b/pkg/wire/quarantine_messages.go
@@ -95,6 +95,9 @@
 	Ended []quarantine.Signature `cbor:"5,keyasint,omitempty"`
 }
 
+// IsEmpty reports whether the agent has decided nothing.
+func (q *Quarantine) IsEmpty() bool { return len(q.Watched)+len(q.Blocks)+len(q.Ended) == 0 }
+
 // Equal reports whether two values are the same. Both may be nil.
 func (q *Quarantine) Equal(other *Quarantine) bool {
 	if q == other || q == nil || other == nil {
