Send a new detector the last starts of what it suspects

Cause, found by reading, no caller has seen it: an agent that only some entries take for a detector, or that has begun anew, has the crashes that these entries hand over and not the starts that others know of, as starts are reported when they happen and to the two agents that the entry itself takes for detectors. It could block a sound part, and no start would reach it to lift the block.

go test -race ./pkg/gateway -run 'EachProcess|NewDetector' -count=2 passes; before the change there was no such message, so the new test had nothing to receive (not run on the old code).

--- a/pkg/gateway/evidence_delivery.go
+++ b/pkg/gateway/evidence_delivery.go
@@ -65,6 +65,7 @@
 func (c *quarantineClient) tick(now time.Time) {
 	c.update(now)
 	c.deliver(now)
+	c.informNewWatchers(now)
 }
 
 // deliver gives each detector the evidence of this entry that its process doesn't have
--- a/pkg/gateway/evidence_delivery_test.go
+++ b/pkg/gateway/evidence_delivery_test.go
@@ -105,3 +105,20 @@
 		t.Errorf("received %+v again", frame)
 	}
 }
+
+// Guards against a sound part that a detector blocks as it knows the crashes of one entry and
+// the starts of none.
+func TestNewDetectorIsSentLastStartsOfWhatItSuspects(t *testing.T) {
+	agent := &evidenceAgent{received: make(chan *wire.Frame, 100)}
+	c := newEvidenceClient(t, agent)
+	now := time.Now()
+	c.recordStart(now, now, testEngine, quarantine.Fingerprints{Parts: []quarantine.Fingerprint{9}})
+	publishAs(c, &wire.Quarantine{Instance: 1, Watched: []quarantine.Fingerprint{8, 9}})
+	frame := agent.next(c)
+	if frame == nil || frame.StartReport == nil || len(frame.StartReport.Starts) != 1 || frame.StartReport.Starts[0].Fingerprint != 9 {
+		t.Fatalf("received %+v, want the last start of what is under suspicion", frame)
+	}
+	if frame := agent.next(c); frame != nil {
+		t.Errorf("received %+v again", frame)
+	}
+}
--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -43,8 +43,10 @@
 	// applied is the view whose statuses the list contains, as of appliedAt.
 	applied   *view
 	appliedAt time.Time
-	// decoded holds the agents' last decisions, by host.
-	decoded map[string]decodedState
+	// decoded holds the agents' last decisions, by host, and watchers those that have
+	// anything under suspicion.
+	decoded  map[string]decodedState
+	watchers map[string]*watcher
 	// local holds this entry's own detectors while no agent responds, by service, and
 	// retired those that have ended since the last update.
 	local   map[string]*quarantine.Detector
@@ -69,6 +71,7 @@
 		decoded:    make(map[string]decodedState),
 		local:      make(map[string]*quarantine.Detector),
 		deliveries: make(map[deliveryKey]*delivery),
+		watchers:   make(map[string]*watcher),
 	}
 }
 
@@ -131,6 +134,7 @@
 			continue
 		}
 		if !hasBlocks && agent.Status.Quarantine.IsEmpty() {
+			delete(c.decoded, host)
 			continue
 		}
 		known := c.decoded[host]
@@ -201,6 +205,9 @@
 	for i, fingerprint := range watched {
 		starts[i] = quarantine.Start{Fingerprint: fingerprint, At: startedAt}
 	}
+	c.mu.Lock()
+	c.memory.RecordStarts(service, starts)
+	c.mu.Unlock()
 	detectors := c.detectorsOf(now, service)
 	if len(detectors) == 0 {
 		c.detectLocally(now, service, func(detector *quarantine.Detector) []quarantine.BlockChange {
@@ -209,7 +216,7 @@
 		return
 	}
 	c.mu.Lock()
-	c.memory.RecordStarts(service, starts)
+	detectors = append(detectors, c.otherWatchers(watched, detectors)...)
 	c.mu.Unlock()
 	c.sendAll(detectors, &wire.Frame{StartReport: &wire.StartReport{Service: service, Starts: encodeStarts(now, starts)}})
 }
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -279,6 +279,11 @@
 	return report
 }
 
+// LastStarts returns the last starts of fingerprints that this host knows of.
+func (l *List) LastStarts(now time.Time, fingerprints []Fingerprint) []Start {
+	return l.Starts(now, []Suspect{{Fingerprints: fingerprints}})
+}
+
 // Starts returns the last starts of the suspects' fingerprints that this host knows
 // of.
 func (l *List) Starts(now time.Time, suspects []Suspect) []Start {
--- a/pkg/runneragent/detection.go
+++ b/pkg/runneragent/detection.go
@@ -73,8 +73,11 @@
 
 // startsReported records responses that have started.
 func (c *controller) startsReported(now time.Time, report *wire.StartReport) {
-	if detector := c.detectors[report.Service]; detector != nil {
-		c.applyBlockChanges(now, report.Service, detector.RecordStarts(now, wire.DecodeStarts(now, report.Starts)))
+	starts := wire.DecodeStarts(now, report.Starts)
+	for service, detector := range c.detectors {
+		if service == report.Service || report.Service == "" {
+			c.applyBlockChanges(now, service, detector.RecordStarts(now, starts))
+		}
 	}
 }
 
--- a/pkg/wire/quarantine_messages.go
+++ b/pkg/wire/quarantine_messages.go
@@ -68,6 +68,7 @@
 
 // StartReport reports that responses to requests under suspicion have started.
 type StartReport struct {
+	// Service is empty if the report isn't for the detector of one service.
 	Service string          `cbor:"1,keyasint"`
 	Starts  []ResponseStart `cbor:"2,keyasint"`
 }
