Don't let a lifted block return, nor repeated handovers put blocking off

- A detector that was frozen while another one lifted a block publishes it still, and entries took it up again.
The blocks that a start has ended are published with the time of the start now, entries remember them, and no block by an earlier crash comes into force, whoever publishes it.
- A better, earlier time of a block's last crash wasn't compared with the starts known already.

A test in pkg/quarantine for each.

--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -154,7 +154,10 @@
 
 func decodeState(now time.Time, published *wire.Quarantine) *quarantine.State {
 	state := &quarantine.State{
-		Watched: published.Watched, Blocks: published.Blocks, Ended: published.Ended, Instance: published.Instance,
+		Watched: published.Watched, Blocks: published.Blocks, Instance: published.Instance,
+	}
+	for i, signature := range published.Ended[:min(len(published.Ended), len(published.EndedMillis))] {
+		state.Ended = append(state.Ended, quarantine.EndedBlock{Signature: signature, At: wire.Ago(now, published.EndedMillis[i])})
 	}
 	for _, kept := range published.Kept {
 		state.Kept = append(state.Kept, kept.Decode(now))
--- a/pkg/quarantine/block.go
+++ b/pkg/quarantine/block.go
@@ -107,8 +107,8 @@
 	// Kept says of each of Blocks, in the same order, since when it holds; empty if that
 	// isn't known.
 	Kept []KeptBlock
-	// Ended are the signatures of blocks that a start has ended lately.
-	Ended []Signature
+	// Ended are the blocks that a start has ended lately.
+	Ended []EndedBlock
 	// Instance identifies the process of the detector; 0 if it is unknown. The next
 	// process doesn't know what the one before has decided until it is given it.
 	Instance uint64
@@ -118,15 +118,13 @@
 func (s *State) equal(other *State) bool {
 	same := func(a, b Signature) bool { return slices.Equal(a, b) }
 	return slices.Equal(s.Watched, other.Watched) && slices.Equal(s.Kept, other.Kept) &&
-		slices.EqualFunc(s.Blocks, other.Blocks, same) && slices.EqualFunc(s.Ended, other.Ended, same)
+		slices.EqualFunc(s.Blocks, other.Blocks, same) &&
+		slices.EqualFunc(s.Ended, other.Ended, func(a, b EndedBlock) bool { return a.At.Equal(b.At) && same(a.Signature, b.Signature) })
 }
 
 // lists reports whether a state contains a block.
 func (s *State) lists(signature Signature) bool { return hasSignature(s.Blocks, signature) }
 
-// hasEnded reports whether a start has ended a block.
-func (s *State) hasEnded(signature Signature) bool { return hasSignature(s.Ended, signature) }
-
 func hasSignature(signatures []Signature, signature Signature) bool {
 	return slices.ContainsFunc(signatures, func(known Signature) bool { return slices.Equal(known, signature) })
 }
--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -73,7 +73,7 @@
 	var changes []BlockChange
 	for _, start := range starts {
 		d.starts.Record(start.Fingerprint, start.At)
-		changes = append(changes, d.reconsider(now, start)...)
+		changes = append(changes, d.reconsider(start)...)
 	}
 	return append(changes, d.review(now)...)
 }
@@ -128,13 +128,13 @@
 
 // reconsider applies a start to the blocks: what has started since the last crash
 // doesn't crash servers.
-func (d *Detector) reconsider(now time.Time, start Start) []BlockChange {
+func (d *Detector) reconsider(start Start) []BlockChange {
 	var changes []BlockChange
 	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool {
 		if !slices.Contains(b.signature, start.Fingerprint) || !start.At.After(b.LastCrash) {
 			return false
 		}
-		d.end(now, b.signature, b.LastCrash)
+		d.end(start.At, b.signature, b.LastCrash)
 		if len(b.signature) > 1 {
 			b.signature = b.signature.without(start.Fingerprint)
 			changes = append(changes, b.changed(Narrowed))
@@ -269,7 +269,7 @@
 		}
 	}
 	for _, e := range d.ended {
-		next.Ended = append(next.Ended, e.signature)
+		next.Ended = append(next.Ended, EndedBlock{Signature: e.signature, At: e.at})
 	}
 	if d.state == nil || !d.state.equal(next) {
 		d.state = next
--- a/pkg/quarantine/handover.go
+++ b/pkg/quarantine/handover.go
@@ -59,6 +59,13 @@
 	lastCrash time.Time
 }
 
+// EndedBlock is a block that a start has ended.
+type EndedBlock struct {
+	Signature Signature
+	// At is the time of the start. It ends blocks by crashes before it.
+	At time.Time
+}
+
 // HandOver adds a host's knowledge to the evidence. What the detector knows already
 // changes nothing.
 func (d *Detector) HandOver(now time.Time, handover Handover) []BlockChange {
@@ -66,16 +73,18 @@
 		d.starts.Record(start.Fingerprint, start.At)
 	}
 	var changes []BlockChange
+	hasNew := false
 	for i := range handover.Crashes {
+		hasNew = hasNew || !d.Knows(handover.Crashes[i].Report)
 		changes = append(changes, d.record(now, &handover.Crashes[i])...)
 	}
 	for _, b := range handover.Blocks {
 		changes = append(changes, d.adopt(now, b)...)
 	}
 	for _, start := range handover.Starts {
-		changes = append(changes, d.reconsider(now, start)...)
+		changes = append(changes, d.reconsider(start)...)
 	}
-	if len(handover.Crashes) > 0 && !now.Before(d.settledAt) {
+	if hasNew && !now.Before(d.settledAt) {
 		d.settledAt = now.Add(settleTime)
 	}
 	return append(changes, d.review(now)...)
@@ -86,21 +95,26 @@
 	if now.Sub(b.MadeAt) >= BlockTTL || d.hasEnded(b) {
 		return nil
 	}
+	if changes, ok := d.merge(now, b.Signature, b.KeptBlock); ok {
+		return changes
+	}
+	var lastStart time.Time
 	signature := slices.DeleteFunc(slices.Clone(b.Signature), func(fingerprint Fingerprint) bool {
 		started, ok := d.starts.Last(now, fingerprint)
-		return ok && started.After(b.LastCrash)
+		isSound := ok && started.After(b.LastCrash)
+		if isSound {
+			lastStart = later(lastStart, started)
+		}
+		return isSound
 	})
 	if len(signature) < len(b.Signature) {
-		d.end(now, b.Signature, b.LastCrash)
+		d.end(lastStart, b.Signature, b.LastCrash)
 	}
 	if len(signature) == 0 {
 		return nil
 	}
-	for _, known := range d.blocks {
-		if slices.Equal(known.signature, signature) {
-			known.KeptBlock = known.merged(b.KeptBlock)
-			return nil
-		}
+	if changes, ok := d.merge(now, signature, b.KeptBlock); ok {
+		return changes
 	}
 	if d.isRefused(signature) {
 		return nil
@@ -111,6 +125,28 @@
 	return []BlockChange{adopted.changed(Adopted)}
 }
 
+// merge adds what another host knows of a block in force; false if there is none.
+func (d *Detector) merge(now time.Time, signature Signature, kept KeptBlock) ([]BlockChange, bool) {
+	at := slices.IndexFunc(d.blocks, func(known *block) bool { return slices.Equal(known.signature, signature) })
+	if at < 0 {
+		return nil, false
+	}
+	d.blocks[at].KeptBlock = d.blocks[at].merged(kept)
+	return d.reconsiderKnownStarts(now, signature), true
+}
+
+// reconsiderKnownStarts applies the known starts of a signature's fingerprints, as the time
+// of its last crash may have changed.
+func (d *Detector) reconsiderKnownStarts(now time.Time, signature Signature) []BlockChange {
+	var changes []BlockChange
+	for _, fingerprint := range signature {
+		if at, ok := d.starts.Last(now, fingerprint); ok {
+			changes = append(changes, d.reconsider(Start{fingerprint, at})...)
+		}
+	}
+	return changes
+}
+
 // hasEnded reports whether a block was ended here after its last crash.
 func (d *Detector) hasEnded(b Block) bool {
 	return slices.ContainsFunc(d.ended, func(e endedBlock) bool {
@@ -119,9 +155,9 @@
 }
 
 // end remembers that a start has ended a block.
-func (d *Detector) end(now time.Time, signature Signature, lastCrash time.Time) {
+func (d *Detector) end(startedAt time.Time, signature Signature, lastCrash time.Time) {
 	d.ended = slices.DeleteFunc(d.ended, func(e endedBlock) bool { return slices.Equal(e.signature, signature) })
-	d.ended = append(d.ended, endedBlock{signature: signature, at: now, lastCrash: lastCrash})
+	d.ended = append(d.ended, endedBlock{signature: signature, at: startedAt, lastCrash: lastCrash})
 	if excess := len(d.ended) - maxEnded; excess > 0 {
 		d.ended = slices.Delete(d.ended, 0, excess)
 	}
--- a/pkg/quarantine/handover_test.go
+++ b/pkg/quarantine/handover_test.go
@@ -60,7 +60,7 @@
 	b.want(101)
 	b.detector.HandOver(at(102), Handover{Blocks: []Block{block}})
 	b.want(102)
-	if !slices.Equal(b.detector.State().Ended[0], block.Signature) {
+	if !slices.Equal(b.detector.State().Ended[0].Signature, block.Signature) {
 		t.Error("hosts aren't told that the block has ended")
 	}
 }
@@ -97,7 +97,7 @@
 		after *State
 	}{
 		{"seen listed", &State{Instance: 2}},
-		{"ended", &State{Instance: 3, Ended: []Signature{{deadly}}}},
+		{"ended", &State{Instance: 3, Ended: []EndedBlock{{Signature{deadly}, at(1.5)}}}},
 	} {
 		l := &List{}
 		l.Update(at(0), map[string]*State{"a": {Instance: 1, Blocks: []Signature{{deadly}}}})
@@ -175,7 +175,7 @@
 		want    bool
 	}{
 		{"detector without evidence", 100, &State{Instance: 1}, true},
-		{"ended by a start", 100, &State{Instance: 1, Ended: []Signature{{deadly}}}, false},
+		{"ended by a start", 100, &State{Instance: 1, Ended: []EndedBlock{{Signature{deadly}, at(50)}}}, false},
 		{"time over", BlockTTL.Seconds(), &State{Instance: 1}, false},
 	} {
 		l := &List{}
@@ -189,3 +189,39 @@
 		}
 	}
 }
+
+func TestRepeatedHandoversDoNotPutOffBlocking(t *testing.T) {
+	b := &bench{t: t}
+	crashes := []Crash{crashBy(1, "a", 1, deadly, first), crashBy(2, "b", 2, deadly, subject), crashBy(3, "c", 3, deadly, otherFirst)}
+	for i := range 10 {
+		b.detector.HandOver(at(5+0.3*float64(i)), Handover{Crashes: crashes})
+	}
+	b.want(7.8, Signature{deadly})
+}
+
+// A detector that was frozen when the block was lifted publishes it still.
+func TestLiftedBlockDoesNotComeBackWithFrozenDetector(t *testing.T) {
+	frozen := &State{Instance: 1, Blocks: []Signature{{deadly}}, Kept: []KeptBlock{{Service: "s", MadeAt: at(1), LastCrash: at(0), CrashReport: 1}}}
+	l := &List{}
+	l.Update(at(1), map[string]*State{"a": frozen, "b": {Instance: 2}})
+	l.Update(at(5), map[string]*State{"b": {Instance: 2, Ended: []EndedBlock{{Signature{deadly}, at(4)}}}})
+	l.Update(at(6), map[string]*State{"a": frozen})
+	if blocked(l, 6, deadly) {
+		t.Error("the lifted block came back")
+	}
+	again := &State{Instance: 2, Blocks: []Signature{{deadly}}, Kept: []KeptBlock{{Service: "s", MadeAt: at(8), LastCrash: at(7), CrashReport: 2}}}
+	l.Update(at(8), map[string]*State{"b": again})
+	if !blocked(l, 8, deadly) {
+		t.Error("crashes after the start don't block again")
+	}
+}
+
+func TestEarlierLastCrashOfKnownBlockIsComparedWithKnownStarts(t *testing.T) {
+	b := &bench{t: t}
+	late := Block{Signature{deadly}, KeptBlock{MadeAt: at(12), LastCrash: at(12), CrashReport: 1}}
+	b.detector.HandOver(at(13), Handover{Starts: []Start{{deadly, at(5)}}, Blocks: []Block{late}})
+	b.want(13, Signature{deadly})
+	exact := Block{Signature{deadly}, KeptBlock{MadeAt: at(3), LastCrash: at(2), CrashReport: 1}}
+	b.detector.HandOver(at(14), Handover{Blocks: []Block{exact}})
+	b.want(14)
+}
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -47,6 +47,7 @@
 type List struct {
 	mu       sync.Mutex
 	blocks   []listed
+	ended    []EndedBlock
 	watches  map[publisher]watch
 	watched  map[Fingerprint]bool
 	starts   History
@@ -71,7 +72,7 @@
 const (
 	// Unlisted: a detector doesn't publish it any more.
 	Unlisted DropReason = "unlisted"
-	// EndedByStart: its detectors are lost, and another one knows of a start with it.
+	// EndedByStart: a detector knows of a start with it, whoever else publishes it.
 	EndedByStart DropReason = "ended by start"
 	// DetectorLost: its detectors are lost, and its time is over.
 	DetectorLost DropReason = "detector lost"
@@ -83,8 +84,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var changes []ListChange
+	l.updateEnded(now, states)
 	l.blocks = slices.DeleteFunc(l.blocks, func(b listed) bool {
-		detector, reason := b.ended(now, states)
+		detector, reason := l.endOf(now, &b, states)
 		if reason != "" {
 			changes = append(changes, ListChange{b.signature, detector, reason, now.Sub(b.since)})
 		}
@@ -101,8 +103,38 @@
 	return changes
 }
 
-// ended returns the detector that ended a block, and the reason; "" if it is in force.
-func (b *listed) ended(now time.Time, states map[string]*State) (detector string, reason DropReason) {
+// updateEnded remembers the blocks that starts have ended, for as long as any host may still
+// hold them.
+func (l *List) updateEnded(now time.Time, states map[string]*State) {
+	for _, state := range states {
+		for _, e := range state.Ended {
+			at := slices.IndexFunc(l.ended, func(known EndedBlock) bool { return slices.Equal(known.Signature, e.Signature) })
+			switch {
+			case at < 0:
+				l.ended = append(l.ended, e)
+			case e.At.After(l.ended[at].At):
+				l.ended[at] = e
+			}
+		}
+	}
+	l.ended = slices.DeleteFunc(l.ended, func(e EndedBlock) bool { return now.Sub(e.At) >= BlockTTL })
+	if excess := len(l.ended) - maxEnded; excess > 0 {
+		l.ended = slices.Delete(l.ended, 0, excess)
+	}
+}
+
+// hasEnded reports whether a start has ended a block with this last crash.
+func (l *List) hasEnded(signature Signature, lastCrash time.Time) bool {
+	return slices.ContainsFunc(l.ended, func(e EndedBlock) bool {
+		return slices.Equal(e.Signature, signature) && e.At.After(lastCrash)
+	})
+}
+
+// endOf returns the detector that ended a block, and the reason; "" if it is in force.
+func (l *List) endOf(now time.Time, b *listed, states map[string]*State) (detector string, reason DropReason) {
+	if l.hasEnded(b.signature, b.kept.LastCrash) {
+		return "", EndedByStart
+	}
 	for _, state := range states {
 		if state.lists(b.signature) {
 			return "", ""
@@ -113,11 +145,6 @@
 			return p.detector, Unlisted
 		}
 	}
-	for detector, state := range states {
-		if state.hasEnded(b.signature) {
-			return detector, EndedByStart
-		}
-	}
 	if now.Sub(b.kept.MadeAt) >= listHoldTime {
 		return "", DetectorLost
 	}
@@ -156,6 +183,10 @@
 	isDated := len(state.Kept) == len(state.Blocks)
 	if isDated {
 		kept = state.Kept[i]
+		if l.hasEnded(signature, kept.LastCrash) {
+			// The detector doesn't know of the start.
+			return false
+		}
 	}
 	by := publisher{detector, state.Instance}
 	at := slices.IndexFunc(l.blocks, func(b listed) bool { return slices.Equal(b.signature, signature) })
@@ -189,7 +220,7 @@
 	var changes []ListChange
 	for _, b := range blocks {
 		isKnown := slices.ContainsFunc(l.blocks, func(known listed) bool { return slices.Equal(known.signature, b.Signature) })
-		if !isKnown && now.Sub(b.MadeAt) < listHoldTime {
+		if !isKnown && now.Sub(b.MadeAt) < listHoldTime && !l.hasEnded(b.Signature, b.LastCrash) {
 			l.blocks = append(l.blocks, listed{signature: b.Signature, since: now, kept: b.KeptBlock})
 			changes = append(changes, ListChange{Signature: b.Signature})
 		}
--- a/pkg/runneragent/detection.go
+++ b/pkg/runneragent/detection.go
@@ -95,7 +95,7 @@
 		c.logger.Warn("requests that crash servers: block changed", change.Attributes(now, service)...)
 	}
 	published := c.describeDetectors(now)
-	isRecent := len(published.Blocks) == 0 || now.Sub(c.quarantinedAt) < blockAgeInterval
+	isRecent := len(published.Blocks)+len(published.Ended) == 0 || now.Sub(c.quarantinedAt) < blockAgeInterval
 	if isRecent && published.SameDecisions(c.quarantine) {
 		return
 	}
@@ -112,7 +112,10 @@
 			continue
 		}
 		published.Watched = append(published.Watched, state.Watched...)
-		published.Ended = append(published.Ended, state.Ended...)
+		for _, ended := range state.Ended {
+			published.Ended = append(published.Ended, ended.Signature)
+			published.EndedMillis = append(published.EndedMillis, wire.AgeMillis(now, ended.At))
+		}
 		published.Blocks = append(published.Blocks, state.Blocks...)
 		for _, kept := range state.Kept {
 			kept.Service = service
--- a/pkg/wire/quarantine_messages.go
+++ b/pkg/wire/quarantine_messages.go
@@ -45,8 +45,10 @@
 
 // BlockAnswer is the answer: the signatures, and more on each of them, in the same order.
 type BlockAnswer struct {
-	Blocks []quarantine.Signature `cbor:"1,keyasint,omitempty"`
-	Kept   []KeptBlock            `cbor:"2,keyasint,omitempty"`
+	// Starting is set if the gateway has just started itself and hasn't learned all blocks.
+	Starting bool                   `cbor:"3,keyasint,omitempty"`
+	Blocks   []quarantine.Signature `cbor:"1,keyasint,omitempty"`
+	Kept     []KeptBlock            `cbor:"2,keyasint,omitempty"`
 }
 
 // KeptBlock is what a gateway needs to know of a block to give it to another detector.
@@ -92,8 +94,10 @@
 	// Kept says more on each of Blocks, in the same order. The ages are those at the time
 	// at which the agent published the value.
 	Kept []KeptBlock `cbor:"4,keyasint,omitempty"`
-	// Ended are the signatures of blocks that a start has ended lately.
-	Ended []quarantine.Signature `cbor:"5,keyasint,omitempty"`
+	// Ended are the signatures of blocks that a start has ended lately, EndedMillis the
+	// times since the starts, in the same order.
+	Ended       []quarantine.Signature `cbor:"5,keyasint,omitempty"`
+	EndedMillis []uint32               `cbor:"6,keyasint,omitempty"`
 }
 
 // IsEmpty reports whether the agent has decided nothing.
@@ -104,7 +108,7 @@
 	if q == other || q == nil || other == nil {
 		return q == other
 	}
-	return q.SameDecisions(other) && slices.Equal(q.Kept, other.Kept)
+	return q.SameDecisions(other) && slices.Equal(q.Kept, other.Kept) && slices.Equal(q.EndedMillis, other.EndedMillis)
 }
 
 // SameDecisions reports whether two values differ in the ages of blocks at most.
