Hand other entries' reports over with the starts that they knew

A detector could get the crashes of an entry without its starts and block a sound part.

A kept report keeps the reporter's starts, and starts under suspicion go to the two keepers as well. Also, an entry that has just started says so when another one asks it for blocks, and isn't counted as an answer: two that start together were content with each other.

go test -race ./pkg/gateway -run 'EachProcess|NewDetector' passes on this code.

--- a/pkg/gateway/evidence_delivery.go
+++ b/pkg/gateway/evidence_delivery.go
@@ -214,7 +214,8 @@
 	return handover
 }
 
-// encodeCrash returns the report of a crash, with the last starts that are known by now.
+// encodeCrash returns the report of a crash, with the last starts that are known by now, and
+// those that the entry which has seen it knew.
 func (c *quarantineClient) encodeCrash(now time.Time, service string, crash *quarantine.Crash) *wire.CrashReport {
 	return &wire.CrashReport{
 		Service:         service,
@@ -222,7 +223,7 @@
 		StartedAtMillis: crash.Server.StartedAtMillis,
 		AgeMillis:       wire.AgeMillis(now, crash.At),
 		Suspects:        encodeSuspects(crash.Suspects),
-		Starts:          encodeStarts(now, c.list.Starts(now, crash.Suspects)),
+		Starts:          encodeStarts(now, append(c.list.Starts(now, crash.Suspects), crash.Starts...)),
 		Report:          crash.Report,
 	}
 }
--- a/pkg/gateway/evidence_peers.go
+++ b/pkg/gateway/evidence_peers.go
@@ -88,6 +88,9 @@
 		learned := c.list.Learn(now, wire.DecodeBlocks(now, answer.Blocks, answer.Kept))
 		c.logListChanges(learned)
 		blocks += len(learned)
+		if answer.Starting {
+			continue
+		}
 		answered++
 		if answered == enoughAnswers {
 			break
@@ -97,6 +100,19 @@
 		"took_ms", time.Since(began).Milliseconds())
 }
 
+// isStarting reports whether this entry hasn't learned the blocks of others yet.
+func (c *quarantineClient) isStarting() bool {
+	if c.startup == nil {
+		return false
+	}
+	select {
+	case <-c.startup.learned:
+		return false
+	default:
+		return true
+	}
+}
+
 // awaitHosts waits until the site's hosts are known.
 func (c *quarantineClient) awaitHosts(ctx context.Context) {
 	for {
@@ -135,7 +151,7 @@
 
 // answerQuery answers another entry's query.
 func (c *quarantineClient) answerQuery(now time.Time, stream *wire.Stream) {
-	answer := &wire.BlockAnswer{}
+	answer := &wire.BlockAnswer{Starting: c.isStarting()}
 	c.update(now)
 	answer.Blocks, answer.Kept = wire.EncodeBlocks(now, c.list.All())
 	if err := stream.Send(&wire.Frame{BlockAnswer: answer}); err != nil {
@@ -149,18 +165,11 @@
 	if node == nil {
 		return
 	}
-	hosts := make(map[string]roster.Host)
-	var ids []string
-	for _, host := range c.otherEntries() {
-		hosts[host.ID] = host
-		ids = append(ids, host.ID)
-	}
-	ranked := membership.RendezvousRank(keeperLabel+c.self, ids)
-	ranked = ranked[:min(len(ranked), keepersTried)]
+	ranked := c.keepers()
 	for first := range min(len(ranked), keepersPerReport) {
 		go func() {
 			for i := first; i < len(ranked); i += keepersPerReport {
-				host := hosts[ranked[i]]
+				host := ranked[i]
 				frame := &wire.Frame{CrashReport: c.encodeCrash(time.Now(), service, crash)}
 				err := confirm(node, host.ID, host.InternalAddress, frame)
 				if err == nil {
@@ -172,6 +181,47 @@
 	}
 }
 
+// keepers returns the entries that keep this one's evidence, the first ones first.
+func (c *quarantineClient) keepers() []roster.Host {
+	hosts := make(map[string]roster.Host)
+	var ids []string
+	for _, host := range c.otherEntries() {
+		hosts[host.ID] = host
+		ids = append(ids, host.ID)
+	}
+	ranked := membership.RendezvousRank(keeperLabel+c.self, ids)
+	var keepers []roster.Host
+	for _, id := range ranked[:min(len(ranked), keepersTried)] {
+		keepers = append(keepers, hosts[id])
+	}
+	return keepers
+}
+
+// giveStartsToKeepers has other entries keep starts too, so that the crashes that they keep
+// aren't taken for later than these.
+func (c *quarantineClient) giveStartsToKeepers(service string, starts []quarantine.Start) {
+	node := c.node.Load()
+	if node == nil {
+		return
+	}
+	keepers := c.keepers()
+	for _, host := range keepers[:min(len(keepers), keepersPerReport)] {
+		go func() {
+			frame := &wire.Frame{StartReport: &wire.StartReport{Service: service, Starts: encodeStarts(time.Now(), starts)}}
+			if err := confirm(node, host.ID, host.InternalAddress, frame); err != nil {
+				c.logger.Info("starts not kept at another entry", "entry", host.ID, "service", service, "error", err)
+			}
+		}()
+	}
+}
+
+// keepStartsForPeer keeps another entry's starts.
+func (c *quarantineClient) keepStartsForPeer(now time.Time, report *wire.StartReport) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.RecordStarts(report.Service, wire.DecodeStarts(now, report.Starts))
+}
+
 // keepForPeer keeps another entry's report.
 func (c *quarantineClient) keepForPeer(now time.Time, report *wire.CrashReport) {
 	c.mu.Lock()
--- a/pkg/gateway/peer_server.go
+++ b/pkg/gateway/peer_server.go
@@ -34,6 +34,9 @@
 	case peer.Role == keys.RoleEntry && frame.CrashReport != nil:
 		defer stream.Close()
 		s.quarantine.keepForPeer(time.Now(), frame.CrashReport)
+	case peer.Role == keys.RoleEntry && frame.StartReport != nil:
+		defer stream.Close()
+		s.quarantine.keepStartsForPeer(time.Now(), frame.StartReport)
 	case peer.Role == keys.RoleEntry && frame.BlockQuery != nil:
 		defer stream.Close()
 		s.quarantine.answerQuery(time.Now(), stream)
--- a/pkg/gateway/quarantine_client.go
+++ b/pkg/gateway/quarantine_client.go
@@ -221,6 +221,7 @@
 	c.mu.Lock()
 	detectors = append(detectors, c.otherWatchers(watched, detectors)...)
 	c.mu.Unlock()
+	c.giveStartsToKeepers(service, starts)
 	c.sendAll(detectors, &wire.Frame{StartReport: &wire.StartReport{Service: service, Starts: encodeStarts(now, starts)}})
 }
 
