--- a/pkg/runneragent/detection.go
+++ b/pkg/runneragent/detection.go
@@ -1,10 +1,10 @@
 package runneragent
 
 import (
+	"maps"
 	"slices"
 	"time"
 
-	"teaselgauge.example/teaselgauge/pkg/backpressure"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/wire"
 )
@@ -13,10 +13,15 @@
 // servers.
 const maxDetectors = 256
 
+// blockAgeInterval is the time after which the ages of blocks are published again, so that
+// gateways that join later learn them.
+const blockAgeInterval = 10 * time.Second
+
 // detectorOf returns the detector of a service; nil if there are too many.
 func (c *controller) detectorOf(service string) *quarantine.Detector {
 	detector := c.detectors[service]
 	if detector == nil && len(c.detectors) < maxDetectors {
+		c.logger.Info("detector begins without evidence", "belief", "quarantine:"+service, "service", service)
 		detector = &quarantine.Detector{}
 		c.detectors[service] = detector
 	}
@@ -30,14 +35,8 @@
 		c.logger.Warn("crash report ignored, too many services", "service", report.Service)
 		return
 	}
-	crash := quarantine.Crash{
-		Server: backpressure.Incarnation{ID: report.Server, StartedAtMillis: report.StartedAtMillis},
-		At:     ago(now, report.AgeMillis),
-		Starts: startsOf(now, report.Starts),
-	}
-	begun := 0
-	for _, suspect := range report.Suspects {
-		crash.Suspects = append(crash.Suspects, quarantine.Suspect{Fingerprints: suspect.Fingerprints, Begun: suspect.Begun})
+	crash, begun := report.Decode(now), 0
+	for _, suspect := range crash.Suspects {
 		if suspect.Begun {
 			begun++
 		}
@@ -47,10 +46,38 @@
 	c.applyBlockChanges(now, report.Service, detector.RecordCrash(now, crash))
 }
 
+// evidenceHandedOver records what a gateway knows, as this agent may have begun without it.
+func (c *controller) evidenceHandedOver(now time.Time, gateway string, handover *wire.EvidenceHandover) {
+	detector := c.detectorOf(handover.Service)
+	if detector == nil {
+		c.logger.Warn("evidence ignored, too many services", "service", handover.Service, "entry", gateway)
+		return
+	}
+	received := quarantine.Handover{
+		Starts: wire.DecodeStarts(now, handover.Starts),
+		Blocks: wire.DecodeBlocks(now, handover.Blocks, handover.Kept),
+	}
+	known := 0
+	for i := range handover.Crashes {
+		crash := handover.Crashes[i].Decode(now)
+		received.Crashes = append(received.Crashes, crash)
+		if detector.Knows(crash.Report) {
+			known++
+		}
+	}
+	c.logger.Info("evidence on crashes handed over", "belief", "quarantine:"+handover.Service, "entry", gateway, "service", handover.Service,
+		"crashes", len(received.Crashes), "known", known, "starts", len(received.Starts), "blocks", len(received.Blocks))
+	c.metrics.EvidenceHandover()
+	c.applyBlockChanges(now, handover.Service, detector.HandOver(now, received))
+}
+
 // startsReported records responses that have started.
 func (c *controller) startsReported(now time.Time, report *wire.StartReport) {
-	if detector := c.detectors[report.Service]; detector != nil {
-		c.applyBlockChanges(now, report.Service, detector.RecordStarts(now, startsOf(now, report.Starts)))
+	starts := wire.DecodeStarts(now, report.Starts)
+	for service, detector := range c.detectors {
+		if service == report.Service || report.Service == "" {
+			c.applyBlockChanges(now, service, detector.RecordStarts(now, starts))
+		}
 	}
 }
 
@@ -67,43 +94,34 @@
 		c.metrics.BlockChange(change.Change.String())
 		c.logger.Warn("requests that crash servers: block changed", change.Attributes(now, service)...)
 	}
-	published := c.describeDetectors()
-	if published.Equal(c.quarantine) {
+	published := c.describeDetectors(now)
+	isRecent := len(published.Blocks)+len(published.Ended) == 0 || now.Sub(c.quarantinedAt) < blockAgeInterval
+	if isRecent && published.SameDecisions(c.quarantine) {
 		return
 	}
-	c.quarantine = published
+	c.quarantine, c.quarantinedAt = published, now
 	c.publish(now)
 }
 
-// describeDetectors returns what all detectors have decided; nil without evidence.
-func (c *controller) describeDetectors() *wire.Quarantine {
-	var published *wire.Quarantine
-	for _, detector := range c.detectors {
-		state := detector.State()
+// describeDetectors returns what all detectors have decided.
+func (c *controller) describeDetectors(now time.Time) *wire.Quarantine {
+	published := &wire.Quarantine{Instance: c.quarantine.Instance}
+	for _, service := range slices.Sorted(maps.Keys(c.detectors)) {
+		state := c.detectors[service].State()
 		if state == nil {
 			continue
 		}
-		if published == nil {
-			published = &wire.Quarantine{}
-		}
 		published.Watched = append(published.Watched, state.Watched...)
+		for _, ended := range state.Ended {
+			published.Ended = append(published.Ended, ended.Signature)
+			published.EndedMillis = append(published.EndedMillis, wire.AgeMillis(now, ended.At))
+		}
 		published.Blocks = append(published.Blocks, state.Blocks...)
+		for _, kept := range state.Kept {
+			kept.Service = service
+			published.Kept = append(published.Kept, wire.EncodeKeptBlock(now, kept))
+		}
 	}
-	if published != nil {
-		slices.Sort(published.Watched)
-		slices.SortFunc(published.Blocks, slices.Compare[quarantine.Signature])
-	}
+	slices.Sort(published.Watched)
 	return published
 }
-
-func ago(now time.Time, ageMillis uint32) time.Time {
-	return now.Add(-time.Duration(ageMillis) * time.Millisecond)
-}
-
-func startsOf(now time.Time, reported []wire.ResponseStart) []quarantine.Start {
-	starts := make([]quarantine.Start, len(reported))
-	for i, start := range reported {
-		starts[i] = quarantine.Start{Fingerprint: start.Fingerprint, At: ago(now, start.AgeMillis)}
-	}
-	return starts
-}
