Charge requests to the quotas of their organisations

Requests of an organisation are charged once, before the first send, and get 429 at once when the quota is used up. The charge is given back if the request hasn't run. Sites without limited organisations send no message and wait for nothing. Settings: section quotas, from the bounds of the platform.

--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -19,6 +19,8 @@
 	// PromptTokens and MaxOutputTokens are the size of the request.
 	PromptTokens    int
 	MaxOutputTokens int
+	// HasTokenCount is set if the request states its size.
+	HasTokenCount bool
 	// LastEventID is set by a caller that resumes a broken stream.
 	LastEventID string
 	// Resumes is the ID of the request that brought the stream's first event, set by a
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -61,6 +61,8 @@
 	switches int
 	// rateTokens counts the rate tokens that the request was granted.
 	rateTokens int
+	// quotaCharged is what the request was charged to its organisation's quota.
+	quotaCharged float64
 	// leaseWait is the time until the lease of the model was granted,
 	// timeToFirstByte the time until the response header was sent to the caller.
 	leaseWait       time.Duration
@@ -179,6 +181,7 @@
 func (x *exchange) run(ctx context.Context) {
 	defer func() { x.handler.observer.requestFinished(x, x.result) }()
 	defer x.handOverAtEnd()
+	defer func() { x.returnQuota(time.Now()) }()
 	if !x.resumeStream(ctx) {
 		return
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
+	"teaselgauge.example/teaselgauge/pkg/quota"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 	"teaselgauge.example/teaselgauge/pkg/roster"
 	"teaselgauge.example/teaselgauge/pkg/settings"
@@ -137,6 +138,7 @@
 	g.handler.quarantine = newQuarantineClient(g.control, &g.handler.node, g.logger)
 	g.handler.crashes.reportCrash = g.handler.quarantine.reportCrash
 	g.handler.limiters = newLimiterClient(g.config.Host.ID, g.control)
+	g.handler.quotas = newQuotaClient(g.config.Host.ID, time.Now(), quotaBounds(g.config.Quotas), g.control, &g.handler.node, g.observer)
 	d.Telemetry.Register(DumpName, g.dump)
 	g.handler.queued, g.handler.cancelQueued = context.WithCancel(context.Background())
 }
@@ -149,6 +151,14 @@
 	}
 }
 
+func quotaBounds(config settings.Quotas) quota.Bounds {
+	return quota.Bounds{
+		Window: time.Duration(config.WindowSeconds * float64(time.Second)),
+		Over:   config.Over,
+		Slack:  config.Slack,
+	}
+}
+
 // start starts the background tasks, which run until ctx ends. leading ends
 // earlier, when the process begins to stop.
 func (g *Gateway) start(ctx, leading context.Context, d Dependencies) {
@@ -159,6 +169,7 @@
 	g.wait.Go(func() { g.storeWatcher.runExpiry(ctx) })
 	g.wait.Go(func() { g.pool.Run(ctx) })
 	g.wait.Go(func() { g.syncRequestPath(ctx) })
+	g.wait.Go(func() { g.handler.quotas.keep(ctx) })
 	g.wait.Go(func() { telemetry.RunPeriodically(ctx, gaugeInterval, g.updateGauges) })
 	g.wait.Go(func() { g.join(ctx, leading, d) })
 }
@@ -243,7 +254,7 @@
 		ServerTLS: ephemeral.ServerConfig(keys.RoleAgent, keys.RoleEntry),
 		ClientTLS: ephemeral.ClientConfig(keys.RoleAgent, keys.RoleEntry),
 		Identify:  keys.Identify,
-		Handler:   &peerServer{relay: &relayServer{control: g.control}, limiter: g.handler.limiters.server, logger: g.logger},
+		Handler:   &peerServer{relay: &relayServer{control: g.control}, limiter: g.handler.limiters.server, quotas: g.handler.quotas.server, logger: g.logger},
 		ResetKey:  ephemeral.ResetKey(),
 		Logger:    g.logger,
 	})
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -52,6 +52,8 @@
 	limits *ratelimit.Registry
 	// limiters requests the rate tokens for servers with a limit.
 	limiters *limiterClient
+	// quotas charges requests to the quotas of organisations.
+	quotas *quotaClient
 	// crashes finds out which failed requests were on a server that crashed.
 	crashes *crashObserver
 	// quarantine refuses the requests that crash servers.
@@ -149,6 +151,9 @@
 	if end := h.drainEnd.Load(); end != nil && x.deadline.After(*end) {
 		return reject(refusal{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stoppingRetryAfter})
 	}
+	if failure := x.chargeQuota(r.Context(), versions.configuration); failure != nil {
+		return reject(*failure)
+	}
 	return x, nil
 }
 
--- a/pkg/gateway/peer_server.go
+++ b/pkg/gateway/peer_server.go
@@ -12,6 +12,7 @@
 type peerServer struct {
 	relay   *relayServer
 	limiter *limiterServer
+	quotas  *quotaServer
 	logger  *slog.Logger
 }
 
@@ -29,6 +30,9 @@
 	case peer.Role == keys.RoleEntry && frame.RateTokenRequest != nil:
 		defer stream.Close()
 		s.limiter.serve(stream, frame.RateTokenRequest)
+	case peer.Role == keys.RoleEntry && frame.QuotaRequest != nil:
+		defer stream.Close()
+		s.quotas.serve(peer.Host, stream, frame.QuotaRequest)
 	default:
 		s.logger.Warn("unexpected frame received from a peer", "peer", peer.Host)
 		stream.Cancel()
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -79,6 +79,7 @@
 	limitedSends       tally.Counter
 	skippedResponses   tally.Counter
 	rateTokens         *vector[tally.Counter]
+	quotaCharges       *vector[tally.Counter]
 	crashChecks        *vector[tally.Counter]
 	quarantined        tally.Counter
 	blocks             tally.Gauge
@@ -115,6 +116,7 @@
 		limitedSends:       gateway.Counter("limited_sends_total"),
 		skippedResponses:   gateway.Counter("skipped_responses_total"),
 		rateTokens:         newCounters(gateway, "rate_tokens_total", "outcome"),
+		quotaCharges:       newCounters(gateway, "quota_charges_total", "outcome"),
 		crashChecks:        newCounters(gateway, "crash_checks_total", "result"),
 		quarantined:        gateway.Counter("quarantined_requests_total"),
 		blocks:             gateway.Gauge("blocked_signatures"),
@@ -228,6 +230,10 @@
 // Origins sets the number of streams whose origin is kept for callers that resume them.
 func (g *Gateway) Origins(count int) { g.origins.Update(float64(count)) }
 
+// QuotaCharge counts a request that was charged to a quota, refused or given its charge
+// back. The outcome is one of a fixed set.
+func (g *Gateway) QuotaCharge(outcome string) { g.quotaCharges.with(labels{outcome}).Inc(1) }
+
 // OriginDropped counts an origin of a stream that was dropped, as there were too many.
 func (g *Gateway) OriginDropped() { g.originsDropped.Inc(1) }
 
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -29,12 +29,26 @@
 	WindowSeconds float64 `json:"window_s,omitempty" validate:"min=0,max=3600"`
 }
 
+// Quotas is what the use of the quotas of organisations is judged by, over all entries
+// together.
+type Quotas struct {
+	// WindowSeconds is the length of the sliding window. Zero means that there is no
+	// tolerance.
+	WindowSeconds float64 `json:"window_s,omitempty" validate:"min=0,max=3600"`
+	// Over is the part of a limit that may be used in addition.
+	Over float64 `json:"over,omitempty" validate:"min=0,max=10"`
+	// Slack is the number of units that may be used in addition in each window.
+	Slack float64 `json:"slack,omitempty" validate:"min=0,max=1000000000"`
+}
+
 // Gateway holds the settings of an entry in front of an external platform.
 type Gateway struct {
 	Host    Host          `json:"host"`
 	Listen  GatewayListen `json:"listen"`
 	Store   MetadataStore `json:"store"`
 	Retries Retries       `json:"retries"`
+	// Quotas is what the use of quotas is judged by.
+	Quotas Quotas `json:"quotas"`
 	// WeightStore holds the limits of the weight store. The rate of load starts comes
 	// from the operator's configuration. The number of concurrent loads is learned if
 	// it is not given.
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -124,7 +124,7 @@
 		f.RunnerStatus != nil, f.Acquire != nil, f.Granted != nil, f.Released != nil,
 		f.Follow != nil, f.SiteUpdate != nil, f.RateTokenRequest != nil, f.LimitObserved != nil,
 		f.CrashReport != nil, f.StartReport != nil, f.OriginQuery != nil, f.OriginAnswer != nil,
-		f.OriginHandover != nil,
+		f.OriginHandover != nil, f.QuotaRequest != nil, f.QuotaGrant != nil,
 	} {
 		if set {
 			count++
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -41,4 +41,8 @@
 	OriginQuery    *OriginQuery    `cbor:"27,keyasint,omitempty"`
 	OriginAnswer   *OriginAnswer   `cbor:"28,keyasint,omitempty"`
 	OriginHandover *OriginHandover `cbor:"29,keyasint,omitempty"`
+
+	// The messages about the quotas of organisations.
+	QuotaRequest *QuotaRequest `cbor:"34,keyasint,omitempty"`
+	QuotaGrant   *QuotaGrant   `cbor:"35,keyasint,omitempty"`
 }
