--- a/pkg/gateway/dump.go
+++ b/pkg/gateway/dump.go
@@ -48,6 +48,8 @@
 	Keys int `json:"keys"`
 	// Priority is nil if the routes' priorities apply.
 	Priority *int `json:"priority,omitempty"`
+	// Quota is nil if the organisation is not limited.
+	Quota *QuotaDump `json:"quota,omitempty"`
 }
 
 // ServerDump is the state of one backend server.
@@ -108,6 +110,9 @@
 	}
 	d.Configuration = current.table.Configuration().Version
 	d.Organisations = dumpOrganisations(current.table.Configuration().Organisations)
+	for i := range d.Organisations {
+		d.Organisations[i].Quota = g.handler.quotas.dump(now, &current.table.Configuration().Organisations[i])
+	}
 	for _, servers := range current.servers {
 		for _, s := range servers {
 			dumped := dumpServer(now, s, g.handler.tracker)
