--- a/pkg/gateway/peer_server.go
+++ b/pkg/gateway/peer_server.go
@@ -14,6 +14,7 @@
 	relay      *relayServer
 	limiter    *limiterServer
 	quarantine *quarantineClient
+	quotas     *quotaServer
 	logger     *slog.Logger
 }
 
@@ -40,6 +41,9 @@
 	case peer.Role == keys.RoleEntry && frame.BlockQuery != nil:
 		defer stream.Close()
 		s.quarantine.answerQuery(time.Now(), stream)
+	case peer.Role == keys.RoleEntry && frame.QuotaRequest != nil:
+		defer stream.Close()
+		s.quotas.serve(peer.Host, stream, frame.QuotaRequest)
 	default:
 		s.logger.Warn("unexpected frame received from a peer", "peer", peer.Host)
 		stream.Cancel()
