Add a listener that bounds what its callers hold and how long they take

Cause: net/http parses a head into many times its bytes before any code of ours runs, has no limits that follow the configuration, and bounds no connections.

Change: package callerlimits wraps the connections below net/http. It counts the bytes and lines of a head as they are read and reserves their memory before net/http sees them, refuses heads over the limit with 431, and closes those over their time, idle connections, and callers that take nothing of a response. Nothing uses it yet.

Measured: go test -race -count=3 ./pkg/callerlimits passes.

--- /dev/null
+++ b/pkg/callerlimits/conn.go
@@ -0,0 +1,271 @@
+package callerlimits
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/memory"
+)
+
+// expired is a deadline in the past.
+var expired = time.Unix(1, 0)
+
+// phase is what a connection does.
+type phase uint8
+
+const (
+	// phaseIdle: between requests.
+	phaseIdle phase = iota
+	// phaseHead: a part of a head was read.
+	phaseHead
+	// phaseRequest: the head was read.
+	phaseRequest
+)
+
+// Conn is a connection of a caller.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	claim    *memory.Claim
+	closing  sync.Once
+
+	mu    sync.Mutex
+	phase phase
+	// since is when the phase began. overdue is set if a sweep found it too long.
+	since   time.Time
+	overdue bool
+	head    headScanner
+	// reserved is what is reserved for the head.
+	reserved int64
+	// ended is set once reads fail, writing while a write is under way.
+	ended   bool
+	writing bool
+}
+
+// NetConn returns the wrapped connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite closes the sending side.
+func (c *Conn) CloseWrite() error {
+	inner, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return inner.CloseWrite()
+}
+
+// Read implements net.Conn. The bytes of a head are returned once memory for them is
+// reserved.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, c.readError(err)
+	}
+	now := time.Now()
+	c.claim.Moved(now, n)
+	need, tooLarge := c.received(now, p[:n])
+	if tooLarge {
+		return 0, c.refuse(HeadTooLarge, p)
+	}
+	if need > 0 && c.listener.pool.Reserve(c.claim, memory.Head, need) != nil {
+		return 0, c.refuse(HeadMemory, p)
+	}
+	return n, err
+}
+
+// errEnded is the error of reads once a limit has ended the connection. net/http closes the
+// connection after a timeout without a response of its own.
+var errEnded = os.ErrDeadlineExceeded
+
+// readError returns the error of a read without data.
+func (c *Conn) readError(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return errEnded
+	}
+	return err
+}
+
+// received scans received bytes. It returns the number of bytes to reserve, and whether the
+// head exceeds its limit.
+func (c *Conn) received(now time.Time, data []byte) (need int64, tooLarge bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.phase {
+	case phaseRequest:
+		return 0, false
+	case phaseIdle:
+		c.setPhase(now, phaseHead)
+		c.head, c.reserved = headScanner{}, 0
+	}
+	ended := c.head.scan(data)
+	if limit := c.listener.limits().MaxHeaderBytes; limit > 0 && c.head.size > limit+headerSlack {
+		return 0, true
+	}
+	cost := requestCost + int64(c.head.size)*headByteCost + int64(c.head.lines)*lineCost
+	need = cost - c.reserved
+	c.reserved = cost
+	if ended {
+		c.setPhase(now, phaseRequest)
+	}
+	return need, false
+}
+
+// setPhase begins a phase. Only between requests, and in a head, does the connection wait
+// for its caller.
+func (c *Conn) setPhase(now time.Time, next phase) {
+	c.phase, c.since, c.overdue = next, now, false
+	c.claim.SetWaiting(now, next != phaseRequest)
+}
+
+// maxWriteBytes is the largest part of a write after which progress is recorded.
+const maxWriteBytes = 16 << 10
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	waited := c.setWriting(true, true)
+	defer c.setWriting(false, waited)
+	written := 0
+	for {
+		part := p[written:]
+		n, err := c.Conn.Write(part[:min(len(part), maxWriteBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+		c.claim.Moved(time.Now(), n)
+	}
+}
+
+// setWriting records whether a write is under way and whether the connection waits for its
+// caller, and returns whether it did before.
+func (c *Conn) setWriting(writing, waits bool) (waited bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = writing
+	return c.claim.SetWaiting(time.Now(), waits)
+}
+
+// ReadingBody records whether the server waits for the body of the request. A nil
+// connection has no limits.
+func (c *Conn) ReadingBody(reading bool) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claim.SetWaiting(time.Now(), reading)
+}
+
+// Reserve reserves n bytes of memory, and waits for room. Its error is
+// memory.ErrExhausted. What is reserved is released after the response.
+func (c *Conn) Reserve(kind memory.Kind, n int64) error {
+	if c == nil {
+		return nil
+	}
+	return c.listener.pool.Reserve(c.claim, kind, n)
+}
+
+// TryReserve is like Reserve without waiting.
+func (c *Conn) TryReserve(kind memory.Kind, n int64) error {
+	if c == nil {
+		return nil
+	}
+	return c.listener.pool.TryReserve(c.claim, kind, n)
+}
+
+// Release releases n reserved bytes.
+func (c *Conn) Release(kind memory.Kind, n int64) {
+	if c != nil {
+		c.listener.pool.Release(c.claim, kind, n)
+	}
+}
+
+// Refused records that a request was refused by a limit.
+func (c *Conn) Refused(cause Cause) {
+	if c != nil {
+		c.listener.refused(cause)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.closing.Do(func() { c.listener.closed(c) })
+	return err
+}
+
+// cut ends the connection if it waits for its caller, and reports whether it did: a response
+// that is being written is broken off, and each read fails.
+func (c *Conn) cut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.claim.Waits() {
+		return false
+	}
+	c.ended = true
+	if c.writing {
+		_ = c.Conn.Close()
+		return true
+	}
+	_ = c.Conn.SetReadDeadline(expired)
+	return true
+}
+
+const (
+	// lingerTime is how long a refused caller has to read the refusal before the
+	// connection is closed.
+	lingerTime = 500 * time.Millisecond
+	// refusalTimeout bounds the time to send a refusal.
+	refusalTimeout = 500 * time.Millisecond
+)
+
+// refuse refuses a request in whose head a limit was exceeded, and ends the connection. What
+// the caller still sends is dropped, so that it can read the refusal.
+func (c *Conn) refuse(cause Cause, scratch []byte) error {
+	c.listener.pool.EndRequest(c.claim)
+	c.listener.refused(cause)
+	c.mu.Lock()
+	ended := c.ended
+	c.ended = true
+	c.mu.Unlock()
+	if ended {
+		return errEnded
+	}
+	_ = c.Conn.SetDeadline(time.Now().Add(refusalTimeout))
+	if _, err := io.WriteString(c.Conn, refusals[cause]); err != nil {
+		return errEnded
+	}
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	for {
+		if _, err := c.Conn.Read(scratch); err != nil {
+			return errEnded
+		}
+	}
+}
+
+// refusals are the responses to requests that were refused in their head: they have not run
+// and never will.
+var refusals = map[Cause]string{
+	HeadTooLarge: response("431 Request Header Fields Too Large", "", `{"error":"head too large","not_run":true}`),
+	HeadMemory:   response("503 Service Unavailable", "Retry-After: 0.500\r\n", `{"error":"memory exhausted","not_run":true}`),
+}
+
+func response(status, header, body string) string {
+	return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nConnection: close\r\n" + header + "\r\n" + body
+}
