Bound what callers make an entry hold, and close connections over their time

Bodies grow as they arrive and must be there by the request's deadline (408, not run); without memory they are refused with 503, not run. Responses without memory are forwarded unbuffered. Readiness, metrics and state have small budgets of their own. The heap's limit is 70 % of the memory, also at agents.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -112,7 +112,8 @@
 	registrationsAge time.Duration
 }
 
-func (h *handler) newExchange(response *callerResponse, r *http.Request, route *fleet.Route, caller forward.RequestInfo, body []byte, arrived time.Time) *exchange {
+// requestTimeout returns the time for a request of a route.
+func requestTimeout(route *fleet.Route, caller forward.RequestInfo) time.Duration {
 	timeout := caller.Budget
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -120,6 +121,10 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
+	return timeout
+}
+
+func (h *handler) newExchange(response *callerResponse, r *http.Request, route *fleet.Route, caller forward.RequestInfo, body []byte, arrived time.Time) *exchange {
 	x := &exchange{
 		handler:  h,
 		response: response,
@@ -134,7 +139,7 @@
 			Body:   body,
 		},
 		arrived:  arrived,
-		deadline: arrived.Add(timeout),
+		deadline: arrived.Add(requestTimeout(route, caller)),
 		service:  pickDestination(route, rand.Float64()),
 		logger:   h.observer.logger.With("request", caller.RequestID, "route", route.Name),
 		result:   requestResult{outcome: outcomeCallerLeft},
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -14,10 +14,12 @@
 	"teaselgauge.example/teaselgauge/pkg/attempt"
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
+	"teaselgauge.example/teaselgauge/pkg/callerlimits"
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/httpdrain"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
+	"teaselgauge.example/teaselgauge/pkg/memory"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
@@ -72,12 +74,17 @@
 	wait            sync.WaitGroup
 	// callerConnections are those of callerServer.
 	callerConnections httpdrain.Connections
+	// callerMemory is what callers may hold.
+	callerMemory *memory.Pool
 }
 
 // Run serves callers until ctx ends, then drains.
 func Run(ctx context.Context, config settings.Gateway, dependencies Dependencies, logger *slog.Logger) error {
 	g := &Gateway{config: config, logger: logger}
 	g.initialize(dependencies)
+	if err := g.limitMemory(); err != nil {
+		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
+	}
 	if err := dependencies.Telemetry.Listen(config.Listen.Metrics, logger); err != nil {
 		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
 	}
@@ -87,7 +94,7 @@
 		g.wait.Wait()
 	}()
 	g.start(workCtx, ctx, dependencies)
-	if err := g.listen(dependencies.ReadinessPath); err != nil {
+	if err := g.listen(workCtx, dependencies.ReadinessPath); err != nil {
 		return fmt.Errorf("gateway %s: %w", config.Host.ID, err)
 	}
 	logger.Info("serving", "callers", config.Listen.Callers)
@@ -184,6 +191,7 @@
 	g.observer.metrics.LimitedServers(g.handler.limits.Limited())
 	g.observer.metrics.Origins(g.handler.origins.count())
 	g.control.freshness.updateGauges(now, g.observer.metrics)
+	g.updateMemoryGauges()
 	g.observer.logSkipped()
 }
 
@@ -249,25 +257,29 @@
 	})
 }
 
-func (g *Gateway) listen(readinessPath string) error {
+func (g *Gateway) listen(ctx context.Context, readinessPath string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readinessPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !g.isReady() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	g.readinessServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	readiness, err := listenTCP(g.config.Listen.Readiness)
 	if err != nil {
 		return err
 	}
-	g.serve(g.readinessServer, readiness)
+	limitedReadiness := callerlimits.NewInternalListener(readiness, g.observer.limitExceeded)
+	g.wait.Go(func() { limitedReadiness.Sweep(ctx) })
+	g.readinessServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ConnState: limitedReadiness.StateChanged}
+	g.serve(g.readinessServer, limitedReadiness)
 	callers, err := listenTCP(g.config.Listen.Callers)
 	if err != nil {
 		return err
 	}
+	limited := g.limitCallers(ctx, callers)
 	g.callerServer = newCallerServer(g.handler, &g.callerConnections, g.logger)
-	g.serve(g.callerServer, g.callerConnections.Listener(callers))
+	g.callerServer.ConnState = connStates(g.callerConnections.StateChanged, limited.StateChanged)
+	g.serve(g.callerServer, g.callerConnections.Listener(limited))
 	return nil
 }
 
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"strings"
@@ -13,7 +11,6 @@
 	"teaselgauge.example/teaselgauge/pkg/attempt"
 	"teaselgauge.example/teaselgauge/pkg/backends"
 	"teaselgauge.example/teaselgauge/pkg/backpressure"
-	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/quarantine"
@@ -104,6 +101,7 @@
 func (h *handler) respond(response *callerResponse, r *http.Request) {
 	x, failure := h.accept(response, r, time.Now())
 	if failure != nil {
+		limitUnread(response.writer, r)
 		// Nothing was sent before, so this can't fail.
 		_ = response.refuse(*failure)
 		return
@@ -140,7 +138,7 @@
 	if err != nil {
 		return reject(refusal{status: http.StatusBadRequest, reason: err.Error()})
 	}
-	body, failure := readBody(response.writer, r, current.table.Configuration().Limits)
+	body, failure := readBody(response.writer, r, current.table.Configuration().Limits, arrived.Add(requestTimeout(route, caller)))
 	if failure != nil {
 		return reject(*failure)
 	}
@@ -191,33 +189,3 @@
 	}
 	return r.URL.RequestURI()
 }
-
-func readBody(w http.ResponseWriter, r *http.Request, limits fleet.Limits) ([]byte, *refusal) {
-	maxBytes := limits.MaxBodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBody
-	}
-	if r.ContentLength > maxBytes {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, bodyFailure(err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	if err != nil {
-		return nil, bodyFailure(err)
-	}
-	return body, nil
-}
-
-func bodyFailure(err error) *refusal {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	return &refusal{status: http.StatusRequestTimeout, reason: "body incomplete"}
-}
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -15,6 +15,10 @@
 	maxResponseLogsPerSecond = 50
 	// maxDropLogsPerSecond limits the log lines on dropped origins of streams.
 	maxDropLogsPerSecond = 1
+	// maxLimitLogsPerSecond limits the log lines on callers that exceed a limit, and
+	// maxRefusalLogsPerSecond those on requests that are refused before processing.
+	maxLimitLogsPerSecond   = 5
+	maxRefusalLogsPerSecond = 50
 )
 
 // outcome is how a request ended, as named in logs and metrics.
@@ -60,6 +64,10 @@
 	responseSampler *logging.Sampler
 	// originSampler samples the log lines on dropped origins of streams.
 	originSampler *logging.Sampler
+	// limitSampler samples the log lines on callers that exceed a limit, refusalSampler
+	// those on requests that are refused before processing.
+	limitSampler   *logging.Sampler
+	refusalSampler *logging.Sampler
 }
 
 func newObserver(logger *slog.Logger, gatewayMetrics *metrics.Gateway) *observer {
@@ -68,6 +76,8 @@
 		metrics:         gatewayMetrics,
 		responseSampler: logging.NewSampler(maxResponseLogsPerSecond),
 		originSampler:   logging.NewSampler(maxDropLogsPerSecond),
+		limitSampler:    logging.NewSampler(maxLimitLogsPerSecond),
+		refusalSampler:  logging.NewSampler(maxRefusalLogsPerSecond),
 	}
 }
 
@@ -78,6 +88,9 @@
 func (o *observer) requestRefused(r *http.Request, requestID string, arrived time.Time, versions stateVersions, why refusal) {
 	elapsed := time.Since(arrived)
 	o.metrics.RequestDone(noRoute, noRoute, string(outcomeOf(why)), elapsed)
+	if !o.refusalSampler.Allow(time.Now()) {
+		return
+	}
 	o.logger.Info("request refused before processing", "request", requestID, "authority", r.Host, "path", rawPath(r), "status", why.status,
 		"cause", why.reason, "configuration", versions.configuration, "configuration_age_ms", loggedAge(versions.configurationAge),
 		"retry_after_ms", why.retryAfter.Milliseconds(),
@@ -128,9 +141,15 @@
 	o.metrics.Connect(metrics.ResultOf(err))
 }
 
-// logSkipped logs how many lines on successful requests were left out.
+// logSkipped logs how many lines on requests were left out.
 func (o *observer) logSkipped() {
 	if skipped := o.responseSampler.TakeSkipped(); skipped > 0 {
 		o.logger.Info("responses not logged", "count", skipped)
 	}
+	if skipped := o.refusalSampler.TakeSkipped(); skipped > 0 {
+		o.logger.Info("refusals not logged", "count", skipped)
+	}
+	if skipped := o.limitSampler.TakeSkipped(); skipped > 0 {
+		o.logger.Info("exceeded limits not logged", "count", skipped)
+	}
 }
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 	"teaselgauge.example/teaselgauge/pkg/eventstream"
 	"teaselgauge.example/teaselgauge/pkg/fleet"
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/memory"
 )
 
 const (
@@ -74,13 +76,13 @@
 	if response.ContentLength > maxBufferedBytes {
 		return x.forwardUnbuffered(ctx, backend, response)
 	}
-	body, err := io.ReadAll(io.LimitReader(watchedReader{ctx, x, response}, maxBufferedBytes+1))
+	body, err := x.bufferResponse(ctx, response)
+	if errors.Is(err, memory.ErrTooLarge) || errors.Is(err, memory.ErrExhausted) {
+		return x.forwardOverflow(ctx, backend, response, body)
+	}
 	if err != nil {
 		return x.responseLost(backend, response, err)
 	}
-	if len(body) > maxBufferedBytes {
-		return x.forwardOverflow(ctx, backend, response, body)
-	}
 	if err := x.confirmEnd(ctx, backend, response).err(); err != nil {
 		return x.responseLost(backend, response, err)
 	}
@@ -92,6 +94,18 @@
 	return nil
 }
 
+// bufferResponse reads a response. Its error is memory.ErrTooLarge or memory.ErrExhausted,
+// with the first part of the response, if the rest can't be buffered.
+func (x *exchange) bufferResponse(ctx context.Context, response *forward.Response) ([]byte, error) {
+	connection := limitedConnection(x.request)
+	return memory.Buffer{
+		Reserve: func(n int64) error { return connection.TryReserve(memory.Response, n) },
+		Release: func(n int64) { connection.Release(memory.Response, n) },
+		Length:  response.ContentLength,
+		Limit:   maxBufferedBytes,
+	}.ReadAll(watchedReader{ctx, x, response})
+}
+
 // responseLost records why none of a response can be sent, and closes it.
 func (x *exchange) responseLost(backend *server, response *forward.Response, err error) *attempt.Event {
 	response.Close()
@@ -111,10 +125,14 @@
 	return x.copyBody(ctx, backend, response)
 }
 
-// forwardOverflow streams a response without a length of which the buffer has the first
-// part.
+// forwardOverflow streams a response of which the buffer has the first part, and that is too
+// long to be buffered.
 func (x *exchange) forwardOverflow(ctx context.Context, backend *server, response *forward.Response, first []byte) *attempt.Event {
-	if err := x.startResponse(response, forward.FramingChunks, len(first)); err != nil {
+	framing, length := forward.FramingChunks, len(first)
+	if response.Framing == forward.FramingLength {
+		framing, length = forward.FramingLength, int(response.ContentLength)
+	}
+	if err := x.startResponse(response, framing, length); err != nil {
 		return x.responseLost(backend, response, err)
 	}
 	if _, err := x.response.Write(first); err != nil {
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -88,6 +88,9 @@
 	resumptions        *vector[tally.Counter]
 	origins            tally.Gauge
 	originsDropped     tally.Counter
+	limitsExceeded     *vector[tally.Counter]
+	heldBytes          *vector[tally.Gauge]
+	callerConnections  tally.Gauge
 }
 
 // NewGateway registers a gateway's metrics in scope.
@@ -121,6 +124,9 @@
 		resumptions:        newCounters(gateway, "resumptions_total", "outcome"),
 		origins:            gateway.Gauge("stream_origins"),
 		originsDropped:     gateway.Counter("dropped_stream_origins_total"),
+		limitsExceeded:     newCounters(gateway, "limits_exceeded_total", "cause"),
+		heldBytes:          newGauges(gateway, "callers_held_bytes", "kind"),
+		callerConnections:  gateway.Gauge("caller_connections"),
 	}
 }
 
@@ -224,3 +230,15 @@
 
 // OriginDropped counts an origin of a stream that was dropped, as there were too many.
 func (g *Gateway) OriginDropped() { g.originsDropped.Inc(1) }
+
+// LimitExceeded counts a refused request or a closed connection, by the limit that its caller
+// exceeded.
+func (g *Gateway) LimitExceeded(cause string) { g.limitsExceeded.with(labels{cause}).Inc(1) }
+
+// HeldBytes sets the memory that is reserved for callers, by what it is for.
+func (g *Gateway) HeldBytes(kind string, bytes int64) {
+	g.heldBytes.with(labels{kind}).Update(float64(bytes))
+}
+
+// CallerConnections sets the number of connections of callers.
+func (g *Gateway) CallerConnections(count int) { g.callerConnections.Update(float64(count)) }
--- a/pkg/runneragent/agent.go
+++ b/pkg/runneragent/agent.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/backoff"
+	"teaselgauge.example/teaselgauge/pkg/callerlimits"
 	"teaselgauge.example/teaselgauge/pkg/keys"
 	"teaselgauge.example/teaselgauge/pkg/keyvalue"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
@@ -48,6 +50,13 @@
 // Run serves until ctx ends. A stopping agent drains nothing: the requests run at
 // the runner and continue without it.
 func Run(ctx context.Context, config settings.Runner, dependencies Dependencies, logger *slog.Logger) error {
+	if config.Limits.MemoryMB > 0 {
+		limits, err := callerlimits.ProcessResources(config.Limits.MemoryMB, config.Limits.MaxDescriptors)
+		if err != nil {
+			return fmt.Errorf("agent %s: %w", config.Host.ID, err)
+		}
+		debug.SetMemoryLimit(limits.HeapLimit())
+	}
 	if err := dependencies.Telemetry.Listen(config.Listen.Metrics, logger); err != nil {
 		return fmt.Errorf("agent %s: %w", config.Host.ID, err)
 	}
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -33,7 +33,7 @@
 type ProcessLimits struct {
 	// MemoryMB is the memory of the process in megabytes of 10^6 bytes. Zero means that
 	// of the machine.
-	MemoryMB int `json:"memory_mb,omitempty" validate:"min=0,max=1000000"`
+	MemoryMB float64 `json:"memory_mb,omitempty" validate:"min=0,max=1000000"`
 	// MaxDescriptors is the number of file descriptors of the process, including those
 	// for files. Zero means the limit that the process was started with.
 	MaxDescriptors int `json:"max_descriptors,omitempty" validate:"min=0,max=10000000"`
--- a/pkg/settings/runner.go
+++ b/pkg/settings/runner.go
@@ -17,5 +17,7 @@
 	Store  MetadataStore `json:"store"`
 	// Runner is the address of the model runner.
 	Runner string `json:"runner" validate:"required,ip_port"`
-	Log    Log    `json:"log"`
+	// Limits are those of the host on the process. The number of descriptors isn't used.
+	Limits ProcessLimits `json:"limits,omitzero"`
+	Log    Log           `json:"log"`
 }
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -13,6 +13,8 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"teaselgauge.example/teaselgauge/pkg/callerlimits"
+	"teaselgauge.example/teaselgauge/pkg/logging"
 	"teaselgauge.example/teaselgauge/pkg/metrics"
 	"teaselgauge.example/teaselgauge/pkg/state"
 )
@@ -23,6 +25,8 @@
 
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
+	// maxLimitLogsPerSecond limits the log lines on callers that exceed a limit.
+	maxLimitLogsPerSecond = 1
 )
 
 // Telemetry holds a process's metrics and state dump. Use New.
@@ -31,6 +35,8 @@
 	state   *state.Registry
 	server  *http.Server
 	wait    sync.WaitGroup
+	// stopSweep ends the sweep of the listener.
+	stopSweep context.CancelFunc
 }
 
 // New returns a Telemetry whose goroutine runs until Close.
@@ -54,9 +60,18 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, t.metrics.Handler())
 	mux.Handle("GET "+state.Path, t.state.Handler())
-	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	sampler := logging.NewSampler(maxLimitLogsPerSecond)
+	limited := callerlimits.NewInternalListener(listener, func(cause callerlimits.Cause) {
+		if cause != callerlimits.Idle && sampler.Allow(time.Now()) {
+			logger.Warn("caller of metrics exceeded a limit", "cause", string(cause))
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.stopSweep = cancel
+	t.wait.Go(func() { limited.Sweep(ctx) })
+	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: limited.StateChanged}
 	t.wait.Go(func() {
-		if err := t.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := t.server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("HTTP server failed", "address", address, "error", err)
 		}
 	})
@@ -67,6 +82,7 @@
 func (t *Telemetry) Close() {
 	if t.server != nil {
 		_ = t.server.Close()
+		t.stopSweep()
 	}
 	t.wait.Wait()
 	// Close flushes the metrics once more; an error does not matter any more.
