--- a/testkit/callercrowd/crowd_test.go
+++ b/testkit/callercrowd/crowd_test.go
@@ -1,9 +1,12 @@
 package callercrowd
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -164,3 +167,34 @@
 
 // nothing returns what a caller sends that only connects.
 func nothing(string) []string { return nil }
+
+// sendWhole sends a request whose head is as long as allowed, of short lines, on a connection
+// of its own. It returns an error unless the response is the right one.
+func sendWhole(s *platformsite.Site, request platformsite.Request, framing string) error {
+	connection, err := net.Dial("tcp", s.Entries[0].Callers)
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	_ = connection.SetDeadline(time.Now().Add(waitTimeout))
+	const framingBytes = 64
+	lines := shortLines(request.ID)[0]
+	lines = lines[:strings.LastIndex(lines[:maxHeaderBytes-framingBytes], "\n")+1]
+	parts := []string{lines + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(request.Body)), request.Body}
+	if size := map[string]int{"large chunks": largeChunk, "tiny chunks": 1}[framing]; size > 0 {
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", size, request.Body[:size])
+		parts = []string{lines + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat(chunk, len(request.Body)/size), "0\r\n\r\n"}
+	}
+	for _, part := range parts {
+		if _, err := io.WriteString(connection, part); err != nil {
+			return fmt.Errorf("%s: %w", request.ID, err)
+		}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return s.Check(request, platformsite.Result{Status: response.StatusCode, Header: response.Header, Body: string(body), Err: err})
+}
--- a/testkit/callercrowd/crowds_test.go
+++ b/testkit/callercrowd/crowds_test.go
@@ -1,6 +1,13 @@
 package callercrowd
 
-import "testing"
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"teaselgauge.example/teaselgauge/testkit/platformsite"
+	"teaselgauge.example/teaselgauge/testkit/site"
+)
 
 // The sizes of the crowds, in callers.
 const (
@@ -73,3 +80,33 @@
 		}
 	})
 }
+
+// Guards against limits that refuse a single request inside those of the configuration.
+func TestSingleRequestInsideTheLimitsIsServed(t *testing.T) {
+	s := start(t)
+	const bodyBytes = 4 << 20
+	s.Configure(func(c *platformsite.Configuration) {
+		c.Limits = platformsite.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: bodyBytes, HeaderTimeoutMs: 1000, IdleTimeoutMs: 5000}
+		for i := range c.Routes {
+			c.Routes[i].TimeoutMs = float64(waitTimeout.Milliseconds())
+		}
+	})
+	for _, framing := range []string{"length", "large chunks", "tiny chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			// The entry may still have the configuration before.
+			err := site.Eventually(ctx, func() error {
+				request := s.NewRequest(platformsite.StockPath, "")
+				request.Body = strings.Repeat("b", bodyBytes)
+				return sendWhole(s, request, framing)
+			})
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	if peak := peakMemory(t, s.Entries[0].PID()); peak > memoryMB*1e6 {
+		t.Errorf("peak of %d MB, bound %d MB", peak/1e6, memoryMB)
+	}
+}
