Keep the origins of streams at a bounded size each

Cause: callers choose the IDs of their requests, up to a head's size, and an entry and an agent keep up to 16,384 origins by them: up to 268 MB by its bounds.

Measured: go test -race ./pkg/resumption passes; TestLongIDsAreKeptShort is new.

--- a/pkg/resumption/records.go
+++ b/pkg/resumption/records.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"crypto/sha256"
+	"encoding/base64"
 	"time"
 )
 
@@ -26,6 +28,24 @@
 	Ordinal int
 }
 
+func (a Attempt) compact() Attempt {
+	a.RequestID = compact(a.RequestID)
+	return a
+}
+
+// maxIDBytes is the size up to which an ID is kept as it is. Callers choose their IDs, and
+// may choose long ones.
+const maxIDBytes = 64
+
+// compact returns an ID of at most maxIDBytes in place of a longer one, always the same.
+func compact(id string) string {
+	if len(id) <= maxIDBytes {
+		return id
+	}
+	sum := sha256.Sum256([]byte(id))
+	return "sha256:" + base64.RawURLEncoding.EncodeToString(sum[:])
+}
+
 // Origin is where a stream began.
 type Origin struct {
 	// Service and Software are the service, and the version of its software, of the
@@ -67,6 +87,7 @@
 // origin doesn't change, and an unconfirmed one is replaced.
 func (r *Records) Put(now time.Time, stream string, origin Origin, retention time.Duration) (dropped bool) {
 	r.expire(now)
+	stream, origin.Attempt = compact(stream), origin.Attempt.compact()
 	if stream == "" || origin.Software == "" {
 		return false
 	}
@@ -105,14 +126,14 @@
 // Confirm records that the caller has an event from the attempt that recorded the stream's
 // origin. It does nothing if another attempt did.
 func (r *Records) Confirm(stream string, attempt Attempt) {
-	if known := r.byStream[stream]; known != nil && known.Attempt == attempt {
+	if known := r.byStream[compact(stream)]; known != nil && known.Attempt == attempt.compact() {
 		known.Confirmed = true
 	}
 }
 
 // Forget removes the origin of a stream if the attempt recorded it and brought no event.
 func (r *Records) Forget(stream string, attempt Attempt) {
-	if known := r.byStream[stream]; known != nil && known.Attempt == attempt && !known.Confirmed {
+	if known := r.byStream[compact(stream)]; known != nil && known.Attempt == attempt.compact() && !known.Confirmed {
 		r.remove(known)
 	}
 }
@@ -120,7 +141,7 @@
 // Find returns the origin of a stream, if it is recorded.
 func (r *Records) Find(now time.Time, stream string) (Origin, bool) {
 	r.expire(now)
-	known := r.byStream[stream]
+	known := r.byStream[compact(stream)]
 	if known == nil {
 		return Origin{}, false
 	}
--- a/pkg/resumption/records_test.go
+++ b/pkg/resumption/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,3 +149,25 @@
 		})
 	})
 }
+
+// Guards against records whose size callers choose, and against long IDs that are mixed up.
+func TestLongIDsAreKeptShort(t *testing.T) {
+	var records Records
+	long := func(last string) string { return strings.Repeat("x", 1000) + last }
+	for _, last := range []string{"a", "b"} {
+		records.Put(testStart, long(last), originOf("v"+last, long(last), 1), time.Minute)
+	}
+	records.Confirm(long("a"), Attempt{long("a"), 1})
+	records.Forget(long("b"), Attempt{long("b"), 1})
+	if got, ok := records.Find(testStart, long("a")); !ok || got.Software != "va" || !got.Confirmed {
+		t.Errorf("got %+v %t", got, ok)
+	}
+	if got, ok := records.Find(testStart, long("b")); ok {
+		t.Errorf("got %+v of a forgotten stream", got)
+	}
+	for stream, known := range records.byStream {
+		if len(stream)+len(known.stream)+len(known.Attempt.RequestID) > 3*maxIDBytes {
+			t.Errorf("IDs of %d bytes kept", len(stream))
+		}
+	}
+}
