Reserve memory for lines that net/http has read ahead, and for trailers

Cause: net/http reads up to 4 KiB ahead while it reads a request.

Change: the lines of the last read are counted, and their memory is reserved when the request has ended; without room the connection is closed. Trailers are reserved once they are there.

--- a/pkg/callerlimits/conn.go
+++ b/pkg/callerlimits/conn.go
@@ -1,8 +1,10 @@
 package callerlimits
 
 import (
+	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -40,6 +42,8 @@
 	head    headScanner
 	// reserved is what is reserved for the head.
 	reserved int64
+	// aheadLines is how many lines net/http may have read ahead of the next request.
+	aheadLines int
 	// ended is set once reads fail, writing while a write is under way.
 	ended   bool
 	writing bool
@@ -66,7 +70,7 @@
 	}
 	now := time.Now()
 	c.claim.Moved(now, n)
-	need, tooLarge := c.received(now, p[:n])
+	need, tooLarge := c.received(now, p[:n], len(p))
 	if tooLarge {
 		return 0, c.refuse(HeadTooLarge, p)
 	}
@@ -90,31 +94,72 @@
 	return err
 }
 
-// received scans received bytes. It returns the number of bytes to reserve, and whether the
+// received scans the bytes of a read of at most size bytes. It returns the number of bytes to reserve, and whether the
 // head exceeds its limit.
-func (c *Conn) received(now time.Time, data []byte) (need int64, tooLarge bool) {
+func (c *Conn) received(now time.Time, data []byte, size int) (need int64, tooLarge bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.phase {
 	case phaseRequest:
+		c.countAhead(data, size)
 		return 0, false
 	case phaseIdle:
 		c.setPhase(now, phaseHead)
 		c.head, c.reserved = headScanner{}, 0
 	}
-	ended := c.head.scan(data)
+	rest, ended := c.head.scan(data)
 	if limit := c.listener.limits().MaxHeaderBytes; limit > 0 && c.head.size > limit+headerSlack {
 		return 0, true
 	}
-	cost := requestCost + int64(c.head.size)*headByteCost + int64(c.head.lines)*lineCost
+	cost := c.head.cost()
 	need = cost - c.reserved
 	c.reserved = cost
 	if ended {
+		c.aheadLines = bytes.Count(rest, lineEnd)
 		c.setPhase(now, phaseRequest)
 	}
 	return need, false
 }
 
+// bufferBytes is the size of net/http's buffer of a connection. It is filled by reads of at
+// most this size; larger ones go to a body.
+const bufferBytes = 4 << 10
+
+var lineEnd = []byte{'\n'}
+
+// countAhead counts the lines that may be left in net/http's buffer after the request: those
+// of the last read, and of single bytes after it, which net/http reads while it serves the
+// request.
+func (c *Conn) countAhead(data []byte, size int) {
+	switch {
+	case size > bufferBytes:
+		c.aheadLines = 0
+	case size == 1:
+		c.aheadLines += bytes.Count(data, lineEnd)
+	default:
+		c.aheadLines = bytes.Count(data, lineEnd)
+	}
+}
+
+// minAheadLines is the number of lines read ahead from which on memory is reserved for them.
+const minAheadLines = 32
+
+// requestEnded releases what was reserved for a request, and reserves what the lines read
+// ahead will need.
+func (c *Conn) requestEnded() {
+	c.listener.pool.EndRequest(c.claim)
+	c.mu.Lock()
+	lines := c.aheadLines
+	c.aheadLines = 0
+	c.mu.Unlock()
+	if lines < minAheadLines {
+		return
+	}
+	if c.TryReserve(memory.Head, int64(lines)*lineCost) != nil && c.claim.CutOff() {
+		c.listener.refused(HeadMemory)
+	}
+}
+
 // setPhase begins a phase. Only between requests, and in a head, does the connection wait
 // for its caller.
 func (c *Conn) setPhase(now time.Time, next phase) {
@@ -185,6 +230,19 @@
 	}
 }
 
+// ReserveTrailer reserves the memory that the trailer of a body needs, which is small and
+// there already. Its error is memory.ErrExhausted.
+func (c *Conn) ReserveTrailer(trailer http.Header) error {
+	lines := 0
+	for _, values := range trailer {
+		lines += len(values)
+	}
+	if lines == 0 {
+		return nil
+	}
+	return c.Reserve(memory.Head, int64(lines)*lineCost)
+}
+
 // Refused records that a request was refused by a limit.
 func (c *Conn) Refused(cause Cause) {
 	if c != nil {
--- a/pkg/callerlimits/head.go
+++ b/pkg/callerlimits/head.go
@@ -12,26 +12,32 @@
 	hasLine   bool
 }
 
-// scan scans the next bytes. It reports whether they contain the end of the head.
-func (s *headScanner) scan(data []byte) (ended bool) {
+// cost returns the memory that the head so far needs, in bytes.
+func (s *headScanner) cost() int64 {
+	return requestCost + int64(s.size)*headByteCost + int64(s.lines)*lineCost
+}
+
+// scan scans the next bytes. It returns those after the end of the head, and whether it has
+// ended.
+func (s *headScanner) scan(data []byte) (rest []byte, ended bool) {
 	for len(data) > 0 {
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 {
 			s.size += len(data)
 			s.lineBytes += contentBytes(data)
-			return false
+			return nil, false
 		}
 		s.size += end + 1
 		s.lines++
 		s.lineBytes += contentBytes(data[:end])
 		if s.lineBytes == 0 && s.hasLine {
-			return true
+			return data[end+1:], true
 		}
 		s.hasLine = s.hasLine || s.lineBytes > 0
 		s.lineBytes = 0
 		data = data[end+1:]
 	}
-	return false
+	return nil, false
 }
 
 // contentBytes returns the number of bytes of a part of a line, without a carriage return
--- a/pkg/callerlimits/listener.go
+++ b/pkg/callerlimits/listener.go
@@ -101,7 +101,7 @@
 		c.setState(phaseRequest)
 	case http.StateIdle:
 		c.setState(phaseIdle)
-		l.pool.EndRequest(c.claim)
+		c.requestEnded()
 	}
 }
 
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -48,6 +48,9 @@
 		Limit:   maxBytes,
 	}.ReadAll(r.Body)
 	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		err = connection.ReserveTrailer(r.Trailer)
+	}
 	if err != nil {
 		return nil, bodyFailure(connection, err)
 	}
--- a/testkit/callercrowd/crowd_test.go
+++ b/testkit/callercrowd/crowd_test.go
@@ -198,3 +198,28 @@
 	body, err := io.ReadAll(response.Body)
 	return s.Check(request, platformsite.Result{Status: response.StatusCode, Header: response.Header, Body: string(body), Err: err})
 }
+
+// readAhead is how much of a connection net/http reads ahead, in bytes.
+const readAhead = 4 << 10
+
+// linesAhead returns whole requests, each followed at once by the begin of another one with a
+// head of short lines, as much of it as is read ahead.
+func linesAhead(id string) []string {
+	var text strings.Builder
+	text.WriteString(head(id, "\r\n"))
+	text.WriteString(head(id+"b", ""))
+	for i := 0; text.Len() < readAhead-bodyShortBy; i++ {
+		fmt.Fprintf(&text, "%x:\r\n", i)
+	}
+	return []string{text.String()}
+}
+
+// shortTrailers returns a request whose body ends with trailers of short lines. Its response
+// isn't read.
+func shortTrailers(id string) []string {
+	var text strings.Builder
+	for i := 0; text.Len() < readAhead-bodyShortBy; i++ {
+		fmt.Fprintf(&text, "%x:\r\n", i)
+	}
+	return []string{head(id, "Transfer-Encoding: chunked\r\n\r\n"), "0\r\n" + text.String() + "\r\n"}
+}
--- a/testkit/callercrowd/crowds_test.go
+++ b/testkit/callercrowd/crowds_test.go
@@ -110,3 +110,20 @@
 		t.Errorf("peak of %d MB, bound %d MB", peak/1e6, memoryMB)
 	}
 }
+
+// aheadCallers is the size of the crowds whose lines are read ahead. The memory is the same,
+// the descriptors allow all of them.
+const (
+	aheadCallers     = 1200
+	aheadDescriptors = 3075
+)
+
+// Guards against lines that are read ahead, before their head is counted.
+func TestLinesReadAhead(t *testing.T) {
+	checkWith(t, startWith(t, aheadDescriptors), aheadDescriptors, func(c *crowd) { c.join(aheadCallers, linesAhead) })
+}
+
+// Guards against trailers of very many lines.
+func TestTrailersOfShortLines(t *testing.T) {
+	checkWith(t, startWith(t, aheadDescriptors), aheadDescriptors, func(c *crowd) { c.join(aheadCallers, shortTrailers) })
+}
--- a/testkit/callercrowd/main_test.go
+++ b/testkit/callercrowd/main_test.go
@@ -45,6 +45,12 @@
 
 // start runs a site with one entry until the test ends.
 func start(t *testing.T) *platformsite.Site {
+	t.Helper()
+	return startWith(t, maxDescriptors)
+}
+
+// startWith is like start for an entry with another number of descriptors.
+func startWith(t *testing.T, descriptors int) *platformsite.Site {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -57,7 +63,7 @@
 	options.Entries, options.Runners, options.Plain = 1, 1, 1
 	options.Models = options.Models[:1]
 	options.LogLevel = "info"
-	options.Limits = settings.ProcessLimits{MemoryMB: memoryMB, MaxDescriptors: maxDescriptors}
+	options.Limits = settings.ProcessLimits{MemoryMB: memoryMB, MaxDescriptors: descriptors}
 	s, err := platformsite.Start(t.Context(), binaries, options)
 	if err != nil {
 		t.Fatal(err)
@@ -145,6 +151,12 @@
 
 // check plays a crowd and checks the entry's process during and after it.
 func check(t *testing.T, s *platformsite.Site, play func(*crowd)) {
+	t.Helper()
+	checkWith(t, s, maxDescriptors, play)
+}
+
+// checkWith is like check with another bound of descriptors.
+func checkWith(t *testing.T, s *platformsite.Site, bound int, play func(*crowd)) {
 	t.Helper()
 	entry := s.Entries[0]
 	pid := entry.PID()
@@ -163,7 +175,7 @@
 	if peak > memoryMB*1e6 {
 		t.Errorf("peak of %d MB, bound %d MB", peak/1e6, memoryMB)
 	}
-	if open > maxDescriptors {
-		t.Errorf("%d descriptors open, bound %d", open, maxDescriptors)
+	if open > bound {
+		t.Errorf("%d descriptors open, bound %d", open, bound)
 	}
 }
