--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -92,6 +92,9 @@
 	unidentified       *vector[tally.Counter]
 	organisations      *vector[tally.Counter]
 	organisationNames  *nameLimit
+	limitsExceeded     *vector[tally.Counter]
+	heldBytes          *vector[tally.Gauge]
+	callerConnections  tally.Gauge
 }
 
 // NewGateway registers a gateway's metrics in scope.
@@ -129,6 +132,9 @@
 		unidentified:       newCounters(gateway, "unidentified_requests_total", "reason"),
 		organisations:      newCounters(gateway, "organisation_requests_total", "organisation", "outcome"),
 		organisationNames:  newNameLimit(maxOrganisations, otherOrganisations),
+		limitsExceeded:     newCounters(gateway, "limits_exceeded_total", "cause"),
+		heldBytes:          newGauges(gateway, "callers_held_bytes", "kind"),
+		callerConnections:  gateway.Gauge("caller_connections"),
 	}
 }
 
@@ -245,3 +251,15 @@
 func (g *Gateway) OrganisationRequest(organisation, outcome string) {
 	g.organisations.with(labels{g.organisationNames.tag(organisation), outcome}).Inc(1)
 }
+
+// LimitExceeded counts a refused request or a closed connection, by the limit that its caller
+// exceeded.
+func (g *Gateway) LimitExceeded(cause string) { g.limitsExceeded.with(labels{cause}).Inc(1) }
+
+// HeldBytes sets the memory that is reserved for callers, by what it is for.
+func (g *Gateway) HeldBytes(kind string, bytes int64) {
+	g.heldBytes.with(labels{kind}).Update(float64(bytes))
+}
+
+// CallerConnections sets the number of connections of callers.
+func (g *Gateway) CallerConnections(count int) { g.callerConnections.Update(float64(count)) }
