--- a/pkg/gateway/caller_limits_test.go
+++ b/pkg/gateway/caller_limits_test.go
@@ -16,7 +16,7 @@
 )
 
 // ordinaryRequest is what callers send most.
-const ordinaryRequest = "POST /a/b HTTP/1.1\r\nHost: desk.example\r\nUser-Agent: u\r\nContent-Length: 40\r\nTeaselgauge-Attempt-Id: 9c41d07be2a35f68\r\nTeaselgauge-Model: daka510000\r\nTeaselgauge-Token-Count: 1460,80\r\nTeaselgauge-Deadline-Ms: 12000\r\n\r\n0123456789012345678901234567890123456789"
+const ordinaryRequest = "POST /a/b HTTP/1.1\r\nHost: desk.example\r\nUser-Agent: u\r\nContent-Length: 40\r\nX-Request: r-0123456789abcdef01234567\r\nX-Model: model-000001\r\nX-Size-In-Tokens: 1000,100\r\nX-Budget-In-Milliseconds: 10000\r\n\r\n0123456789012345678901234567890123456789"
 
 // BenchmarkOrdinaryRequest measures one request on an open connection, with and without the
 // limits: its head and body are read, and it is answered.
--- a/pkg/gateway/evidence_delivery.go
+++ b/pkg/gateway/evidence_delivery.go
@@ -69,7 +69,7 @@
 }
 
 // deliver gives each detector the evidence of this entry that its process doesn't have
-// yet: new crashes, and all that is known if it has begun anew or was chosen just now.
+// yet: new crashes, and all that is known if it has begun anew or was just selected.
 func (c *quarantineClient) deliver(now time.Time) {
 	node := c.node.Load()
 	if node == nil {
--- a/pkg/quarantine/handover.go
+++ b/pkg/quarantine/handover.go
@@ -44,7 +44,7 @@
 }
 
 // Handover is what one host knows of the crashes of a service's servers, for a detector
-// that has begun anew or was chosen just now.
+// that has begun anew or was just selected.
 type Handover struct {
 	Crashes []Crash
 	Starts  []Start
