Have large entries own quotas, and keep shares back while a substitute issues them

Cause: each request over a quota asks the owner, and the owner was an entry with 0.144 of a core: 25 to 60 sampled lines a second 'entry that owns a quota not responding' while the organisation was hot. Entries that gave it up came back after a second, before it took them for away, so that owner and substitute issued the same shares. Change: entries with at least half of the largest processor share own quotas before the others (rankOwners); an entry that didn't respond isn't asked for 3 s, longer than the second after which it keeps the share back.

--- a/pkg/gateway/quota_client.go
+++ b/pkg/gateway/quota_client.go
@@ -26,6 +26,9 @@
 	quotaReportTimeout = 500 * time.Millisecond
 	// quotaLabel separates the choice of owners from other choices among the entries.
 	quotaLabel = "quota "
+	// minOwnerShare is the part of the largest processor share of an entry from which on
+	// an entry's share counts as large.
+	minOwnerShare = 0.5
 	// accountRetention is how long an account is kept without requests.
 	accountRetention = 10 * time.Minute
 	// maxQuotaFailureLogsPerSecond limits the log lines on entries that don't respond.
@@ -232,24 +235,43 @@
 	}
 	ranked, known := c.ranked[organisation]
 	if !known {
-		for id, host := range c.hosts {
-			if host.Role == keys.RoleEntry {
-				ranked = append(ranked, id)
-			}
-		}
-		ranked = membership.RendezvousRank(quotaLabel+organisation, ranked)
+		ranked = rankOwners(c.hosts, organisation)
 		c.ranked[organisation] = ranked
 	}
 	return c.hosts, ranked
 }
 
-// sameHosts reports whether two lists have the same hosts at the same addresses.
+// rankOwners returns the entries in the order in which they issue an organisation's credit:
+// by rendezvous hashing, those with a large share of a processor before the others. An
+// organisation over its quota has its owner decide on each of its requests.
+func rankOwners(hosts map[string]roster.Host, organisation string) []string {
+	largest := 0.0
+	for _, host := range hosts {
+		if host.Role == keys.RoleEntry {
+			largest = max(largest, host.CPUShare)
+		}
+	}
+	var large, small []string
+	for id, host := range hosts {
+		switch {
+		case host.Role != keys.RoleEntry:
+		case host.CPUShare >= minOwnerShare*largest:
+			large = append(large, id)
+		default:
+			small = append(small, id)
+		}
+	}
+	label := quotaLabel + organisation
+	return append(membership.RendezvousRank(label, large), membership.RendezvousRank(label, small)...)
+}
+
+// sameHosts reports whether two lists have the same hosts, at the same addresses and of the same size.
 func sameHosts(a, b map[string]roster.Host) bool {
 	if len(a) != len(b) {
 		return false
 	}
 	for id, host := range a {
-		if other, ok := b[id]; !ok || other.Role != host.Role || other.InternalAddress != host.InternalAddress {
+		if other, ok := b[id]; !ok || other.Role != host.Role || other.InternalAddress != host.InternalAddress || other.CPUShare != host.CPUShare {
 			return false
 		}
 	}
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -50,8 +50,8 @@
 	demand   rateEstimator
 	requests rateEstimator
 	share    float64
-	// heardAt is when the owner, or its substitute, last responded.
-	heardAt time.Time
+	// respondedAt is when the owner, or its substitute, last responded.
+	respondedAt time.Time
 	// reportedAt is when the entry last reported without a request.
 	reportedAt time.Time
 	// grant is the last response.
@@ -112,7 +112,7 @@
 func (a *Account) Apply(now time.Time, cost float64, g Grant) (Outcome, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.heardAt, a.share, a.grant = now, g.Share, g
+	a.respondedAt, a.share, a.grant = now, g.Share, g
 	a.aheadAskedAt = time.Time{}
 	if g.Credit < cost {
 		a.refusedCost = cost
@@ -132,8 +132,8 @@
 		return Refused, aloneReturnDelay
 	}
 	from := a.alone.refilledAt
-	if from.Before(a.heardAt) {
-		from, a.alone.units = a.heardAt, 0
+	if from.Before(a.respondedAt) {
+		from, a.alone.units = a.respondedAt, 0
 	}
 	a.alone.refilledAt = now
 	a.alone.add(perSecond*now.Sub(from).Seconds(), max(perSecond*aloneBurst.Seconds(), min(cost, perSecond)))
@@ -162,7 +162,7 @@
 	if a.shareAt(now) > 0 {
 		interval = renewInterval
 	}
-	return now.Sub(a.heardAt) >= interval && now.Sub(a.reportedAt) >= renewInterval
+	return now.Sub(a.respondedAt) >= interval && now.Sub(a.reportedAt) >= renewInterval
 }
 
 // State is what an account holds, for logs and dumps.
@@ -185,8 +185,8 @@
 	defer a.mu.Unlock()
 	a.expire(now)
 	s := State{Credit: a.credit, Share: a.shareAt(now), Left: a.grant.Left, PerSecond: a.grant.PerSecond, Age: -time.Millisecond, Demand: a.demand.rate(now)}
-	if !a.heardAt.IsZero() {
-		s.Age = now.Sub(a.heardAt)
+	if !a.respondedAt.IsZero() {
+		s.Age = now.Sub(a.respondedAt)
 	}
 	return s
 }
@@ -199,7 +199,7 @@
 }
 
 func (a *Account) shareAt(now time.Time) float64 {
-	if now.Sub(a.heardAt) > shareLifetime-shareMargin {
+	if now.Sub(a.respondedAt) > shareLifetime-shareMargin {
 		return 0
 	}
 	return a.share
--- a/pkg/quota/owned.go
+++ b/pkg/quota/owned.go
@@ -26,7 +26,7 @@
 // entryRecord is what the owner knows of an entry.
 type entryRecord struct {
 	incarnation int64
-	heardAt     time.Time
+	reportedAt  time.Time
 	demand      float64
 	// told is the share that the entry may use without credit.
 	told float64
@@ -51,7 +51,7 @@
 		return
 	}
 	for _, e := range s.entries {
-		elapsed -= e.told * overlap(from, now, e.heardAt.Add(awayAfter), e.heardAt.Add(shareLifetime)).Seconds()
+		elapsed -= e.told * overlap(from, now, e.reportedAt.Add(awayAfter), e.reportedAt.Add(shareLifetime)).Seconds()
 	}
 	settled := s.since.Add(settleTime)
 	elapsed -= (1 - settlingRate) * overlap(from, now, s.since, settled).Seconds()
@@ -67,16 +67,16 @@
 		e = &entryRecord{incarnation: r.Incarnation}
 		s.entries[r.Entry] = e
 	}
-	if r.Substitute && (e.brought == 0 || now.Sub(e.heardAt) > awayAfter) {
+	if r.Substitute && (e.brought == 0 || now.Sub(e.reportedAt) > awayAfter) {
 		e.brought = r.Share
 		if r.Share == 0 && r.Entries > 0 {
 			e.brought = unknownShare / float64(r.Entries)
 		}
 	}
-	e.heardAt = now
+	e.reportedAt = now
 	e.demand = r.Demand
 	for name, other := range s.entries {
-		if now.Sub(other.heardAt) > shareLifetime {
+		if now.Sub(other.reportedAt) > shareLifetime {
 			delete(s.entries, name)
 		}
 	}
@@ -104,7 +104,7 @@
 	if s.isSubstitute(now) {
 		brought := 0.0
 		for _, e := range s.entries {
-			if e.told == 0 || now.Sub(e.heardAt) <= awayAfter {
+			if e.told == 0 || now.Sub(e.reportedAt) <= awayAfter {
 				brought += e.brought
 			}
 		}
@@ -112,7 +112,7 @@
 	}
 	away := 0.0
 	for _, e := range s.entries {
-		if now.Sub(e.heardAt) > awayAfter {
+		if now.Sub(e.reportedAt) > awayAfter {
 			away += e.told
 		}
 	}
@@ -127,7 +127,7 @@
 	}
 	total := 0.0
 	for _, e := range s.entries {
-		if now.Sub(e.heardAt) <= awayAfter {
+		if now.Sub(e.reportedAt) <= awayAfter {
 			total += e.demand
 		}
 	}
--- a/pkg/quota/route.go
+++ b/pkg/quota/route.go
@@ -8,8 +8,10 @@
 const (
 	// askedPerRequest is the number of entries that are asked for credit at most.
 	askedPerRequest = 2
-	// avoidTime is how long an entry that didn't respond isn't asked.
-	avoidTime = time.Second
+	// avoidTime is how long an entry that didn't respond isn't asked. It is longer than
+	// awayAfter, so that the owner keeps the share back for most of the time in which a
+	// substitute issues it.
+	avoidTime = 3 * time.Second
 	// goneAfter is how long an entry doesn't respond before the next one is taken for
 	// the owner, no longer for a substitute.
 	goneAfter = 20 * time.Second
