--- /dev/null
+++ b/review/_lab2/link.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+// link is the network between the entries and a runner: a proxy at the runner's address.
+type link struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	count int
+	// open holds the numbers of the open connections.
+	open map[int]bool
+	// lostEnd is the number of the connection whose end is lost once and sent again
+	// lostFor later; zero for none.
+	lostEnd int
+	lostFor time.Duration
+}
+
+// newLink opens the network to a runner.
+func (l *lab) newLink(address, target string) (*link, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	k := &link{listener: listener, target: target, open: make(map[int]bool)}
+	l.atEnd(k.close)
+	go k.serve()
+	return k, nil
+}
+
+// close closes the address: new connections are refused.
+func (k *link) close() { _ = k.listener.Close() }
+
+// loseEnd has the packet lost that ends one of the open connections, drawn by chance, and
+// sent again later. It returns its number and the number of open connections.
+func (k *link) loseEnd(later time.Duration) (number, open int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	numbers := slices.Sorted(maps.Keys(k.open))
+	if len(numbers) == 0 {
+		return 0, 0
+	}
+	k.lostEnd, k.lostFor = numbers[rand.IntN(len(numbers))], later
+	return k.lostEnd, len(numbers)
+}
+
+func (k *link) serve() {
+	for {
+		near, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		k.mu.Lock()
+		k.count++
+		number := k.count
+		k.open[number] = true
+		k.mu.Unlock()
+		go k.carry(number, near)
+	}
+}
+
+// carry carries one connection.
+func (k *link) carry(number int, near net.Conn) {
+	defer near.Close()
+	far, err := net.Dial("tcp", k.target)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	go func() {
+		_, _ = io.Copy(far, near)
+		_ = far.(*net.TCPConn).CloseWrite()
+	}()
+	_, _ = io.Copy(near, far)
+	k.mu.Lock()
+	lost := k.lostEnd == number
+	later := k.lostFor
+	k.mu.Unlock()
+	if lost {
+		time.Sleep(later)
+	}
+	k.mu.Lock()
+	delete(k.open, number)
+	k.mu.Unlock()
+}
