--- a/review/_lab2/lab.go
+++ b/review/_lab2/lab.go
@@ -232,7 +232,9 @@
 }
 
 // writeSettings fills in the entry's settings.
-func (e *entry) writeSettings() error { return e.lab.writeSettings("deploy/entry.json", e.path, e.fields) }
+func (e *entry) writeSettings() error {
+	return e.lab.writeSettings("deploy/entry.json", e.path, e.fields)
+}
 
 func (l *lab) writeSettings(template, path string, f fields) error {
 	text, err := os.ReadFile(filepath.Join(l.root, template))
--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -30,7 +30,8 @@
 type play func(l *lab, trouble bool) error
 
 var plays = map[string]play{
-	"lost-end": playLostEnd,
+	"lost-end":        playLostEnd,
+	"settings-change": playSettingsChange,
 }
 
 func main() {
