--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -34,6 +34,7 @@
 	"settings-change": playSettingsChange,
 	"reused-address":  playReusedAddress,
 	"silent-store":    playSilentStore,
+	"silent-leave":    playSilentLeave,
 }
 
 func main() {
--- a/review/_lab2/settings_change.go
+++ b/review/_lab2/settings_change.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -133,6 +134,11 @@
 
 // serveBookings starts a runner that answers each request at once.
 func (l *lab) serveBookings(instance, address string) {
+	l.serveBookingsTo(instance, address, func(*http.Request) {})
+}
+
+// serveBookingsTo is like serveBookings, and calls a function with each request that it runs.
+func (l *lab) serveBookingsTo(instance, address string, run func(*http.Request)) *http.Server {
 	server := &http.Server{Addr: address, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get(headerAttempt)
 		w.Header().Set(headerAttempt, id)
@@ -148,11 +154,13 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
+		run(r)
 		w.Header().Set(headerSeal, "seal-"+id)
 		fmt.Fprintf(w, "booked %s %s", id, body)
 	})}
 	l.atEnd(func() { _ = server.Close() })
 	go func() { _ = server.ListenAndServe() }()
+	return server
 }
 
 // sampled counts requests.
@@ -166,26 +174,35 @@
 // sample sends requests to the entries in turn.
 func (l *lab) sample(entries []*entry, span time.Duration) sampled {
 	var counts sampled
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(sampleGap) {
 		counts.sent++
-		id := fmt.Sprintf("attempt-%d", time.Now().UnixNano())
-		request, err := http.NewRequest(http.MethodPost, "http://"+entries[counts.sent%len(entries)].front+"/puxa403/2f", strings.NewReader("one drum"))
-		if err != nil {
-			continue
-		}
-		request.Host = "ficu95.example"
-		request.Header.Set(headerAttempt, id)
-		request.Header.Set("Teaselgauge-Deadline-Ms", "1000")
-		response, err := client.Do(request)
-		if err != nil {
-			continue
-		}
-		body, err := io.ReadAll(response.Body)
-		response.Body.Close()
-		if err == nil && response.StatusCode == http.StatusOK && string(body) == "booked "+id+" one drum" {
+		if l.book(entries[counts.sent%len(entries)]) {
 			counts.served++
 		}
 	}
 	return counts
 }
+
+// bookClient opens a connection for each request.
+var bookClient = http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+var bookCount atomic.Int64
+
+// book sends one booking to an entry and reports whether it was served.
+func (l *lab) book(e *entry) bool {
+	id := fmt.Sprintf("attempt-%d", bookCount.Add(1))
+	request, err := http.NewRequest(http.MethodPost, "http://"+e.front+"/puxa403/2f", strings.NewReader("one drum"))
+	if err != nil {
+		return false
+	}
+	request.Host = "ficu95.example"
+	request.Header.Set(headerAttempt, id)
+	request.Header.Set("Teaselgauge-Deadline-Ms", "1000")
+	response, err := bookClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && string(body) == "booked "+id+" one drum"
+}
--- a/review/_lab2/silent_store.go
+++ b/review/_lab2/silent_store.go
@@ -35,35 +35,52 @@
 	if err := l.configure(routesConfiguration(1)); err != nil {
 		return err
 	}
+	entries, links, err := l.startLinkedEntries(silentEntries)
+	if err != nil {
+		return err
+	}
+	var late atomic.Int64
+	for version := 2; version <= rounds+1; version++ {
+		if err := l.playSilence(entries, links, version, trouble, &late); err != nil {
+			return err
+		}
+	}
+	if n := late.Load(); n > 0 {
+		return fmt.Errorf("%w: %d requests were handled as only an older version allows", errBroken, n)
+	}
+	return nil
+}
+
+// startLinkedEntries starts entries in four zones, each with a link of its own to the store,
+// and waits until they are ready.
+func (l *lab) startLinkedEntries(count int) ([]*entry, []*link, error) {
 	var entries []*entry
 	var links []*link
-	for number := 1; number <= silentEntries; number++ {
+	for number := 1; number <= count; number++ {
 		e, err := l.newEntry(number)
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
 		network, err := l.newLink(l.ip(5, number)+":8142", l.address)
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
-		links = append(links, network)
+		entries, links = append(entries, e), append(links, network)
 		e.fields["zone"] = quote("nl-west-" + string(rune('a'+(number-1)%4)))
 		e.fields["platform.address"] = quote(l.ip(5, number) + ":8142")
 		if err := e.writeSettings(); err != nil {
-			return err
+			return nil, nil, err
 		}
-		entries = append(entries, e)
-	}
-	var late atomic.Int64
-	for version := 2; version <= rounds+1; version++ {
-		if err := l.playSilence(entries, links, version, trouble, &late); err != nil {
-			return err
+		if err := e.start(); err != nil {
+			return nil, nil, err
 		}
 	}
-	if n := late.Load(); n > 0 {
-		return fmt.Errorf("%w: %d requests were handled as only an older version allows", errBroken, n)
+	for _, e := range entries {
+		if err := l.eventually("ready", startTimeout, e.isReady); err != nil {
+			return nil, nil, err
+		}
 	}
-	return nil
+	return entries, links, nil
 }
 
 // playSilence plays one silence and one change at entries that have just been started.
