--- a/review/_lab2/link.go
+++ b/review/_lab2/link.go
@@ -16,10 +16,10 @@
 
 	mu    sync.Mutex
 	count int
-	// open holds the numbers of the open connections, silent those up to which they carry
-	// nothing any more.
+	// open holds the numbers of the open connections, silent those that carry nothing any
+	// more.
 	open   map[int]bool
-	silent int
+	silent map[int]bool
 	// lostEnd is the number of the connection whose end is lost once and sent again
 	// lostFor later; zero for none.
 	lostEnd int
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{listener: listener, target: target, open: make(map[int]bool)}
+	k := &link{listener: listener, target: target, open: make(map[int]bool), silent: make(map[int]bool)}
 	l.atEnd(k.close)
 	go k.serve()
 	return k, nil
@@ -54,20 +54,25 @@
 	return k.lostEnd, len(numbers)
 }
 
-// silence has all open connections go silent for good, without a reset, and returns their
-// number.
-func (k *link) silence() int {
+// silence has a share of the open connections, drawn by chance, go silent for good, without
+// a reset. It returns their number and that of all.
+func (k *link) silence(share float64) (silent, open int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.silent = k.count
-	return len(k.open)
+	for number := range k.open {
+		if rand.Float64() < share {
+			k.silent[number] = true
+			silent++
+		}
+	}
+	return silent, len(k.open)
 }
 
 // isSilent reports whether a connection carries nothing any more.
 func (k *link) isSilent(number int) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return number <= k.silent
+	return k.silent[number]
 }
 
 // copy carries one direction of a connection.
--- a/review/_lab2/reused_address.go
+++ b/review/_lab2/reused_address.go
@@ -15,8 +15,25 @@
 	// drainTime is drainMs, and a little longer.
 	drainTime   = 2500 * time.Millisecond
 	shortSample = 5 * time.Second
+	// modelRunners is the number of model runners, of which one is lost.
+	modelRunners = 7
 )
 
+// startRunner starts a model runner.
+func (l *lab) startRunner(id, address string) (*backendserver.Server, error) {
+	runner, err := backendserver.Start(address, l.store, backendserver.Options{
+		ID: id, Service: "huvo11a", Zone: "nl-west-a", Slots: 32, Queue: 96,
+		Engine: &backendserver.Engine{MB: 200000, AdapterSlots: 8, Loaded: []string{"daka510000"}, Models: []backendserver.Model{
+			{Name: "daka510000", MB: 65500, AdapterMB: 40, FromStore: 6 * time.Second, FromDisk: time.Second, FromMemory: 380 * time.Millisecond},
+		}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	l.note("runner %s of huvo11a registers at %s", id, address)
+	return runner, nil
+}
+
 // playReusedAddress plays a model runner that is lost for good, whose address a server of
 // another service gets, and a final fault after it.
 func playReusedAddress(l *lab, trouble bool) error {
@@ -24,16 +41,15 @@
 	if trouble {
 		newAddress = runnerAddress
 	}
-	runner, err := backendserver.Start(runnerAddress, l.store, backendserver.Options{
-		ID: "i-7f3a91c2", Service: "huvo11a", Zone: "nl-west-a", Slots: 32, Queue: 96,
-		Engine: &backendserver.Engine{MB: 200000, AdapterSlots: 8, Loaded: []string{"daka510000"}, Models: []backendserver.Model{
-			{Name: "daka510000", MB: 65500, AdapterMB: 40, FromStore: 6 * time.Second, FromDisk: time.Second, FromMemory: 380 * time.Millisecond},
-		}},
-	})
+	runner, err := l.startRunner("i-7f3a91c2", runnerAddress)
 	if err != nil {
 		return err
 	}
-	l.note("runner i-7f3a91c2 of huvo11a registers at %s", runnerAddress)
+	for number := 2; number <= modelRunners; number++ {
+		if _, err := l.startRunner(fmt.Sprintf("i-7f3a91d%d", number), l.ip(2, number)+":8505"); err != nil {
+			return err
+		}
+	}
 	l.serveBookings("i-9e16b79e", oldAddress)
 	old := l.register("i-9e16b79e", "xano55b", oldAddress, map[string]any{"slots": 6})
 	if err := l.configure(bookingConfiguration()); err != nil {
@@ -43,12 +59,16 @@
 	if err != nil {
 		return err
 	}
-	agent, err := l.newAgent(1, runnerAddress)
-	if err != nil {
-		return err
-	}
-	if err := agent.start(); err != nil {
-		return err
+	processes := []*process{entries[0].process, entries[1].process}
+	for number := 1; number <= modelRunners; number++ {
+		agent, err := l.newAgent(number, l.ip(2, number)+":8505")
+		if err != nil {
+			return err
+		}
+		if err := agent.start(); err != nil {
+			return err
+		}
+		processes = append(processes, agent)
 	}
 	l.note("with the first server: %s", l.sample(entries, shortSample))
 
@@ -67,7 +87,6 @@
 	l.note("before the final fault %s", before)
 
 	l.note("final fault: all processes are killed")
-	processes := []*process{entries[0].process, entries[1].process, agent}
 	for _, p := range processes {
 		p.signal(syscall.SIGKILL)
 	}
--- a/review/_lab2/silent_leave.go
+++ b/review/_lab2/silent_leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,9 +17,12 @@
 	workTime    = 60 * time.Millisecond
 	settleTime  = 3 * time.Second
 	// removeAfter is the time from the silence to the removal.
-	removeAfter = 200 * time.Millisecond
-	drainBound  = 2 * time.Second
-	leaveRounds = 3
+	removeAfter  = 200 * time.Millisecond
+	drainBound   = 2 * time.Second
+	leaveRounds  = 6
+	leaveEntries = 5
+	// serving is the number of runners that serve at a time.
+	serving = 4
 )
 
 // arrivals counts the requests that a server gets.
@@ -69,11 +73,11 @@
 	if err := l.configure(bookingConfiguration()); err != nil {
 		return err
 	}
-	const servers = leaveRounds + 1
+	const servers = leaveRounds + serving
 	var registrations []*registration
 	var counts [servers]arrivals
 	var running []*http.Server
-	for i := range servers {
+	add := func(i int) {
 		id, address := fmt.Sprintf("i-9e16b79%x", i), fmt.Sprintf("%s:8300", l.ip(3, i+1))
 		running = append(running, l.serveBookingsTo(id, address, func(*http.Request) {
 			counts[i].add()
@@ -81,7 +85,10 @@
 		}))
 		registrations = append(registrations, l.register(id, "xano55b", address, map[string]any{"slots": 6}))
 	}
-	entries, links, err := l.startLinkedEntries(2)
+	for i := range serving {
+		add(i)
+	}
+	entries, links, err := l.startLinkedEntries(leaveEntries)
 	if err != nil {
 		return err
 	}
@@ -89,7 +96,7 @@
 	var unserved atomic.Int64
 	sending.Store(true)
 	var callers sync.WaitGroup
-	const callersPerEntry = 4
+	const callersPerEntry = 2
 	for i := range callersPerEntry * len(entries) {
 		callers.Go(func() {
 			for sending.Load() {
@@ -102,17 +109,14 @@
 	}
 	broken := 0
 	left := make([]bool, servers)
-	for range leaveRounds {
-		time.Sleep(calmTime)
-		leaving := busiest(counts[:], left)
+	for round := range leaveRounds {
+		add(serving + round)
+		time.Sleep(calmTime + rand.N(calmJitter))
+		leaving := busiest(counts[:len(registrations)], left)
 		left[leaving] = true
 		silentAt := time.Now()
 		if trouble {
-			count := 0
-			for _, network := range links {
-				count += network.silence()
-			}
-			l.note("%d open connections to the store go silent for good; new ones work", count)
+			l.silence(links, silentPart)
 		}
 		time.Sleep(removeAfter)
 		registrations[leaving].leave()
--- a/review/_lab2/silent_store.go
+++ b/review/_lab2/silent_store.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -12,16 +13,23 @@
 )
 
 const (
-	silentEntries = 5
-	rounds        = 4
+	silentEntries = 10
+	rounds        = 10
+	// calmJitter spreads the silences over the period of the watches.
+	calmJitter = 2 * time.Second
+	// silentShare is the share of the machines at which connections go silent, silentPart
+	// and wholePart are the parts of their open connections that do.
+	silentShare = 0.7
+	silentPart  = 0.55
+	wholePart   = 1.0
 	// contactTime is contactMs, applyTime is configApplyMs of the site.
 	contactTime = 3 * time.Second
 	applyTime   = 2 * time.Second
 	// changeAfter is the time from the silence to the change, probeUntil that from the
 	// silence to the last probe.
 	changeAfter = 500 * time.Millisecond
-	probeUntil  = 5 * time.Second
-	calmTime    = 4 * time.Second
+	probeUntil  = 4500 * time.Millisecond
+	calmTime    = 3300 * time.Millisecond
 	probeGap    = 50 * time.Millisecond
 	probeSlack  = 100 * time.Millisecond
 )
@@ -83,6 +91,17 @@
 	return entries, links, nil
 }
 
+// silence has a part of the open connections to the store go silent at a share of the machines.
+func (l *lab) silence(links []*link, part float64) {
+	machines := int(silentShare * float64(len(links)))
+	silent, open := 0, 0
+	for _, i := range rand.Perm(len(links))[:machines] {
+		some, all := links[i].silence(part)
+		silent, open = silent+some, open+all
+	}
+	l.note("at %d of %d machines, %d of %d open connections to the store go silent for good; new ones work", machines, len(links), silent, open)
+}
+
 // playSilence plays one silence and one change at entries that have just been started.
 func (l *lab) playSilence(entries []*entry, links []*link, version int, trouble bool, late *atomic.Int64) error {
 	for _, e := range entries {
@@ -96,14 +115,10 @@
 			return err
 		}
 	}
-	time.Sleep(calmTime)
+	time.Sleep(calmTime + rand.N(calmJitter))
 	silentAt := time.Now()
 	if trouble {
-		count := 0
-		for _, network := range links {
-			count += network.silence()
-		}
-		l.note("%d open connections to the store go silent for good; new ones work", count)
+		l.silence(links, wholePart)
 	}
 	time.Sleep(changeAfter)
 	if err := l.configure(routesConfiguration(version)); err != nil {
