--- a/review/_lab2/settings_change.go
+++ b/review/_lab2/bookings.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -20,53 +19,6 @@
 	restartDelay = time.Second
 )
 
-// playSettingsChange plays a change of the settings, and a final fault after it.
-func playSettingsChange(l *lab, trouble bool) error {
-	address := l.ip(3, 1) + ":8300"
-	l.serveBookings("i-9e16b79e", address)
-	if err := l.configure(bookingConfiguration()); err != nil {
-		return err
-	}
-	l.register("i-9e16b79e", "xano55b", address, map[string]any{"slots": 6})
-	entries, err := l.startEntries()
-	if err != nil {
-		return err
-	}
-	if trouble {
-		for _, e := range entries {
-			e.fields["bounds.graceS"] = "7.5"
-			if err := e.writeSettings(); err != nil {
-				return err
-			}
-			e.signal(syscall.SIGHUP)
-		}
-		l.note("the settings have changed: bounds.graceS is 7.5 instead of 8; both entries get SIGHUP")
-	}
-	before := l.sample(entries, sampleTime)
-	l.note("before the final fault %s", before)
-	for _, e := range entries {
-		e.signal(syscall.SIGKILL)
-	}
-	l.note("final fault: all processes are killed")
-	for _, e := range entries {
-		<-e.done
-	}
-	stop := make(chan struct{})
-	for _, e := range entries {
-		time.Sleep(restartDelay / 2)
-		if err := e.start(); err != nil {
-			return err
-		}
-		go e.keepRunning(stop)
-	}
-	l.note("the platform has started them again, with the settings in effect")
-	time.Sleep(recoverTime)
-	after := l.sample(entries, sampleTime)
-	close(stop)
-	l.note("later than recoverS after that %s", after)
-	return checkRecovery(before, after)
-}
-
 // startEntries starts two entries and waits until they are ready.
 func (l *lab) startEntries() ([]*entry, error) {
 	var entries []*entry
@@ -88,24 +40,6 @@
 	return entries, nil
 }
 
-// keepRunning starts the process again whenever it ends, as the platform does.
-func (e *entry) keepRunning(stop chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-e.done:
-		}
-		time.Sleep(restartDelay)
-		select {
-		case <-stop:
-			return
-		default:
-			_ = e.start()
-		}
-	}
-}
-
 // bookingConfiguration is a configuration with model runners, and a plain service that takes
 // bookings.
 func bookingConfiguration() map[string]any {
@@ -190,7 +124,7 @@
 
 // book sends one booking to an entry and reports whether it was served.
 func (l *lab) book(e *entry) bool {
-	id := fmt.Sprintf("attempt-%d", bookCount.Add(1))
+	id := fmt.Sprintf("%s-attempt-%d", e.name, bookCount.Add(1))
 	request, err := http.NewRequest(http.MethodPost, "http://"+e.front+"/puxa403/2f", strings.NewReader("one drum"))
 	if err != nil {
 		return false
--- a/review/_lab2/link.go
+++ b/review/_lab2/link.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -24,6 +25,40 @@
 	// lostFor later; zero for none.
 	lostEnd int
 	lostFor time.Duration
+	// cut is set while new connections are refused, conns are the open ones. readAt is when
+	// the registrations of runners were last read over the link.
+	cut    bool
+	conns  map[int]net.Conn
+	readAt time.Time
+}
+
+// registrationsRead is in each call that reads the registrations of runners.
+var registrationsRead = []byte("pathPrefix=servers")
+
+// setCut cuts the link, with resets, or heals it.
+func (k *link) setCut(cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cut = cut
+	if !cut {
+		return
+	}
+	for _, near := range k.conns {
+		reset(near)
+	}
+}
+
+// reset resets a connection.
+func reset(connection net.Conn) {
+	_ = connection.(*net.TCPConn).SetLinger(0)
+	_ = connection.Close()
+}
+
+// lastRead returns when the registrations were last read.
+func (k *link) lastRead() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.readAt
 }
 
 // newLink opens the network to a runner.
@@ -32,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{listener: listener, target: target, open: make(map[int]bool), silent: make(map[int]bool)}
+	k := &link{listener: listener, target: target, open: make(map[int]bool), silent: make(map[int]bool), conns: make(map[int]net.Conn)}
 	l.atEnd(k.close)
 	go k.serve()
 	return k, nil
@@ -87,6 +122,11 @@
 			}
 			return
 		}
+		if bytes.Contains(buffer[:n], registrationsRead) {
+			k.mu.Lock()
+			k.readAt = time.Now()
+			k.mu.Unlock()
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -107,8 +147,16 @@
 		k.mu.Lock()
 		k.count++
 		number := k.count
-		k.open[number] = true
+		cut := k.cut
+		if !cut {
+			k.open[number] = true
+			k.conns[number] = near
+		}
 		k.mu.Unlock()
+		if cut {
+			reset(near)
+			continue
+		}
 		go k.carry(number, near)
 	}
 }
@@ -135,5 +183,6 @@
 	}
 	k.mu.Lock()
 	delete(k.open, number)
+	delete(k.conns, number)
 	k.mu.Unlock()
 }
--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -30,11 +30,11 @@
 type play func(l *lab, trouble bool) error
 
 var plays = map[string]play{
-	"lost-end":        playLostEnd,
-	"settings-change": playSettingsChange,
-	"reused-address":  playReusedAddress,
-	"silent-store":    playSilentStore,
-	"silent-leave":    playSilentLeave,
+	"lost-end":       playLostEnd,
+	"reused-address": playReusedAddress,
+	"silent-store":   playSilentStore,
+	"silent-leave":   playSilentLeave,
+	"lost-change":    playLostChange,
 }
 
 func main() {
--- a/review/_lab2/silent_leave.go
+++ b/review/_lab2/silent_leave.go
@@ -19,7 +19,7 @@
 	// removeAfter is the time from the silence to the removal.
 	removeAfter  = 200 * time.Millisecond
 	drainBound   = 2 * time.Second
-	leaveRounds  = 6
+	leaveRounds  = 8
 	leaveEntries = 5
 	// serving is the number of runners that serve at a time.
 	serving = 4
@@ -88,7 +88,7 @@
 	for i := range serving {
 		add(i)
 	}
-	entries, links, err := l.startLinkedEntries(leaveEntries)
+	entries, links, err := l.startLinkedEntries(leaveEntries, fiveZones)
 	if err != nil {
 		return err
 	}
--- a/review/_lab2/silent_store.go
+++ b/review/_lab2/silent_store.go
@@ -14,6 +14,7 @@
 
 const (
 	silentEntries = 10
+	fiveZones     = 5
 	rounds        = 10
 	// calmJitter spreads the silences over the period of the watches.
 	calmJitter = 2 * time.Second
@@ -43,7 +44,7 @@
 	if err := l.configure(routesConfiguration(1)); err != nil {
 		return err
 	}
-	entries, links, err := l.startLinkedEntries(silentEntries)
+	entries, links, err := l.startLinkedEntries(silentEntries, fiveZones)
 	if err != nil {
 		return err
 	}
@@ -59,9 +60,9 @@
 	return nil
 }
 
-// startLinkedEntries starts entries in four zones, each with a link of its own to the store,
+// startLinkedEntries starts entries in some zones, each with a link of its own to the store,
 // and waits until they are ready.
-func (l *lab) startLinkedEntries(count int) ([]*entry, []*link, error) {
+func (l *lab) startLinkedEntries(count, zones int) ([]*entry, []*link, error) {
 	var entries []*entry
 	var links []*link
 	for number := 1; number <= count; number++ {
@@ -74,7 +75,7 @@
 			return nil, nil, err
 		}
 		entries, links = append(entries, e), append(links, network)
-		e.fields["zone"] = quote("nl-west-" + string(rune('a'+(number-1)%4)))
+		e.fields["zone"] = quote("nl-west-" + string(rune('a'+(number-1)%zones)))
 		e.fields["platform.address"] = quote(l.ip(5, number) + ":8142")
 		if err := e.writeSettings(); err != nil {
 			return nil, nil, err
