--- a/review/_lab2/lost_end.go
+++ b/review/_lab2/lost_end.go
@@ -15,7 +15,12 @@
 const (
 	lostEndEvents   = 40
 	lostEndInterval = 100
-	lostEndCallers  = 8
+	// lostEndRunners is the number of runners, of which one is taken away; lostEndCallers
+	// is that of callers.
+	lostEndRunners = 8
+	lostEndCallers = 8
+	// runnersZone is the zone whose links lose packets; the entry is in another one.
+	runnersZone = "nl-west-b"
 	// noticeTime is the time between the notice and the end of a runner that is taken
 	// away at short notice.
 	noticeTime = 2 * time.Second
@@ -34,6 +39,28 @@
 	err      error
 }
 
+// startOtherRunners starts the runners that stay.
+func (l *lab) startOtherRunners() error {
+	for number := 2; number <= lostEndRunners; number++ {
+		address := fmt.Sprintf("%s:8300", l.ip(3, number))
+		runner := l.newProcess(fmt.Sprintf("runner-%d", number), nil, "target/review-2/lab2", "runner", address, fmt.Sprint(lostEndEvents), fmt.Sprint(lostEndInterval))
+		if err := runner.start(); err != nil {
+			return err
+		}
+		if err := l.eventually("listening", startTimeout, func() bool {
+			connection, err := net.Dial("tcp", address)
+			if err == nil {
+				_ = connection.Close()
+			}
+			return err == nil
+		}); err != nil {
+			return err
+		}
+		l.register(fmt.Sprintf("i-7f3a91d%d", number), "huvo11a", address, map[string]any{"zone": runnersZone})
+	}
+	return nil
+}
+
 // playLostEnd plays a runner that is taken away at short notice while it streams, over a link
 // that loses one packet.
 func playLostEnd(l *lab, trouble bool) error {
@@ -57,7 +84,10 @@
 	}); err != nil {
 		return err
 	}
-	registered := l.register("i-7f3a91c2", "huvo11a", linkAddress, nil)
+	registered := l.register("i-7f3a91c2", "huvo11a", linkAddress, map[string]any{"zone": runnersZone})
+	if err := l.startOtherRunners(); err != nil {
+		return err
+	}
 	e, err := l.newEntry(1)
 	if err != nil {
 		return err
@@ -91,11 +121,20 @@
 	callers.Wait()
 	wrong := 0
 	for _, result := range results {
-		l.note("caller of %s: status %d, %d of %d events, complete %t, %v", result.id, result.status, result.events, lostEndEvents, result.complete, result.err)
+		if !result.isWhole() {
+			l.note("caller of %s: status %d, %d of %d events, complete %t, %v", result.id, result.status, result.events, lostEndEvents, result.complete, result.err)
+		}
 		if result.complete && result.events < lostEndEvents {
 			wrong++
 		}
 	}
+	whole := 0
+	for _, result := range results {
+		if result.isWhole() {
+			whole++
+		}
+	}
+	l.note("%d of %d callers got a whole stream", whole, len(results))
 	if wrong > 0 {
 		return fmt.Errorf("%w: %d of %d streams ended as complete before their last piece", errBroken, wrong, len(results))
 	}
@@ -113,7 +152,7 @@
 		return result
 	}
 	defer connection.Close()
-	fmt.Fprintf(connection, "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\n%s: %s\r\nTeaselgauge-Deadline-Ms: 12000\r\nContent-Length: 2\r\n\r\nhi", headerAttempt, id)
+	fmt.Fprintf(connection, "POST /lohu930/%s HTTP/1.1\r\nHost: ficu95.example\r\n%s: %s\r\nTeaselgauge-Deadline-Ms: 12000\r\nContent-Length: 2\r\n\r\nhi", id, headerAttempt, id)
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
 		result.err = err
--- a/review/_lab2/runner.go
+++ b/review/_lab2/runner.go
@@ -15,6 +15,7 @@
 	headerAttempt = "Teaselgauge-Attempt-Id"
 	headerSeal    = "Teaselgauge-Response-Seal"
 	headerNotRun  = "Teaselgauge-Not-Executed"
+	healthPath    = "/health"
 )
 
 // serveRunner is a runner in a process of its own: ADDRESS EVENTS INTERVAL_MS. It answers
@@ -43,6 +44,10 @@
 	if err != nil {
 		return
 	}
+	if request.URL.Path == healthPath {
+		fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		return
+	}
 	id := request.Header.Get(headerAttempt)
 	fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", headerAttempt, id, headerSeal, id)
 	for number := 1; number <= events; number++ {
