--- a/review/_lab2/reused_address.go
+++ b/review/_lab2/reused_address.go
@@ -12,9 +12,8 @@
 	// silenceTime is three heartbeat intervals, after which the store removes the entry of
 	// a runner that has crashed. It is longer than addrReuseS, 2 s.
 	silenceTime = 3600 * time.Millisecond
-	// drainTime is drainMs, and a little longer.
-	drainTime   = 2500 * time.Millisecond
-	shortSample = 5 * time.Second
+	// calmBefore is the time in calm before the first disruption.
+	calmBefore = 5 * time.Second
 	// modelRunners is the number of model runners, of which one is lost.
 	modelRunners = 7
 )
@@ -34,10 +33,10 @@
 	return runner, nil
 }
 
-// playReusedAddress plays a model runner that is lost for good, whose address a server of
-// another service gets, and a final fault after it.
+// playReusedAddress plays a model runner that is lost for good, whose address the first server
+// of another service gets, and a final fault after it.
 func playReusedAddress(l *lab, trouble bool) error {
-	runnerAddress, oldAddress, newAddress := l.ip(2, 1)+":8505", l.ip(3, 1)+":8300", l.ip(3, 2)+":8300"
+	runnerAddress, newAddress := l.ip(2, 1)+":8505", l.ip(3, 2)+":8300"
 	if trouble {
 		newAddress = runnerAddress
 	}
@@ -50,8 +49,6 @@
 			return err
 		}
 	}
-	l.serveBookings("i-9e16b79e", oldAddress)
-	old := l.register("i-9e16b79e", "xano55b", oldAddress, map[string]any{"slots": 6})
 	if err := l.configure(bookingConfiguration()); err != nil {
 		return err
 	}
@@ -70,7 +67,7 @@
 		}
 		processes = append(processes, agent)
 	}
-	l.note("with the first server: %s", l.sample(entries, shortSample))
+	time.Sleep(calmBefore)
 
 	runner.Close()
 	l.note("runner i-7f3a91c2 has crashed and is lost for good")
@@ -79,10 +76,6 @@
 	l.note("the entry of runner i-7f3a91c2 is removed after three heartbeat intervals")
 	l.serveBookings("i-ddbcef27", newAddress)
 	l.register("i-ddbcef27", "xano55b", newAddress, map[string]any{"slots": 6})
-	old.change(map[string]any{"state": "draining"})
-	l.note("runner i-9e16b79e reports draining")
-	time.Sleep(drainTime)
-	old.leave()
 	before := l.sample(entries, sampleTime)
 	l.note("before the final fault %s", before)
 
