Review: the second driver keeps to the machines and doses of the site

At most 0.55 of the open connections at the share of machines go silent; until now each was drawn by itself, or all went.

--- a/review/_lab2/link.go
+++ b/review/_lab2/link.go
@@ -89,18 +89,24 @@
 	return k.lostEnd, len(numbers)
 }
 
-// silence has a share of the open connections, drawn by chance, go silent for good, without
-// a reset. It returns their number and that of all.
-func (k *link) silence(share float64) (silent, open int) {
+// openNumbers returns the numbers of the open connections that aren't silent.
+func (k *link) openNumbers() []int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	var numbers []int
 	for number := range k.open {
-		if rand.Float64() < share {
-			k.silent[number] = true
-			silent++
+		if !k.silent[number] {
+			numbers = append(numbers, number)
 		}
 	}
-	return silent, len(k.open)
+	return numbers
+}
+
+// silence has a connection go silent for good, without a reset.
+func (k *link) silence(number int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silent[number] = true
 }
 
 // isSilent reports whether a connection carries nothing any more.
--- a/review/_lab2/lost_change.go
+++ b/review/_lab2/lost_change.go
@@ -10,14 +10,17 @@
 )
 
 const (
-	// zoneEntries is the number of entries, all of one zone.
-	zoneEntries  = 9
+	// relayZones are the zones of the entries, a letter for each of them.
+	relayZones = "aaabcd"
+	// cutZone is the number of entries in the first zone, of which one is cut off.
+	cutZone      = 3
 	changeRounds = 7
 	cutTime      = 4 * time.Second
 	// stayTime is how long a runner serves after it has reported draining: drainMs and
-	// some seconds longer. grownDrain is drainMs of the site.
-	stayTime   = 6 * time.Second
-	grownDrain = 3 * time.Second
+	// some seconds longer. A request is late from lateAfter on: later than drainMs, and later
+	// than contactMs, so that the cut is no excuse whatever it counts as.
+	stayTime  = 6 * time.Second
+	lateAfter = 3 * time.Second
 )
 
 // readTime is the time within which a machine that reads the list of runners has read it.
@@ -56,7 +59,7 @@
 			counts[i].add()
 			mu.Lock()
 			name, _, _ := strings.Cut(r.Header.Get(headerAttempt), "-attempt")
-			if id == leavingID && name != cutName && time.Since(leavingAt) > grownDrain+probeSlack {
+			if id == leavingID && name != cutName && time.Since(leavingAt) > lateAfter+probeSlack {
 				late[name]++
 			}
 			mu.Unlock()
@@ -67,7 +70,7 @@
 	for i := range serving {
 		add(i)
 	}
-	entries, links, err := l.startLinkedEntries(zoneEntries, 1)
+	entries, links, err := l.startLinkedEntries(relayZones)
 	if err != nil {
 		return err
 	}
@@ -87,7 +90,7 @@
 	for round := range changeRounds {
 		add(serving + round)
 		time.Sleep(calmTime)
-		reader := nextReader(links, cuts)
+		reader := nextReader(links[:cutZone], cuts)
 		cuts[reader]++
 		if trouble {
 			l.note("%s, which reads the list of runners, is partitioned from the store", entries[reader].name)
@@ -111,7 +114,7 @@
 		mu.Lock()
 		for name, count := range late {
 			total += count
-			l.note("%s, which was in touch all the time, sent it %d requests later than %s after that", name, count, grownDrain)
+			l.note("%s, which was in touch all the time, sent it %d requests later than %s after that", name, count, lateAfter)
 		}
 		leavingID = ""
 		mu.Unlock()
--- a/review/_lab2/silent_leave.go
+++ b/review/_lab2/silent_leave.go
@@ -17,10 +17,9 @@
 	workTime    = 60 * time.Millisecond
 	settleTime  = 3 * time.Second
 	// removeAfter is the time from the silence to the removal.
-	removeAfter  = 200 * time.Millisecond
-	drainBound   = 2 * time.Second
-	leaveRounds  = 8
-	leaveEntries = 5
+	removeAfter = 200 * time.Millisecond
+	drainBound  = 2 * time.Second
+	leaveRounds = 8
 	// serving is the number of runners that serve at a time.
 	serving = 4
 )
@@ -88,7 +87,7 @@
 	for i := range serving {
 		add(i)
 	}
-	entries, links, err := l.startLinkedEntries(leaveEntries, fiveZones)
+	entries, links, err := l.startLinkedEntries(siteZones)
 	if err != nil {
 		return err
 	}
@@ -116,7 +115,7 @@
 		left[leaving] = true
 		silentAt := time.Now()
 		if trouble {
-			l.silence(links, silentPart)
+			l.silence(links)
 		}
 		time.Sleep(removeAfter)
 		registrations[leaving].leave()
--- a/review/_lab2/silent_store.go
+++ b/review/_lab2/silent_store.go
@@ -13,16 +13,17 @@
 )
 
 const (
-	silentEntries = 10
-	fiveZones     = 5
-	rounds        = 10
+	// siteZones are the zones of the site's entries, a letter for each of them.
+	siteZones = "aabcd"
+	// allZones are the zones of the site's entries, and of its spare ones.
+	allZones = siteZones + "abcd"
+	rounds   = 11
 	// calmJitter spreads the silences over the period of the watches.
 	calmJitter = 2 * time.Second
 	// silentShare is the share of the machines at which connections go silent, silentPart
-	// and wholePart are the parts of their open connections that do.
+	// the part of their open connections that do at most.
 	silentShare = 0.7
 	silentPart  = 0.55
-	wholePart   = 1.0
 	// contactTime is contactMs, applyTime is configApplyMs of the site.
 	contactTime = 3 * time.Second
 	applyTime   = 2 * time.Second
@@ -44,7 +45,7 @@
 	if err := l.configure(routesConfiguration(1)); err != nil {
 		return err
 	}
-	entries, links, err := l.startLinkedEntries(silentEntries, fiveZones)
+	entries, links, err := l.startLinkedEntries(allZones)
 	if err != nil {
 		return err
 	}
@@ -60,12 +61,13 @@
 	return nil
 }
 
-// startLinkedEntries starts entries in some zones, each with a link of its own to the store,
-// and waits until they are ready.
-func (l *lab) startLinkedEntries(count, zones int) ([]*entry, []*link, error) {
+// startLinkedEntries starts an entry for each letter, in the zone of that letter, with a link of
+// its own to the store, and waits until all are ready.
+func (l *lab) startLinkedEntries(zones string) ([]*entry, []*link, error) {
 	var entries []*entry
 	var links []*link
-	for number := 1; number <= count; number++ {
+	for i, zone := range zones {
+		number := i + 1
 		e, err := l.newEntry(number)
 		if err != nil {
 			return nil, nil, err
@@ -75,7 +77,7 @@
 			return nil, nil, err
 		}
 		entries, links = append(entries, e), append(links, network)
-		e.fields["zone"] = quote("nl-west-" + string(rune('a'+(number-1)%zones)))
+		e.fields["zone"] = quote("nl-west-" + string(zone))
 		e.fields["platform.address"] = quote(l.ip(5, number) + ":8142")
 		if err := e.writeSettings(); err != nil {
 			return nil, nil, err
@@ -92,13 +94,25 @@
 	return entries, links, nil
 }
 
-// silence has a part of the open connections to the store go silent at a share of the machines.
-func (l *lab) silence(links []*link, part float64) {
+// silence has a part of the open connections to the store go silent at a share of the machines,
+// and no more of either.
+func (l *lab) silence(links []*link) {
 	machines := int(silentShare * float64(len(links)))
-	silent, open := 0, 0
+	type connection struct {
+		link   *link
+		number int
+	}
+	var all []connection
 	for _, i := range rand.Perm(len(links))[:machines] {
-		some, all := links[i].silence(part)
-		silent, open = silent+some, open+all
+		for _, number := range links[i].openNumbers() {
+			all = append(all, connection{links[i], number})
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	open := len(all)
+	silent := int(silentPart * float64(open))
+	for _, c := range all[:silent] {
+		c.link.silence(c.number)
 	}
 	l.note("at %d of %d machines, %d of %d open connections to the store go silent for good; new ones work", machines, len(links), silent, open)
 }
@@ -119,7 +133,7 @@
 	time.Sleep(calmTime + rand.N(calmJitter))
 	silentAt := time.Now()
 	if trouble {
-		l.silence(links, wholePart)
+		l.silence(links)
 	}
 	time.Sleep(changeAfter)
 	if err := l.configure(routesConfiguration(version)); err != nil {
