Let no heartbeat of a test's server follow its removal

Cause: in the test. The server's heartbeat and its removal fall on one instant of the virtual clock; runServer found that it hadn't left, the removal was written, and then the heartbeat wrote the registration again.

Change: the store refuses the registration of a server that has left, in the critical section in which it would write it; leaving and the removal are one critical section as well. Bounds, phases and disturbances are as they were.

--- a/pkg/gateway/delayed_store_test.go
+++ b/pkg/gateway/delayed_store_test.go
@@ -62,6 +62,11 @@
 func (s *delayedState) write(key, value string, deleted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.apply(key, value, deleted)
+}
+
+// apply makes a change. The caller holds mu.
+func (s *delayedState) apply(key, value string, deleted bool) {
 	s.revision++
 	kv := keyvalue.KeyValue{Key: key, Value: []byte(value), ModRevision: s.revision}
 	if deleted {
@@ -77,6 +82,23 @@
 func (d *delayedStore) put(key, value string) { d.state.write(key, value, false) }
 func (d *delayedStore) remove(key string)     { d.state.write(key, "", true) }
 
+// register writes a server's registration unless the server has left.
+func (d *delayedStore) register(key, value string) {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	if d.state.left != key {
+		d.state.apply(key, value, false)
+	}
+}
+
+// leave removes a server's registration for good.
+func (d *delayedStore) leave(key string) {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	d.state.left = key
+	d.state.apply(key, "", true)
+}
+
 // setSilent begins or ends an outage in which nothing is answered.
 func (d *delayedStore) setSilent(silent bool) {
 	d.state.mu.Lock()
--- a/pkg/gateway/registration_delay_test.go
+++ b/pkg/gateway/registration_delay_test.go
@@ -99,7 +99,7 @@
 			return
 		case !s.isSilent():
 			missed = 0
-			s.store.put(serverKey(i), strconv.Itoa(sequence))
+			s.store.register(serverKey(i), strconv.Itoa(sequence))
 		case missed == 2:
 			s.store.remove(serverKey(i))
 			missed++
@@ -123,12 +123,7 @@
 }
 
 // remove lets a server leave without a notice: its registration is removed.
-func (s *registrationSite) remove(i int) {
-	s.store.state.mu.Lock()
-	s.store.state.left = serverKey(i)
-	s.store.state.mu.Unlock()
-	s.store.remove(serverKey(i))
-}
+func (s *registrationSite) remove(i int) { s.store.leave(serverKey(i)) }
 
 func serverKey(i int) string { return fmt.Sprintf("registrations/%c", 'a'+i) }
 
