Log what said that a request has not run, and where it was sent

What callers saw: requests that ran though they were refused as not run. The lines of today tell the event of a failed send and its status, but not whether the field or the status alone said *not run*, whether the response had a seal, what was skipped before it, and on which connection it came, so a rejection that belongs to another request can't be told from a true one. A 429, 408 or 421 of a server that is passed on to an idempotent request was sampled, as a success is.

Change: 'attempt failed' has not_run_by, sealed, skipped, connection and connection_age_ms; 'request' has may_have_run and is written for each status that promises.

No logic changes.

--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -71,6 +71,8 @@
 	RequestID string
 	// NotRun is set if the server did not run the request and never will.
 	NotRun bool
+	// NotRunBy is what in the response says so, for logs; empty if nothing does.
+	NotRunBy string
 	// Sealed is set if the response has a backend server's seal.
 	Sealed bool
 	// Leaving is set if the server is leaving and accepts no new requests.
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Request is one request for backend servers. The same Request is sent again after a
@@ -27,6 +28,16 @@
 // Connections returns the number of connections on which the request was sent.
 func (r *Request) Connections() int { return len(r.carriers) }
 
+// LastConnection returns the local address of the connection of the last send, and when it
+// was opened. They are empty and zero before the first one has a connection.
+func (r *Request) LastConnection() (local string, openedAt time.Time) {
+	if len(r.carriers) == 0 {
+		return "", time.Time{}
+	}
+	last := r.carriers[len(r.carriers)-1]
+	return last.raw.LocalAddr().String(), last.openedAt
+}
+
 // encode returns the request in HTTP/1.1 format.
 func (r *Request) encode() []byte {
 	size := len(r.Method) + len(r.Target) + len(r.Host) + len(r.Body) + 64
--- a/pkg/gateway/ends_harness_test.go
+++ b/pkg/gateway/ends_harness_test.go
@@ -50,7 +50,7 @@
 }
 
 func (plainCodec) DecodeResponse(_ int, header http.Header) forward.ResponseInfo {
-	return forward.ResponseInfo{RequestID: header.Get("X-Id"), Sealed: header.Get("X-Seal") != "", NotRun: header.Get("X-Not-Run") != "", WeightsVersion: header.Get("X-Weights")}
+	return forward.ResponseInfo{RequestID: header.Get("X-Id"), Sealed: header.Get("X-Seal") != "", NotRun: header.Get("X-Not-Run") != "", NotRunBy: "X-Not-Run: " + header.Get("X-Not-Run"), WeightsVersion: header.Get("X-Weights")}
 }
 
 // rawBackend is a server that writes raw bytes as responses.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -287,13 +287,24 @@
 // logAttemptFailed logs a failed attempt. response is the server's own error response,
 // if there is one.
 func (x *exchange) logAttemptFailed(backend *server, event attempt.Event, decision attempt.Decision, response *forward.Response) {
-	status := 0
-	if response != nil {
-		status = response.Status
+	if response == nil {
+		response = &forward.Response{}
 	}
-	x.logger.Info("attempt failed", "backend", backend.ID, "software", backend.Software, "required_software", x.software, "event", event.String(), "verdict", decision.String(), "status", status,
+	connection, connectionAge := x.lastConnection(time.Now())
+	x.logger.Info("attempt failed", "backend", backend.ID, "software", backend.Software, "required_software", x.software, "event", event.String(), "verdict", decision.String(), "status", response.Status,
+		"not_run_by", response.Info.NotRunBy, "sealed", response.Info.Sealed, "skipped", response.Skipped, "connection", connection, "connection_age_ms", loggedAge(connectionAge),
 		"sends", x.machine.Sends(), "connections", x.outgoing.Connections(), "may_have_run", x.machine.MayHaveRun(), "started", x.response.started(),
 		"framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "error", x.sendError)
 }
 
+// lastConnection returns the local address of the connection of the last send and its age;
+// empty and neverConfirmed if no send had one.
+func (x *exchange) lastConnection(now time.Time) (local string, age time.Duration) {
+	local, openedAt := x.outgoing.LastConnection()
+	if openedAt.IsZero() {
+		return "", neverConfirmed
+	}
+	return local, now.Sub(openedAt)
+}
+
 func (x *exchange) callerLeft() bool { return x.request.Context().Err() != nil }
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -104,7 +104,7 @@
 }
 
 // requestFinished records the end of an exchange. Lines on successful requests are
-// sampled, unless their end is notable.
+// sampled, unless their end is notable or their status is a promise.
 func (o *observer) requestFinished(x *exchange, end requestResult) {
 	now := time.Now()
 	elapsed := now.Sub(x.arrived)
@@ -117,14 +117,14 @@
 		o.metrics.FirstByte(kind, x.timeToFirstByte)
 		o.metrics.ResponseEnd(x.progress.framing.String(), string(end.outcome))
 	}
-	if end.outcome == outcomeCompleted && !x.endIsNotable() && !o.responseSampler.Allow(now) {
+	if end.outcome == outcomeCompleted && !isPromise(end.status) && !x.endIsNotable() && !o.responseSampler.Allow(now) {
 		o.metrics.ResponseNotLogged()
 		return
 	}
 	o.logger.Info("request", "request", x.caller.RequestID, "route", x.route.Name, "kind", kind, "organisation", nameOf(x.organisation), "priority", x.priority(),
 		"outcome", string(end.outcome), "status", end.status, "cause", end.cause,
 		"retry_after_ms", end.retryAfter.Milliseconds(), "budget_ms", x.deadline.Sub(x.arrived).Milliseconds(),
-		"backend", x.lastServer, "software", x.lastSoftware, "resumes", x.caller.Resumes, "resumed_after", x.caller.LastEventID, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "rate_tokens", x.rateTokens,
+		"backend", x.lastServer, "software", x.lastSoftware, "resumes", x.caller.Resumes, "resumed_after", x.caller.LastEventID, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "may_have_run", x.machine.MayHaveRun(), "rate_tokens", x.rateTokens,
 		"configuration", x.versions.configuration, "configuration_age_ms", loggedAge(x.versions.configurationAge), "placement", x.versions.placement, "servers_age_ms", loggedAge(x.versions.registrationsAge),
 		"responses", x.progress.responses, "framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "end", x.progress.evidence.String(),
 		"leased_ms", x.leaseWait.Milliseconds(), "first_ms", x.timeToFirstByte.Milliseconds(), "gap_ms", x.progress.longestGap.Milliseconds(), "event_ms", x.progress.eventInterval().Milliseconds(),
