Name each way in which an entry ends a caller's connection without a whole response

Cause of the gap: 'outcome=left' was the result of each handler that returned without a response, whoever had closed the connection; a response counted as answered when net/http had taken it, before its last chunk or its last buffered bytes were written; at the end of draining the process exited without waiting for the handlers that it had cut off, so that their lines were lost. Change: the contexts of all requests end with the cause errDrainEnded before the connections are closed, a connection names the limit that ended it, and the outcomes drain-ended, limited and panicked stand beside left; 'cut' in the line and response_cuts_total say why there is no whole response, also for a deadline, an unframed end without evidence and a server that broke off. The line is written when net/http has handed the response to the kernel or closed the connection, with the bytes and events written, the time since SIGTERM and the request's age then. An entry that stops waits up to 0.1 s for the ends of the requests that it cuts off; requests in flight at SIGTERM are never sampled away.

--- a/pkg/callerlimits/conn.go
+++ b/pkg/callerlimits/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -47,6 +48,14 @@
 	// ended is set once reads fail, writing while a write is under way.
 	ended   bool
 	writing bool
+	// exceeded is the limit on time that a sweep found exceeded, endedBy the limit that has
+	// ended the connection; empty for none.
+	exceeded Cause
+	endedBy  Cause
+	// writeErr is the error of the first write that failed.
+	writeErr error
+	// responseEnded is called once the current response has ended; nil if nobody waits.
+	responseEnded func(error)
 }
 
 // NetConn returns the wrapped connection.
@@ -174,6 +183,14 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	waited := c.setWriting(true, true)
 	defer c.setWriting(false, waited)
+	written, err := c.writeParts(p)
+	if err != nil {
+		c.writeFailed(err)
+	}
+	return written, err
+}
+
+func (c *Conn) writeParts(p []byte) (int, error) {
 	written := 0
 	for {
 		part := p[written:]
@@ -186,6 +203,46 @@
 	}
 }
 
+// writeFailed records the error of a write.
+func (c *Conn) writeFailed(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
+// OnResponseEnd has f called once net/http has handed the current response to the kernel, or
+// has closed the connection. Its argument is the error of the first write that failed. The
+// connection must not be nil.
+func (c *Conn) OnResponseEnd(f func(writeErr error)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responseEnded = f
+}
+
+// endResponse calls what waits for the end of the current response.
+func (c *Conn) endResponse() {
+	c.mu.Lock()
+	ended, err := c.responseEnded, c.writeErr
+	c.responseEnded = nil
+	c.mu.Unlock()
+	if ended != nil {
+		ended(err)
+	}
+}
+
+// EndedBy returns the limit that has ended the connection; empty if none has. A nil
+// connection has no limits.
+func (c *Conn) EndedBy() Cause {
+	if c == nil {
+		return ""
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endedBy
+}
+
 // setWriting records whether a write is under way and whether the connection waits for its
 // caller, and returns whether it did before.
 func (c *Conn) setWriting(writing, waits bool) (waited bool) {
@@ -276,6 +333,7 @@
 		return false
 	}
 	c.ended = true
+	c.endedBy = cmp.Or(c.exceeded, CutOff)
 	if c.writing {
 		_ = c.Conn.Close()
 		return true
@@ -300,6 +358,7 @@
 	c.mu.Lock()
 	ended := c.ended
 	c.ended = true
+	c.endedBy = cmp.Or(c.endedBy, cause)
 	c.mu.Unlock()
 	if ended {
 		return errEnded
--- a/pkg/callerlimits/listener.go
+++ b/pkg/callerlimits/listener.go
@@ -100,8 +100,11 @@
 	case http.StateActive:
 		c.setState(phaseRequest)
 	case http.StateIdle:
+		c.endResponse()
 		c.setState(phaseIdle)
 		c.requestEnded()
+	case http.StateClosed:
+		c.endResponse()
 	}
 }
 
@@ -157,10 +160,13 @@
 		limit, cause = headerTimeout, HeadTooSlow
 	}
 	if limit <= 0 || took <= limit {
-		c.overdue = false
+		c.overdue, c.exceeded = false, ""
 		return "", false
 	}
 	before := c.overdue
 	c.overdue = true
+	if before {
+		c.exceeded = cause
+	}
 	return cause, before
 }
--- a/pkg/gateway/caller_response.go
+++ b/pkg/gateway/caller_response.go
@@ -75,6 +75,11 @@
 	state   responseState
 	// framing is what marks the end of the body towards the caller.
 	framing forward.Framing
+	// written is the number of bytes of the body that net/http has taken.
+	written int64
+	// record records the end of the request; nil if nothing is left to record. Its argument is
+	// the error of a write to the caller's connection.
+	record func(writeErr error)
 }
 
 func newCallerResponse(w http.ResponseWriter, r *http.Request, logger *slog.Logger) *callerResponse {
@@ -150,7 +155,9 @@
 	if r.state != responseStarted {
 		return 0, errResponseNotOpen
 	}
-	return r.writer.Write(data)
+	n, err := r.writer.Write(data)
+	r.written += int64(n)
+	return n, err
 }
 
 // flush sends what was written. An error shows at the next write as well.
@@ -165,6 +172,14 @@
 	r.state = responseComplete
 }
 
+// delivered is called once the response was handed to the kernel or its connection was
+// closed. writeErr is the error of a write to the connection, if there was one.
+func (r *callerResponse) delivered(writeErr error) {
+	if r.record != nil {
+		r.record(writeErr)
+	}
+}
+
 // refuse sends a response of the gateway's own. It fails if a response was started
 // before.
 func (r *callerResponse) refuse(why refusal) error {
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -16,6 +16,10 @@
 	// queuedMargin is how long before the end of draining the requests that still
 	// wait for a runner are refused.
 	queuedMargin = 1200 * time.Millisecond
+	// cutOffTime limits the wait for the requests that were cut off, cutOffCheckInterval is
+	// the time between two checks.
+	cutOffTime          = 50 * time.Millisecond
+	cutOffCheckInterval = 2 * time.Millisecond
 )
 
 // isReady reports to the load balancer whether to send new connections to this
@@ -32,6 +36,7 @@
 	started := time.Now()
 	end := started.Add(time.Duration(g.config.DrainMillis)*time.Millisecond - drainMargin)
 	g.logger.Info("draining", "in_flight", g.handler.inFlight.Load())
+	g.handler.stop.begin(started)
 	g.stopped.Store(true)
 	g.handler.closing.Store(true)
 	cancelTimer := time.AfterFunc(time.Until(end)-queuedMargin, g.handler.cancelQueued)
@@ -42,7 +47,22 @@
 	defer cancel()
 	open := g.callerConnections.Close(ctx, httpdrain.IdleTime)
 	inFlight := g.handler.inFlight.Load()
-	_ = g.callerServer.Close()
+	g.cutOff()
 	_ = g.readinessServer.Close()
-	g.logger.Info("stopped", "in_flight", inFlight, "connections", open)
+	g.logger.Info("stopped", "in_flight", inFlight, "connections", open, "unrecorded", g.handler.inFlight.Load())
+}
+
+// cutOff ends the requests that are left, and waits until their ends are recorded.
+func (g *Gateway) cutOff() {
+	g.endRequests(errDrainEnded)
+	g.awaitRequests()
+	_ = g.callerServer.Close()
+	g.awaitRequests()
+}
+
+// awaitRequests waits until no request is in flight, for at most cutOffTime.
+func (g *Gateway) awaitRequests() {
+	for waited := time.Duration(0); g.handler.inFlight.Load() > 0 && waited < cutOffTime; waited += cutOffCheckInterval {
+		time.Sleep(cutOffCheckInterval)
+	}
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -145,7 +145,6 @@
 		deadline: arrived.Add(requestTimeout(route, caller)),
 		service:  pickDestination(route, rand.Float64()),
 		logger:   h.observer.logger.With("request", caller.RequestID, "route", route.Name),
-		result:   requestResult{outcome: outcomeCallerLeft},
 
 		fingerprints: h.fingerprints(r, caller, body),
 	}
@@ -184,9 +183,9 @@
 
 // run sends the request until there is a final response.
 func (x *exchange) run(ctx context.Context) {
-	defer func() { x.handler.observer.requestFinished(x, x.result) }()
 	defer x.handOverAtEnd()
 	defer func() { x.returnQuota(time.Now()) }()
+	defer x.conclude()
 	if !x.resumeStream(ctx) {
 		return
 	}
@@ -267,7 +266,7 @@
 	case attempt.RefuseNotRun:
 		x.fail(refusal{status: http.StatusServiceUnavailable, reason: "backend servers refused", retryAfter: x.refusalRetryAfter(time.Now())})
 	case attempt.Abort:
-		x.abortResponse("stream broke off")
+		x.cutResponse(ctx)
 	default:
 		x.fail(x.unknownRefusal(ctx))
 	}
--- a/pkg/gateway/exchange_end.go
+++ b/pkg/gateway/exchange_end.go
@@ -63,5 +63,27 @@
 
 // abortResponse records that a started response remains incomplete.
 func (x *exchange) abortResponse(cause string) {
-	x.result = requestResult{outcome: outcomeBroken, cause: cause}
+	why := cutNoServerLeft
+	if x.isOverdue() {
+		why = cutDeadline
+	}
+	x.result = requestResult{outcome: outcomeBroken, cause: cause, cut: why}
+}
+
+// isOverdue reports whether the request's deadline is over.
+func (x *exchange) isOverdue() bool { return !time.Now().Before(x.deadline) }
+
+// cutResponse records that a started response remains incomplete since its server's broke
+// off, or since nothing shows that it didn't.
+func (x *exchange) cutResponse(ctx context.Context) {
+	result := requestResult{outcome: outcomeBroken, cause: "stream broke off", cut: cutServerBroke}
+	switch {
+	case errors.Is(x.sendError, errServerEnded):
+		result.cut = cutServerEnded
+	case errors.Is(x.sendError, errEndUnconfirmed):
+		result.cut = cutUnconfirmed
+	case ctx.Err() != nil, x.isOverdue():
+		result.cut = cutDeadline
+	}
+	x.result = result
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -61,16 +61,18 @@
 
 // Gateway is the state of the process.
 type Gateway struct {
-	config          settings.Gateway
-	logger          *slog.Logger
-	control         *control
-	storeWatcher    *storeWatcher
-	handler         *handler
-	pool            *forward.Pool
-	decider         *decider
-	observer        *observer
-	stopped         atomic.Bool
-	callerServer    *http.Server
+	config       settings.Gateway
+	logger       *slog.Logger
+	control      *control
+	storeWatcher *storeWatcher
+	handler      *handler
+	pool         *forward.Pool
+	decider      *decider
+	observer     *observer
+	stopped      atomic.Bool
+	callerServer *http.Server
+	// endRequests ends the contexts of all requests.
+	endRequests     context.CancelCauseFunc
 	readinessServer *http.Server
 	wait            sync.WaitGroup
 	// callerConnections are those of callerServer.
@@ -291,11 +293,19 @@
 	if err != nil {
 		return err
 	}
-	limited := g.limitCallers(ctx, callers)
+	g.serveCallers(g.limitCallers(ctx, callers))
+	return nil
+}
+
+// serveCallers serves the callers that a listener accepts.
+func (g *Gateway) serveCallers(limited *callerlimits.Listener) {
 	g.callerServer = newCallerServer(g.handler, &g.callerConnections, g.logger)
-	g.callerServer.ConnState = connStates(g.callerConnections.StateChanged, limited.StateChanged)
+	// The ends of responses are recorded before their connections count as closed.
+	g.callerServer.ConnState = connStates(limited.StateChanged, g.callerConnections.StateChanged)
+	var requests context.Context
+	requests, g.endRequests = context.WithCancelCause(context.Background())
+	g.callerServer.BaseContext = func(net.Listener) context.Context { return requests }
 	g.serve(g.callerServer, g.callerConnections.Listener(limited))
-	return nil
 }
 
 // newCallerServer returns the HTTP server for callers, which is to serve a listener of
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -68,6 +68,8 @@
 	inFlight atomic.Int64
 	// closing makes connections close after the current response.
 	closing atomic.Bool
+	// stop is how far the entry has got in stopping.
+	stop stopState
 	// drainEnd is when a stopping entry cuts off the requests that are left; nil while
 	// it accepts new connections.
 	drainEnd atomic.Pointer[time.Time]
@@ -79,12 +81,20 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.inFlight.Add(1)
-	defer h.inFlight.Add(-1)
 	if h.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	response := newCallerResponse(w, r, h.observer.logger)
+	h.inFlight.Add(1)
+	ended := func(writeErr error) {
+		defer h.inFlight.Add(-1)
+		response.delivered(writeErr)
+	}
+	if connection := limitedConnection(r); connection != nil {
+		connection.OnResponseEnd(ended)
+	} else {
+		defer ended(nil)
+	}
 	h.respond(response, r)
 	response.end()
 }
--- a/pkg/gateway/observer.go
+++ b/pkg/gateway/observer.go
@@ -38,6 +38,29 @@
 	outcomeBroken outcome = "broken"
 	// outcomeCallerLeft: the caller disconnected.
 	outcomeCallerLeft outcome = "left"
+	// outcomeDrainEnded: this entry stops, and its time to drain was over.
+	outcomeDrainEnded outcome = "drain-ended"
+	// outcomeLimited: a limit on callers ended the connection.
+	outcomeLimited outcome = "limited"
+	// outcomePanicked: the handler panicked.
+	outcomePanicked outcome = "panicked"
+)
+
+// cut is why a caller has no complete response, as named in logs and metrics; empty if it
+// has one.
+type cut string
+
+// The cuts. That of a limit is cutByLimit and the limit's cause.
+const (
+	cutCallerLeft   cut = "caller-left"
+	cutDrainEnded   cut = "drain-ended"
+	cutPanicked     cut = "panicked"
+	cutDeadline     cut = "deadline"
+	cutServerEnded  cut = "server-ended"
+	cutUnconfirmed  cut = "end-unconfirmed"
+	cutServerBroke  cut = "server-broke-off"
+	cutNoServerLeft cut = "no-server"
+	cutByLimit      cut = "limit-"
 )
 
 // requestResult is how a request ended and why.
@@ -47,6 +70,7 @@
 	status     int
 	cause      string
 	retryAfter time.Duration
+	cut        cut
 }
 
 // outcomeOf returns the outcome that a refusal reports to the caller.
@@ -117,16 +141,20 @@
 		o.metrics.FirstByte(kind, x.timeToFirstByte)
 		o.metrics.ResponseEnd(x.progress.framing.String(), string(end.outcome))
 	}
-	if end.outcome == outcomeCompleted && !x.endIsNotable() && !o.responseSampler.Allow(now) {
+	if end.cut != "" {
+		o.metrics.ResponseCut(string(end.cut))
+	}
+	stop := x.handler.stop.timesOf(x.arrived, now)
+	if end.outcome == outcomeCompleted && !x.endIsNotable() && !stop.wasInFlight() && !o.responseSampler.Allow(now) {
 		o.metrics.ResponseNotLogged()
 		return
 	}
 	o.logger.Info("request", "request", x.caller.RequestID, "route", x.route.Name, "kind", kind, "organisation", nameOf(x.organisation), "priority", x.priority(),
-		"outcome", string(end.outcome), "status", end.status, "cause", end.cause,
+		"outcome", string(end.outcome), "status", end.status, "cause", end.cause, "cut", string(end.cut), "stopping_ms", loggedAge(stop.since), "age_at_stop_ms", loggedAge(stop.requestAge),
 		"retry_after_ms", end.retryAfter.Milliseconds(), "budget_ms", x.deadline.Sub(x.arrived).Milliseconds(),
 		"backend", x.lastServer, "software", x.lastSoftware, "resumes", x.caller.Resumes, "resumed_after", x.caller.LastEventID, "model", x.caller.Model, "adapter", x.caller.Adapter, "sends", x.machine.Sends(), "rate_tokens", x.rateTokens,
 		"configuration", x.versions.configuration, "configuration_age_ms", loggedAge(x.versions.configurationAge), "placement", x.versions.placement, "servers_age_ms", loggedAge(x.versions.registrationsAge),
-		"responses", x.progress.responses, "framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "end", x.progress.evidence.String(),
+		"responses", x.progress.responses, "framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "events", x.progress.events.Count(), "bytes", x.response.written, "end", x.progress.evidence.String(),
 		"leased_ms", x.leaseWait.Milliseconds(), "first_ms", x.timeToFirstByte.Milliseconds(), "gap_ms", x.progress.longestGap.Milliseconds(), "event_ms", x.progress.eventInterval().Milliseconds(),
 		"took_ms", elapsed.Milliseconds())
 }
--- a/pkg/gateway/quota_charge.go
+++ b/pkg/gateway/quota_charge.go
@@ -35,8 +35,8 @@
 	if x.quotaCharged == 0 {
 		return
 	}
-	left := x.result.outcome == outcomeCallerLeft && x.machine.Sends() == 0
-	if x.result.outcome != outcomeNotRun && !left {
+	neverSent := x.result.isUnanswered() && x.machine.Sends() == 0
+	if x.result.outcome != outcomeNotRun && !neverSent {
 		return
 	}
 	x.handler.quotas.account(x.organisation.Name).GiveBack(now, x.quotaCharged)
--- a/pkg/gateway/stream_origin.go
+++ b/pkg/gateway/stream_origin.go
@@ -116,10 +116,10 @@
 // versions are in service.
 func (x *exchange) mayBeResumed() bool {
 	now := time.Now()
-	switch x.result.outcome {
-	case outcomeBroken:
+	switch {
+	case x.result.outcome == outcomeBroken:
 		return true
-	case outcomeCallerLeft:
+	case x.result.isUnanswered():
 		return !x.handler.control.current().agents[x.lastAgent].isFresh(now) || len(x.recentVersions(now)) != 1
 	default:
 		return false
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -85,6 +85,7 @@
 	blocks             tally.Gauge
 	responsesNotLogged tally.Counter
 	responseEnds       *vector[tally.Counter]
+	responseCuts       *vector[tally.Counter]
 	unframedEnds       *vector[tally.Counter]
 	resumptions        *vector[tally.Counter]
 	origins            tally.Gauge
@@ -125,6 +126,7 @@
 		blocks:             gateway.Gauge("blocked_signatures"),
 		responsesNotLogged: gateway.Counter("answers_not_logged_total"),
 		responseEnds:       newCounters(gateway, "response_ends_total", "framing", "outcome"),
+		responseCuts:       newCounters(gateway, "response_cuts_total", "cause"),
 		unframedEnds:       newCounters(gateway, "unframed_ends_total", "evidence"),
 		resumptions:        newCounters(gateway, "resumptions_total", "outcome"),
 		origins:            gateway.Gauge("stream_origins"),
@@ -155,6 +157,9 @@
 	g.responseEnds.with(labels{framing, outcome}).Inc(1)
 }
 
+// ResponseCut counts a request whose caller has no complete response, by why.
+func (g *Gateway) ResponseCut(cause string) { g.responseCuts.with(labels{cause}).Inc(1) }
+
 // UnframedEnd counts a response that ended with its connection in order, by what shows
 // whether it is complete.
 func (g *Gateway) UnframedEnd(evidence string) { g.unframedEnds.with(labels{evidence}).Inc(1) }
