Read responses of backend servers strictly by the grammar of HTTP

Cause: pkg/forward read heads by net/http's reader, which is lenient by design. It takes names with blanks as they are, so that a framing field is none; joins folded lines; takes LF without CR, any version and any status up to 999; skips every status below 200 as informational, so that an answer of status 000 is skipped and its body read as the next answer; ignores chunks in HTTP/1.0; and drops a length beside chunks. Trailers were read by the same code.

Change: pkg/httpresponse reads the head, chunks and trailers by RFC 9112 and RFC 9110 and rebuilds them as checked parts; what it doesn't allow, or what contradicts itself or exceeds a limit, is ErrMalformed, which says what is wrong. pkg/forward uses it; a malformed answer is of unknown outcome, as before, also where the fault is in a chunk or a trailer. 101 is refused, and informational answers are limited to 16. The limit on the head's bytes (256 KiB) moves from the connection to the reader, and its lines are limited to 1,024, since 5,000 lines passed. Two equal lengths and a missing blank after the status are refused too: the grammar doesn't allow them, though either could be read in one way only. Metric malformed_responses_total; the line `attempt failed` has the problem.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -3,27 +3,22 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
-)
 
-const (
-	readBufferBytes = 4 << 10
-	// maxHeaderBytes limits the size of a response header, with the informational
-	// responses before it.
-	maxHeaderBytes = 256 << 10
+	"teaselgauge.example/teaselgauge/pkg/httpresponse"
 )
 
+const readBufferBytes = 4 << 10
+
 // conn is a connection to a backend server that serves one request at a time.
 type conn struct {
 	address string
 	raw     net.Conn
-	header  *headerLimit
 	reader  *bufio.Reader
 	// openedAt is when the connection was established.
 	openedAt     time.Time
@@ -31,8 +26,7 @@
 }
 
 func newConn(address string, raw net.Conn, openedAt time.Time) *conn {
-	header := &headerLimit{source: raw}
-	return &conn{address: address, raw: raw, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), openedAt: openedAt}
+	return &conn{address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), openedAt: openedAt}
 }
 
 // reset closes the connection without waiting for written data to be delivered.
@@ -75,19 +69,8 @@
 
 // readHeader reads the header of the next final response, skipping informational
 // ones.
-func (c *conn) readHeader(method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
-	c.header.left = maxHeaderBytes
-	defer func() { c.header.left = unlimited }()
-	for {
-		response, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
+func (c *conn) readHeader(method string) (*httpresponse.Response, error) {
+	return httpresponse.Read(c.reader, method)
 }
 
 // setIdleDeadline sets how long the connection may be idle, from the server's
@@ -105,27 +88,3 @@
 	}
 	c.idleDeadline = now.Add(idleTime)
 }
-
-// unlimited disables a headerLimit.
-const unlimited = int(^uint(0) >> 1)
-
-// errHeaderTooLarge means that a response header exceeds maxHeaderBytes.
-var errHeaderTooLarge = errors.New("response header is too large")
-
-// headerLimit limits the bytes read while a response header is expected.
-type headerLimit struct {
-	source io.Reader
-	left   int
-}
-
-// Read implements io.Reader.
-func (h *headerLimit) Read(p []byte) (int, error) {
-	if h.left <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := h.source.Read(p)
-	if h.left != unlimited {
-		h.left -= n
-	}
-	return n, err
-}
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -4,52 +4,21 @@
 	"io"
 	"net/http"
 	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/httpresponse"
 )
 
 // Framing is what marks the end of a response's body.
-type Framing uint8
+type Framing = httpresponse.Framing
 
 // The framings.
 const (
-	// FramingNone: the response has no body, because of its status or the request's
-	// method.
-	FramingNone Framing = iota
-	// FramingLength: the header states the length.
-	FramingLength
-	// FramingChunks: the last chunk ends the body.
-	FramingChunks
-	// FramingConnection: neither; an orderly end of the connection ends the body.
-	FramingConnection
+	FramingNone       = httpresponse.FramingNone
+	FramingLength     = httpresponse.FramingLength
+	FramingChunks     = httpresponse.FramingChunks
+	FramingConnection = httpresponse.FramingConnection
 )
 
-// String returns the framing's name in logs and metrics.
-func (f Framing) String() string {
-	switch f {
-	case FramingNone:
-		return "none"
-	case FramingLength:
-		return "length"
-	case FramingChunks:
-		return "chunks"
-	default:
-		return "connection"
-	}
-}
-
-// framingOf returns the framing of the response to a request with the given method.
-func framingOf(method string, response *http.Response) Framing {
-	switch {
-	case method == http.MethodHead, response.StatusCode == http.StatusNoContent, response.StatusCode == http.StatusNotModified:
-		return FramingNone
-	case response.ContentLength >= 0:
-		return FramingLength
-	case len(response.TransferEncoding) > 0:
-		return FramingChunks
-	default:
-		return FramingConnection
-	}
-}
-
 // Response is the response of a backend server. The caller must read the body to
 // its end or call Close.
 type Response struct {
@@ -64,23 +33,23 @@
 	Skipped int
 
 	exchange *exchange
-	body     io.ReadCloser
+	body     io.Reader
 	// reusable is set if the connection may serve another request after a complete
 	// response.
 	reusable bool
 	ended    bool
 }
 
-func (x *exchange) response(method string, header *http.Response, info ResponseInfo) *Response {
+func (x *exchange) response(header *httpresponse.Response, info ResponseInfo) *Response {
 	return &Response{
-		Status:        header.StatusCode,
+		Status:        header.Status,
 		Header:        header.Header,
 		Info:          info,
 		ContentLength: header.ContentLength,
-		Framing:       framingOf(method, header),
+		Framing:       header.Framing,
 		exchange:      x,
 		body:          header.Body,
-		reusable:      !header.Close,
+		reusable:      header.Reusable,
 	}
 }
 
@@ -97,7 +66,7 @@
 		return n, io.EOF
 	default:
 		r.Close()
-		return n, &Error{Op: "read response", Address: r.exchange.conn.address, Err: err}
+		return n, &Error{Op: "read response", Address: r.exchange.conn.address, Err: classify(err)}
 	}
 }
 
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/httpresponse"
 )
 
 const (
@@ -79,13 +79,13 @@
 		if err != nil {
 			return nil, classify(err)
 		}
-		info := x.pool.headerCodec.DecodeResponse(header.StatusCode, header.Header)
+		info := x.pool.headerCodec.DecodeResponse(header.Status, header.Header)
 		if info.RequestID == request.ID {
-			response := x.response(request.Method, header, info)
+			response := x.response(header, info)
 			response.Skipped = skipped
 			return response, nil
 		}
-		if err := x.skip(request.Method, header); err != nil {
+		if err := x.skip(header); err != nil {
 			return nil, err
 		}
 	}
@@ -104,8 +104,8 @@
 
 // skip reads a response to another request to its end. A response that is
 // delimited by the end of the connection can't be skipped.
-func (x *exchange) skip(method string, header *http.Response) error {
-	if framingOf(method, header) == FramingConnection {
+func (x *exchange) skip(header *httpresponse.Response) error {
+	if header.Framing == FramingConnection {
 		return ErrForeignResponse
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(header.Body, maxDiscardBytes+1))
@@ -123,11 +123,10 @@
 	x.conn.reset()
 }
 
-// classify separates network failures from malformed responses.
+// classify separates malformed responses from network failures.
 func classify(err error) error {
-	var network net.Error
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
-		return err
+	if errors.Is(err, httpresponse.ErrMalformed) {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return fmt.Errorf("%w: %w", ErrMalformed, err)
+	return err
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -291,6 +292,9 @@
 	if response != nil {
 		status = response.Status
 	}
+	if errors.Is(x.sendError, forward.ErrMalformed) {
+		x.handler.observer.metrics.MalformedResponse()
+	}
 	x.logger.Info("attempt failed", "backend", backend.ID, "software", backend.Software, "required_software", x.software, "event", event.String(), "verdict", decision.String(), "status", status,
 		"sends", x.machine.Sends(), "connections", x.outgoing.Connections(), "may_have_run", x.machine.MayHaveRun(), "started", x.response.started(),
 		"framing", x.progress.framing.String(), "last_event", x.progress.events.LastID(), "error", x.sendError)
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -78,6 +78,7 @@
 	limitedServers     tally.Gauge
 	limitedSends       tally.Counter
 	skippedResponses   tally.Counter
+	malformedResponses tally.Counter
 	rateTokens         *vector[tally.Counter]
 	quotaCharges       *vector[tally.Counter]
 	crashChecks        *vector[tally.Counter]
@@ -118,6 +119,7 @@
 		limitedServers:     gateway.Gauge("limited_backends"),
 		limitedSends:       gateway.Counter("limited_sends_total"),
 		skippedResponses:   gateway.Counter("skipped_responses_total"),
+		malformedResponses: gateway.Counter("malformed_responses_total"),
 		rateTokens:         newCounters(gateway, "rate_tokens_total", "outcome"),
 		quotaCharges:       newCounters(gateway, "quota_charges_total", "outcome"),
 		crashChecks:        newCounters(gateway, "crash_checks_total", "result"),
@@ -197,6 +199,10 @@
 // SkippedResponses counts responses of backend servers that belong to earlier requests.
 func (g *Gateway) SkippedResponses(n int) { g.skippedResponses.Inc(int64(n)) }
 
+// MalformedResponse counts a response of a backend server that isn't one by the grammar of
+// HTTP.
+func (g *Gateway) MalformedResponse() { g.malformedResponses.Inc(1) }
+
 // RateToken counts a request for a rate token of a server with a rate limit. The outcome is
 // "granted", "refused", or "silent" if an entry that issues tokens didn't respond.
 func (g *Gateway) RateToken(outcome string) { g.rateTokens.with(labels{outcome}).Inc(1) }
