Refuse malformed responses of the store, the runner and the host list

What could be seen: a change whose answer was malformed counted as done, a malformed report or list as the state, and an order with such an answer as accepted or not needed. A line "Store-Era : 5" was no era, so that positions of one history were taken for those of another.

Change: httpresponse.NewConn wraps a connection of a client, which then reads the checked parts of each answer and ErrMalformed for any other. httpjson.NewTransport uses it, under TLS too, so that the clients of the store, the runner, the host list and the key-value service have it. A round tripper of our own would have needed a pool of connections too. The engines' client stays as it is: it may send HEAD.

--- a/pkg/httpjson/httpjson.go
+++ b/pkg/httpjson/httpjson.go
@@ -3,6 +3,8 @@
 
 import (
 	"bytes"
+	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,6 +12,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/httpresponse"
 )
 
 const (
@@ -26,7 +30,9 @@
 var ErrTooLarge = errors.New("response too large")
 
 // NewTransport returns a transport without compression that sends keep-alive
-// probes on idle connections. maxConns limits the connections to one host.
+// probes on idle connections and refuses malformed responses; errors about these wrap
+// httpresponse.ErrMalformed. maxConns limits the connections to one host. Requests must not
+// be of method HEAD.
 func NewTransport(maxConns int) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
@@ -38,7 +44,8 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         checked(dialer.DialContext),
+		DialTLSContext:      checked((&tls.Dialer{NetDialer: dialer}).DialContext),
 		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     idleConnTimeout,
@@ -46,6 +53,20 @@
 	}
 }
 
+// dialFunc connects to an address.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// checked returns a dialFunc whose connections refuse malformed responses.
+func checked(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return httpresponse.NewConn(conn), nil
+	}
+}
+
 // RefuseRedirect is a CheckRedirect function that follows no redirects.
 func RefuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
