--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -289,6 +290,9 @@
 	if response == nil {
 		response = &forward.Response{}
 	}
+	if errors.Is(x.sendError, forward.ErrMalformed) {
+		x.handler.observer.metrics.MalformedResponse()
+	}
 	connection, connectionAge := x.lastConnection(time.Now())
 	x.logger.Info("attempt failed", "backend", backend.ID, "software", backend.Software, "required_software", x.software, "event", event.String(), "verdict", decision.String(), "status", response.Status,
 		"not_run_by", response.Info.NotRunBy, "sealed", response.Info.Sealed, "skipped", response.Skipped, "connection", connection, "connection_age_ms", loggedAge(connectionAge),
