Refuse responses of engines and services whose status isn't one

What callers could get: on a site with engines, an answer of status 000, 099, 600 or 999 was a response to the caller; one of 600 or 999 with the header that says "not run" promised that.

Change: a status below 200 or above 599 is an error of a request that may have run.

--- a/pkg/engine/http_request.go
+++ b/pkg/engine/http_request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +31,14 @@
 	p.header.Set(name, value)
 }
 
+// errInvalidStatus reports that a status isn't one of a final response of HTTP.
+var errInvalidStatus = errors.New("answer with an invalid status")
+
+const (
+	lowestStatus  = 200
+	highestStatus = 599
+)
+
 // send sends a request once. Its error has NotRun set only if no connection was
 // made.
 func send(ctx context.Context, client *http.Client, op string, parts requestParts) (*http.Response, error) {
@@ -50,6 +59,10 @@
 	if err != nil {
 		return nil, &Error{Op: op, NotRun: !connected.Load(), Err: err}
 	}
+	if response.StatusCode < lowestStatus || response.StatusCode > highestStatus {
+		response.Body.Close()
+		return nil, &Error{Op: op, Status: response.StatusCode, Err: errInvalidStatus}
+	}
 	return response, nil
 }
 
--- /dev/null
+++ b/pkg/engine/malformed_test.go
@@ -0,0 +1,36 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"testing"
+)
+
+// Guards against a status that isn't one of a final response and that counts as a response, or as a promise that nothing was run.
+func TestInvalidStatusIsNotAResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		for _, lines := range []string{"", HeaderOutcome + ": " + OutcomeNotRun + "\r\n"} {
+			response := "HTTP/1.1 " + status + " Unknown\r\nX-Request-Id: r1\r\n" + lines + "Content-Length: 2\r\n\r\n{}"
+			call := Call{RequestID: "r1", Path: "/v1/completions"}
+			modelEngine := NewHTTPEngine(respondRaw(t, response))
+			checkUncertain(t, status, modelEngine.Call, call)
+			modelEngine.Close()
+			checkUncertain(t, status, NewHTTPService(respondRaw(t, response)).Call, call)
+		}
+	}
+}
+
+// checkUncertain checks that a call has no response and may have run.
+func checkUncertain(t *testing.T, name string, call func(context.Context, Call) (Response, error), request Call) {
+	t.Helper()
+	response, err := call(t.Context(), request)
+	if err == nil {
+		response.Body.Close()
+		t.Errorf("%s: response of status %d", name, response.StatusCode)
+		return
+	}
+	var failure *Error
+	if !errors.As(err, &failure) || failure.NotRun {
+		t.Errorf("%s: %v, want an *Error of a request that may have run", name, err)
+	}
+}
