Read an engine's state to its end

What could be seen: of a state followed by other bytes, or cut off after its first value, the first value was the engine's state.

Change: the body is read to its end and has to be one JSON value, as for all other clients.

Evidence: TestStateFollowedByOtherBytesIsAnError failed for three of its four bodies before.

Result: go test -race ./pkg/engine ./pkg/agent passes.

--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/httpjson"
 )
 
 // The headers between an agent and its backend server.
@@ -80,8 +82,8 @@
 		return State{}, err
 	}
 	var state State
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state); err != nil {
-		return State{}, &Error{Op: op, Err: fmt.Errorf("decode: %w", err)}
+	if err := httpjson.Decode(response.Body, maxStateBytes, &state); err != nil {
+		return State{}, &Error{Op: op, Err: err}
 	}
 	return state, nil
 }
--- a/pkg/engine/malformed_test.go
+++ b/pkg/engine/malformed_test.go
@@ -20,6 +20,17 @@
 	}
 }
 
+// Guards against a state that is followed by other bytes and counts as the engine's.
+func TestStateFollowedByOtherBytesIsAnError(t *testing.T) {
+	for _, body := range []string{"{}{}", "{}x", "{}\n[]", "{"} {
+		modelEngine := NewHTTPEngine(respondRaw(t, "HTTP/1.1 200 OK\r\n\r\n"+body))
+		if state, err := modelEngine.State(t.Context()); err == nil {
+			t.Errorf("%q: state %+v", body, state)
+		}
+		modelEngine.Close()
+	}
+}
+
 // checkUncertain checks that a call has no response and may have run.
 func checkUncertain(t *testing.T, name string, call func(context.Context, Call) (Response, error), request Call) {
 	t.Helper()
