Refuse responses of etcd that lack their revision or lease

What could be seen: a 200 whose body was null or {} counted as a service without keys, as a transaction whose conditions failed on keys that don't exist, or as lease 0.

Change: each response is checked for its revision, or its lease unless it states an error. A change with such a response is uncertain.

--- a/pkg/keyvalue/etcd.go
+++ b/pkg/keyvalue/etcd.go
@@ -106,7 +106,7 @@
 
 // read sends an idempotent call to the preferred endpoint, then to the others until
 // one responds.
-func (e *Etcd) read(ctx context.Context, op, path string, request, response any) error {
+func (e *Etcd) read(ctx context.Context, op, path string, request any, response checkedResponse) error {
 	isRetryable := func(callOutcome) bool { return true }
 	if outcome := e.call(ctx, path, request, response, isRetryable); outcome.err != nil {
 		return &StoreError{Op: op, Err: outcome.err}
@@ -116,7 +116,7 @@
 
 // write sends a change. It tries the next endpoint only if the change was certainly
 // not applied.
-func (e *Etcd) write(ctx context.Context, op, path string, request, response any) error {
+func (e *Etcd) write(ctx context.Context, op, path string, request any, response checkedResponse) error {
 	isRetryable := func(outcome callOutcome) bool { return !outcome.delivered }
 	if outcome := e.call(ctx, path, request, response, isRetryable); outcome.err != nil {
 		return &StoreError{Op: op, Uncertain: outcome.delivered && !outcome.refused, Err: outcome.err}
@@ -126,7 +126,7 @@
 
 // call sends a request to one endpoint after the other, as long as its outcome is
 // retryable and ctx lasts. It returns the last outcome.
-func (e *Etcd) call(ctx context.Context, path string, request, response any, isRetryable func(callOutcome) bool) callOutcome {
+func (e *Etcd) call(ctx context.Context, path string, request any, response checkedResponse, isRetryable func(callOutcome) bool) callOutcome {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return callOutcome{err: fmt.Errorf("encode request: %w", err)}
@@ -165,7 +165,7 @@
 	refused bool
 }
 
-func (e *Etcd) post(ctx context.Context, index int, path string, body []byte, response any) callOutcome {
+func (e *Etcd) post(ctx context.Context, index int, path string, body []byte, response checkedResponse) callOutcome {
 	ctx, cancel := context.WithTimeout(ctx, e.timeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -182,7 +182,11 @@
 	if httpResponse.StatusCode != http.StatusOK {
 		return callOutcome{err: httpjson.StatusError(httpResponse), delivered: true, refused: isRefusal(httpResponse.StatusCode)}
 	}
-	return callOutcome{err: httpjson.Decode(httpResponse.Body, maxResponseBytes, response), delivered: true}
+	err = httpjson.Decode(httpResponse.Body, maxResponseBytes, response)
+	if err == nil {
+		err = response.check()
+	}
+	return callOutcome{err: err, delivered: true}
 }
 
 // isRefusal reports whether a status guarantees that the request changed nothing.
--- a/pkg/keyvalue/etcd_messages.go
+++ b/pkg/keyvalue/etcd_messages.go
@@ -1,12 +1,31 @@
 package keyvalue
 
+import "errors"
+
 // Messages of etcd's v3 JSON gateway. Bytes are base64 strings and 64-bit
 // integers are decimal strings. Fields with zero values are omitted.
 
+// checkedResponse is the response to a call.
+type checkedResponse interface {
+	// check returns an error if a field is missing that each response has.
+	check() error
+}
+
+// errIncompleteResponse indicates that a response lacks a field.
+var errIncompleteResponse = errors.New("response lacks a field")
+
 type responseHeader struct {
 	Revision int64 `json:"revision,string"`
 }
 
+// check returns an error if there is no revision, which is above zero.
+func (h responseHeader) check() error {
+	if h.Revision <= 0 {
+		return errIncompleteResponse
+	}
+	return nil
+}
+
 type storedKeyValue struct {
 	Key            []byte `json:"key"`
 	Value          []byte `json:"value"`
@@ -24,6 +43,8 @@
 	KVs    []storedKeyValue `json:"kvs"`
 }
 
+func (r *rangeResponse) check() error { return r.Header.check() }
+
 type txnRequest struct {
 	Compare []txnCompare `json:"compare,omitempty"`
 	Success []txnOp      `json:"success,omitempty"`
@@ -59,6 +80,8 @@
 	Responses []txnOpsResponse `json:"responses"`
 }
 
+func (r *txnResponse) check() error { return r.Header.check() }
+
 type txnOpsResponse struct {
 	Range *rangeResponse `json:"response_range"`
 }
@@ -72,6 +95,13 @@
 	Error string `json:"error"`
 }
 
+func (r *leaseGrantResponse) check() error {
+	if r.Error == "" && r.ID <= 0 {
+		return errIncompleteResponse
+	}
+	return nil
+}
+
 type watchRequest struct {
 	Create watchCreate `json:"create_request"`
 }
--- a/pkg/keyvalue/etcd_test.go
+++ b/pkg/keyvalue/etcd_test.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/settings"
 )
@@ -150,3 +151,23 @@
 		t.Errorf("transaction: %+v, %v", got, err)
 	}
 }
+
+// Guards against a response without a revision that counts as an empty store or as a failed condition.
+func TestResponseWithoutRevisionIsAnError(t *testing.T) {
+	for _, body := range []string{"null", "{}", `{"header":{}}`, `{"header":{"revision":"0"},"succeeded":true}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, body)
+		}))
+		client := newClient(t, server.URL)
+		if got, err := client.Range(t.Context(), "a", true); err == nil {
+			t.Errorf("%s: range %+v", body, got)
+		}
+		if got, err := client.Txn(t.Context(), []Compare{{Key: "a"}}, nil); !IsUncertain(err) {
+			t.Errorf("%s: transaction %+v, %v, want an uncertain error", body, got, err)
+		}
+		if got, err := client.Grant(t.Context(), time.Second); !IsUncertain(err) {
+			t.Errorf("%s: lease %d, %v, want an uncertain error", body, got, err)
+		}
+		server.Close()
+	}
+}
