Log how the connection of a response without framing had ended

So it couldn't tell the hypotheses of docs/incidents/reset-as-complete.md apart.

pkg/tcpstate reads a connection's state from the kernel (TCP_INFO), which takes no pending error. The line now has request_written, connection and connection_error. No decision changes.

The test of the package shows the cause by itself: after a reset a write takes ECONNRESET, the next read returns io.EOF, and the state is closed, while it is peer-closed after an orderly end.

--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -69,8 +69,14 @@
 	// response.
 	reusable bool
 	ended    bool
+	// connectionEnd is set once the connection that delimits the response has ended.
+	connectionEnd ConnectionEnd
 }
 
+// ConnectionEnd returns what was known of the connection when it ended, if that is the
+// response's framing.
+func (r *Response) ConnectionEnd() ConnectionEnd { return r.connectionEnd }
+
 func (x *exchange) response(method string, header *http.Response, info ResponseInfo) *Response {
 	return &Response{
 		Status:        header.StatusCode,
@@ -93,6 +99,9 @@
 		return n, nil
 	// An error that wraps io.EOF isn't the end.
 	case err == io.EOF:
+		if r.Framing == FramingConnection {
+			r.connectionEnd = r.exchange.connectionEnd()
+		}
 		r.finish()
 		return n, io.EOF
 	default:
--- a/pkg/gateway/response_end.go
+++ b/pkg/gateway/response_end.go
@@ -164,7 +164,9 @@
 	clues, err := x.gatherClues(ctx, backend)
 	x.progress.evidence = clues.evidence()
 	x.handler.observer.metrics.UnframedEnd(x.progress.evidence.String())
+	end := response.ConnectionEnd()
 	x.logger.Info("response ended with its connection", "backend", backend.ID, "evidence", x.progress.evidence.String(),
+		"request_written", end.RequestWritten, "connection", end.State.String(), "connection_error", end.Err,
 		"watched", clues.watched, "open", clues.open, "accepted_at_once", clues.acceptedAtOnce, "leaving", clues.leaving,
 		"last_event", x.progress.events.LastID(), "error", err)
 	return x.progress.evidence
--- /dev/null
+++ b/pkg/tcpstate/state_linux.go
@@ -0,0 +1,39 @@
+package tcpstate
+
+import (
+	"fmt"
+	"net"
+
+	"golang.org/x/sys/unix"
+)
+
+// The states of the kernel that are told apart, from include/net/tcp_states.h.
+const (
+	kernelEstablished = unix.BPF_TCP_ESTABLISHED
+	kernelCloseWait   = unix.BPF_TCP_CLOSE_WAIT
+)
+
+// Of returns the state of a connection. Errors are ErrNotTCP and those of the system call.
+func Of(conn net.Conn) (State, error) {
+	state := Closed
+	err := control(conn, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return fmt.Errorf("state of the connection: %w", err)
+		}
+		state = stateOf(info.State)
+		return nil
+	})
+	return state, err
+}
+
+func stateOf(kernel uint8) State {
+	switch kernel {
+	case kernelEstablished:
+		return Open
+	case kernelCloseWait:
+		return PeerClosed
+	default:
+		return Closed
+	}
+}
