Look at busy connections without taking the error that their reader waits for

A caller could get a part of a response without framing as a whole one if its server reset the connection and at that moment another response of the server ended.

Cause: the kernel reports a connection's error to one call. Pool.HasOpen looked at each busy connection with recv(MSG_PEEK), from the goroutine of another request, took ECONNRESET, reported the connection as not open, and forgot why. The read of the request itself then returned io.EOF.

Change: on Linux the look asks for the unread bytes (SIOCINQ) and for the state (TCP_INFO), which take no error.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -8,8 +8,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/tcpstate"
 )
 
 const (
@@ -56,21 +57,8 @@
 // hasNothingToRead reports whether the connection is open and has no bytes in the kernel's
 // buffer. It doesn't wait for a read in progress.
 func (c *conn) hasNothingToRead() bool {
-	source, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
-		var probe [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && open
+	quiet, err := tcpstate.IsQuiet(c.raw)
+	return err == nil && quiet
 }
 
 // readHeader reads the header of the next final response, skipping informational
--- a/pkg/tcpstate/state_linux.go
+++ b/pkg/tcpstate/state_linux.go
@@ -27,6 +27,23 @@
 	return state, err
 }
 
+// IsQuiet reports whether a connection is open and has no bytes to read in the kernel's
+// buffer. It doesn't wait for a read in progress. Errors are ErrNotTCP and those of the
+// system calls; a pending error of the connection is left to its reader.
+func IsQuiet(conn net.Conn) (bool, error) {
+	unread := 0
+	err := control(conn, func(fd int) (err error) {
+		unread, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
+		return err
+	})
+	if err != nil {
+		return false, fmt.Errorf("unread bytes of the connection: %w", err)
+	}
+	// In this order, as a connection that is open now was open when it had no bytes.
+	state, err := Of(conn)
+	return unread == 0 && state == Open, err
+}
+
 func stateOf(kernel uint8) State {
 	switch kernel {
 	case kernelEstablished:
--- a/pkg/tcpstate/state_linux_test.go
+++ b/pkg/tcpstate/state_linux_test.go
@@ -93,3 +93,41 @@
 		t.Errorf("error %v, want ErrNotTCP", err)
 	}
 }
+
+// Guards against a look at a connection that takes the error which its reader waits for.
+func TestLookDoesNotTakeResetFromReader(t *testing.T) {
+	near, far := connect(t)
+	checkQuiet(t, near, true)
+	reset(t, far)
+	checkQuiet(t, near, false)
+	checkState(t, near, Closed)
+	if _, err := near.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read: %v, want ECONNRESET", err)
+	}
+}
+
+func TestConnectionWithBytesOrEndIsNotQuiet(t *testing.T) {
+	near, far := connect(t)
+	if _, err := far.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(arrivalTime)
+	checkQuiet(t, near, false)
+	if _, err := near.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	checkQuiet(t, near, true)
+	if err := far.Close(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(arrivalTime)
+	checkQuiet(t, near, false)
+}
+
+// checkQuiet fails the test unless a connection is quiet or not, as wanted.
+func checkQuiet(t *testing.T, conn net.Conn, want bool) {
+	t.Helper()
+	if quiet, err := IsQuiet(conn); quiet != want || err != nil {
+		t.Errorf("quiet: %t, %v, want %t", quiet, err, want)
+	}
+}
