End an unframed response only if nothing on its connection failed

Callers saw: a runner answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a whole answer.

Cause: the kernel reports a connection's error to one call. The write that runs beside the read took the reset, and the read returned io.EOF. That a failed write closes the connection and so also fails the read, as a comment in Send had it, holds only if that close comes before the read.

Change: for a response that its connection delimits, the read's io.EOF counts only if the request was written, no write or look met an error, and the kernel reports that the peer closed in order (TCP_CLOSE_WAIT). Errors of writes and looks are recorded on the connection; a look in progress is waited for. A writer that hasn't ended is waited for, 100 ms at most, since it may only be late. Otherwise Read returns ErrReset or ErrRequestUnwritten, which the gateway treats like any other broken response, logs with 'response ended with its connection' and counts in unframed_ends_total as reset or request-unwritten. Where the system doesn't tell the state (not Linux), the recorded errors and the writer decide.

A server that answers early and closes in order before it has read the upload: its unframed answer is cut off and counted. A success for a request that the server hasn't read can't be its result, and the caller is promised nothing by a 502; answers with a length or chunks reach the caller as before.

Why this works: none of the three facts depends on which call the kernel told the error to, or on when.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/tcpstate"
@@ -29,6 +30,11 @@
 	// openedAt is when the connection was established.
 	openedAt     time.Time
 	idleDeadline time.Time
+
+	// mu is held while another goroutine than the reader's looks at the connection.
+	mu sync.Mutex
+	// failure is the first error of a write or a look; nil if there was none.
+	failure error
 }
 
 func newConn(address string, raw net.Conn, openedAt time.Time) *conn {
@@ -55,10 +61,33 @@
 }
 
 // hasNothingToRead reports whether the connection is open and has no bytes in the kernel's
-// buffer. It doesn't wait for a read in progress.
+// buffer. It doesn't wait for a read in progress. An error that it meets is recorded, as the
+// reader may not see it any more.
 func (c *conn) hasNothingToRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	quiet, err := tcpstate.IsQuiet(c.raw)
-	return err == nil && quiet
+	if c.failure == nil {
+		c.failure = err
+	}
+	return quiet
+}
+
+// recordFailure records an error of the connection.
+func (c *conn) recordFailure(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil {
+		c.failure = err
+	}
+}
+
+// recordedFailure returns the first error that another call than the reader's has met. A
+// look at the connection that is in progress is waited for.
+func (c *conn) recordedFailure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure
 }
 
 // readHeader reads the header of the next final response, skipping informational
--- a/pkg/forward/errors.go
+++ b/pkg/forward/errors.go
@@ -36,4 +36,10 @@
 	// ErrStaleConn means that an idle connection was closed by the server or has
 	// unsolicited bytes.
 	ErrStaleConn = errors.New("idle connection is no longer usable")
+	// ErrReset means that the connection that delimits a response didn't end in order, or
+	// that this isn't known.
+	ErrReset = errors.New("connection failed before the end of the response")
+	// ErrRequestUnwritten means that the connection that delimits a response ended before
+	// the request was written.
+	ErrRequestUnwritten = errors.New("response ended before the request was written")
 )
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -71,6 +71,8 @@
 	ended    bool
 	// connectionEnd is set once the connection that delimits the response has ended.
 	connectionEnd ConnectionEnd
+	// endErr is why that isn't the end of the response; nil if it is.
+	endErr error
 }
 
 // ConnectionEnd returns what was known of the connection when it ended, if that is the
@@ -91,17 +93,23 @@
 }
 
 // Read reads the body. It returns io.EOF at its length or last chunk, or at an orderly end
-// of the connection if that is the response's framing; other errors are *Error.
+// of the connection if that is the response's framing; other errors are *Error. They wrap
+// ErrReset or ErrRequestUnwritten if the connection ended and its end isn't that of the
+// response.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
 	// An error that wraps io.EOF isn't the end.
-	case err == io.EOF:
-		if r.Framing == FramingConnection {
-			r.connectionEnd = r.exchange.connectionEnd()
-		}
+	if err == io.EOF && r.Framing == FramingConnection && !r.ended {
+		r.connectionEnd = r.exchange.connectionEnd()
+		r.endErr = r.connectionEnd.err()
+	}
+	if err == io.EOF && r.endErr != nil {
+		err = r.endErr
+	}
+	switch err {
+	case nil:
+		return n, nil
+	case io.EOF:
 		r.finish()
 		return n, io.EOF
 	default:
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -22,6 +22,9 @@
 	// response is read. Larger ones are written concurrently, as a server may
 	// respond before it has read the whole request.
 	inlineWriteBytes = 2 << 10
+	// writerSettleTime limits the wait for the writer of a request whose response has
+	// ended with its connection: it may have written all and not said so yet.
+	writerSettleTime = 100 * time.Millisecond
 )
 
 // pastDeadline makes pending reads and writes of a connection fail.
@@ -33,6 +36,8 @@
 	conn *conn
 	// written is set once the whole request was written without error.
 	written atomic.Bool
+	// writeEnded is closed once the request's writer has ended, with or without an error.
+	writeEnded chan struct{}
 	// maybeSent is set once a byte of the request may have been sent.
 	maybeSent atomic.Bool
 	stop      func() bool
@@ -51,7 +56,7 @@
 	}
 	request.carriers = append(request.carriers, c)
 	p.setBusy(c)
-	x := &exchange{pool: p, conn: c}
+	x := &exchange{pool: p, conn: c, writeEnded: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(pastDeadline) })
 	response, err := x.run(request)
 	if err != nil {
@@ -71,7 +76,8 @@
 			return nil, err
 		}
 	} else {
-		// A failed write closes the connection and so also fails the read.
+		// The connection records an error of the write. The read may not see it: after a
+		// reset that the write has met it may end in order.
 		go func() { _ = x.write(encoded) }()
 	}
 	for skipped := range maxForeignResponses {
@@ -92,9 +98,12 @@
 	return nil, ErrForeignResponse
 }
 
+// write writes the request and closes the connection if that fails.
 func (x *exchange) write(encoded []byte) error {
+	defer close(x.writeEnded)
 	x.maybeSent.Store(true)
 	if _, err := x.conn.raw.Write(encoded); err != nil {
+		x.conn.recordFailure(err)
 		x.conn.reset()
 		return err
 	}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -89,7 +89,7 @@
 	if response.ContentLength > maxBufferedBytes {
 		return x.forwardUnbuffered(ctx, backend, response)
 	}
-	body, err := x.bufferResponse(ctx, response)
+	body, err := x.bufferResponse(ctx, backend, response)
 	if errors.Is(err, memory.ErrTooLarge) || errors.Is(err, memory.ErrExhausted) {
 		return x.forwardOverflow(ctx, backend, response, body)
 	}
@@ -109,14 +109,14 @@
 
 // bufferResponse reads a response. Its error is memory.ErrTooLarge or memory.ErrExhausted,
 // with the first part of the response, if the rest can't be buffered.
-func (x *exchange) bufferResponse(ctx context.Context, response *forward.Response) ([]byte, error) {
+func (x *exchange) bufferResponse(ctx context.Context, backend *server, response *forward.Response) ([]byte, error) {
 	connection := limitedConnection(x.request)
 	return memory.Buffer{
 		Reserve: func(n int64) error { return connection.TryReserve(memory.Response, n) },
 		Release: func(n int64) { connection.Release(memory.Response, n) },
 		Length:  response.ContentLength,
 		Limit:   maxBufferedBytes,
-	}.ReadAll(watchedReader{ctx, x, response})
+	}.ReadAll(watchedReader{ctx, x, backend, response})
 }
 
 // responseLost records why none of a response can be sent, and closes it.
@@ -158,7 +158,7 @@
 // copyBody sends the rest of a response that has started and that no other server can
 // continue.
 func (x *exchange) copyBody(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
-	_, err := io.Copy(x.response, watchedReader{ctx, x, response})
+	_, err := io.Copy(x.response, watchedReader{ctx, x, backend, response})
 	if err == nil {
 		err = x.confirmEnd(ctx, backend, response).err()
 	}
--- a/pkg/gateway/response_end.go
+++ b/pkg/gateway/response_end.go
@@ -33,6 +33,10 @@
 	endFramed
 	// endServerRunning: its server runs, and so has closed the connection by itself.
 	endServerRunning
+	// endReset: its connection failed.
+	endReset
+	// endRequestUnwritten: its connection ended before the request was written.
+	endRequestUnwritten
 )
 
 // String returns the evidence's name in logs and metrics.
@@ -44,6 +48,10 @@
 		return "framing"
 	case endServerRunning:
 		return "server-running"
+	case endReset:
+		return "reset"
+	case endRequestUnwritten:
+		return "request-unwritten"
 	default:
 		return "none"
 	}
@@ -52,12 +60,16 @@
 // err returns why a response with this evidence must not end as complete; nil if it may.
 func (e endEvidence) err() error {
 	switch e {
+	case endFramed, endServerRunning:
+		return nil
 	case endRefuted:
 		return errServerEnded
-	case endUnconfirmed:
-		return errEndUnconfirmed
+	case endReset:
+		return forward.ErrReset
+	case endRequestUnwritten:
+		return forward.ErrRequestUnwritten
 	default:
-		return nil
+		return errEndUnconfirmed
 	}
 }
 
@@ -143,18 +155,44 @@
 type watchedReader struct {
 	ctx      context.Context
 	exchange *exchange
+	backend  *server
 	response *forward.Response
 }
 
 // Read implements io.Reader.
 func (r watchedReader) Read(p []byte) (int, error) {
-	n, err := r.response.Read(p)
+	n, err := r.exchange.readResponse(r.backend, r.response, p)
 	if n > 0 {
 		r.exchange.dataReceived(r.ctx)
 	}
 	return n, err
 }
 
+// readResponse reads a response, and records it if its connection ended and that isn't the
+// end of the response.
+func (x *exchange) readResponse(backend *server, response *forward.Response, p []byte) (int, error) {
+	n, err := response.Read(p)
+	switch {
+	case errors.Is(err, forward.ErrReset):
+		x.recordConnectionEnd(backend, response, endReset, endClues{}, err)
+	case errors.Is(err, forward.ErrRequestUnwritten):
+		x.recordConnectionEnd(backend, response, endRequestUnwritten, endClues{}, err)
+	}
+	return n, err
+}
+
+// recordConnectionEnd records what shows whether a response that has ended with its
+// connection is complete. The error is why it isn't, or that of a new connection.
+func (x *exchange) recordConnectionEnd(backend *server, response *forward.Response, evidence endEvidence, clues endClues, err error) {
+	end := response.ConnectionEnd()
+	x.progress.evidence = evidence
+	x.handler.observer.metrics.UnframedEnd(evidence.String())
+	x.logger.Info("response ended with its connection", "backend", backend.ID, "evidence", evidence.String(),
+		"request_written", end.RequestWritten, "connection", end.State.String(), "connection_error", end.Failure, "state_error", end.StateErr,
+		"watched", clues.watched, "open", clues.open, "accepted_at_once", clues.acceptedAtOnce, "leaving", clues.leaving,
+		"last_event", x.progress.events.LastID(), "error", err)
+}
+
 // confirmEnd returns what shows that a response that has ended in order is complete.
 func (x *exchange) confirmEnd(ctx context.Context, backend *server, response *forward.Response) endEvidence {
 	x.progress.evidence = endFramed
@@ -162,13 +200,7 @@
 		return endFramed
 	}
 	clues, err := x.gatherClues(ctx, backend)
-	x.progress.evidence = clues.evidence()
-	x.handler.observer.metrics.UnframedEnd(x.progress.evidence.String())
-	end := response.ConnectionEnd()
-	x.logger.Info("response ended with its connection", "backend", backend.ID, "evidence", x.progress.evidence.String(),
-		"request_written", end.RequestWritten, "connection", end.State.String(), "connection_error", end.Err,
-		"watched", clues.watched, "open", clues.open, "accepted_at_once", clues.acceptedAtOnce, "leaving", clues.leaving,
-		"last_event", x.progress.events.LastID(), "error", err)
+	x.recordConnectionEnd(backend, response, clues.evidence(), clues, err)
 	return x.progress.evidence
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -77,7 +77,7 @@
 			buffer = append(buffer, 0)[:len(buffer)]
 		}
 		held := len(buffer)
-		n, err := response.Read(buffer[held:cap(buffer)])
+		n, err := x.readResponse(backend, response, buffer[held:cap(buffer)])
 		buffer = buffer[:held+n]
 		size, orderErr := x.acceptEvents(buffer[held:])
 		x.requireSoftwareOf(backend)
@@ -166,7 +166,7 @@
 func (x *exchange) forwardOther(ctx context.Context, backend *server, response *forward.Response) *attempt.Event {
 	buffer := make([]byte, streamBufferSize)
 	for {
-		n, err := response.Read(buffer)
+		n, err := x.readResponse(backend, response, buffer)
 		if n > 0 {
 			x.recordRead(ctx, backend)
 		}
--- a/pkg/metrics/gateway.go
+++ b/pkg/metrics/gateway.go
@@ -155,8 +155,8 @@
 	g.responseEnds.with(labels{framing, outcome}).Inc(1)
 }
 
-// UnframedEnd counts a response that ended with its connection in order, by what shows
-// whether it is complete.
+// UnframedEnd counts a response that ended with its connection, by what shows whether it is
+// complete.
 func (g *Gateway) UnframedEnd(evidence string) { g.unframedEnds.with(labels{evidence}).Inc(1) }
 
 // Send counts a request sent to a backend server, by its outcome.
--- a/testkit/platformsite/site.go
+++ b/testkit/platformsite/site.go
@@ -39,6 +39,8 @@
 	RunnerPlaces, RunnerQueue int
 	// CopyRejections is that of all backend servers.
 	CopyRejections int
+	// ReceiveBuffer is that of the connections of all backend servers.
+	ReceiveBuffer  int
 	LoadsPerSecond float64
 	Models         []backendserver.Model
 	// Work is the processing time of a plain request and of each event of a stream.
@@ -152,7 +154,7 @@
 func (s *Site) addPlainServer(ctx context.Context, i int) error {
 	options := backendserver.Options{
 		ID: fmt.Sprintf("p-%d", i+1), Service: PlainService, Zone: s.zone(i),
-		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work, CopyRejections: s.options.CopyRejections, Deadly: s.options.Deadly,
+		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work, CopyRejections: s.options.CopyRejections, ReceiveBuffer: s.options.ReceiveBuffer, Deadly: s.options.Deadly,
 	}
 	if s.options.ServerProcesses {
 		_, err := s.addServerProcess(ctx, options)
@@ -186,7 +188,7 @@
 	backend, address, err := s.startRunnerServer(ctx, backendserver.Options{
 		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Software: software, Engine: engine,
 		Slots: cmp.Or(s.options.RunnerPlaces, s.options.Slots), Queue: cmp.Or(s.options.RunnerQueue, 2*s.options.Slots),
-		Work: s.options.Work, Events: s.options.Events, CopyRejections: s.options.CopyRejections,
+		Work: s.options.Work, Events: s.options.Events, CopyRejections: s.options.CopyRejections, ReceiveBuffer: s.options.ReceiveBuffer,
 		Deadly: s.options.Deadly,
 	})
 	if err != nil {
--- a/testkit/serverfaults/caller_test.go
+++ b/testkit/serverfaults/caller_test.go
@@ -32,6 +32,8 @@
 	budget time.Duration
 	// content identifies what is asked for; the request's ID if it is empty.
 	content string
+	// padding is the number of bytes by which the body is longer.
+	padding int
 	// lastEvent is the number of the last event that the caller has of a stream that it
 	// resumes, resumes the request that brought the first one. Both may be missing.
 	lastEvent int
@@ -79,7 +81,8 @@
 	return c, err
 }
 
-// smallReceiveBuffer is the size of a slow caller's receive buffer, in bytes.
+// smallReceiveBuffer is the size of the receive buffer of a slow caller, or of a server that
+// doesn't read, in bytes.
 const smallReceiveBuffer = 4096
 
 func setSmallReceiveBuffer(_, _ string, raw syscall.RawConn) error {
@@ -108,7 +111,7 @@
 	if content == "" {
 		content = c.id
 	}
-	body := fmt.Sprintf(`{"request":%q}`, content)
+	body := fmt.Sprintf(`{"request":%q}`, content) + strings.Repeat(" ", c.padding)
 	header := []string{
 		fmt.Sprintf("POST %s%s %s", c.path, content, protocol),
 		"Host: " + platformsite.Host,
--- a/testkit/serverfaults/main_test.go
+++ b/testkit/serverfaults/main_test.go
@@ -41,15 +41,17 @@
 const drainTime = 3500 * time.Millisecond
 
 // directSite has servers that entries reach directly, relayedSite such that they reach
-// through relays that cut responses off.
+// through relays that cut responses off, uploadSite such whose connections hold little that
+// the server hasn't read.
 var (
 	directSite  = &sharedSite{entries: entryCount}
 	relayedSite = &sharedSite{entries: 1, relayTo: cuts.relayTo}
+	uploadSite  = &sharedSite{entries: 1, receiveBuffer: smallReceiveBuffer}
 )
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if err := errors.Join(directSite.close(), relayedSite.close()); err != nil {
+	if err := errors.Join(directSite.close(), relayedSite.close(), uploadSite.close()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		code = 1
 	}
@@ -61,6 +63,8 @@
 type sharedSite struct {
 	entries int
 	relayTo func(string) (string, error)
+	// receiveBuffer is that of the servers' connections, in bytes; zero for the system's.
+	receiveBuffer int
 
 	once sync.Once
 	site *platformsite.Site
@@ -102,6 +106,7 @@
 	options.Retries = settings.Retries{Ratio: 10, Slack: 1000}
 	options.ServerProcesses = true
 	options.RelayTo = s.relayTo
+	options.ReceiveBuffer = s.receiveBuffer
 	s.site, s.err = platformsite.Start(context.Background(), binaries, options)
 }
 
--- a/testkit/standin/backendserver/plan.go
+++ b/testkit/standin/backendserver/plan.go
@@ -75,6 +75,9 @@
 	// Resume is the response to a request that resumes a stream; nil for the rest of
 	// the stream.
 	Resume *Resume `json:"resume"`
+	// Early lets the server respond to a request whose body it doesn't read, and stop after
+	// StopAfter pieces and GapMillis. The response has no framing.
+	Early bool `json:"early"`
 	// Software is the version that the events name; empty for none. The server sets it.
 	Software string `json:"-"`
 }
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -69,6 +69,10 @@
 	if limit := s.limitValue(); limit != "" {
 		w.Header().Set(HeaderLimit, limit)
 	}
+	if id != "" && s.isEarly(r) {
+		s.respondEarly(w, r, id)
+		return
+	}
 	body, err := httpapi.ReadBody(w, r)
 	if err != nil || id == "" {
 		s.refuse(w, r, id, http.StatusBadRequest)
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -7,7 +7,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -57,6 +56,9 @@
 	// CopyRejections has each n-th rejection arrive a second time, where the next response
 	// on its connection is expected; zero for none.
 	CopyRejections int
+	// ReceiveBuffer is the size of the receive buffer of each connection, in bytes; zero for
+	// the system's.
+	ReceiveBuffer int
 	// Unregistered keeps the server out of the store until Register is called.
 	Unregistered bool
 	// OnRun is called with each request that the server begins to process, OnArrival with
@@ -131,7 +133,7 @@
 
 // Start listens on a loopback address and registers the server in the store.
 func Start(address string, store *metadatastore.Server, options Options) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address, options.ReceiveBuffer)
 	if err != nil {
 		return nil, fmt.Errorf("backend server: %w", err)
 	}
