--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -7,10 +7,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
+	"sync"
 	"time"
 
 	"teaselgauge.example/teaselgauge/pkg/httpresponse"
+	"teaselgauge.example/teaselgauge/pkg/tcpstate"
 )
 
 const readBufferBytes = 4 << 10
@@ -23,6 +24,11 @@
 	// openedAt is when the connection was established.
 	openedAt     time.Time
 	idleDeadline time.Time
+
+	// mu is held while another goroutine than the reader's looks at the connection.
+	mu sync.Mutex
+	// failure is the first error of a write or a look; nil if there was none.
+	failure error
 }
 
 func newConn(address string, raw net.Conn, openedAt time.Time) *conn {
@@ -48,23 +54,33 @@
 }
 
 // hasNothingToRead reports whether the connection is open and has no bytes in the kernel's
-// buffer. It doesn't wait for a read in progress.
+// buffer. It doesn't wait for a read in progress. An error that it meets is recorded, as the
+// reader may not see it any more.
 func (c *conn) hasNothingToRead() bool {
-	source, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	quiet, err := tcpstate.IsQuiet(c.raw)
+	if c.failure == nil {
+		c.failure = err
 	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
+	return quiet
+}
+
+// recordFailure records an error of the connection.
+func (c *conn) recordFailure(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil {
+		c.failure = err
 	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
-		var probe [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && open
+}
+
+// recordedFailure returns the first error that another call than the reader's has met. A
+// look at the connection that is in progress is waited for.
+func (c *conn) recordedFailure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure
 }
 
 // readHeader reads the header of the next final response, skipping informational
--- /dev/null
+++ b/pkg/tcpstate/state_linux.go
@@ -0,0 +1,56 @@
+package tcpstate
+
+import (
+	"fmt"
+	"net"
+
+	"golang.org/x/sys/unix"
+)
+
+// The states of the kernel that are told apart, from include/net/tcp_states.h.
+const (
+	kernelEstablished = unix.BPF_TCP_ESTABLISHED
+	kernelCloseWait   = unix.BPF_TCP_CLOSE_WAIT
+)
+
+// Of returns the state of a connection. Errors are ErrNotTCP and those of the system call.
+func Of(conn net.Conn) (State, error) {
+	state := Closed
+	err := control(conn, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return fmt.Errorf("state of the connection: %w", err)
+		}
+		state = stateOf(info.State)
+		return nil
+	})
+	return state, err
+}
+
+// IsQuiet reports whether a connection is open and has no bytes to read in the kernel's
+// buffer. It doesn't wait for a read in progress. Errors are ErrNotTCP and those of the
+// system calls; a pending error of the connection is left to its reader.
+func IsQuiet(conn net.Conn) (bool, error) {
+	unread := 0
+	err := control(conn, func(fd int) (err error) {
+		unread, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
+		return err
+	})
+	if err != nil {
+		return false, fmt.Errorf("unread bytes of the connection: %w", err)
+	}
+	// In this order, as a connection that is open now was open when it had no bytes.
+	state, err := Of(conn)
+	return unread == 0 && state == Open, err
+}
+
+func stateOf(kernel uint8) State {
+	switch kernel {
+	case kernelEstablished:
+		return Open
+	case kernelCloseWait:
+		return PeerClosed
+	default:
+		return Closed
+	}
+}
