Keep a connection until its last response is delivered

Cause: net/http closes the connection at once after a response with 'Connection: close', and the kernel answers a close with unread bytes, or bytes that arrive after it, with a reset that drops what is still in its send buffer. A stopping entry closes after each response, and it counted such a connection as done, so that its exit did the same. The class: the close of a connection is taken for the delivery of what was written on it. Change: pkg/httpdrain closes a connection after a complete response by ending the sending side, and closes it once the caller's host has acknowledged all (TCP_INFO), for at most 10 s. What the caller sent stays unread, so that the reset that follows still tells it that this wasn't read. Until then the connection counts as open for a stop, and the memory budget may cut it off. An incomplete response is closed at once, as before. The entry of a site of our own has the same fault and the same fix.

--- a/pkg/callerlimits/conn.go
+++ b/pkg/callerlimits/conn.go
@@ -26,6 +26,8 @@
 	phaseHead
 	// phaseRequest: the head was read.
 	phaseRequest
+	// phaseClosing: no further request is read, and the last response is being delivered.
+	phaseClosing
 )
 
 // Conn is a connection of a caller.
@@ -334,7 +336,7 @@
 	}
 	c.ended = true
 	c.endedBy = cmp.Or(c.exceeded, CutOff)
-	if c.writing {
+	if c.writing || c.phase == phaseClosing {
 		_ = c.Conn.Close()
 		return true
 	}
--- a/pkg/callerlimits/listener.go
+++ b/pkg/callerlimits/listener.go
@@ -105,6 +105,8 @@
 		c.requestEnded()
 	case http.StateClosed:
 		c.endResponse()
+		c.setState(phaseClosing)
+		c.listener.pool.EndRequest(c.claim)
 	}
 }
 
@@ -154,7 +156,7 @@
 	switch {
 	case c.writing:
 		cause, took = Unread, c.claim.Stall(now)
-	case c.phase == phaseRequest:
+	case c.phase == phaseRequest, c.phase == phaseClosing:
 		return "", false
 	case c.phase == phaseHead:
 		limit, cause = headerTimeout, HeadTooSlow
--- a/pkg/entry/http_server.go
+++ b/pkg/entry/http_server.go
@@ -29,9 +29,11 @@
 				w.Header().Set("Connection", "close")
 			}
 			handler.ServeHTTP(w, r)
+			httpdrain.ResponseComplete(r.Context())
 		}),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       httpdrain.WithConnection,
 		ConnState:         s.connections.StateChanged,
 	}
 	return s
--- a/pkg/gateway/caller_response.go
+++ b/pkg/gateway/caller_response.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"teaselgauge.example/teaselgauge/pkg/forward"
+	"teaselgauge.example/teaselgauge/pkg/httpdrain"
 )
 
 // responseState is how far the response to a caller has got.
@@ -36,7 +37,7 @@
 
 // withCallerConnection is the ConnContext of the HTTP server for callers.
 func withCallerConnection(ctx context.Context, connection net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnectionKey{}, connection)
+	return context.WithValue(httpdrain.WithConnection(ctx, connection), callerConnectionKey{}, connection)
 }
 
 // callerConnection returns the TCP connection below a caller's connection; nil if there is
@@ -198,4 +199,5 @@
 	if r.state != responseComplete {
 		panic(http.ErrAbortHandler)
 	}
+	httpdrain.ResponseComplete(r.request.Context())
 }
--- a/pkg/httpdrain/connection.go
+++ b/pkg/httpdrain/connection.go
@@ -14,6 +14,7 @@
 // the connection stays open, or an error, and no data is taken from the socket.
 type connection struct {
 	net.Conn
+	owner *Connections
 
 	mu sync.Mutex
 	// idleSince is when the last request ended or the connection was accepted; zero
@@ -26,6 +27,10 @@
 	closing bool
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
+	// complete is set once a handler has returned with a complete response, until the next
+	// request. lingering is set while the connection waits for its delivery.
+	complete  bool
+	lingering bool
 	// records finds requests below TLS; nil without it.
 	records *recordScanner
 }
@@ -92,6 +97,7 @@
 	defer c.mu.Unlock()
 	c.idleSince = time.Time{}
 	c.readAhead = false
+	c.complete = false
 }
 
 // setIdle notes that the connection was accepted or that a request has ended.
--- a/pkg/httpdrain/connections.go
+++ b/pkg/httpdrain/connections.go
@@ -22,7 +22,7 @@
 
 // Connections tracks the connections of one http.Server. The server must serve the
 // listener that Listener returns, or one on top of it, and have StateChanged as its
-// ConnState.
+// ConnState and WithConnection as its ConnContext.
 type Connections struct {
 	listener *listener
 
@@ -34,7 +34,7 @@
 // be called once, before the server starts.
 func (c *Connections) Listener(inner net.Listener) net.Listener {
 	c.open = make(map[*connection]struct{})
-	c.listener = newListener(inner)
+	c.listener = newListener(inner, c)
 	return c.listener
 }
 
@@ -58,12 +58,21 @@
 	case http.StateActive:
 		tracked.setActive()
 	case http.StateClosed, http.StateHijacked:
-		c.mu.Lock()
-		delete(c.open, tracked)
-		c.mu.Unlock()
+		if !tracked.isLingering() {
+			c.remove(tracked)
+		}
 	}
 }
 
+func (c *Connections) remove(tracked *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, tracked)
+}
+
+// lingerEnded removes a connection that was closed after its last response was delivered.
+func (c *Connections) lingerEnded(tracked *connection) { c.remove(tracked) }
+
 // unwrap returns the tracked connection below a connection such as a tls.Conn.
 func unwrap(conn net.Conn) *connection {
 	for {
--- /dev/null
+++ b/pkg/httpdrain/linger.go
@@ -0,0 +1,141 @@
+package httpdrain
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// lingerCheckInterval is the time between two checks whether a caller has received a
+	// response whose connection is to be closed.
+	lingerCheckInterval = 5 * time.Millisecond
+	// lingerTimeout limits the wait. The kernel goes on sending after it, unless the caller
+	// has sent something that nobody read.
+	lingerTimeout = 10 * time.Second
+)
+
+// connectionKey is the key of the tracked connection in a request's context.
+type connectionKey struct{}
+
+// WithConnection is the ConnContext of a server with tracked connections.
+func WithConnection(ctx context.Context, conn net.Conn) context.Context {
+	tracked := unwrap(conn)
+	if tracked == nil {
+		return ctx
+	}
+	return context.WithValue(ctx, connectionKey{}, tracked)
+}
+
+// ResponseComplete notes that a handler is about to return with a complete response. Should
+// its connection be closed after it, it is closed once the caller's host has received all.
+func ResponseComplete(ctx context.Context) {
+	if tracked, ok := ctx.Value(connectionKey{}).(*connection); ok {
+		tracked.setComplete()
+	}
+}
+
+func (c *connection) setComplete() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.complete = true
+}
+
+// Close implements net.Conn. After a complete response it ends the sending side and keeps the
+// connection until the caller's host has received all: the close of a connection with unread
+// bytes, or bytes that arrive after it, would drop what is still on its way. What the caller
+// has sent stays unread, so that the close tells it so.
+func (c *connection) Close() error {
+	tcp := tcpBelow(c.Conn)
+	if tcp == nil || !c.beginLinger() {
+		return c.Conn.Close()
+	}
+	// It ends a read that the server has under way.
+	_ = c.Conn.SetReadDeadline(expired)
+	if tcp.CloseWrite() != nil || !isUndelivered(tcp) {
+		return c.endLinger()
+	}
+	go c.linger(tcp)
+	return nil
+}
+
+// linger closes the connection once all was delivered.
+func (c *connection) linger(tcp *net.TCPConn) {
+	for begun := time.Now(); time.Since(begun) < lingerTimeout && isUndelivered(tcp); {
+		time.Sleep(lingerCheckInterval)
+	}
+	// Nobody is left who could act on the error.
+	_ = c.endLinger()
+}
+
+// beginLinger returns false if the connection is to be closed at once.
+func (c *connection) beginLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.complete || c.lingering {
+		return false
+	}
+	c.lingering = true
+	return true
+}
+
+// endLinger closes the connection.
+func (c *connection) endLinger() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	c.lingering, c.complete = false, false
+	c.mu.Unlock()
+	c.owner.lingerEnded(c)
+	return err
+}
+
+func (c *connection) isLingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingering
+}
+
+// tcpBelow returns the TCP connection below another one; nil if there is none.
+func tcpBelow(conn net.Conn) *net.TCPConn {
+	for {
+		switch layer := conn.(type) {
+		case *net.TCPConn:
+			return layer
+		case interface{ NetConn() net.Conn }:
+			conn = layer.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
+// The states of a TCP connection whose sending side was closed and whose peer hasn't
+// acknowledged all, of the kernel's enum in tcp_states.h.
+const (
+	stateFinWait1 = 4
+	stateLastAck  = 9
+	stateClosing  = 11
+	// stateMask takes the first field of tcp_info, which is a byte.
+	stateMask = 0xff
+)
+
+// isUndelivered reports whether the peer hasn't acknowledged all that was sent on a connection
+// whose sending side was closed. It is false if the kernel doesn't tell.
+func isUndelivered(tcp *net.TCPConn) bool {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	state := 0
+	err = raw.Control(func(fd uintptr) {
+		var info int
+		if info, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
+			state = info & stateMask
+		}
+	})
+	if err != nil {
+		return false
+	}
+	return state == stateFinWait1 || state == stateLastAck || state == stateClosing
+}
--- a/pkg/httpdrain/listener.go
+++ b/pkg/httpdrain/listener.go
@@ -8,6 +8,7 @@
 // listener wraps the connections that it accepts.
 type listener struct {
 	net.Listener
+	owner *Connections
 	// ended is closed once no further connection will be accepted.
 	ended chan struct{}
 
@@ -19,8 +20,8 @@
 	hasEnded bool
 }
 
-func newListener(inner net.Listener) *listener {
-	return &listener{Listener: inner, ended: make(chan struct{})}
+func newListener(inner net.Listener, owner *Connections) *listener {
+	return &listener{Listener: inner, owner: owner, ended: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -31,7 +32,7 @@
 		l.setFailed(true)
 		return nil, err
 	}
-	return &connection{Conn: conn}, nil
+	return &connection{Conn: conn, owner: l.owner}, nil
 }
 
 // Close implements net.Listener.
