Leave the delivery of responses to the kernel at the end of a stop

Cause: the end of a process closes its sockets like any close: unread bytes make it a reset. Change: when the time to drain is over, or a caller hasn't received a response 10 s after it was written, what the caller has sent is read and dropped before the close. The kernel then goes on sending after the process has ended. That the dropped request wasn't processed is said by the 'Connection: close' of the response before it.

--- a/pkg/httpdrain/connections.go
+++ b/pkg/httpdrain/connections.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -106,12 +108,24 @@
 		}
 		select {
 		case <-ctx.Done():
+			c.abandonLingering()
 			return open
 		case <-ticker.C:
 		}
 	}
 }
 
+// abandonLingering leaves the delivery of responses whose connections wait for it to the
+// kernel, which goes on after the end of the process.
+func (c *Connections) abandonLingering() {
+	c.mu.Lock()
+	open := slices.Collect(maps.Keys(c.open))
+	c.mu.Unlock()
+	for _, tracked := range open {
+		tracked.abandon()
+	}
+}
+
 // closeIdle has the server close the connections that have been idle since before
 // the given time. It returns the number of open connections.
 func (c *Connections) closeIdle(before time.Time) int {
--- a/pkg/httpdrain/linger.go
+++ b/pkg/httpdrain/linger.go
@@ -11,8 +11,7 @@
 	// lingerCheckInterval is the time between two checks whether a caller has received a
 	// response whose connection is to be closed.
 	lingerCheckInterval = 5 * time.Millisecond
-	// lingerTimeout limits the wait. The kernel goes on sending after it, unless the caller
-	// has sent something that nobody read.
+	// lingerTimeout limits the wait. The kernel goes on sending after it.
 	lingerTimeout = 10 * time.Second
 )
 
@@ -62,13 +61,47 @@
 
 // linger closes the connection once all was delivered.
 func (c *connection) linger(tcp *net.TCPConn) {
-	for begun := time.Now(); time.Since(begun) < lingerTimeout && isUndelivered(tcp); {
-		time.Sleep(lingerCheckInterval)
+	for begun := time.Now(); isUndelivered(tcp); time.Sleep(lingerCheckInterval) {
+		if time.Since(begun) >= lingerTimeout {
+			discardUnread(tcp)
+			break
+		}
 	}
 	// Nobody is left who could act on the error.
 	_ = c.endLinger()
 }
 
+// abandon closes the connection if it lingers, and leaves the delivery to the kernel.
+func (c *connection) abandon() {
+	if tcp := tcpBelow(c.Conn); tcp != nil && c.isLingering() {
+		discardUnread(tcp)
+		_ = c.endLinger()
+	}
+}
+
+// maxDiscardedBytes limits what is discarded at the close of a connection.
+const maxDiscardedBytes = 1 << 20
+
+// discardUnread reads what the caller has sent, so that the close isn't a reset and the kernel
+// goes on sending.
+func discardUnread(tcp *net.TCPConn) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		var buffer [16 << 10]byte
+		for left := maxDiscardedBytes; left > 0; {
+			n, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				return
+			}
+			left -= n
+		}
+	})
+}
+
 // beginLinger returns false if the connection is to be closed at once.
 func (c *connection) beginLinger() bool {
 	c.mu.Lock()
--- a/pkg/httpdrain/linger_test.go
+++ b/pkg/httpdrain/linger_test.go
@@ -133,3 +133,27 @@
 		t.Errorf("%d connections open", open)
 	}
 }
+
+// Guards against a stop that drops what a slow caller is still to receive, as it has sent more.
+func TestEndOfAStopLeavesTheDeliveryToTheKernel(t *testing.T) {
+	connections, server, address := startTCP(t, false)
+	conn := dialSlow(t, address)
+	time.Sleep(300 * time.Millisecond)
+	_, _ = io.WriteString(conn, requestText)
+	ctx, cancel := context.WithTimeout(t.Context(), quiet)
+	defer cancel()
+	if open := connections.Close(ctx, 0); open != 1 {
+		t.Errorf("%d connections open, want 1", open)
+	}
+	_ = server.Close()
+	time.Sleep(2 * lingerCheckInterval)
+	connections.mu.Lock()
+	left := len(connections.open)
+	connections.mu.Unlock()
+	if left != 0 {
+		t.Errorf("%d connections not closed", left)
+	}
+	if n, err := readAll(conn); n != longBody || err != nil {
+		t.Errorf("%d of %d bytes, %v", n, longBody, err)
+	}
+}
