Renew the watch of an unframed response before its server closes it as idle

Other connections to the server, where there are any, vouch for it as well; a stopping entry loses its own one by one (from the code, not measured). Cause: the connection that watches the server was taken from the idle ones, however soon the server would close it by the time of its Keep-Alive, and was replaced only when data arrived. Closed between the last data and the end, it counts as the server's end: 'evidence=server-ended'. Change: a watch is renewed by a timer, at the idle deadline of a connection from the pool or after 0.8 s, whether data arrives or not.

--- a/pkg/forward/watch.go
+++ b/pkg/forward/watch.go
@@ -12,6 +12,8 @@
 	// watchRefreshInterval is the age at which the connection of a Watch is replaced,
 	// since servers close connections that are idle for some seconds.
 	watchRefreshInterval = time.Second
+	// watchRenewInterval is the same for a response without new data.
+	watchRenewInterval = 800 * time.Millisecond
 	// watchDialTimeout limits the time to connect, as a response waits for it.
 	watchDialTimeout = 100 * time.Millisecond
 	// EstablishTime is how long a new connection must stay open before its end shows
@@ -37,6 +39,8 @@
 	// established is set once a connection has been open for EstablishTime.
 	established bool
 	timer       *time.Timer
+	// renewal replaces the connection before its server closes it as idle.
+	renewal *time.Timer
 }
 
 // NewWatch begins to watch the process that a server has now, by an idle connection or a
@@ -44,8 +48,11 @@
 func (p *Pool) NewWatch(ctx context.Context, address string) (*Watch, error) {
 	now := time.Now()
 	w := &Watch{pool: p, address: address, renewedAt: now}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.conn = p.takeIdle(address, now, nil); w.conn != nil {
 		w.established = true
+		w.renewal = time.AfterFunc(min(w.conn.idleDeadline.Sub(now), watchRenewInterval), w.renew)
 		return w, nil
 	}
 	next, err := w.dial(ctx)
@@ -54,6 +61,7 @@
 	}
 	w.conn, w.openedAt = next, now
 	w.timer = time.AfterFunc(EstablishTime, w.establish)
+	w.renewal = time.AfterFunc(watchRenewInterval, w.renew)
 	return w, nil
 }
 
@@ -113,12 +121,47 @@
 		// The old connection goes on showing what it did.
 		return
 	}
+	w.replace(next, now)
+}
+
+// replace replaces the connection by one that was opened at a time, if it is still open.
+func (w *Watch) replace(next *conn, openedAt time.Time) {
 	if !w.isOpen() {
 		_ = next.raw.Close()
 		return
 	}
 	_ = w.conn.raw.Close()
-	w.conn, w.openedAt = next, now
+	w.conn, w.openedAt = next, openedAt
+}
+
+// renew opens another connection, whether data arrives or not.
+func (w *Watch) renew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.isOpen() {
+		return
+	}
+	w.renewal = time.AfterFunc(watchRenewInterval, w.renew)
+	now := time.Now()
+	next, err := w.dial(context.Background())
+	if err != nil {
+		// The old connection goes on showing what it did.
+		return
+	}
+	time.AfterFunc(EstablishTime, func() { w.finishRenewal(next, now) })
+}
+
+// finishRenewal replaces the connection by a new one that the server hasn't closed as beyond
+// its limit.
+func (w *Watch) finishRenewal(next *conn, openedAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !next.isIdle() {
+		_ = next.raw.Close()
+		return
+	}
+	w.renewedAt = openedAt
+	w.replace(next, openedAt)
 }
 
 // Close ends the watch. A connection of the pool is kept for later requests.
@@ -128,6 +171,7 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	w.renewal.Stop()
 	if !w.isOpen() {
 		return
 	}
