Answer the requests that a stop cuts off before their response has started

What callers saw: a request that a stopping entry had read and still had without a response at the end of its time to drain got a closed connection. Cause: a handler whose request's context has ended returns without a response, as its caller has left; the end of draining ended it in the same way. Change: a request whose context ended with errDrainEnded gets 503, not run, if it was never sent, and 502 otherwise.

--- a/pkg/gateway/unanswered.go
+++ b/pkg/gateway/unanswered.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 
 	"teaselgauge.example/teaselgauge/pkg/callerlimits"
 )
@@ -22,6 +23,9 @@
 // conclude records why a request has ended without a result, and has its end recorded once
 // its response was handed to the kernel.
 func (x *exchange) conclude() {
+	if x.result.outcome == "" && x.wasCutOff() && !x.response.started() {
+		x.fail(x.cutOffRefusal())
+	}
 	if x.result.outcome == "" {
 		x.result = resultWithoutResponse(context.Cause(x.request.Context()), limitedConnection(x.request).EndedBy())
 	}
@@ -31,6 +35,19 @@
 	}
 }
 
+// wasCutOff reports whether the request was ended as the time to drain is over.
+func (x *exchange) wasCutOff() bool {
+	return errors.Is(context.Cause(x.request.Context()), errDrainEnded)
+}
+
+// cutOffRefusal is the response to a request that was cut off before its response started.
+func (x *exchange) cutOffRefusal() refusal {
+	if x.machine.Sends() > 0 {
+		return refusal{status: http.StatusBadGateway, reason: "entry stopped"}
+	}
+	return refusal{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stoppingRetryAfter}
+}
+
 // resultWithoutResponse returns the result of a request whose handler returned without a response.
 // cause is why the request's context has ended, nil if it hasn't. limit is the limit that has
 // ended the connection, if one has.
--- a/pkg/gateway/unanswered_test.go
+++ b/pkg/gateway/unanswered_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -129,3 +130,33 @@
 		t.Errorf("log %q", text)
 	}
 }
+
+// Guards against a connection that a stopping entry closes without a response that it could send.
+func TestRequestWithoutAResponseIsAnsweredWhenItIsCutOff(t *testing.T) {
+	held := make(chan struct{})
+	sent := make(chan struct{})
+	site := startEndSite(t, onceRoute, 1, func(*rawBackend, *net.TCPConn, *http.Request) {
+		close(sent)
+		<-held
+	})
+	t.Cleanup(func() { close(held) })
+	g, address, log := startLimited(t, site)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET /item HTTP/1.1\r\nHost: desk.example\r\nX-Id: r-1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-sent
+	site.handler.stop.begin(time.Now())
+	g.cutOff()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no response: %v, log %q", err, log.String())
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusBadGateway {
+		t.Errorf("status %d, %v", response.StatusCode, err)
+	}
+}
