Serve a request that is read while a limit ends its idle connection

What callers saw: a connection is closed without a response although its request was read, where a kept connection is ended as idle too long, or to make room, at the moment at which the next request arrives. Cause: the limit decides by the noted state, idle, while the goroutine that reads has data already. Each later read then fails, and net/http ends the context of the request that it has begun. Change: a read that returns the first data of a request from a connection ended as idle takes the end back.

--- a/pkg/callerlimits/conn.go
+++ b/pkg/callerlimits/conn.go
@@ -50,6 +50,8 @@
 	// ended is set once reads fail, writing while a write is under way.
 	ended   bool
 	writing bool
+	// deadline is the read deadline that the server has set.
+	deadline time.Time
 	// exceeded is the limit on time that a sweep found exceeded, endedBy the limit that has
 	// ended the connection; empty for none.
 	exceeded Cause
@@ -115,6 +117,7 @@
 		c.countAhead(data, size)
 		return 0, false
 	case phaseIdle:
+		c.resume()
 		c.setPhase(now, phaseHead)
 		c.head, c.reserved = headScanner{}, 0
 	}
@@ -132,6 +135,18 @@
 	return need, false
 }
 
+// resume undoes the end of an idle connection from which a request was read meanwhile: its
+// caller can't know that it won't be served.
+func (c *Conn) resume() {
+	if !c.ended {
+		return
+	}
+	c.ended, c.endedBy = false, ""
+	c.claim.Resume()
+	// If it fails, so will the next read.
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
 // bufferBytes is the size of net/http's buffer of a connection. It is filled by reads of at
 // most this size; larger ones go to a body.
 const bufferBytes = 4 << 10
@@ -313,6 +328,7 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.deadline = deadline
 	if c.ended {
 		return nil
 	}
--- a/pkg/memory/claim.go
+++ b/pkg/memory/claim.go
@@ -71,6 +71,9 @@
 	return false
 }
 
+// Resume undoes a cut, as the connection goes on.
+func (c *Claim) Resume() { c.cutOff.Store(false) }
+
 func (c *Claim) isCutOff() bool { return c.cutOff.Load() }
 
 // Stall returns the time without progress; zero if the connection doesn't wait for its
