--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
