Believe "not run" only from its field, in a header of one response

What callers saw: requests that ran and were answered 503, or were sent to a second server and ran there too. Reproduced on real processes: a server that runs every request sends the beginning of a rejection of another request and then its answer on the same connection.

Cause: if an extra rejection breaks off inside a line of its header, the answer that follows continues this line ("Retry-After: 0." and then "HTTP/1.1 200 OK"), and the two headers are read as one: status and word of the rejection, ID and seal of the answer. The ID is compared, and fits. The same holds for the status alone where it counted without the word: an extra 421 that breaks off in its reason phrase gave *not run* to whatever followed. Repeated IDs were read as the first one, the word counted beside a success.

Change: DecodeResponse names a contradiction (the ID, the seal or the word twice; the word with a status below 400; a status line inside a field's value), and such a response is a lost send, whose connection is closed and whose backpressure isn't believed.

Not covered here, as the parser of heads has it: a status line inside the reason phrase, after which an idempotent request gets the wrong status. That this explains the users' runs is a suspicion: a rejection that has its ID before its word can't do it by the word, only by 421.

--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -71,6 +71,9 @@
 	RequestID string
 	// NotRun is set if the server did not run the request and never will.
 	NotRun bool
+	// Contradiction is why the header can't be that of one response, such as two IDs; empty
+	// if nothing contradicts. Such a header says nothing about its request.
+	Contradiction string
 	// NotRunBy is what in the response says so, for logs; empty if nothing does.
 	NotRunBy string
 	// Sealed is set if the response has a backend server's seal.
--- a/pkg/gateway/ends_harness_test.go
+++ b/pkg/gateway/ends_harness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,8 +23,8 @@
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 )
 
-// plainCodec uses headers of its own: X-Id, X-Seal, X-Not-Run, X-Weights, X-Expect-Weights and
-// Last-Event-Id.
+// plainCodec uses headers of its own: X-Id, X-Seal, X-Not-Run, X-Contradiction, X-Retry-Millis,
+// X-Weights, X-Expect-Weights and Last-Event-Id.
 type plainCodec struct{}
 
 func (plainCodec) DecodeRequest(header http.Header) (forward.RequestInfo, error) {
@@ -50,7 +51,16 @@
 }
 
 func (plainCodec) DecodeResponse(_ int, header http.Header) forward.ResponseInfo {
-	return forward.ResponseInfo{RequestID: header.Get("X-Id"), Sealed: header.Get("X-Seal") != "", NotRun: header.Get("X-Not-Run") != "", NotRunBy: "X-Not-Run: " + header.Get("X-Not-Run"), WeightsVersion: header.Get("X-Weights")}
+	retryMillis, _ := strconv.Atoi(header.Get("X-Retry-Millis"))
+	return forward.ResponseInfo{
+		RequestID:      header.Get("X-Id"),
+		Sealed:         header.Get("X-Seal") != "",
+		NotRun:         header.Get("X-Not-Run") != "",
+		NotRunBy:       "X-Not-Run: " + header.Get("X-Not-Run"),
+		Contradiction:  header.Get("X-Contradiction"),
+		RetryAfter:     time.Duration(retryMillis) * time.Millisecond,
+		WeightsVersion: header.Get("X-Weights"),
+	}
 }
 
 // rawBackend is a server that writes raw bytes as responses.
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -11,8 +12,12 @@
 	"teaselgauge.example/teaselgauge/pkg/ratelimit"
 )
 
-// errNoSeal means that a success has no seal of a backend server.
-var errNoSeal = errors.New("response without a seal")
+var (
+	// errNoSeal means that a success has no seal of a backend server.
+	errNoSeal = errors.New("response without a seal")
+	// errContradictory means that the header of a response can't be that of one response.
+	errContradictory = errors.New("response header contradicts itself")
+)
 
 // sendCompleted is the metric's result of a send whose response is forwarded.
 const sendCompleted = "answered"
@@ -38,6 +43,11 @@
 	x.headerReceived = true
 	x.progress.framing = response.Framing
 	x.recordSkipped(backend, response)
+	if why := response.Info.Contradiction; why != "" {
+		response.Close()
+		tracker.RequestEnded(backend.ID)
+		return x.sendFailed(ctx, backend, fmt.Errorf("%w: %s, status %d", errContradictory, why, response.Status)), nil
+	}
 	x.recordBackpressure(backend, response)
 	x.recordLimit(now, backend, response)
 	if event := x.classify(response); event != nil {
