--- a/pkg/httpresponse/fuzz_test.go
+++ b/pkg/httpresponse/fuzz_test.go
@@ -28,7 +28,7 @@
 )
 
 var (
-	headRule    = regexp.MustCompile(`^HTTP/1\.([01]) ([1-5][0-9][0-9]) ` + ruleText + `\r\n` + ruleFields)
+	headRule    = regexp.MustCompile(`^HTTP/1\.([01]) ([1-5][0-9][0-9]) (` + ruleText + `)\r\n` + ruleFields)
 	fieldRule   = regexp.MustCompile(`^(` + ruleToken + `):[ \t]*(` + ruleText + `)\r\n`)
 	chunkRule   = regexp.MustCompile(`^` + ruleChunk)
 	trailerRule = regexp.MustCompile(`^` + ruleFields)
@@ -91,11 +91,11 @@
 func parseByRules(left *text) (result expected, ok bool) {
 	for range 17 {
 		head := left.match(headRule)
-		if head == nil {
+		if head == nil || strings.Contains(head[3], "HTTP/1.") {
 			return expected{}, false
 		}
 		result.status, _ = strconv.Atoi(head[2])
-		result.fields = fieldsByRules(head[3])
+		result.fields = fieldsByRules(head[4])
 		lengths, codings := valuesOf(result.fields, "Content-Length"), valuesOf(result.fields, "Transfer-Encoding")
 		if result.status >= 200 {
 			ok = bodyByRules(&result, head[1], lengths, codings, left)
--- a/pkg/httpresponse/grammar.go
+++ b/pkg/httpresponse/grammar.go
@@ -9,6 +9,7 @@
 	lowestStatus  = 100
 	highestStatus = 599
 	statusDigits  = 3
+	versionPrefix = "HTTP/1."
 	// lengthBits is the size of a length without its sign bit.
 	lengthBits = 63
 )
@@ -79,6 +80,10 @@
 	if !isText(reason) {
 		return parsed, malformed("control byte in the reason")
 	}
+	// A response that broke off in its reason is continued by the next one's status line.
+	if strings.Contains(reason, versionPrefix) {
+		return parsed, malformed("status line in the reason")
+	}
 	return parsed, nil
 }
 
--- a/pkg/httpresponse/httpresponsetest/malformed.go
+++ b/pkg/httpresponse/httpresponsetest/malformed.go
@@ -105,6 +105,7 @@
 		{"empty line before the status line", status("\r\nHTTP/1.1 200 OK\r\n")},
 		{"NUL in the reason", status("HTTP/1.1 200 O\x00K\r\n")},
 		{"control byte in the reason", status("HTTP/1.1 200 O\x01K\r\n")},
+		{"status line in the reason", status("HTTP/1.1 421 MisdirectedHTTP/1.1 200 OK\r\n")},
 		{"CR in the reason", status("HTTP/1.1 200 O\rK\r\n")},
 		{"many lines", field(strings.Repeat("X-Y: z\r\n", 5000))},
 		{"large head", field("X-Y: " + strings.Repeat("z", 300<<10) + "\r\n")},
