--- a/testkit/platformsite/configuration.go
+++ b/testkit/platformsite/configuration.go
@@ -1,6 +1,7 @@
 package platformsite
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -131,7 +132,7 @@
 			{Name: EngineService, HealthPath: "/health", MaxConnections: 250, Engine: engine},
 			{Name: PlainService, HealthPath: "/health", MaxConnections: 100},
 		},
-		Limits: Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+		Limits: Limits{MaxHeaderBytes: 16384, MaxBodyBytes: cmp.Or(o.MaxBodyBytes, 1<<20), HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}
 }
 
--- a/testkit/platformsite/site.go
+++ b/testkit/platformsite/site.go
@@ -39,6 +39,8 @@
 	RunnerPlaces, RunnerQueue int
 	// CopyRejections is that of all backend servers.
 	CopyRejections int
+	// ExtraResponses is that of all backend servers.
+	ExtraResponses bool
 	LoadsPerSecond float64
 	Models         []backendserver.Model
 	// Work is the processing time of a plain request and of each event of a stream.
@@ -47,6 +49,9 @@
 	Events int
 	// DrainMillis is the time, in milliseconds, between SIGTERM and an entry's exit.
 	DrainMillis int
+	// MaxBodyBytes is the length of the longest body that the configuration allows; zero for
+	// one MiB.
+	MaxBodyBytes int
 	// Retries limits the retries of the entries; the zero value leaves the defaults.
 	Retries settings.Retries
 	// Limits are those of each entry's process; the zero value leaves the defaults.
@@ -153,6 +158,7 @@
 	options := backendserver.Options{
 		ID: fmt.Sprintf("p-%d", i+1), Service: PlainService, Zone: s.zone(i),
 		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work, CopyRejections: s.options.CopyRejections, Deadly: s.options.Deadly,
+		ExtraResponses: s.options.ExtraResponses,
 	}
 	if s.options.ServerProcesses {
 		_, err := s.addServerProcess(ctx, options)
@@ -187,7 +193,7 @@
 		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Software: software, Engine: engine,
 		Slots: cmp.Or(s.options.RunnerPlaces, s.options.Slots), Queue: cmp.Or(s.options.RunnerQueue, 2*s.options.Slots),
 		Work: s.options.Work, Events: s.options.Events, CopyRejections: s.options.CopyRejections,
-		Deadly: s.options.Deadly,
+		Deadly: s.options.Deadly, ExtraResponses: s.options.ExtraResponses,
 	})
 	if err != nil {
 		return nil, err
@@ -272,7 +278,11 @@
 	if err != nil {
 		return "", fmt.Errorf("platform site: settings of %s: %w", id, err)
 	}
-	if err := os.WriteFile(path, data, 0o600); err != nil {
+	// A process that starts or reloads meanwhile reads the old file or the new one.
+	if err := os.WriteFile(path+".new", data, 0o600); err != nil {
+		return "", fmt.Errorf("platform site: settings of %s: %w", id, err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
 		return "", fmt.Errorf("platform site: settings of %s: %w", id, err)
 	}
 	return path, nil
--- a/testkit/standin/backendserver/copies.go
+++ b/testkit/standin/backendserver/copies.go
@@ -25,6 +25,8 @@
 	// pending is the copy of the response that is being written, due the one to send before
 	// the next response.
 	pending, due []byte
+	// atOnce has the copy follow at once, not before the next response.
+	atOnce bool
 }
 
 type copyConnKey struct{}
@@ -55,18 +57,26 @@
 // copyLater has the rejection of a request arrive a second time, if it is its turn.
 func copyLater(r *http.Request, id string, status int) {
 	conn, ok := r.Context().Value(copyConnKey{}).(*copyConn)
-	if !ok || conn.listener.rejections.Add(1)%conn.listener.every != 0 {
+	if !ok || conn.listener.every == 0 || conn.listener.rejections.Add(1)%conn.listener.every != 0 {
 		return
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.pending = fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+	conn.pending = rawRejection(id, status)
+}
+
+func rawRejection(id string, status int) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
 		status, http.StatusText(status), HeaderRequestID, id, HeaderNotRun)
 }
 
 func (c *copyConn) responseEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.atOnce {
+		_, _ = c.Conn.Write(c.pending)
+		c.pending, c.atOnce = nil, false
+	}
 	c.due, c.pending = c.pending, nil
 }
 
--- a/testkit/standin/backendserver/journal.go
+++ b/testkit/standin/backendserver/journal.go
@@ -28,7 +28,9 @@
 	At time.Time
 	// Ran is set once the server starts to process the request, Ended when it
 	// completes, and Abandoned if its connection is closed before.
-	Ran       bool
+	Ran bool
+	// Early is set if the server ran the request before it had read its body.
+	Early     bool
 	Ended     bool
 	Abandoned bool
 }
--- a/testkit/standin/backendserver/plan.go
+++ b/testkit/standin/backendserver/plan.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -250,8 +249,8 @@
 	if err != nil {
 		httpapi.Abort()
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok && stop == StopReset {
-		_ = tcp.SetLinger(0)
+	if stop == StopReset {
+		resetOnClose(conn)
 	}
 	_ = conn.Close()
 	httpapi.Abort()
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -69,6 +69,9 @@
 	if limit := s.limitValue(); limit != "" {
 		w.Header().Set(HeaderLimit, limit)
 	}
+	if s.respondEarly(w, r, id) {
+		return
+	}
 	body, err := httpapi.ReadBody(w, r)
 	if err != nil || id == "" {
 		s.refuse(w, r, id, http.StatusBadRequest)
@@ -185,6 +188,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if s.respondSpoilt(w, r, id) {
+		return
+	}
 	switch {
 	case s.consumeFault(func(f *Faults) *int { return &f.GarbleNext }):
 		s.hijack(w, "\x00\x01 this is no answer\r\n\r\n")
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -57,6 +57,8 @@
 	// CopyRejections has each n-th rejection arrive a second time, where the next response
 	// on its connection is expected; zero for none.
 	CopyRejections int
+	// ExtraResponses allows responses that are spoilt by an extra one.
+	ExtraResponses bool
 	// Unregistered keeps the server out of the store until Register is called.
 	Unregistered bool
 	// OnRun is called with each request that the server begins to process, OnArrival with
@@ -150,7 +152,7 @@
 		s.engine = newEngine(options.Engine)
 	}
 	s.http = &http.Server{Handler: s.routes()}
-	if options.CopyRejections > 0 {
+	if options.CopyRejections > 0 || options.ExtraResponses {
 		listener = newCopyListener(s.http, listener, options.CopyRejections)
 	}
 	go func() { _ = s.http.Serve(listener) }()
