Take the soak's time to stop from the process that took the request, and count excuses

A second stop of an entry soon after its restart took the first one's SIGTERM, which could excuse a lost response. The summary of a seed now says what excused each response that isn't whole.

--- a/testkit/serverfaults/soak_check_test.go
+++ b/testkit/serverfaults/soak_check_test.go
@@ -35,7 +35,9 @@
 	runs map[string][]soakRun
 	// broken counts the broken rules, statuses the exchanges by status and end.
 	broken, statuses map[string]int
-	closed           []*exchange
+	// excused counts the responses that aren't whole by what excuses them.
+	excused map[string]int
+	closed  []*exchange
 }
 
 // soakRun is a run with its server.
@@ -47,7 +49,7 @@
 // check checks each request and keeps the logs if a rule is broken.
 func (s *soak) check(t *testing.T) {
 	t.Helper()
-	c := &soakCheck{soak: s, runs: s.allRuns(), broken: map[string]int{}, statuses: map[string]int{}}
+	c := &soakCheck{soak: s, runs: s.allRuns(), broken: map[string]int{}, excused: map[string]int{}, statuses: map[string]int{}}
 	sent := map[string]*exchange{}
 	for _, x := range s.exchanges {
 		sent[x.id] = x
@@ -58,7 +60,7 @@
 		c.verifyRuns(t, sent[id], id, runs)
 	}
 	c.verifyClosed(t)
-	t.Logf("%d requests, %d ran; broken rules %v; by status %v", len(s.exchanges), len(c.runs), c.broken, c.statuses)
+	t.Logf("%d requests, %d ran; broken rules %v; by status %v; not whole %v", len(s.exchanges), len(c.runs), c.broken, c.statuses, c.excused)
 	if c.statuses["200 complete"] == 0 {
 		t.Error("no request was served")
 	}
@@ -176,33 +178,44 @@
 	}
 }
 
-// isCut reports whether a connection ended without a whole response, though neither the
-// caller nor the server that ran the request nor the deadline was the cause.
-func (c *soakCheck) isCut(x *exchange) bool {
-	isDue := x.ended.Sub(x.sent) >= min(x.budget, c.timeoutOf(x))-deadlineSlack
-	isBroken := x.spoil != nil || x.plan.Stop != backendserver.StopNone
-	return x.end != endComplete && !x.left && !isDue && !isBroken && !x.wrote.IsZero()
+// excuse returns why a response needn't be whole; empty if an entry had to respond. The
+// rule excepts servers that break off, callers that leave, deadlines, unplanned faults,
+// requests that an entry didn't read, and work in the last sixth of the time to stop.
+func (c *soakCheck) excuse(x *exchange) string {
+	waited := x.ended.Sub(x.wrote)
+	stopped := c.terminationOf(x)
+	switch {
+	case x.left:
+		return "left"
+	case x.spoil != nil || x.plan.Stop != backendserver.StopNone:
+		return "server broke off"
+	case x.wrote.IsZero():
+		return "not sent"
+	case x.ended.Sub(x.sent) >= min(x.budget, c.timeoutOf(x))-deadlineSlack:
+		return "deadline"
+	case c.wasDisrupted(x.sent.Add(-contactTime), x.ended):
+		return "unplanned fault"
+	case len(c.runs[x.id]) == 0 && waited <= lossSlack:
+		return "not read"
+	case !stopped.IsZero() && x.ended.After(stopped.Add(c.grace()*5/6)) && !x.sent.After(stopped.Add(lateSending)):
+		return "end of the time to stop"
+	}
+	return ""
 }
 
-// lost returns why an entry had to respond to a request and didn't; empty if it did. Only
-// requests without an unplanned fault beside them count.
+// lost returns why an entry had to respond to a request and didn't; empty if it did.
 func (c *soakCheck) lost(x *exchange) string {
-	if !c.isCut(x) || c.wasDisrupted(x.sent.Add(-contactTime), x.ended) {
+	if x.end == endComplete {
 		return ""
 	}
-	if len(c.runs[x.id]) > 0 && x.reused {
-		c.closed = append(c.closed, x)
-	}
-	waited := x.ended.Sub(x.wrote)
-	if len(c.runs[x.id]) == 0 && waited <= lossSlack {
+	if excuse := c.excuse(x); excuse != "" {
+		c.excused[excuse]++
 		return ""
 	}
-	for _, at := range c.terminationsOf(x) {
-		if x.ended.After(at.Add(c.grace()*5/6)) && !x.sent.After(at.Add(lateSending)) {
-			return ""
-		}
+	if len(c.runs[x.id]) > 0 && x.reused {
+		c.closed = append(c.closed, x)
 	}
-	return fmt.Sprintf("no whole response %s after its last byte was sent", waited)
+	return fmt.Sprintf("no whole response %s after its last byte was sent", x.ended.Sub(x.wrote))
 }
 
 // verifyClosed checks the number of requests that reached a server on a kept connection
--- a/testkit/serverfaults/soak_faults_test.go
+++ b/testkit/serverfaults/soak_faults_test.go
@@ -108,9 +108,7 @@
 // signal sends a signal and records it.
 func (s *soak) signal(f *faults, process *site.Process, signal syscall.Signal) {
 	f.log("%s to %s", signal, process.Name)
-	s.mu.Lock()
-	s.signals = append(s.signals, signalled{process: process.Name, signal: signal.String(), at: time.Now()})
-	s.mu.Unlock()
+	s.record(process, signal.String())
 	f.report(process.Signal(signal))
 }
 
@@ -125,18 +123,38 @@
 	return text.String()
 }
 
-// terminationsOf returns the times of the SIGTERMs that may have ended the entry of a
-// request before the request ended.
-func (s *soak) terminationsOf(x *exchange) []time.Time {
-	var all []time.Time
+// startSignal marks a planned start among the signals.
+const startSignal = "start"
+
+// start starts a process and records it.
+func (s *soak) start(f *faults, process *site.Process) {
+	f.log("start %s", process.Name)
+	s.record(process, startSignal)
+	f.report(process.Start())
+}
+
+func (s *soak) record(process *site.Process, signal string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signals = append(s.signals, signalled{process: process.Name, signal: signal, at: time.Now()})
+}
+
+// terminationOf returns the time of the first SIGTERM to the process that took a request;
+// zero if none came before the request ended.
+func (s *soak) terminationOf(x *exchange) time.Time {
+	var first time.Time
 	for _, sent := range s.signals {
-		since := x.ended.Sub(sent.at)
-		if sent.process == s.site.Entries[x.entry].Name && sent.signal == syscall.SIGTERM.String() && since >= 0 && since < s.grace()+time.Second {
-			all = append(all, sent.at)
+		if sent.process != s.site.Entries[x.entry].Name || sent.at.After(x.ended) {
+			continue
+		}
+		switch {
+		case sent.signal == startSignal && sent.at.Before(x.sent):
+			first = time.Time{}
+		case sent.signal == syscall.SIGTERM.String() && first.IsZero():
+			first = sent.at
 		}
 	}
-	// Later ones of a series don't give more time.
-	return all[:min(len(all), 1)]
+	return first
 }
 
 // stopping is a process that is stopped with a series of signals.
@@ -178,8 +196,7 @@
 	}
 	cancel()
 	time.Sleep(stop.down)
-	f.log("start %s", stop.process.Name)
-	f.report(stop.process.Start())
+	s.start(f, stop.process)
 }
 
 func (s *soak) terminateEntry(f *faults) func() {
@@ -224,7 +241,7 @@
 		s.signal(f, process, syscall.SIGKILL)
 		f.report(process.Kill())
 		time.Sleep(down)
-		f.report(process.Start())
+		s.start(f, process)
 	}
 }
 
