Let the soak's servers keep deadlines, and its store fail in more ways

Change: servers stop work at the deadline that they are given, reject what waits for a slot until then, and some responses are ready just before it, so that both sides end a request at one time. The store refuses, delays or loses calls, or applies them late.

--- a/testkit/platformsite/site.go
+++ b/testkit/platformsite/site.go
@@ -39,10 +39,10 @@
 	RunnerPlaces, RunnerQueue int
 	// CopyRejections is that of all backend servers.
 	CopyRejections int
-	// ExtraResponses is that of all backend servers.
-	ExtraResponses bool
-	LoadsPerSecond float64
-	Models         []backendserver.Model
+	// ExtraResponses and KeepDeadlines are those of all backend servers.
+	ExtraResponses, KeepDeadlines bool
+	LoadsPerSecond                float64
+	Models                        []backendserver.Model
 	// Work is the processing time of a plain request and of each event of a stream.
 	// Events is the number of events of a stream.
 	Work   time.Duration
@@ -158,7 +158,7 @@
 	options := backendserver.Options{
 		ID: fmt.Sprintf("p-%d", i+1), Service: PlainService, Zone: s.zone(i),
 		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work, CopyRejections: s.options.CopyRejections, Deadly: s.options.Deadly,
-		ExtraResponses: s.options.ExtraResponses,
+		ExtraResponses: s.options.ExtraResponses, KeepDeadlines: s.options.KeepDeadlines,
 	}
 	if s.options.ServerProcesses {
 		_, err := s.addServerProcess(ctx, options)
@@ -193,7 +193,7 @@
 		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Software: software, Engine: engine,
 		Slots: cmp.Or(s.options.RunnerPlaces, s.options.Slots), Queue: cmp.Or(s.options.RunnerQueue, 2*s.options.Slots),
 		Work: s.options.Work, Events: s.options.Events, CopyRejections: s.options.CopyRejections,
-		Deadly: s.options.Deadly, ExtraResponses: s.options.ExtraResponses,
+		Deadly: s.options.Deadly, ExtraResponses: s.options.ExtraResponses, KeepDeadlines: s.options.KeepDeadlines,
 	})
 	if err != nil {
 		return nil, err
--- a/testkit/serverfaults/soak_caller_test.go
+++ b/testkit/serverfaults/soak_caller_test.go
@@ -27,6 +27,10 @@
 	longUpload  = 3_900_000
 	// uploadPart is the length of the parts of an upload in chunks, in bytes.
 	uploadPart = 16 << 10
+	// latePercent is the share of the responses that are ready at about their deadline, up to
+	// lateBefore before it, in milliseconds.
+	latePercent = 4
+	lateBefore  = 80
 	// uploadEnd is how long a caller that has its response goes on with its upload.
 	uploadEnd = time.Second
 )
@@ -113,6 +117,10 @@
 	if x.model != "" && random.IntN(20) == 0 {
 		plan.GapMillis += 60
 	}
+	if random.IntN(100) < latePercent {
+		// The response is ready at about the deadline, so that both sides end the request.
+		plan.DelayMillis = int(x.budget.Milliseconds()) - random.IntN(lateBefore)
+	}
 	if random.IntN(100) < 30 {
 		plan.Framing = framings[random.IntN(len(framings))]
 	}
--- a/testkit/serverfaults/soak_faults_test.go
+++ b/testkit/serverfaults/soak_faults_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
 
 	"teaselgauge.example/teaselgauge/testkit/platformsite"
 	"teaselgauge.example/teaselgauge/testkit/site"
+	"teaselgauge.example/teaselgauge/testkit/standin/metadatastore"
 )
 
 const (
@@ -16,6 +18,8 @@
 	maxSignals = 4
 	// serverDrain is the time from a server's announcement that it leaves to its SIGTERM.
 	serverDrain = 2300 * time.Millisecond
+	// storeDelay is how late a store in trouble applies a change.
+	storeDelay = 600 * time.Millisecond
 	// maxVersions bounds the configurations of a series, versionGap the time between two.
 	maxVersions = 8
 	versionGap  = 300 * time.Millisecond
@@ -60,6 +64,7 @@
 		{"freeze server", (*faults).freezeServer},
 		{"freeze server", (*faults).freezeServer},
 		{"silent store", (*faults).silenceStore},
+		{"store in trouble", s.disruptStore},
 		{"kill stopping entry", s.killStoppingEntry},
 	} {
 		kinds = append(kinds, s.unplanned(kind))
@@ -326,6 +331,25 @@
 	}
 }
 
+// disruptStore has the store fail in one of its ways for a time.
+func (s *soak) disruptStore(f *faults) func() {
+	troubles := []metadatastore.Faults{
+		{RefuseStatus: http.StatusServiceUnavailable},
+		{RefuseStatus: http.StatusTooManyRequests},
+		{LoseAnswers: true},
+		{ApplyAfter: storeDelay},
+		{Delay: storeDelay / 2},
+	}
+	trouble := troubles[f.random.IntN(len(troubles))]
+	lasts := f.between(0, 2*maxDown)
+	return func() {
+		f.log("store %+v for %s", trouble, lasts)
+		s.site.Store.SetFaults(trouble)
+		time.Sleep(lasts)
+		s.site.Store.SetFaults(metadatastore.Faults{})
+	}
+}
+
 // killMany kills more than half of all processes at once.
 func (s *soak) killMany(f *faults) func() {
 	all := s.site.Processes()
--- a/testkit/standin/backendserver/plan.go
+++ b/testkit/standin/backendserver/plan.go
@@ -62,6 +62,8 @@
 	// padding, or of each of the ten pieces of a plain response.
 	Events     int `json:"events"`
 	PieceBytes int `json:"pieceBytes"`
+	// DelayMillis is the time before the response, in milliseconds.
+	DelayMillis int `json:"delayMillis"`
 	// GapMillis is the time between two pieces, in milliseconds.
 	GapMillis int `json:"gapMillis"`
 	// Stop happens after StopAfter pieces, and half of the next one if Inside is set.
@@ -146,6 +148,10 @@
 	if strings.HasPrefix(r.URL.Path, StreamPath) {
 		w.Header().Set("Content-Type", eventStreamType)
 	}
+	if !httpapi.Sleep(r.Context(), time.Duration(plan.DelayMillis)*time.Millisecond) {
+		respondOverdue(w, r)
+		return
+	}
 	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	switch {
 	case err != nil:
@@ -229,6 +235,10 @@
 		}
 		send(piece)
 		if !httpapi.Sleep(r.Context(), time.Duration(plan.GapMillis)*time.Millisecond) {
+			if plan.Framing == FramingConnection {
+				// An orderly end would complete the response.
+				s.stop(w, r, id, StopReset)
+			}
 			httpapi.Abort()
 		}
 	}
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -96,6 +96,8 @@
 		s.refuse(w, r, id, status)
 		return
 	}
+	r, stopTimer := s.withDeadline(r)
+	defer stopTimer()
 	if !s.acquireSlot(r) {
 		s.refuse(w, r, id, http.StatusServiceUnavailable)
 		return
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -57,6 +57,9 @@
 	// CopyRejections has each n-th rejection arrive a second time, where the next response
 	// on its connection is expected; zero for none.
 	CopyRejections int
+	// KeepDeadlines has the server stop work at the deadline of a request, and reject those
+	// that wait until then.
+	KeepDeadlines bool
 	// ExtraResponses allows responses that are spoilt by an extra one.
 	ExtraResponses bool
 	// Unregistered keeps the server out of the store until Register is called.
