Tear off rejections with 421 in the soak, and let its shares of unframed responses differ

A rejection with 421 needs no field to say that its request hasn't run. Torn off inside its reason, it makes a legal header with what the response behind it says, whatever the order of its fields.

--- a/testkit/serverfaults/soak_caller_test.go
+++ b/testkit/serverfaults/soak_caller_test.go
@@ -31,6 +31,8 @@
 	// lateBefore before it, in milliseconds.
 	latePercent = 4
 	lateBefore  = 80
+	// framedPercent is the share of the responses that have a length.
+	framedPercent = 15
 	// uploadEnd is how long a caller that has its response goes on with its upload.
 	uploadEnd = time.Second
 )
@@ -121,8 +123,11 @@
 		// The response is ready at about the deadline, so that both sides end the request.
 		plan.DelayMillis = int(x.budget.Milliseconds()) - random.IntN(lateBefore)
 	}
-	if random.IntN(100) < 30 {
-		plan.Framing = framings[random.IntN(len(framings))]
+	switch n := random.IntN(100); {
+	case n < s.unframedPercent:
+		plan.Framing = backendserver.FramingConnection
+	case n >= 100-framedPercent:
+		plan.Framing = backendserver.FramingLength
 	}
 	if random.IntN(100) < s.breakPercent {
 		plan.Stop = []backendserver.Stop{backendserver.StopClose, backendserver.StopReset}[random.IntN(2)]
--- a/testkit/serverfaults/soak_check_test.go
+++ b/testkit/serverfaults/soak_check_test.go
@@ -212,7 +212,7 @@
 
 // lost returns why an entry had to respond to a request and didn't; empty if it did.
 func (c *soakCheck) lost(x *exchange) string {
-	if x.end == endComplete {
+	if x.isWhole() {
 		return ""
 	}
 	if excuse := c.excuse(x); excuse != "" {
--- a/testkit/serverfaults/soak_malformed_test.go
+++ b/testkit/serverfaults/soak_malformed_test.go
@@ -14,7 +14,7 @@
 // Guards against malformed responses and resets that reach callers as whole responses.
 func TestSoakOfMalformedResponsesPassesNoneOn(t *testing.T) {
 	playSoaks(t, func() *soak {
-		return &soak{spoils: malformedSpoils, spoilPercent: 30, breakPercent: 5, leavePercent: 3}
+		return &soak{spoils: malformedSpoils, spoilPercent: 30, breakPercent: 15, leavePercent: 3, unframedPercent: 50}
 	}, (*soak).plannedKinds)
 }
 
@@ -22,6 +22,6 @@
 // the response behind it.
 func TestSoakOfTornRejectionsKeepsRefusalsTrue(t *testing.T) {
 	playSoaks(t, func() *soak {
-		return &soak{spoils: []backendserver.SpoilKind{backendserver.SpoilExtraTorn}, spoilPercent: 15, leavePercent: 3}
+		return &soak{spoils: []backendserver.SpoilKind{backendserver.SpoilExtraTorn}, spoilPercent: 15, leavePercent: 3, unframedPercent: 10}
 	}, (*soak).plannedKinds)
 }
--- a/testkit/serverfaults/soak_test.go
+++ b/testkit/serverfaults/soak_test.go
@@ -62,6 +62,8 @@
 	// spoilPercent, breakPercent and leavePercent are the shares of the requests whose
 	// responses are spoilt, whose responses break off, and whose callers leave.
 	spoilPercent, breakPercent, leavePercent int
+	// unframedPercent is the share of the responses that end with their connection.
+	unframedPercent int
 
 	configuring sync.Mutex
 	mu          sync.Mutex
@@ -157,13 +159,13 @@
 // Guards against responses that are lost, cut short or untrue around signals, restarts and
 // new configurations.
 func TestSoakOfPlannedWorkKeepsResponses(t *testing.T) {
-	playSoaks(t, func() *soak { return &soak{spoils: soundSpoils, leavePercent: 3} }, (*soak).plannedKinds)
+	playSoaks(t, func() *soak { return &soak{spoils: soundSpoils, leavePercent: 3, unframedPercent: 10} }, (*soak).plannedKinds)
 }
 
 // Guards against responses that are untrue or seem whole beside failing processes and
 // spoilt responses.
 func TestSoakOfFailuresKeepsResponsesTrue(t *testing.T) {
 	playSoaks(t, func() *soak {
-		return &soak{spoils: soundSpoils, spoilPercent: 25, breakPercent: 8, leavePercent: 5}
+		return &soak{spoils: soundSpoils, spoilPercent: 25, breakPercent: 8, leavePercent: 5, unframedPercent: 20}
 	}, (*soak).allKinds)
 }
--- a/testkit/standin/backendserver/spoil.go
+++ b/testkit/standin/backendserver/spoil.go
@@ -38,8 +38,8 @@
 	SpoilExtra     SpoilKind = "extra"
 	SpoilExtraNext SpoilKind = "extra next"
 	SpoilExtraCut  SpoilKind = "extra cut"
-	// SpoilExtraTorn is SpoilExtraCut with a rejection that names its request last, cut inside
-	// the value of a field before that.
+	// SpoilExtraTorn is SpoilExtraCut with a rejection that is cut where the response behind
+	// it still makes a legal header of it.
 	SpoilExtraTorn SpoilKind = "extra torn"
 	// SpoilEarly responds before the request is read and reads on. It spoils nothing.
 	SpoilEarly SpoilKind = "early"
@@ -235,9 +235,19 @@
 	case SpoilExtraCut:
 		raw = raw[:1+spoil.Variant%(len(raw)-2)]
 	case SpoilExtraTorn:
-		raw = fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Type: application/json", HeaderNotRun)
-		raw = raw[:len(raw)-1-spoil.Variant%len("application/json")]
+		raw = tornRejection(spoil.Variant)
 	}
 	conn.pending = raw
 	conn.atOnce = spoil.Kind == SpoilExtra
 }
+
+// tornRejection returns the first part of a rejection up to the middle of a status line's
+// reason, or of a field's value. The request would be named behind it.
+func tornRejection(variant int) []byte {
+	text := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Type: application/json", HeaderNotRun)
+	last := "application/json"
+	if variant%2 == 0 {
+		text, last = "HTTP/1.1 421 Misdirected Request", "Misdirected Request"
+	}
+	return []byte(text[:len(text)-1-variant/2%len(last)])
+}
