--- a/testkit/serverfaults/stop_history_test.go
+++ b/testkit/serverfaults/stop_history_test.go
@@ -28,8 +28,8 @@
 	stopGrace = 5 * time.Second
 	// lateSend is how long after SIGTERM a request may be sent that is cut off at the end.
 	lateSend = 3 * time.Second
-	// deadlineSlack is how much earlier than its caller a request may be ended at its deadline.
-	deadlineSlack = 100 * time.Millisecond
+	// stopDeadlineSlack is how much earlier than its caller a request may be ended at its deadline.
+	stopDeadlineSlack = 100 * time.Millisecond
 	// stopCallers is the number of connections to an entry that stops.
 	stopCallers = 24
 	// stopSpread is the time over which entries get SIGTERM, one after the other.
@@ -245,7 +245,7 @@
 	switch {
 	case !wasSent && lines == "" && isUnread(err):
 		h.count("not read")
-	case now.Sub(request.at) > request.budget-deadlineSlack:
+	case now.Sub(request.at) > request.budget-stopDeadlineSlack:
 		h.count("deadline")
 	case h.hasEnded(server):
 		h.count("its server ended")
--- a/testkit/serverfaults/upload_test.go
+++ b/testkit/serverfaults/upload_test.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// maxUpload is the size up to which the site takes bodies, uploadPadding that of an
+	// uploadPadding is that of an
 	// upload, in bytes.
-	maxUpload     = 4 << 20
 	uploadPadding = 3_900_000
 	// uploadCalls is the number of calls of each kind.
 	uploadCalls = 10
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -73,6 +73,9 @@
 		s.respondEarly(w, r, id)
 		return
 	}
+	if s.respondSpoiltEarly(w, r, id) {
+		return
+	}
 	body, err := httpapi.ReadBody(w, r)
 	if err != nil || id == "" {
 		s.refuse(w, r, id, http.StatusBadRequest)
@@ -97,6 +100,8 @@
 		s.refuse(w, r, id, status)
 		return
 	}
+	r, stopTimer := s.withDeadline(r)
+	defer stopTimer()
 	if !s.acquireSlot(r) {
 		s.refuse(w, r, id, http.StatusServiceUnavailable)
 		return
@@ -189,6 +194,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if s.respondSpoilt(w, r, id) {
+		return
+	}
 	switch {
 	case s.consumeFault(func(f *Faults) *int { return &f.GarbleNext }):
 		s.hijack(w, "\x00\x01 this is no answer\r\n\r\n")
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -59,6 +59,11 @@
 	// ReceiveBuffer is the size of the receive buffer of each connection, in bytes; zero for
 	// the system's.
 	ReceiveBuffer int
+	// KeepDeadlines has the server stop work at the deadline of a request, and reject those
+	// that wait until then.
+	KeepDeadlines bool
+	// ExtraResponses allows responses that are spoilt by an extra one.
+	ExtraResponses bool
 	// Unregistered keeps the server out of the store until Register is called.
 	Unregistered bool
 	// OnRun is called with each request that the server begins to process, OnArrival with
@@ -152,7 +157,7 @@
 		s.engine = newEngine(options.Engine)
 	}
 	s.http = &http.Server{Handler: s.routes()}
-	if options.CopyRejections > 0 {
+	if options.CopyRejections > 0 || options.ExtraResponses {
 		listener = newCopyListener(s.http, listener, options.CopyRejections)
 	}
 	go func() { _ = s.http.Serve(listener) }()
