--- a/testkit/serverfaults/upload_test.go
+++ b/testkit/serverfaults/upload_test.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// uploadPadding is that of an
-	// upload, in bytes.
+	// uploadPadding is the padding of an upload, in bytes.
 	uploadPadding = 3_900_000
 	// uploadCalls is the number of calls of each kind.
 	uploadCalls = 10
