Refuse malformed responses of engines and services

What callers could get: on a site with engines, an answer whose head has names with blanks, folded lines, a length beside chunks or a version that doesn't exist was a response, as was one whose chunks or trailers are malformed.

Change: its connections are checked like those of the other clients. Requests of method HEAD go over connections of their own that aren't, as a checked connection knows no methods; of their answers the status is checked and the body is none.

--- a/pkg/engine/http_request.go
+++ b/pkg/engine/http_request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"teaselgauge.example/teaselgauge/pkg/httpresponse"
 )
 
 // requestParts contains the parts of an HTTP request.
@@ -89,16 +92,44 @@
 	}
 }
 
+// clientTransport refuses malformed responses, but for those to HEAD, whose header alone is
+// read.
+type clientTransport struct {
+	checked *http.Transport
+	head    *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *clientTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.Method == http.MethodHead {
+		return t.head.RoundTrip(request)
+	}
+	return t.checked.RoundTrip(request)
+}
+
+// CloseIdleConnections is called by http.Client.
+func (t *clientTransport) CloseIdleConnections() {
+	t.checked.CloseIdleConnections()
+	t.head.CloseIdleConnections()
+}
+
 func newClient(keepAlive bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	checked := newTransport(dialer, keepAlive)
+	checked.DialContext = httpresponse.Checked(dialer.DialContext)
+	checked.DialTLSContext = httpresponse.Checked((&tls.Dialer{NetDialer: dialer}).DialContext)
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableKeepAlives:   !keepAlive,
-			DisableCompression:  true,
-		},
+		Transport:     &clientTransport{checked: checked, head: newTransport(dialer, keepAlive)},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
+
+func newTransport(dialer *net.Dialer, keepAlive bool) *http.Transport {
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableKeepAlives:   !keepAlive,
+		DisableCompression:  true,
+	}
+}
--- a/pkg/engine/malformed_test.go
+++ b/pkg/engine/malformed_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"testing"
+
+	"teaselgauge.example/teaselgauge/pkg/httpresponse/httpresponsetest"
 )
 
 // Guards against a status that isn't one of a final response and that counts as a response, or as a promise that nothing was run.
@@ -31,6 +33,19 @@
 	}
 }
 
+// Guards against a malformed response that counts as one of an engine or a service.
+func TestMalformedResponseIsNotAResponse(t *testing.T) {
+	for _, test := range httpresponsetest.Malformed("X-Request-Id: r1\r\n") {
+		t.Run(test.Name, func(t *testing.T) {
+			call := Call{RequestID: "r1", Path: "/v1/completions"}
+			modelEngine := NewHTTPEngine(respondRaw(t, test.Response))
+			defer modelEngine.Close()
+			checkOutcome(t, "engine", call, modelEngine.Call, false, false)
+			checkOutcome(t, "service", call, NewHTTPService(respondRaw(t, test.Response)).Call, false, false)
+		})
+	}
+}
+
 // checkUncertain checks that a call has no response and may have run.
 func checkUncertain(t *testing.T, name string, call func(context.Context, Call) (Response, error), request Call) {
 	t.Helper()
--- a/pkg/httpjson/httpjson.go
+++ b/pkg/httpjson/httpjson.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
@@ -44,8 +43,8 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:         checked(dialer.DialContext),
-		DialTLSContext:      checked((&tls.Dialer{NetDialer: dialer}).DialContext),
+		DialContext:         httpresponse.Checked(dialer.DialContext),
+		DialTLSContext:      httpresponse.Checked((&tls.Dialer{NetDialer: dialer}).DialContext),
 		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     idleConnTimeout,
@@ -53,20 +52,6 @@
 	}
 }
 
-// dialFunc connects to an address.
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// checked returns a dialFunc whose connections refuse malformed responses.
-func checked(dial dialFunc) dialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return httpresponse.NewConn(conn), nil
-	}
-}
-
 // RefuseRedirect is a CheckRedirect function that follows no redirects.
 func RefuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
--- a/pkg/httpresponse/conn.go
+++ b/pkg/httpresponse/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -37,6 +38,20 @@
 	return &checkedConn{Conn: conn, source: bufio.NewReaderSize(conn, connBufferBytes)}
 }
 
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Checked returns a DialFunc whose connections are those of NewConn.
+func Checked(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
 // Read implements io.Reader.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	for c.err == nil {
