--- a/testkit/platformprocess/answers_test.go
+++ b/testkit/platformprocess/answers_test.go
@@ -73,6 +73,31 @@
 	}
 }
 
+// Guards against a server's response that isn't one by RFC 9112 and that reaches the caller of a real entry.
+func TestMalformedHeadIsNotForwarded(t *testing.T) {
+	const success = "HTTP/1.1 200 OK\r\n"
+	s := start(t, func(o *platformsite.Options) { o.Plain = 1 })
+	for _, head := range []string{
+		"HTTP/1.1 000 Unknown\r\n", "HTTP/1.1 600 Unknown\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 200 O\x01K\r\n",
+		success + "X Y: z\r\n", success + "X-Y : z\r\n", success + "X\x01Y: z\r\n", success + "X-Y: a\x00b\r\n",
+		success + "X-Y: a\r\n b\r\n", success + "X-Y: z\n", success + "Transfer-Encoding : chunked\r\n", success + "Content-Length: 1\r\n",
+	} {
+		for range 20 {
+			// These successes make up for the failures, so that the entry doesn't avoid
+			// the server.
+			mustServe(t, s, s.Entries[0], s.NewRequest(platformsite.BookingPath, ""))
+		}
+		setPlainServerFaults(s, backendserver.Faults{MalformedNext: 1, MalformedHead: head})
+		request := s.NewRequest(platformsite.BookingPath, "")
+		result := s.Entries[0].Send(testContext(t), request)
+		setPlainServerFaults(s, backendserver.Faults{})
+		if runs := len(s.Runs(request.ID)); result.Status != http.StatusBadGateway || runs != 1 {
+			t.Errorf("%q: %s after %d runs, want status 502 after 1", head, result, runs)
+		}
+		checkInvariants(t, s, request, result)
+	}
+}
+
 // setRunnerFaults sets the same faults at all runners.
 func setRunnerFaults(s *platformsite.Site, faults backendserver.Faults) {
 	for _, runner := range s.Runners {
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -224,7 +224,11 @@
 	}
 	text := ResponseBody(id, r.URL.RequestURI(), body)
 	if s.consumeFault(func(f *Faults) *int { return &f.DoubleNext }) {
-		s.hijack(w, rawResponse(id, text)+rawResponse(id, text))
+		s.hijack(w, rawResponse(rawSuccess, id, text)+rawResponse(rawSuccess, id, text))
+		return
+	}
+	if s.consumeFault(func(f *Faults) *int { return &f.MalformedNext }) {
+		s.hijack(w, rawResponse(s.malformedHead(), id, text))
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -236,8 +240,18 @@
 	_, _ = io.WriteString(w, text)
 }
 
-func rawResponse(id, text string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+// malformedHead returns the start of a malformed response.
+func (s *Server) malformedHead() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.MalformedHead
+}
+
+// rawSuccess is the start of a successful response.
+const rawSuccess = "HTTP/1.1 200 OK\r\n"
+
+func rawResponse(head, id, text string) string {
+	return head + fmt.Sprintf("%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
 		HeaderRequestID, id, HeaderSeal, Seal(id), len(text), text)
 }
 
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -81,6 +81,10 @@
 	CutNext int
 	// GarbleNext is the number of requests that get bytes that aren't valid HTTP.
 	GarbleNext int
+	// MalformedNext is the number of requests that run and whose response begins with
+	// MalformedHead, which ends with CR LF, before its other headers.
+	MalformedNext int
+	MalformedHead string
 	// DoubleNext is the number of requests whose response is sent twice, so that
 	// the second copy arrives where the next response is expected.
 	DoubleNext int
