Keep the kernel from taking the whole of an upload in a test

Cause: TestOrderlyEndBeforeRequestIsWrittenIsNotTheEndOfResponse needs a request that isn't written when the server ends the connection. A system whose send buffers grow beyond 4 MiB would have taken all of it.

Change: the test's connections have a small send buffer. Nothing is checked less.

--- a/pkg/forward/reset_test.go
+++ b/pkg/forward/reset_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,9 +18,9 @@
 const (
 	// uploadBytes is the size of an upload whose writes have to wait for the server.
 	uploadBytes = 4 << 20
-	// smallReceiveBuffer is the size of the receive buffer of a server that reads nothing,
-	// in bytes.
-	smallReceiveBuffer = 4 << 10
+	// smallBuffer is the size of the receive buffer of a server that reads nothing, and of a
+	// send buffer that doesn't hold an upload, in bytes.
+	smallBuffer = 4 << 10
 	// resetExchanges is the number of exchanges with each wait, otherExchanges that of other
 	// cases, and exchangesAtOnce how many run beside each other.
 	resetExchanges  = 100
@@ -39,7 +40,7 @@
 	t.Helper()
 	return serve(t, func(conn net.Conn, requests *bufio.Reader) {
 		tcp := conn.(*net.TCPConn)
-		_ = tcp.SetReadBuffer(smallReceiveBuffer)
+		_ = tcp.SetReadBuffer(smallBuffer)
 		if _, err := requests.Peek(1); err != nil {
 			return
 		}
@@ -159,11 +160,21 @@
 		// It reads nothing until the client has seen the end.
 		<-seen
 	})
+	pool.dialer.Control = setSmallSendBuffer
 	if body, err := fetch(t.Context(), pool, address, upload()); !errors.Is(err, ErrRequestUnwritten) {
 		t.Errorf("body %q, error %v, want ErrRequestUnwritten", body, err)
 	}
 }
 
+// setSmallSendBuffer keeps the kernel from taking the whole of an upload.
+func setSmallSendBuffer(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, smallBuffer)
+	})
+	return errors.Join(err, failure)
+}
+
 // Guards against an end that one source of knowledge allows and another one doesn't.
 func TestEndOfConnectionNeedsAllEvidence(t *testing.T) {
 	failure := errors.New("failure")
