Count the malformed lines that the entry drops, and name the soak's target

The summary of a seed lists the malformed lines of responses that came to callers as whole without them. That isn't counted as a broken rule.

Came as whole without the line: names with a blank, `Content-Length : 5` and, in trailers, also names and values with control bytes and lines without a colon.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,12 @@
 soak:
 	cd testkit && SOAK_SEEDS=$(SEEDS) SOAK_SEED=$(SEED) go test -count=1 -v -timeout 60m ./crashhistory
 
+# soak-processes plays SEEDS histories of signals, restarts and spoilt responses from the
+# seed SEED on; SHAPE is small, medium or large.
+.PHONY: soak-processes
+soak-processes:
+	cd testkit && SOAK_SEEDS=$(SEEDS) SOAK_SEED=$(SEED) SOAK_SHAPE=$(SHAPE) go test -count=1 -v -timeout 60m -run TestSoak ./serverfaults
+
 # bench compares the policies with their baselines in virtual time.
 bench:
 	go run ./testkit/bench/pacing
--- a/testkit/serverfaults/soak_check_test.go
+++ b/testkit/serverfaults/soak_check_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -37,7 +38,9 @@
 	broken, statuses map[string]int
 	// excused counts the responses that aren't whole by what excuses them.
 	excused map[string]int
-	closed  []*exchange
+	// accepted counts the malformed lines whose responses came as whole without them.
+	accepted map[string]int
+	closed   []*exchange
 }
 
 // soakRun is a run with its server.
@@ -49,7 +52,7 @@
 // check checks each request and keeps the logs if a rule is broken.
 func (s *soak) check(t *testing.T) {
 	t.Helper()
-	c := &soakCheck{soak: s, runs: s.allRuns(), broken: map[string]int{}, excused: map[string]int{}, statuses: map[string]int{}}
+	c := &soakCheck{soak: s, runs: s.allRuns(), broken: map[string]int{}, excused: map[string]int{}, accepted: map[string]int{}, statuses: map[string]int{}}
 	sent := map[string]*exchange{}
 	for _, x := range s.exchanges {
 		sent[x.id] = x
@@ -60,7 +63,7 @@
 		c.verifyRuns(t, sent[id], id, runs)
 	}
 	c.verifyClosed(t)
-	t.Logf("%d requests, %d ran; broken rules %v; by status %v; not whole %v", len(s.exchanges), len(c.runs), c.broken, c.statuses, c.excused)
+	t.Logf("%d requests, %d ran; broken rules %v; by status %v; not whole %v; accepted without %v", len(s.exchanges), len(c.runs), c.broken, c.statuses, c.excused, c.accepted)
 	if c.statuses["200 complete"] == 0 {
 		t.Error("no request was served")
 	}
@@ -156,6 +159,8 @@
 		return "MIXED", fmt.Sprintf("complete after %d of %d bytes", len(x.text()), len(want))
 	case spoilt && x.spoil.Kind == backendserver.SpoilStatus:
 		return "MIXED", "the server sent a status that isn't one"
+	case spoilt && x.isWhole():
+		c.accepted[strconv.Quote(x.spoil.Line())]++
 	}
 	return "", ""
 }
--- a/testkit/standin/backendserver/spoil.go
+++ b/testkit/standin/backendserver/spoil.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -171,10 +172,21 @@
 
 func pick(from []string, spoil *Spoil) string { return from[spoil.Variant%len(from)] }
 
+// Line returns the malformed line of the response; empty if it has none.
+func (p *Spoil) Line() string {
+	switch p.Kind {
+	case SpoilField:
+		return pick(append(slices.Clone(SpoiltFields), SpoiltFramings...), p)
+	case SpoilTrailer:
+		return "in the trailer: " + pick(SpoiltFields, p)
+	default:
+		return ""
+	}
+}
+
 // rawSpoiltField returns a response with a malformed line in its header.
 func (s *Server) rawSpoiltField(r *http.Request, id string, spoil *Spoil, body string) string {
-	all := append(append([]string{}, SpoiltFields...), SpoiltFramings...)
-	line := pick(all, spoil)
+	line := spoil.Line()
 	header := s.rawHeader(r, id, "200 OK") + line + "\r\n"
 	switch {
 	case strings.HasSuffix(line, "chunked"):
