--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -184,8 +184,11 @@
 
 // startResponse sends the header of a response. framing is to mark the end of the body;
 // length is its length if that does. The error means that another response was started
-// before.
+// before, or errDrainEnded that the request is being cut off.
 func (x *exchange) startResponse(response *forward.Response, framing forward.Framing, length int) error {
+	if x.wasCutOff() {
+		return errDrainEnded
+	}
 	if err := x.response.start(response, framing, length); err != nil {
 		return err
 	}
