Answer a cut-off request of which the caller has nothing yet

What callers saw: a closed connection without a response, as in, where the server had sent the header and no body yet, as a runner may that still reads a prompt. Cause: the entry has net/http prepare the header of a response at once, though nothing is sent before the first bytes of the body; no other response can be sent then. Change: the header is kept until the first bytes of the body or the end. A request that a stop cuts off before that gets 502.

--- a/pkg/gateway/caller_response.go
+++ b/pkg/gateway/caller_response.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -76,6 +77,9 @@
 	state   responseState
 	// framing is what marks the end of the body towards the caller.
 	framing forward.Framing
+	// heldStatus is the status of a header that is sent with the first bytes of the body or
+	// the end; zero if it was sent.
+	heldStatus int
 	// written is the number of bytes of the body that net/http has taken.
 	written int64
 	// record records the end of the request; nil if nothing is left to record. Its argument is
@@ -90,7 +94,8 @@
 // started reports whether a header was sent.
 func (r *callerResponse) started() bool { return r.state != responseNotStarted }
 
-// start sends the header of a server's response. framing is to mark the end of the body;
+// start prepares the header of a server's response, which is sent with the first bytes of the
+// body. framing is to mark the end of the body;
 // length is its length if that does. It fails if a response was started before.
 func (r *callerResponse) start(response *forward.Response, framing forward.Framing, length int) error {
 	if r.started() {
@@ -117,10 +122,31 @@
 		header.Set("Transfer-Encoding", "identity")
 		r.setResetOnClose(true)
 	}
-	r.writer.WriteHeader(response.Status)
+	r.heldStatus = response.Status
 	return nil
 }
 
+// sendHeader sends the header that start has prepared.
+func (r *callerResponse) sendHeader() {
+	if r.heldStatus != 0 {
+		r.writer.WriteHeader(r.heldStatus)
+		r.heldStatus = 0
+	}
+}
+
+// retract takes a response back of which nothing was sent, so that another one may start.
+func (r *callerResponse) retract() {
+	if r.state != responseStarted || r.heldStatus == 0 {
+		return
+	}
+	if r.framing == forward.FramingConnection {
+		r.setResetOnClose(false)
+	}
+	header := r.writer.Header()
+	maps.DeleteFunc(header, func(name string, _ []string) bool { return name != "Connection" })
+	r.state, r.heldStatus = responseNotStarted, 0
+}
+
 // supportedFraming returns what can mark the end of a response towards the caller. Callers
 // of HTTP/1.0 don't know chunks.
 func (r *callerResponse) supportedFraming(response *forward.Response, wanted forward.Framing) forward.Framing {
@@ -156,6 +182,7 @@
 	if r.state != responseStarted {
 		return 0, errResponseNotOpen
 	}
+	r.sendHeader()
 	n, err := r.writer.Write(data)
 	r.written += int64(n)
 	return n, err
@@ -166,6 +193,7 @@
 
 // complete records that all of the response was written, so that it may end in order.
 func (r *callerResponse) complete() {
+	r.sendHeader()
 	if r.framing == forward.FramingConnection {
 		r.flush()
 		r.setResetOnClose(false)
--- a/pkg/gateway/unanswered.go
+++ b/pkg/gateway/unanswered.go
@@ -23,8 +23,8 @@
 // conclude records why a request has ended without a result, and has its end recorded once
 // its response was handed to the kernel.
 func (x *exchange) conclude() {
-	if x.result.outcome == "" && x.wasCutOff() && !x.response.started() {
-		x.fail(x.cutOffRefusal())
+	if x.result.outcome == "" && x.wasCutOff() {
+		x.refuseCutOff()
 	}
 	if x.result.outcome == "" {
 		x.result = resultWithoutResponse(context.Cause(x.request.Context()), limitedConnection(x.request).EndedBy())
@@ -40,6 +40,15 @@
 	return errors.Is(context.Cause(x.request.Context()), errDrainEnded)
 }
 
+// refuseCutOff responds to a request that was cut off, unless the caller has a part of its
+// response.
+func (x *exchange) refuseCutOff() {
+	x.response.retract()
+	if !x.response.started() {
+		x.fail(x.cutOffRefusal())
+	}
+}
+
 // cutOffRefusal is the response to a request that was cut off before its response started.
 func (x *exchange) cutOffRefusal() refusal {
 	if x.machine.Sends() > 0 {
--- a/pkg/gateway/unanswered_test.go
+++ b/pkg/gateway/unanswered_test.go
@@ -133,30 +133,42 @@
 
 // Guards against a connection that a stopping entry closes without a response that it could send.
 func TestRequestWithoutAResponseIsAnsweredWhenItIsCutOff(t *testing.T) {
-	held := make(chan struct{})
-	sent := make(chan struct{})
-	site := startEndSite(t, onceRoute, 1, func(*rawBackend, *net.TCPConn, *http.Request) {
-		close(sent)
-		<-held
-	})
-	t.Cleanup(func() { close(held) })
-	g, address, log := startLimited(t, site)
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if _, err := io.WriteString(conn, "GET /item HTTP/1.1\r\nHost: desk.example\r\nX-Id: r-1\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	<-sent
-	site.handler.stop.begin(time.Now())
-	g.cutOff()
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("no response: %v, log %q", err, log.String())
-	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusBadGateway {
-		t.Errorf("status %d, %v", response.StatusCode, err)
+	for _, test := range []struct{ name, protocol, header string }{
+		{"no header", "HTTP/1.1", ""},
+		{"header", "HTTP/1.1", streamHeader(chunked)},
+		{"header without framing", "HTTP/1.1", streamHeader("")},
+		{"header to an HTTP/1.0 caller", "HTTP/1.0", streamHeader(chunked)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			held := make(chan struct{})
+			sent := make(chan struct{}, 1)
+			site := startEndSite(t, onceRoute, 1, func(_ *rawBackend, conn *net.TCPConn, request *http.Request) {
+				_, _ = io.WriteString(conn, test.header)
+				sent <- struct{}{}
+				<-held
+			})
+			t.Cleanup(func() { close(held) })
+			g, address, log := startLimited(t, site)
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := fmt.Fprintf(conn, "GET /item %s\r\nHost: desk.example\r\nX-Id: r-1\r\n\r\n", test.protocol); err != nil {
+				t.Fatal(err)
+			}
+			<-sent
+			time.Sleep(eventPause)
+			site.handler.stop.begin(time.Now())
+			g.cutOff()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no response: %v, log %q", err, log.String())
+			}
+			body, err := io.ReadAll(response.Body)
+			if err != nil || response.StatusCode != http.StatusBadGateway || response.Header.Get("X-Seal") != "" || !strings.Contains(string(body), "entry stopped") {
+				t.Errorf("status %d, header %v, body %q, %v", response.StatusCode, response.Header, body, err)
+			}
+		})
 	}
 }
