--- a/testkit/serverfaults/stop_history_test.go
+++ b/testkit/serverfaults/stop_history_test.go
@@ -42,6 +42,8 @@
 	endsServers bool
 	// signals has SIGHUP, changed settings and a second SIGTERM arrive beside the stop.
 	signals bool
+	// queues has streams wait at their runners.
+	queues bool
 }
 
 // stopHistory is a play of streams that may not be resumed while entries stop.
@@ -93,7 +95,7 @@
 	return r.headerAt.Add(r.length)
 }
 
-func stopOptions() platformsite.Options {
+func stopOptions(plan stopPlan) platformsite.Options {
 	options := platformsite.DefaultOptions()
 	options.Entries, options.Runners, options.Plain = 3, 3, 2
 	options.Slots = 128
@@ -103,6 +105,9 @@
 	options.DrainMillis = int(stopGrace.Milliseconds())
 	options.Retries = settings.Retries{Ratio: 10, Slack: 1000}
 	options.ServerProcesses = true
+	if plan.queues {
+		options.RunnerPlaces, options.RunnerQueue = 6, options.Slots
+	}
 	return options
 }
 
@@ -249,7 +254,7 @@
 		h.count("deadline")
 	case h.hasEnded(server):
 		h.count("its server ended")
-	case now.After(lastSixth) && request.serverEnd().After(lastSixth) && request.at.Before(c.entry.stopAt.Add(lateSend)):
+	case !request.headerAt.IsZero() && now.After(lastSixth) && request.serverEnd().After(lastSixth) && request.at.Before(c.entry.stopAt.Add(lateSend)):
 		h.count("cut off at the end")
 	default:
 		h.count("LOST")
@@ -382,7 +387,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := platformsite.Start(t.Context(), binaries, stopOptions())
+	s, err := platformsite.Start(t.Context(), binaries, stopOptions(plan))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -415,7 +420,7 @@
 	for seed := range stopSeeds() {
 		number := firstStop() + seed
 		t.Run(fmt.Sprint(number), func(t *testing.T) {
-			h := startStopHistory(t, stopPlan{endsServers: number%3 == 1, signals: number%2 == 1})
+			h := startStopHistory(t, stopPlan{endsServers: number%3 == 1, signals: number%2 == 1, queues: number%4 == 0})
 			h.run(t.Context(), uint64(number))
 			t.Logf("%+v %v", h.plan, h.counts)
 		})
--- a/testkit/serverfaults/stop_queue_test.go
+++ b/testkit/serverfaults/stop_queue_test.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	options := stopOptions()
+	options := stopOptions(stopPlan{})
 	options.Entries, options.Runners = 1, 1
 	options.RunnerPlaces, options.RunnerQueue = 1, 2*queuedCalls
 	s, err := platformsite.Start(t.Context(), binaries, options)
