--- a/testkit/serverfaults/stop_queue_test.go
+++ b/testkit/serverfaults/stop_queue_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	options := stopOptions()
+	options := stopOptions(stopPlan{})
 	options.Entries, options.Runners = 1, 1
 	options.RunnerPlaces, options.RunnerQueue = 1, 2*queuedCalls
 	s, err := platformsite.Start(t.Context(), binaries, options)
@@ -41,6 +42,7 @@
 	c, _ := sendUntilStarted(t, s, entry, call{path: platformsite.AdvicePath, plan: streamPlan(backendserver.FramingChunks)}, 0)
 	verifyServed(t, c, c.finish())
 	var wait sync.WaitGroup
+	var brokenOff atomic.Int32
 	for range queuedCalls {
 		plan := streamPlan(backendserver.FramingChunks)
 		plan.GapMillis = int(stopGrace.Milliseconds())
@@ -55,7 +57,9 @@
 				t.Errorf("%s: no response: %v\n%s", queued.id, err, linesOf(entry.Log(), queued.id))
 				return
 			}
-			_, err = io.Copy(io.Discard, response.Body)
+			if _, err = io.Copy(io.Discard, response.Body); err != nil {
+				brokenOff.Add(1)
+			}
 			t.Logf("%s: status %d, %v", queued.id, response.StatusCode, err)
 			if runs := len(queued.runs(s)); runs > 0 && response.StatusCode == http.StatusServiceUnavailable {
 				t.Errorf("%s: ran %d times, and got 503", queued.id, runs)
@@ -67,4 +71,7 @@
 		t.Error(err)
 	}
 	wait.Wait()
+	if got := brokenOff.Load(); got > 1 {
+		t.Errorf("%d responses broken off, and the runner runs one at a time", got)
+	}
 }
