--- a/testkit/platformsite/site.go
+++ b/testkit/platformsite/site.go
@@ -37,8 +37,14 @@
 	// may wait there; zero for Slots and twice as many. A runner with fewer places than the
 	// configuration names rejects requests that its agent lets through.
 	RunnerPlaces, RunnerQueue int
-	// CopyRejections is that of all backend servers.
-	CopyRejections int
+	// CopyRejections and SpoilResponses are those of all backend servers.
+	CopyRejections, SpoilResponses int
+	// PlainPlaces is the number of requests that a plain server runs, PlainQueue the number
+	// that may wait there; zero for Slots. PlainSpread is the WorkSpread of a plain server.
+	PlainPlaces, PlainQueue int
+	PlainSpread             time.Duration
+	// KeepDeadlines is that of all backend servers.
+	KeepDeadlines  bool
 	LoadsPerSecond float64
 	Models         []backendserver.Model
 	// Work is the processing time of a plain request and of each event of a stream.
@@ -152,7 +158,9 @@
 func (s *Site) addPlainServer(ctx context.Context, i int) error {
 	options := backendserver.Options{
 		ID: fmt.Sprintf("p-%d", i+1), Service: PlainService, Zone: s.zone(i),
-		Slots: s.options.Slots, Queue: s.options.Slots, Work: s.options.Work, CopyRejections: s.options.CopyRejections, Deadly: s.options.Deadly,
+		Slots: cmp.Or(s.options.PlainPlaces, s.options.Slots), Queue: cmp.Or(s.options.PlainQueue, s.options.Slots),
+		Work: s.options.Work, WorkSpread: s.options.PlainSpread, KeepDeadlines: s.options.KeepDeadlines,
+		CopyRejections: s.options.CopyRejections, SpoilResponses: s.options.SpoilResponses, Deadly: s.options.Deadly,
 	}
 	if s.options.ServerProcesses {
 		_, err := s.addServerProcess(ctx, options)
@@ -186,8 +194,8 @@
 	backend, address, err := s.startRunnerServer(ctx, backendserver.Options{
 		ID: fmt.Sprintf("r-%d", i+1), Service: EngineService, Zone: s.zone(i), Software: software, Engine: engine,
 		Slots: cmp.Or(s.options.RunnerPlaces, s.options.Slots), Queue: cmp.Or(s.options.RunnerQueue, 2*s.options.Slots),
-		Work: s.options.Work, Events: s.options.Events, CopyRejections: s.options.CopyRejections,
-		Deadly: s.options.Deadly,
+		Work: s.options.Work, Events: s.options.Events, CopyRejections: s.options.CopyRejections, SpoilResponses: s.options.SpoilResponses,
+		KeepDeadlines: s.options.KeepDeadlines, Deadly: s.options.Deadly,
 	})
 	if err != nil {
 		return nil, err
@@ -284,6 +292,9 @@
 
 func (s *Site) logPath(id string) string { return filepath.Join(s.dir, id+".log") }
 
+// ResetStoreConnections closes all connections to the store.
+func (s *Site) ResetStoreConnections() { s.storeServer.CloseClientConnections() }
+
 // Close stops all processes and stand-ins and removes the site's files.
 func (s *Site) Close() error {
 	var failures []error
--- a/testkit/serverfaults/refusals_test.go
+++ b/testkit/serverfaults/refusals_test.go
@@ -27,6 +27,10 @@
 	runnerPlaces = 6
 	// copiedRejection is the number of rejections of which one arrives twice.
 	copiedRejection = 10
+	// spoiledResponse is the number of responses of which one is spoiled.
+	spoiledResponse = 12
+	// plainDeadline is how long callers of the plain service wait beside spoiled answers.
+	plainDeadline = 600 * time.Millisecond
 	// leavingCaller is the number of requests of which one is left by its caller, where
 	// callers leave.
 	leavingCaller = 6
@@ -45,6 +49,8 @@
 	site *platformsite.Site
 	// callersLeave has callers leave in the middle, and bodies of all lengths.
 	callersLeave bool
+	// plainBudget is how long callers of the plain service wait; zero for any time.
+	plainBudget time.Duration
 
 	mu      sync.Mutex
 	results map[string]refusalResult
@@ -90,13 +96,9 @@
 	}
 }
 
-func playRefusals(t *testing.T, seed uint64, options platformsite.Options, callersLeave bool) {
-	t.Helper()
-	s := startSite(t, options)
-	r := &refusalHistory{site: s, callersLeave: callersLeave, results: map[string]refusalResult{}}
-	h := &history{site: s, ends: time.Now().Add(refusalsLength)}
-	f := newFaults(t, h, random(seed, 0))
-	f.kinds = []faultKind{
+// refusalKinds are the faults of a history of refusals.
+func refusalKinds() []faultKind {
+	return []faultKind{
 		{"kill entry", (*faults).killEntry},
 		{"terminate entry", (*faults).terminateEntry},
 		{"kill agent", (*faults).killAgent},
@@ -104,6 +106,42 @@
 		{"freeze", (*faults).freeze},
 		{"freeze server", (*faults).freezeServer},
 	}
+}
+
+// Guards against the same beside spoiled answers, servers that keep deadlines near their work,
+// entries that are killed together and a store that closes its connections.
+func TestHistoryOfRefusalsBesideSpoiledAnswersKeepsTheirPromise(t *testing.T) {
+	options := refusalsOptions()
+	options.CopyRejections, options.SpoilResponses = 0, spoiledResponse
+	options.PlainPlaces, options.PlainQueue, options.PlainSpread = runnerPlaces, 4*runnerPlaces, 2*plainDeadline/3
+	options.KeepDeadlines = true
+	for _, seed := range randomSeeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := &refusalHistory{callersLeave: true, plainBudget: plainDeadline}
+			r.play(t, seed, options, append(refusalKinds(),
+				faultKind{"kill all entries", (*faults).killEntries}, faultKind{"store closes its connections", (*faults).resetStore}))
+		})
+	}
+}
+
+// resetStore closes all connections to the store.
+func (f *faults) resetStore() func() {
+	return func() { f.h.site.ResetStoreConnections() }
+}
+
+func playRefusals(t *testing.T, seed uint64, options platformsite.Options, callersLeave bool) {
+	t.Helper()
+	r := &refusalHistory{callersLeave: callersLeave}
+	r.play(t, seed, options, refusalKinds())
+}
+
+// play plays the requests and the faults of a seed and checks all requests.
+func (r *refusalHistory) play(t *testing.T, seed uint64, options platformsite.Options, kinds []faultKind) {
+	t.Helper()
+	r.site, r.results = startSite(t, options), map[string]refusalResult{}
+	h := &history{site: r.site, ends: time.Now().Add(refusalsLength)}
+	f := newFaults(t, h, random(seed, 0))
+	f.kinds = kinds
 	var group sync.WaitGroup
 	for number := range refusalsCallers {
 		group.Go(func() { r.playCaller(random(seed, number+1), h.ends) })
@@ -127,6 +165,10 @@
 	request := platformsite.Request{ID: fmt.Sprintf("x%07d", lastID.Add(1)), Method: http.MethodPost, Body: "{}", Budget: budget}
 	if random.IntN(4) == 0 {
 		request.Path = platformsite.BookingPath + "item"
+		if r.plainBudget > 0 {
+			budget = r.plainBudget
+			request.Budget = budget
+		}
 	} else {
 		request.Path = platformsite.AdvicePath + "item"
 		request.Model = fmt.Sprintf("m%d", 1+random.IntN(3))
--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -93,7 +96,9 @@
 		s.refuse(w, r, id, status)
 		return
 	}
-	if !s.acquireSlot(r) {
+	ctx, cancel := s.deadlineOf(r)
+	defer cancel()
+	if !s.acquireSlot(ctx) {
 		s.refuse(w, r, id, http.StatusServiceUnavailable)
 		return
 	}
@@ -106,7 +111,7 @@
 		abandoned := r.Context().Err() != nil
 		change(func(run *Run) { run.Ended, run.Abandoned = !abandoned, abandoned })
 	}()
-	s.respond(w, r, id, string(body))
+	s.respond(w, r.WithContext(ctx), id, string(body))
 }
 
 // rejectionTime returns for how long requests are still rejected, or zero.
@@ -154,7 +159,7 @@
 
 // acquireSlot waits for a slot. It returns false if the queue is full, or if the
 // request or the server ends first.
-func (s *Server) acquireSlot(r *http.Request) bool {
+func (s *Server) acquireSlot(ctx context.Context) bool {
 	s.mu.Lock()
 	if len(s.slots) == cap(s.slots) && s.waiting >= s.options.Queue {
 		s.mu.Unlock()
@@ -170,7 +175,7 @@
 	select {
 	case s.slots <- struct{}{}:
 		return true
-	case <-r.Context().Done():
+	case <-ctx.Done():
 		return false
 	case <-s.stopped:
 		return false
@@ -219,7 +224,13 @@
 }
 
 func (s *Server) respondPlain(w http.ResponseWriter, r *http.Request, id, body string, work time.Duration, truncate bool) {
+	if spread := s.options.WorkSpread; spread > 0 {
+		work += rand.N(spread)
+	}
 	if !httpapi.Sleep(r.Context(), work) {
+		if errors.Is(r.Context().Err(), context.DeadlineExceeded) {
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
 		return
 	}
 	text := ResponseBody(id, r.URL.RequestURI(), body)
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -57,6 +57,13 @@
 	// CopyRejections has each n-th rejection arrive a second time, where the next response
 	// on its connection is expected; zero for none.
 	CopyRejections int
+	// SpoilResponses has each n-th response spoiled, or another one before it; zero for none.
+	SpoilResponses int
+	// WorkSpread is added to Work in part, as chance has it.
+	WorkSpread time.Duration
+	// KeepDeadlines has a request rejected whose time is over while it waits, and answered
+	// with 504 when it is over later.
+	KeepDeadlines bool
 	// Unregistered keeps the server out of the store until Register is called.
 	Unregistered bool
 	// OnRun is called with each request that the server begins to process, OnArrival with
@@ -153,6 +160,9 @@
 	if options.CopyRejections > 0 {
 		listener = newCopyListener(s.http, listener, options.CopyRejections)
 	}
+	if options.SpoilResponses > 0 {
+		listener = newSpoilListener(s.http, listener, options.ID, options.SpoilResponses)
+	}
 	go func() { _ = s.http.Serve(listener) }()
 	if !options.Unregistered {
 		s.Register()
