A rejection whose body doesn't end holds its request back no longer

What callers saw: a server rejects a request as not run, with a body that stops before its length, and keeps the connection open. The request was answered 503 at its deadline, though another server was free.

Cause: the rest of a response that isn't forwarded is read before the next step is taken, so that its connection can be kept, and without a time of its own. What decides stands in the head.

Change: the request waits 20 ms for that rest; it is read on in the background until the request ends, which closes the connection.

No promise was broken by it: the 503 was true.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -254,7 +254,7 @@
 		return true
 	}
 	if response != nil {
-		response.Discard()
+		discard(response)
 	}
 	switch decision {
 	case attempt.RetryElsewhere:
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -121,6 +121,29 @@
 	return &event
 }
 
+// discardTime is how long a request waits for the rest of a response that isn't forwarded.
+const discardTime = 20 * time.Millisecond
+
+// discard reads the rest of a response, so that its connection can be kept. After
+// discardTime it goes on in the background until the request ends.
+func discard(response *forward.Response) {
+	if response.ContentLength == 0 {
+		response.Discard()
+		return
+	}
+	discarded := make(chan struct{})
+	go func() {
+		defer close(discarded)
+		response.Discard()
+	}()
+	timer := time.NewTimer(discardTime)
+	defer timer.Stop()
+	select {
+	case <-discarded:
+	case <-timer.C:
+	}
+}
+
 // backendRequest returns the request for the next send. It is the same one for all sends,
 // with the header for this one.
 func (x *exchange) backendRequest(now time.Time, backend *server) *forward.Request {
