--- a/testkit/standin/backendserver/requests.go
+++ b/testkit/standin/backendserver/requests.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -102,7 +105,7 @@
 	}
 	r, stopTimer := s.withDeadline(r)
 	defer stopTimer()
-	if !s.acquireSlot(r) {
+	if !s.acquireSlot(r.Context()) {
 		s.refuse(w, r, id, http.StatusServiceUnavailable)
 		return
 	}
@@ -163,7 +166,7 @@
 
 // acquireSlot waits for a slot. It returns false if the queue is full, or if the
 // request or the server ends first.
-func (s *Server) acquireSlot(r *http.Request) bool {
+func (s *Server) acquireSlot(ctx context.Context) bool {
 	s.mu.Lock()
 	if len(s.slots) == cap(s.slots) && s.waiting >= s.options.Queue {
 		s.mu.Unlock()
@@ -179,7 +182,7 @@
 	select {
 	case s.slots <- struct{}{}:
 		return true
-	case <-r.Context().Done():
+	case <-ctx.Done():
 		return false
 	case <-s.stopped:
 		return false
@@ -231,7 +234,13 @@
 }
 
 func (s *Server) respondPlain(w http.ResponseWriter, r *http.Request, id, body string, work time.Duration, truncate bool) {
+	if spread := s.options.WorkSpread; spread > 0 {
+		work += rand.N(spread)
+	}
 	if !httpapi.Sleep(r.Context(), work) {
+		if errors.Is(r.Context().Err(), context.DeadlineExceeded) {
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
 		return
 	}
 	text := ResponseBody(id, r.URL.RequestURI(), body)
--- a/testkit/standin/backendserver/server.go
+++ b/testkit/standin/backendserver/server.go
@@ -64,6 +64,10 @@
 	KeepDeadlines bool
 	// ExtraResponses allows responses that are spoilt by an extra one.
 	ExtraResponses bool
+	// SpoilResponses has each n-th response spoiled, or another one before it; zero for none.
+	SpoilResponses int
+	// WorkSpread is added to Work in part, as chance has it.
+	WorkSpread time.Duration
 	// Unregistered keeps the server out of the store until Register is called.
 	Unregistered bool
 	// OnRun is called with each request that the server begins to process, OnArrival with
@@ -164,6 +168,9 @@
 	if options.CopyRejections > 0 || options.ExtraResponses {
 		listener = newCopyListener(s.http, listener, options.CopyRejections)
 	}
+	if options.SpoilResponses > 0 {
+		listener = newSpoilListener(s.http, listener, options.ID, options.SpoilResponses)
+	}
 	go func() { _ = s.http.Serve(listener) }()
 	if !options.Unregistered {
 		s.Register()
