Keep the watch of a stream where its server has no room for another connection

Seen in review, not in a record of callers.

What callers would see: a whole response without a length is cut off with "evidence=server-ended", at a server that is at its limit of connections. Cause: has the timer replace the connection of a watch only once the new one has been open for EstablishTime. Refresh, called with each piece of data, did not: it replaced an open connection at once by one that the server was about to close as beyond its limit. It did so exactly there, since a renewal that the server had no room for left renewedAt as it was. Change: replace asks both connections to be open; Refresh waits EstablishTime before it, and renew sets renewedAt when it begins, so that Refresh is only left for a timer that is late.

--- a/pkg/forward/watch.go
+++ b/pkg/forward/watch.go
@@ -34,7 +34,7 @@
 	// openedAt is when the connection was opened; zero if it had been idle in the pool,
 	// to which it returns. A server may wait for a request on a new one.
 	openedAt time.Time
-	// renewedAt is when the connection was last replaced.
+	// renewedAt is when a replacement of the connection was last begun.
 	renewedAt time.Time
 	// established is set once a connection has been open for EstablishTime.
 	established bool
@@ -107,7 +107,7 @@
 }
 
 // Refresh replaces a connection that is old. The new one is to the same process if the
-// old one is still open when it has been accepted.
+// old one is still open when it has been accepted. Refresh waits for EstablishTime then.
 func (w *Watch) Refresh(ctx context.Context) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -121,12 +121,14 @@
 		// The old connection goes on showing what it did.
 		return
 	}
+	time.Sleep(EstablishTime)
 	w.replace(next, now)
 }
 
-// replace replaces the connection by one that was opened at a time, if it is still open.
+// replace replaces the connection by one that was opened EstablishTime ago or earlier, if both
+// are still open: a server closes connections beyond its limit at once.
 func (w *Watch) replace(next *conn, openedAt time.Time) {
-	if !w.isOpen() {
+	if !next.isIdle() || !w.isOpen() {
 		_ = next.raw.Close()
 		return
 	}
@@ -143,6 +145,7 @@
 	}
 	w.renewal = time.AfterFunc(watchRenewInterval, w.renew)
 	now := time.Now()
+	w.renewedAt = now
 	next, err := w.dial(context.Background())
 	if err != nil {
 		// The old connection goes on showing what it did.
@@ -151,16 +154,10 @@
 	time.AfterFunc(EstablishTime, func() { w.finishRenewal(next, now) })
 }
 
-// finishRenewal replaces the connection by a new one that the server hasn't closed as beyond
-// its limit.
+// finishRenewal replaces the connection EstablishTime after another one was opened.
 func (w *Watch) finishRenewal(next *conn, openedAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !next.isIdle() {
-		_ = next.raw.Close()
-		return
-	}
-	w.renewedAt = openedAt
 	w.replace(next, openedAt)
 }
 
--- a/pkg/forward/watch_renewal_test.go
+++ b/pkg/forward/watch_renewal_test.go
@@ -61,3 +61,19 @@
 		t.Error("the watch has ended with a connection beyond the limit")
 	}
 }
+
+// Guards against a stream whose data has the watch take a connection that its server has no room for.
+func TestRefreshKeepsItsConnectionWhereTheServerHasNoRoom(t *testing.T) {
+	listener := listenUpTo(t, 1, time.Minute)
+	pool, _ := serve(t, respondWith())
+	watch, err := pool.NewWatch(t.Context(), listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer watch.Close()
+	watch.renewedAt = time.Time{}
+	watch.Refresh(t.Context())
+	if time.Sleep(closeDelay); !watch.IsOpen() {
+		t.Error("the watch has ended with a connection beyond the limit")
+	}
+}
