Lose a send at once whose response is torn into that of another request

What callers would see: an idempotent request is answered 504 at its deadline, though another server could have answered it, as its connection stays open. Cause: takes the last of two IDs, so that the beginning of a rejection before the answer to the request is a contradiction at once. If the answer to the request is what broke off, and an extra response follows, the last ID is that of the other: the header was skipped as a response to an earlier request, and its body by the framing of either head, before the contradiction was looked at. Change: Send returns each response whose header contradicts itself, whatever its ID. The gateway, its only caller, takes it for a lost send and closes the connection. What it costs: a whole answer behind an extra response that contradicts itself is no longer read; its request may have run.

--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -45,6 +45,7 @@
 
 // Send writes a request and reads the header of its response. It uses a connection on
 // which the request wasn't sent before. ctx covers the whole exchange, including the body.
+// A response whose Info has a Contradiction may be that of another request.
 // Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, address string, request *Request) (*Response, error) {
 	c := p.takeIdle(address, time.Now(), request.carriers)
@@ -86,7 +87,8 @@
 			return nil, classify(err)
 		}
 		info := x.pool.headerCodec.DecodeResponse(header.Status, header.Header)
-		if info.RequestID == request.ID {
+		// A header that contradicts itself doesn't show where its response ends either.
+		if info.RequestID == request.ID || info.Contradiction != "" {
 			response := x.response(header, info)
 			response.Skipped = skipped
 			return response, nil
--- a/pkg/gateway/contradiction_test.go
+++ b/pkg/gateway/contradiction_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -69,3 +70,19 @@
 		t.Errorf("%s, want the response of the next request", got)
 	}
 }
+
+// Guards against a request that waits behind a header of two responses of which the last isn't its own.
+func TestContradictoryResponseOfAnotherRequestIsLostSend(t *testing.T) {
+	route := fleet.Route{Kind: fleet.Idempotent, MaxAttempts: 2, Timeout: 5 * time.Second}
+	site := startEndSite(t, route, 2, func(backend *rawBackend, conn *net.TCPConn, _ *http.Request) {
+		if backend.id == "p-1" {
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: another\r\nX-Contradiction: two IDs\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, conn)
+			return
+		}
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n"+endSiteHeader+"Content-Length: 4\r\n\r\nbody")
+	})
+	if got := site.send(t, http.MethodPost, "HTTP/1.1", false); got.status != http.StatusOK || got.body != "body" {
+		t.Errorf("%s, want the other server's response", got)
+	}
+}
