Keep a limited connection of an entry until its last response is delivered

Cause: pkg/entry limits connections by netutil.LimitListener, whose connections do not name the one below. httpdrain finds no TCP connection and closes at once. For the same reason net/http could not end the sending side before it dropped a connection. Change: a listener of our own with the same limit, whose connections have NetConn and CloseWrite.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"teaselgauge.example/teaselgauge/pkg/adminapi"
 	"teaselgauge.example/teaselgauge/pkg/callers"
 	"teaselgauge.example/teaselgauge/pkg/hostlist"
@@ -195,7 +193,7 @@
 	}
 	server := newHTTPServer(handler, e.ready.draining.Load)
 	server.http.ErrorLog = slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug)
-	listener = server.listener(netutil.LimitListener(listener, e.config.Limits.MaxConnections))
+	listener = server.listener(limitConnections(listener, e.config.Limits.MaxConnections))
 	if e.config.CallersTLS != nil {
 		callersTLS, err := keys.CallersConfig(*e.config.CallersTLS)
 		if err != nil {
