Believe no rejection of an engine or a service that names another request

What callers would see: a request that ran is refused as not run, or runs again at another engine. Cause: pkg/engine compared the ID of a response only after it had believed X-Outcome: not-run. A late rejection of an earlier request, at the place of the next response on a kept connection, so counted as one of the request. Of several IDs the first counted. Change: each ID that a response names must be that of the request, before anything in the response is believed; otherwise the request may have run. A response without an ID is judged as before. Evidence: TestRejectionOfAnotherRequestIsNotAPromise fails before in 6 of its 6 cases (engine and service) and passes; pkg/engine and pkg/agent pass with -race.

--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -150,6 +150,10 @@
 	if err != nil {
 		return Response{}, err
 	}
+	if err := checkRequestID(op, call.RequestID, response); err != nil {
+		response.Body.Close()
+		return Response{}, err
+	}
 	if isNotRun(response) || response.StatusCode >= http.StatusInternalServerError {
 		defer response.Body.Close()
 		return Response{}, checkStatus(op, response)
--- a/pkg/engine/http_request.go
+++ b/pkg/engine/http_request.go
@@ -70,6 +70,17 @@
 	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(HeaderOutcome) == OutcomeNotRun
 }
 
+// checkRequestID returns an *Error if a response names another request, also beside the right
+// one. A service, and a refusal before the request was read, need not name it.
+func checkRequestID(op, requestID string, response *http.Response) error {
+	for _, got := range response.Header.Values(HeaderRequestID) {
+		if got != requestID {
+			return &Error{Op: op, Status: response.StatusCode, Err: fmt.Errorf("%w: got id %q", errWrongResponse, got)}
+		}
+	}
+	return nil
+}
+
 // checkStatus returns an *Error unless the status indicates success.
 func checkStatus(op string, response *http.Response) error {
 	if response.StatusCode >= 200 && response.StatusCode < 300 {
--- a/pkg/engine/malformed_test.go
+++ b/pkg/engine/malformed_test.go
@@ -45,3 +45,20 @@
 		t.Errorf("%s: %v, want an *Error of a request that may have run", name, err)
 	}
 }
+
+// Guards against a rejection of another request that counts as one of this request.
+func TestRejectionOfAnotherRequestIsNotAPromise(t *testing.T) {
+	heads := map[string]string{
+		"another ID":           "X-Request-Id: r0\r\n",
+		"another ID, then its": "X-Request-Id: r0\r\nX-Request-Id: r1\r\n",
+		"its ID, then another": "X-Request-Id: r1\r\nX-Request-Id: r0\r\n",
+	}
+	for name, ids := range heads {
+		response := "HTTP/1.1 503 Service Unavailable\r\n" + ids + HeaderOutcome + ": " + OutcomeNotRun + "\r\nContent-Length: 2\r\n\r\n{}"
+		call := Call{RequestID: "r1", Path: "/v1/completions"}
+		modelEngine := NewHTTPEngine(respondRaw(t, response))
+		checkUncertain(t, "engine, "+name, modelEngine.Call, call)
+		modelEngine.Close()
+		checkUncertain(t, "service, "+name, NewHTTPService(respondRaw(t, response)).Call, call)
+	}
+}
--- a/pkg/engine/service.go
+++ b/pkg/engine/service.go
@@ -37,6 +37,10 @@
 	if err != nil {
 		return Response{}, err
 	}
+	if err := checkRequestID(op, call.RequestID, response); err != nil {
+		response.Body.Close()
+		return Response{}, err
+	}
 	if isNotRun(response) {
 		defer response.Body.Close()
 		return Response{}, checkStatus(op, response)
@@ -53,14 +57,9 @@
 	}, nil
 }
 
-// checkServiceResponse rejects responses to other requests, encoded responses and
-// responses whose end can't be distinguished from a truncation. A service need not
-// repeat the request ID.
+// checkServiceResponse rejects encoded responses and responses whose end can't be
+// distinguished from a truncation.
 func checkServiceResponse(call Call, response *http.Response) error {
-	got := response.Header.Get(HeaderRequestID)
-	if got != "" && got != call.RequestID {
-		return fmt.Errorf("%w: got id %q", errWrongResponse, got)
-	}
 	if call.Method != http.MethodHead && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return errors.New("answer without a length")
 	}
