Take no head of an engine or a service that runs into another one

What callers would see: a request that ran is refused as not run or runs again; or a failure comes as a success. Cause: a rejection that breaks off inside a value is continued by the status line of the response behind it. pkg/engine read the two heads as one: the status and X-Outcome of the first, the ID of the second. The same holds for a reason. Change: a response with a status line in a value or in its reason is an error of a request that may have run, for calls and orders alike. Evidence: TestHeadThatRunsIntoAnotherOneIsNotAResponse fails before in all of its 8 cases (four heads, engine and service) and passes with -race.

--- a/pkg/engine/http_request.go
+++ b/pkg/engine/http_request.go
@@ -9,7 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
+
+	"teaselgauge.example/teaselgauge/pkg/httpresponse"
 )
 
 // requestParts contains the parts of an HTTP request.
@@ -34,6 +37,9 @@
 // errInvalidStatus reports that a status isn't one of a final response of HTTP.
 var errInvalidStatus = errors.New("answer with an invalid status")
 
+// errTwoResponses reports that a head is that of two responses.
+var errTwoResponses = errors.New("answer that runs into another one")
+
 const (
 	lowestStatus  = 200
 	highestStatus = 599
@@ -63,9 +69,26 @@
 		response.Body.Close()
 		return nil, &Error{Op: op, Status: response.StatusCode, Err: errInvalidStatus}
 	}
+	if isOfTwo(response) {
+		response.Body.Close()
+		return nil, &Error{Op: op, Status: response.StatusCode, Err: errTwoResponses}
+	}
 	return response, nil
 }
 
+// isOfTwo reports whether the head of a response that broke off is continued by the next one.
+func isOfTwo(response *http.Response) bool {
+	if httpresponse.HasStatusLine(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, httpresponse.HasStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
 func isNotRun(response *http.Response) bool {
 	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(HeaderOutcome) == OutcomeNotRun
 }
--- a/pkg/engine/malformed_test.go
+++ b/pkg/engine/malformed_test.go
@@ -62,3 +62,16 @@
 		checkUncertain(t, "service, "+name, NewHTTPService(respondRaw(t, response)).Call, call)
 	}
 }
+
+// Guards against a response that broke off in its head and is continued by the one to the request.
+func TestHeadThatRunsIntoAnotherOneIsNotAResponse(t *testing.T) {
+	const response = "HTTP/1.1 500 Failed\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\n{}"
+	const rejection = "HTTP/1.1 503 Unavailable\r\n" + HeaderOutcome + ": " + OutcomeNotRun + "\r\nContent-Type: "
+	call := Call{RequestID: "r1", Path: "/v1/completions"}
+	for _, torn := range []string{rejection, rejection + "application/", "HTTP/1.1 200 ", "HTTP/1.1 200 O"} {
+		modelEngine := NewHTTPEngine(respondRaw(t, torn+response))
+		checkUncertain(t, "engine, "+torn, modelEngine.Call, call)
+		modelEngine.Close()
+		checkUncertain(t, "service, "+torn, NewHTTPService(respondRaw(t, torn+response)).Call, call)
+	}
+}
--- a/pkg/httpresponse/grammar.go
+++ b/pkg/httpresponse/grammar.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"regexp"
 	"strconv"
 	"strings"
 )
@@ -46,6 +47,14 @@
 	return true
 }
 
+// innerStatusLine matches the first line of a response.
+var innerStatusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}( |$)`)
+
+// HasStatusLine reports whether a value of a field, or a reason, contains the first line of a
+// response. If a response breaks off inside its head, the next one on the connection continues
+// its last line.
+func HasStatusLine(text string) bool { return innerStatusLine.MatchString(text) }
+
 // trimBlanks removes the optional whitespace around a value.
 func trimBlanks(text string) string { return strings.Trim(text, " \t") }
 
