--- a/pkg/engine/http_request.go
+++ b/pkg/engine/http_request.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 
 	"teaselgauge.example/teaselgauge/pkg/httpresponse"
@@ -37,6 +38,9 @@
 // errInvalidStatus reports that a status isn't one of a final response of HTTP.
 var errInvalidStatus = errors.New("answer with an invalid status")
 
+// errTwoResponses reports that a head is that of two responses.
+var errTwoResponses = errors.New("answer that runs into another one")
+
 const (
 	lowestStatus  = 200
 	highestStatus = 599
@@ -66,13 +70,41 @@
 		response.Body.Close()
 		return nil, &Error{Op: op, Status: response.StatusCode, Err: errInvalidStatus}
 	}
+	if isOfTwo(response) {
+		response.Body.Close()
+		return nil, &Error{Op: op, Status: response.StatusCode, Err: errTwoResponses}
+	}
 	return response, nil
 }
 
+// isOfTwo reports whether the head of a response that broke off is continued by the next one.
+func isOfTwo(response *http.Response) bool {
+	if httpresponse.HasStatusLine(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, httpresponse.HasStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
 func isNotRun(response *http.Response) bool {
 	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(HeaderOutcome) == OutcomeNotRun
 }
 
+// checkRequestID returns an *Error if a response names another request, also beside the right
+// one. A service, and a refusal before the request was read, need not name it.
+func checkRequestID(op, requestID string, response *http.Response) error {
+	for _, got := range response.Header.Values(HeaderRequestID) {
+		if got != requestID {
+			return &Error{Op: op, Status: response.StatusCode, Err: fmt.Errorf("%w: got id %q", errWrongResponse, got)}
+		}
+	}
+	return nil
+}
+
 // checkStatus returns an *Error unless the status indicates success.
 func checkStatus(op string, response *http.Response) error {
 	if response.StatusCode >= 200 && response.StatusCode < 300 {
