Read the kernel's states of connections in one place

httpdrain read TCP_INFO by itself, from the low byte of an int, beside tcpstate; and two packages looked for the TCP connection below another one. Both stand in tcpstate now. No behaviour changes; go test -race of tcpstate, httpdrain, entry, callerlimits, engine and forward passes, go vet also for arm64 and darwin.

--- a/pkg/gateway/caller_response.go
+++ b/pkg/gateway/caller_response.go
@@ -11,6 +11,7 @@
 
 	"teaselgauge.example/teaselgauge/pkg/forward"
 	"teaselgauge.example/teaselgauge/pkg/httpdrain"
+	"teaselgauge.example/teaselgauge/pkg/tcpstate"
 )
 
 // responseState is how far the response to a caller has got.
@@ -44,17 +45,7 @@
 // callerConnection returns the TCP connection below a caller's connection; nil if there is
 // none.
 func callerConnection(ctx context.Context) *net.TCPConn {
-	connection := ctx.Value(callerConnectionKey{})
-	for {
-		switch layer := connection.(type) {
-		case *net.TCPConn:
-			return layer
-		case interface{ NetConn() net.Conn }:
-			connection = layer.NetConn()
-		default:
-			return nil
-		}
-	}
+	return tcpstate.Below(ctx.Value(callerConnectionKey{}))
 }
 
 var (
--- a/pkg/httpdrain/linger.go
+++ b/pkg/httpdrain/linger.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"teaselgauge.example/teaselgauge/pkg/tcpstate"
 )
 
 const (
@@ -46,7 +48,7 @@
 // bytes, or bytes that arrive after it, would drop what is still on its way. What the caller
 // has sent stays unread, so that the close tells it so.
 func (c *connection) Close() error {
-	tcp := tcpBelow(c.Conn)
+	tcp := tcpstate.Below(c.Conn)
 	if tcp == nil || !c.beginLinger() {
 		return c.Conn.Close()
 	}
@@ -73,7 +75,7 @@
 
 // abandon closes the connection if it lingers, and leaves the delivery to the kernel.
 func (c *connection) abandon() {
-	if tcp := tcpBelow(c.Conn); tcp != nil && c.isLingering() {
+	if tcp := tcpstate.Below(c.Conn); tcp != nil && c.isLingering() {
 		discardUnread(tcp)
 		_ = c.endLinger()
 	}
@@ -129,46 +131,10 @@
 	return c.lingering
 }
 
-// tcpBelow returns the TCP connection below another one; nil if there is none.
-func tcpBelow(conn net.Conn) *net.TCPConn {
-	for {
-		switch layer := conn.(type) {
-		case *net.TCPConn:
-			return layer
-		case interface{ NetConn() net.Conn }:
-			conn = layer.NetConn()
-		default:
-			return nil
-		}
-	}
-}
-
-// The states of a TCP connection whose sending side was closed and whose peer hasn't
-// acknowledged all, of the kernel's enum in tcp_states.h.
-const (
-	stateFinWait1 = 4
-	stateLastAck  = 9
-	stateClosing  = 11
-	// stateMask takes the first field of tcp_info, which is a byte.
-	stateMask = 0xff
-)
-
-// isUndelivered reports whether the peer hasn't acknowledged all that was sent on a connection
-// whose sending side was closed. It is false if the kernel doesn't tell.
+// isUndelivered reports whether the caller's host hasn't received all that was sent on a
+// connection whose sending side was closed. A connection of which that isn't known is closed
+// like one that is delivered.
 func isUndelivered(tcp *net.TCPConn) bool {
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	state := 0
-	err = raw.Control(func(fd uintptr) {
-		var info int
-		if info, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
-			state = info & stateMask
-		}
-	})
-	if err != nil {
-		return false
-	}
-	return state == stateFinWait1 || state == stateLastAck || state == stateClosing
+	undelivered, err := tcpstate.IsUndelivered(tcp)
+	return err == nil && undelivered
 }
--- a/pkg/tcpstate/state.go
+++ b/pkg/tcpstate/state.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// Below returns the TCP connection below a connection that wraps one; nil if there is none.
+func Below(conn any) *net.TCPConn {
+	for {
+		switch layer := conn.(type) {
+		case *net.TCPConn:
+			return layer
+		case interface{ NetConn() net.Conn }:
+			conn = layer.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
 // control calls a function with the socket of a connection. The function's errors are
 // returned as they are.
 func control(conn net.Conn, call func(fd int) error) error {
--- a/pkg/tcpstate/state_linux.go
+++ b/pkg/tcpstate/state_linux.go
@@ -11,17 +11,35 @@
 const (
 	kernelEstablished = unix.BPF_TCP_ESTABLISHED
 	kernelCloseWait   = unix.BPF_TCP_CLOSE_WAIT
+	// This side has closed its sending side, and the peer hasn't acknowledged all.
+	kernelFinWait1 = unix.BPF_TCP_FIN_WAIT1
+	kernelLastAck  = unix.BPF_TCP_LAST_ACK
+	kernelClosing  = unix.BPF_TCP_CLOSING
 )
 
 // Of returns the state of a connection. Errors are ErrNotTCP and those of the system call.
 func Of(conn net.Conn) (State, error) {
-	state := Closed
-	err := control(conn, func(fd int) error {
+	state, err := kernelState(conn)
+	if err != nil {
+		return Closed, err
+	}
+	return stateOf(state), nil
+}
+
+// IsUndelivered reports whether the peer hasn't acknowledged all that was sent on a connection
+// whose sending side was closed. Errors are those of Of.
+func IsUndelivered(conn net.Conn) (bool, error) {
+	state, err := kernelState(conn)
+	return err == nil && (state == kernelFinWait1 || state == kernelLastAck || state == kernelClosing), err
+}
+
+func kernelState(conn net.Conn) (state uint8, err error) {
+	err = control(conn, func(fd int) error {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err != nil {
 			return fmt.Errorf("state of the connection: %w", err)
 		}
-		state = stateOf(info.State)
+		state = info.State
 		return nil
 	})
 	return state, err
