Have the history of stops tell an unread request by its reset alone

A connection that ends in order without a line in the log counted as unread too; a caller can't tell that. The end is now probed by a write, as in testkit/site.

--- a/pkg/httpdrain/doc.go
+++ b/pkg/httpdrain/doc.go
@@ -10,4 +10,8 @@
 // is passed to the handler, unless the request itself is invalid or too slow. A
 // request that crosses the close of its connection stays unread, and TCP resets the
 // connection, so that the caller may send the request again.
+//
+// After a complete response a connection is closed only once the caller's host has
+// received all of it: what the caller has sent meanwhile would make the close a reset,
+// which drops what the kernel has still to send.
 package httpdrain
--- a/testkit/serverfaults/stop_history_test.go
+++ b/testkit/serverfaults/stop_history_test.go
@@ -248,7 +248,7 @@
 	h := c.history
 	lines := linesOf(c.entry.Log(), request.id)
 	switch {
-	case !wasSent && lines == "" && isUnread(err):
+	case !wasSent && lines == "" && c.isUnread(err):
 		h.count("not read")
 	case now.Sub(request.at) > request.budget-deadlineSlack:
 		h.count("deadline")
@@ -264,10 +264,17 @@
 	}
 }
 
-// isUnread reports whether a connection ended such that the caller can tell that its request
-// wasn't read.
-func isUnread(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+// resetTime is the time in which a reset arrives over loopback.
+const resetTime = 50 * time.Millisecond
+
+// isUnread reports whether the connection ended with a reset, which is how a caller can tell
+// that its request wasn't read. A reset that follows an end shows in the next write.
+func (c *stopCaller) isUnread(err error) bool {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		time.Sleep(resetTime)
+		_, err = io.WriteString(c.conn, "\n")
+	}
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 func linesOf(log, id string) string {
