--- a/pkg/gateway/unframed_ends_test.go
+++ b/pkg/gateway/unframed_ends_test.go
@@ -56,3 +56,13 @@
 	})
 	checkComplete(t, site.call(t, "HTTP/1.1", false), events(1, 3))
 }
+
+// Guards against a kind of evidence that counts as complete since nobody said otherwise.
+func TestOnlyFramingAndRunningServerCompleteResponse(t *testing.T) {
+	for evidence := endUnconfirmed; evidence <= endRequestUnwritten+1; evidence++ {
+		want := evidence == endFramed || evidence == endServerRunning
+		if err := evidence.err(); (err == nil) != want {
+			t.Errorf("evidence %d (%s): error %v", evidence, evidence, err)
+		}
+	}
+}
