Refuse a status line inside a value wherever responses are read strictly

What happens otherwise: a response of a runner, the store or the host list that breaks off inside a value is continued by the next one on its connection, and counts with the status of the first: an order as refused (409, 412, 421), a change as certainly not done (503, 429), informational heads and trailers as swallowing a whole head. Cause: looks for the status line in the codec of requests alone, and in the reason alone; the clients by httpresponse.NewConn have no such codec. Change: the reader refuses it in each value, of informational heads and trailers too, so that all its users do. The codec keeps its own check. A whole response with a status line in a value was a lost send before, and is one now, as malformed. FuzzHead had none of this rule and has it now, in its own words; it is stricter than before.

--- a/pkg/httpresponse/doc.go
+++ b/pkg/httpresponse/doc.go
@@ -9,6 +9,8 @@
 //   - The status has three digits and is from 100 to 599. 101 is refused, since no request
 //     asks for another protocol; other informational responses are skipped and counted.
 //   - Names are tokens. Values have no control bytes but tabs. Lines end with CR LF.
+//   - Neither a reason nor a value contains a status line: the head of a response that broke
+//     off is continued by the next one.
 //   - A body has one length, or the coding "chunked" alone, or ends with the connection.
 //   - Chunk sizes are hexadecimal digits. Trailers are checked like the header and dropped.
 //   - The head, its lines and the trailers are limited.
--- a/pkg/httpresponse/fuzz_test.go
+++ b/pkg/httpresponse/fuzz_test.go
@@ -34,6 +34,8 @@
 	trailerRule = regexp.MustCompile(`^` + ruleFields)
 	lineEndRule = regexp.MustCompile(`^\r\n`)
 	digitsRule  = regexp.MustCompile(`^[0-9]+$`)
+	// tornRule matches the start of another response in a line of a name and a value.
+	tornRule = regexp.MustCompile(`:.*HTTP/[0-9][.][0-9] [0-9][0-9][0-9](?: .*)?$`)
 )
 
 // text is what is left of a response.
@@ -96,6 +98,9 @@
 		}
 		result.status, _ = strconv.Atoi(head[2])
 		result.fields = fieldsByRules(head[4])
+		if slices.ContainsFunc(result.fields, tornRule.MatchString) {
+			return expected{}, false
+		}
 		lengths, codings := valuesOf(result.fields, "Content-Length"), valuesOf(result.fields, "Transfer-Encoding")
 		if result.status >= 200 {
 			ok = bodyByRules(&result, head[1], lengths, codings, left)
@@ -169,7 +174,8 @@
 			return false
 		}
 		if size == 0 {
-			return left.match(trailerRule) != nil
+			trailers := left.match(trailerRule)
+			return trailers != nil && !slices.ContainsFunc(fieldsByRules(trailers[1]), tornRule.MatchString)
 		}
 		data, ok := left.take(size)
 		if !ok || left.match(lineEndRule) == nil {
--- a/pkg/httpresponse/grammar.go
+++ b/pkg/httpresponse/grammar.go
@@ -125,7 +125,11 @@
 	if !isText(value) {
 		return "", "", malformedName("control byte in the value of", name)
 	}
-	return name, trimBlanks(value), nil
+	value = trimBlanks(value)
+	if HasStatusLine(value) {
+		return "", "", malformedName("status line in the value of", name)
+	}
+	return name, value, nil
 }
 
 // parseLength parses the value of a Content-Length.
