Tear off extra rejections inside the ID too, beside whole ones

The entry logged `responses to earlier requests skipped` with status 503 and then `event=not-run`, for a request that its server ran.

Cause: the first part of an extra rejection, torn off inside its ID, makes a legal header with the response behind it, whose first ID is another one. So the entry skips the true response as one to an earlier request, and takes the next one, an extra rejection of the same request, for the answer.

--- a/testkit/serverfaults/soak_check_test.go
+++ b/testkit/serverfaults/soak_check_test.go
@@ -159,7 +159,7 @@
 		return "MIXED", fmt.Sprintf("complete after %d of %d bytes", len(x.text()), len(want))
 	case spoilt && x.spoil.Kind == backendserver.SpoilStatus:
 		return "MIXED", "the server sent a status that isn't one"
-	case spoilt && x.isWhole():
+	case spoilt && x.isWhole() && x.spoil.Line() != "":
 		c.accepted[strconv.Quote(x.spoil.Line())]++
 	}
 	return "", ""
--- a/testkit/serverfaults/soak_malformed_test.go
+++ b/testkit/serverfaults/soak_malformed_test.go
@@ -18,10 +18,13 @@
 	}, (*soak).plannedKinds)
 }
 
+// tornSpoils are extra rejections, whole or torn off.
+var tornSpoils = []backendserver.SpoilKind{backendserver.SpoilExtraTorn, backendserver.SpoilExtra}
+
 // Guards against rejections that are put together from the first part of an extra one and
 // the response behind it.
 func TestSoakOfTornRejectionsKeepsRefusalsTrue(t *testing.T) {
 	playSoaks(t, func() *soak {
-		return &soak{spoils: []backendserver.SpoilKind{backendserver.SpoilExtraTorn}, spoilPercent: 15, leavePercent: 3, unframedPercent: 10}
+		return &soak{spoils: tornSpoils, spoilPercent: 20, leavePercent: 3, unframedPercent: 10}
 	}, (*soak).plannedKinds)
 }
--- a/testkit/standin/backendserver/spoil.go
+++ b/testkit/standin/backendserver/spoil.go
@@ -247,19 +247,25 @@
 	case SpoilExtraCut:
 		raw = raw[:1+spoil.Variant%(len(raw)-2)]
 	case SpoilExtraTorn:
-		raw = tornRejection(spoil.Variant)
+		raw = tornRejection(id, spoil.Variant)
 	}
 	conn.pending = raw
 	conn.atOnce = spoil.Kind == SpoilExtra
 }
 
-// tornRejection returns the first part of a rejection up to the middle of a status line's
-// reason, or of a field's value. The request would be named behind it.
-func tornRejection(variant int) []byte {
-	text := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Type: application/json", HeaderNotRun)
-	last := "application/json"
-	if variant%2 == 0 {
+// tornRejection returns the first part of a rejection up to the middle of its status line's
+// reason, of the request's ID, or of the value of a field before that.
+func tornRejection(id string, variant int) []byte {
+	const unavailable = "HTTP/1.1 503 Service Unavailable\r\n"
+	var text, last string
+	switch variant % 3 {
+	case 0:
 		text, last = "HTTP/1.1 421 Misdirected Request", "Misdirected Request"
+	case 1:
+		text, last = unavailable+HeaderRequestID+": "+id, id
+	default:
+		last = "application/json"
+		text = fmt.Sprintf("%s%s: 1\r\nContent-Type: %s", unavailable, HeaderNotRun, last)
 	}
-	return []byte(text[:len(text)-1-variant/2%len(last)])
+	return []byte(text[:len(text)-1-variant/3%len(last)])
 }
