Date the end of a response by its arrival, not by its reading

Cause: that a server accepts a connection at once counts as evidence for 20 ms, and these were counted from the moment at which the entry read the end, over a second after its arrival.

Change: the time of arrival comes from the kernel (tcpi_last_ack_recv); both the 20 ms and the connections that vouch for the server go by it. The line 'response ended with its connection' has ended_ms_ago.

--- a/pkg/forward/connection_end.go
+++ b/pkg/forward/connection_end.go
@@ -14,6 +14,9 @@
 	// State is the state of the connection, StateErr the error of reading it.
 	State    tcpstate.State
 	StateErr error
+	// At is when the end arrived, which may be long before it was read; when it was read if
+	// the system doesn't tell.
+	At time.Time
 	// Failure is the first error that another call than the reader's met; nil if none did.
 	Failure error
 }
@@ -40,6 +43,11 @@
 	x.awaitWriter()
 	end := ConnectionEnd{RequestWritten: x.written.Load()}
 	end.State, end.StateErr = tcpstate.Of(x.conn.raw)
+	var age time.Duration
+	if end.StateErr == nil {
+		age, end.StateErr = tcpstate.LastReceived(x.conn.raw)
+	}
+	end.At = time.Now().Add(-age)
 	end.Failure = x.conn.recordedFailure()
 	return end
 }
--- a/pkg/gateway/response_end.go
+++ b/pkg/gateway/response_end.go
@@ -188,7 +188,7 @@
 	x.progress.evidence = evidence
 	x.handler.observer.metrics.UnframedEnd(evidence.String())
 	x.logger.Info("response ended with its connection", "backend", backend.ID, "evidence", evidence.String(),
-		"request_written", end.RequestWritten, "connection", end.State.String(), "connection_error", end.Failure, "state_error", end.StateErr,
+		"request_written", end.RequestWritten, "connection", end.State.String(), "ended_ms_ago", time.Since(end.At).Milliseconds(), "connection_error", end.Failure, "state_error", end.StateErr,
 		"watched", clues.watched, "open", clues.open, "accepted_at_once", clues.acceptedAtOnce, "leaving", clues.leaving,
 		"last_event", x.progress.events.LastID(), "error", err)
 }
@@ -199,7 +199,7 @@
 	if response.Framing != forward.FramingConnection {
 		return endFramed
 	}
-	clues, err := x.gatherClues(ctx, backend)
+	clues, err := x.gatherClues(ctx, backend, response.ConnectionEnd().At)
 	x.recordConnectionEnd(backend, response, clues.evidence(), clues, err)
 	return x.progress.evidence
 }
@@ -210,28 +210,36 @@
 	return x.watch == nil || (!x.watch.IsOpen() && !x.watch.IsEstablished())
 }
 
-// acceptsAtOnce reports whether a server whose response has just ended accepts a connection
+// acceptsAtOnce reports whether a server whose response ended at a time accepts a connection
 // before another process could have taken its place.
-func (x *exchange) acceptsAtOnce(ctx context.Context, target *server) bool {
-	ctx, cancel := context.WithTimeout(ctx, minRestartTime)
+func (x *exchange) acceptsAtOnce(ctx context.Context, target *server, endedAt time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, endedAt.Add(minRestartTime))
 	defer cancel()
 	return x.handler.pool.CheckListening(ctx, target.Address) == nil
 }
 
-// gatherClues finds out whether the process of a server still runs. The error is that of a
-// new connection.
-func (x *exchange) gatherClues(ctx context.Context, target *server) (endClues, error) {
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// gatherClues finds out whether the process of a server still runs whose response ended at a
+// time. The error is that of a new connection.
+func (x *exchange) gatherClues(ctx context.Context, target *server, endedAt time.Time) (endClues, error) {
 	// A response that ends at its deadline is judged as well.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), clueTimeout)
 	defer cancel()
-	acceptedAtOnce := x.lacksWatch() && x.acceptsAtOnce(ctx, target)
+	acceptedAtOnce := x.lacksWatch() && x.acceptsAtOnce(ctx, target, endedAt)
 	// The ends of a process's connections don't arrive at the same moment.
 	backoff.Sleep(ctx, endSettleTime)
 	err := x.handler.pool.CheckListening(ctx, target.Address)
 	known := x.handler.control.current().listed(target)
 	return endClues{
 		watched: x.watch != nil && x.watch.IsEstablished(),
-		open:    x.watch != nil && x.watch.IsOpen() || x.handler.pool.HasOpen(target.Address, x.progress.lastData),
+		open:    x.watch != nil && x.watch.IsOpen() || x.handler.pool.HasOpen(target.Address, earlier(x.progress.lastData, endedAt)),
 		accepts: err == nil,
 		refuses: errors.Is(err, syscall.ECONNREFUSED),
 
--- a/pkg/tcpstate/state_linux.go
+++ b/pkg/tcpstate/state_linux.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -33,16 +34,33 @@
 	return err == nil && (state == kernelFinWait1 || state == kernelLastAck || state == kernelClosing), err
 }
 
-func kernelState(conn net.Conn) (state uint8, err error) {
+// LastReceived returns how long ago the last segment of the peer arrived, to the millisecond.
+// Its end is the last one of a peer that has closed. Errors are those of Of.
+func LastReceived(conn net.Conn) (time.Duration, error) {
+	info, err := kernelInfo(conn)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, nil
+}
+
+func kernelState(conn net.Conn) (uint8, error) {
+	info, err := kernelInfo(conn)
+	if err != nil {
+		return 0, err
+	}
+	return info.State, nil
+}
+
+func kernelInfo(conn net.Conn) (info *unix.TCPInfo, err error) {
 	err = control(conn, func(fd int) error {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err != nil {
 			return fmt.Errorf("state of the connection: %w", err)
 		}
-		state = info.State
 		return nil
 	})
-	return state, err
+	return info, err
 }
 
 // IsQuiet reports whether a connection is open and has no bytes to read in the kernel's
--- a/pkg/tcpstate/state_linux_test.go
+++ b/pkg/tcpstate/state_linux_test.go
@@ -85,6 +85,29 @@
 	}
 }
 
+func TestArrivalOfEndIsKnownLater(t *testing.T) {
+	near, far := connect(t)
+	if _, err := far.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	const pause = 50 * time.Millisecond
+	time.Sleep(pause)
+	ended := time.Now()
+	if err := far.Close(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(pause)
+	if _, err := io.ReadAll(near); err != nil {
+		t.Fatal(err)
+	}
+	ago, err := LastReceived(near)
+	// The kernel's clock may be behind by a tick.
+	const tick = 10 * time.Millisecond
+	if most := time.Since(ended) + tick; err != nil || ago < pause-tick || ago > most {
+		t.Errorf("%s ago, %v, want from %s to %s", ago, err, pause-tick, most)
+	}
+}
+
 func TestConnectionWithoutSocketHasNoState(t *testing.T) {
 	near, far := net.Pipe()
 	defer near.Close()
--- a/pkg/tcpstate/state_other.go
+++ b/pkg/tcpstate/state_other.go
@@ -7,11 +7,15 @@
 	"fmt"
 	"net"
 	"syscall"
+	"time"
 )
 
 // Of returns Unknown.
 func Of(net.Conn) (State, error) { return Unknown, nil }
 
+// LastReceived returns zero.
+func LastReceived(net.Conn) (time.Duration, error) { return 0, nil }
+
 // IsUndelivered returns false.
 func IsUndelivered(net.Conn) (bool, error) { return false, nil }
 
