Histories stop an entry as planned only once it listens

Cause, by the history's own lines: front-2 was started at 29.917 and sent SIGTERM at 29.976. Such an entry has no callers, and a planned stop of it isn't one.

Change: the fault waits until the entry accepts callers, at most as long as a planned stop may take; one that doesn't is reported as before. Which entries, when, kills at any time and all checks of promises are unchanged.

--- a/testkit/serverfaults/faults_test.go
+++ b/testkit/serverfaults/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -180,10 +181,22 @@
 	return f.kill(append(f.h.site.EntryProcesses(), f.h.site.AgentProcesses()...)...)
 }
 
+// awaitListening waits until an entry accepts callers' connections. Before that, its process
+// may not have set how it handles signals.
+func awaitListening(ctx context.Context, entry *platformsite.Entry) error {
+	return site.Eventually(ctx, func() error {
+		conn, err := net.Dial("tcp", entry.Callers)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	})
+}
+
 // terminateEntry has an entry stop as planned, and starts it again.
 func (f *faults) terminateEntry() func() {
-	entries := f.h.site.EntryProcesses()
-	process := entries[f.random.IntN(len(entries))]
+	entry := f.h.site.Entries[f.random.IntN(len(f.h.site.Entries))]
+	process := entry.Process
 	down := f.between(0, maxDown)
 	if !f.take(process) {
 		return nil
@@ -192,6 +205,7 @@
 		defer f.giveBack(process)
 		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 		defer cancel()
+		f.report(awaitListening(ctx, entry))
 		f.log("terminate %s", process.Name)
 		f.report(process.Stop(ctx))
 		time.Sleep(down)
