Wait for the ends of cut-off requests by the clock

What callers would see: an entry on a busy machine still waits for requests that it has cut off when the platform kills it, so that what it still had to write is lost. Cause: awaitRequests counted 2 ms for each of its sleeps, however long they took. The 50 ms, of which a stop has two, must fit into the 300 ms before the end of graceS. Change: the wait ends by the clock.

--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -62,7 +62,7 @@
 
 // awaitRequests waits until no request is in flight, for at most cutOffTime.
 func (g *Gateway) awaitRequests() {
-	for waited := time.Duration(0); g.handler.inFlight.Load() > 0 && waited < cutOffTime; waited += cutOffCheckInterval {
+	for end := time.Now().Add(cutOffTime); g.handler.inFlight.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(cutOffCheckInterval)
 	}
 }
