Lose a send at once whose connection brings a response to an unknown request

What callers could get: a request that ran was refused as not run, or sent to a second server: its own response had an ID that one wrong byte had changed, or none, and was skipped as one to an earlier request; an extra rejection of the request came after it and was believed. Otherwise the request waited for its deadline.

Cause: each response with another ID was skipped, whether or not such a request had ever been sent on the connection.

Change: a connection remembers the last 64 requests that it carried, and only responses to these are skipped. Any other one is a lost send, at once.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,7 +14,11 @@
 	"teaselgauge.example/teaselgauge/pkg/tcpstate"
 )
 
-const readBufferBytes = 4 << 10
+const (
+	readBufferBytes = 4 << 10
+	// maxCarriedIDs limits the requests that a connection remembers.
+	maxCarriedIDs = 64
+)
 
 // conn is a connection to a backend server that serves one request at a time.
 type conn struct {
@@ -23,6 +28,8 @@
 	// openedAt is when the connection was established.
 	openedAt     time.Time
 	idleDeadline time.Time
+	// carried holds the IDs of the last requests that were sent on the connection.
+	carried []string
 
 	// mu is held while another goroutine than the reader's looks at the connection.
 	mu sync.Mutex
@@ -65,6 +72,18 @@
 	return quiet
 }
 
+// carry records that a request is sent on the connection.
+func (c *conn) carry(id string) {
+	if len(c.carried) == maxCarriedIDs {
+		c.carried = c.carried[1:]
+	}
+	c.carried = append(c.carried, id)
+}
+
+// hasCarried reports whether a request was sent on the connection, so that another response
+// to it may arrive.
+func (c *conn) hasCarried(id string) bool { return slices.Contains(c.carried, id) }
+
 // recordFailure records an error of the connection.
 func (c *conn) recordFailure(err error) {
 	c.mu.Lock()
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -56,6 +56,7 @@
 		}
 	}
 	request.carriers = append(request.carriers, c)
+	c.carry(request.ID)
 	p.setBusy(c)
 	x := &exchange{pool: p, conn: c, writeEnded: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(pastDeadline) })
@@ -93,6 +94,11 @@
 			response.Skipped = skipped
 			return response, nil
 		}
+		// A response to an unknown request may be the one to this request with a spoiled ID.
+		// What comes after it may be an extra one that doesn't hold.
+		if !x.conn.hasCarried(info.RequestID) {
+			return nil, ErrForeignResponse
+		}
 		if err := x.skip(header); err != nil {
 			return nil, err
 		}
--- a/pkg/forward/send_test.go
+++ b/pkg/forward/send_test.go
@@ -164,6 +164,8 @@
 		want   string
 	}{
 		{"late response before the expected one", completeResponse("1", "late") + completeResponse("2", "two"), "two"},
+		{"extra response after one to an unknown request", completeResponse("x", "spoiled ID") + completeResponse("2", "extra"), ""},
+		{"extra response after one without an ID", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo" + completeResponse("2", "extra"), ""},
 		{"only foreign responses", completeResponse("x", "other"), ""},
 		{"foreign response without a length", "HTTP/1.1 200 OK\r\nX-Id: x\r\n\r\nrest", ""},
 		{"bytes that are not a response", "\x00\x01\r\n\r\n", ""},
