--- a/testkit/serverfaults/soak_test.go
+++ b/testkit/serverfaults/soak_test.go
@@ -49,7 +49,7 @@
 // soundSpoils are spoilt responses that each leave the entry a way to tell what happened.
 var soundSpoils = []backendserver.SpoilKind{
 	backendserver.SpoilHeader, backendserver.SpoilLost, backendserver.SpoilUnpromised,
-	backendserver.SpoilExtra, backendserver.SpoilExtraNext, backendserver.SpoilEarly,
+	backendserver.SpoilExtra, backendserver.SpoilExtraNext, backendserver.SpoilExtraCut, backendserver.SpoilEarly,
 }
 
 // soak is a play of requests and faults that a seed determines.
